Lay out the workspace, the core types and the ports

Cause: the repository is empty; several aggregates are about to be written side by side and need the same types. Conclusion: the decisions are generators of effects without I/O, so that the same code can run in the process and on virtual time.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; one module per question."""
--- /dev/null
+++ b/packages/bambooglade-ctl/bambooglade_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command line for bambooglade."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/budgets/__init__.py
@@ -0,0 +1,1 @@
+"""Aggregate: accounts, shards, reservations and bills."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/budgets/messages.py
@@ -0,0 +1,113 @@
+"""Messages between an entry instance and the primary of an account's shard.
+
+An entry repeats each of them until it is answered; the reservation id makes
+that idempotent.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+
+
+class ReservationId(msgspec.Struct, frozen=True, kw_only=True, order=True):
+    """Names one reservation: the request's key and the instance it is for."""
+
+    key: identifiers.RequestKey
+    entry: identifiers.InstanceId
+
+
+class RefusalReason(enum.StrEnum):
+    """Why a reservation was not granted."""
+
+    EXHAUSTED = "exhausted"
+    UNREACHABLE = "unreachable"
+    NOT_PRIMARY = "not_primary"
+    UNKNOWN_BUDGET = "unknown_budget"
+
+
+class Reserve(effects.Message, frozen=True, kw_only=True):
+    """Asks the zone's primary to reserve an upper bound in one account.
+
+    Attributes:
+        reservation_id: Identifies the reservation; repeating is harmless.
+        budget_id: The account to draw on.
+        bound_tokens: Upper bound of the cost, in tokens.
+        deadline_ms: Until when the primary may let the request wait for
+            refills and settlements; milliseconds since the epoch.
+    """
+
+    reservation_id: ReservationId
+    budget_id: identifiers.BudgetId
+    bound_tokens: int
+    deadline_ms: int
+
+
+class Reserved(effects.Message, frozen=True, kw_only=True):
+    """The bound is reserved under the epoch of the answering primary."""
+
+    reservation_id: ReservationId
+    budget_id: identifiers.BudgetId
+    availability_zone: identifiers.AvailabilityZone
+    epoch: identifiers.Epoch
+
+
+class ReserveRefused(effects.Message, frozen=True, kw_only=True):
+    """Nothing was reserved.
+
+    Attributes:
+        primary: Where to ask instead, for `NOT_PRIMARY`; None if unknown.
+        detail: Explanation for callers and operators.
+    """
+
+    reservation_id: ReservationId
+    budget_id: identifiers.BudgetId
+    reason: RefusalReason
+    detail: str
+    primary: identifiers.InstanceId | None = None
+
+
+class Reduce(effects.Message, frozen=True, kw_only=True):
+    """Lowers a reservation to the actual cost while its bill is undecided."""
+
+    reservation_id: ReservationId
+    budget_id: identifiers.BudgetId
+    epoch: identifiers.Epoch
+    bound_tokens: int
+    reduced_tokens: int
+
+
+class Settle(effects.Message, frozen=True, kw_only=True):
+    """Bills the actual cost and ends the reservation; 0 credits it back.
+
+    Attributes:
+        epoch: Epoch under which the reservation was made; a later primary
+            takes the bound out of the rights that it holds for that epoch.
+        bound_tokens: Bound of the reservation, for a primary without a record.
+        spent_tokens: Actual cost in tokens; at most the bound.
+    """
+
+    reservation_id: ReservationId
+    budget_id: identifiers.BudgetId
+    epoch: identifiers.Epoch
+    bound_tokens: int
+    spent_tokens: int
+
+
+class Settled(effects.Message, frozen=True, kw_only=True):
+    """The settlement is recorded on primary and backup."""
+
+    reservation_id: ReservationId
+    budget_id: identifiers.BudgetId
+
+
+class SettleMisdirected(effects.Message, frozen=True, kw_only=True):
+    """The receiver is not the primary; the settlement has to go elsewhere."""
+
+    reservation_id: ReservationId
+    budget_id: identifiers.BudgetId
+    primary: identifiers.InstanceId | None
--- /dev/null
+++ b/packages/bambooglade/bambooglade/core/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, errors and identifiers; imports nothing from the other packages."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/core/clock.py
@@ -0,0 +1,70 @@
+"""Clocks in milliseconds.
+
+All times in this project are integers in milliseconds since the Unix epoch;
+all durations are integers in milliseconds.
+"""
+
+from __future__ import annotations
+
+import time
+
+_NS_PER_MS = 1_000_000
+
+
+class Clock:
+    """Tells the time in whole milliseconds since the Unix epoch.
+
+    The system clock follows the monotonic clock from the moment of its
+    construction, so it never goes back within one process.
+
+    See Also:
+        ManualClock: the clock of tests and of the simulated fleet.
+    """
+
+    __slots__ = ("_offset_ns",)
+
+    def __init__(self) -> None:
+        self._offset_ns = time.time_ns() - time.monotonic_ns()
+
+    def now_ms(self) -> int:
+        """Returns the time in milliseconds since the Unix epoch."""
+        return (time.monotonic_ns() + self._offset_ns) // _NS_PER_MS
+
+    def __repr__(self) -> str:
+        return f"Clock(now_ms={self.now_ms()})"
+
+
+class ManualClock(Clock):
+    """A clock that moves only when it is told to.
+
+    Examples:
+        >>> clock = ManualClock(now_ms=1_000)
+        >>> clock.advance(delta_ms=250)
+        >>> clock.now_ms()
+        1250
+    """
+
+    __slots__ = ("_now_ms",)
+
+    def __init__(self, *, now_ms: int = 0) -> None:
+        super().__init__()
+        self._now_ms = now_ms
+
+    def now_ms(self) -> int:
+        """Returns the time to which the clock was last moved."""
+        return self._now_ms
+
+    def advance(self, *, delta_ms: int) -> None:
+        """Moves the clock forward.
+
+        Args:
+            delta_ms: Duration in milliseconds; not negative.
+
+        Raises:
+            ValueError: The duration is negative.
+        """
+        if delta_ms < 0:
+            raise ValueError(
+                f"delta_ms is {delta_ms}; pass a duration of 0 or more"
+            )
+        self._now_ms += delta_ms
--- /dev/null
+++ b/packages/bambooglade/bambooglade/core/hashing.py
@@ -0,0 +1,52 @@
+"""Stable hashing: shards of keys and rendezvous ranking of nodes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import hashlib
+from typing import TypeVar
+
+from bambooglade.core import identifiers
+
+_DIGEST_BYTES = 8
+
+Node = TypeVar("Node", bound=str)
+
+
+def stable_hash(text: str) -> int:
+    """Returns a 64-bit hash that is the same in every process.
+
+    Examples:
+        >>> stable_hash("a") == stable_hash("a")
+        True
+    """
+    digest = hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
+def shard_of(key: str, *, shard_count: int) -> identifiers.ShardId:
+    """Returns the shard of a budget id or a request key.
+
+    Args:
+        key: The identifier.
+        shard_count: Number of shards of the deployment; 1 or more.
+
+    Examples:
+        >>> 0 <= shard_of("team-1", shard_count=64) < 64
+        True
+    """
+    return identifiers.ShardId(stable_hash(key) % shard_count)
+
+
+def rendezvous(key: str, nodes: Iterable[Node]) -> list[Node]:
+    """Ranks nodes for a key by rendezvous (highest random weight) hashing.
+
+    A node that joins or leaves moves only the keys that it ranks first for.
+
+    Examples:
+        >>> order = rendezvous("shard-1", ["a", "b", "c"])
+        >>> [node for node in order if node != "a"] == rendezvous(
+        ...     "shard-1", ["b", "c"])
+        True
+    """
+    return sorted(nodes, key=lambda node: (stable_hash(f"{key}/{node}"), node))
--- /dev/null
+++ b/packages/bambooglade/bambooglade/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Aggregate: instances, membership and handover."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Aggregate: idempotency keys, claims and outcomes of requests."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Ports to the platform's services, and their HTTP adapters."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router process: connects the aggregates with the transport."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/shards/__init__.py
@@ -0,0 +1,1 @@
+"""Aggregate: shards, their primary and backup, and their documents."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/shards/assignments.py
@@ -0,0 +1,98 @@
+"""Which instances serve a shard in an availability zone, as far as known."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+import msgspec
+
+from bambooglade.core import identifiers
+
+
+class Place(msgspec.Struct, frozen=True, kw_only=True, order=True):
+    """A shard in an availability zone; it holds accounts and claims."""
+
+    shard: identifiers.ShardId
+    availability_zone: identifiers.AvailabilityZone
+
+
+class Assignment(msgspec.Struct, frozen=True, kw_only=True):
+    """The pair that serves a place at an epoch.
+
+    Attributes:
+        epoch: Fencing number; grows with every change of the primary.
+        primary: The instance that decides.
+        backup: The instance that holds a full copy; None when there is none.
+        version: Grows with every change of the backup within an epoch.
+        history_lost_at_ms: When both copies were last lost; None if never.
+    """
+
+    epoch: identifiers.Epoch
+    primary: identifiers.InstanceId
+    backup: identifiers.InstanceId | None
+    version: int = 0
+    history_lost_at_ms: int | None = None
+
+
+class AssignmentMap:
+    """The newest assignment that is known of each place.
+
+    It is a cache: the document of the shard in the platform's service is the
+    authority. An older epoch never replaces a newer one.
+
+    Examples:
+        >>> place = Place(shard=identifiers.ShardId(3),
+        ...     availability_zone=identifiers.AvailabilityZone("scot-a"))
+        >>> map_ = AssignmentMap()
+        >>> map_.learn(place, Assignment(epoch=identifiers.Epoch(1),
+        ...     primary=identifiers.InstanceId("i1"), backup=None))
+        True
+        >>> map_.primary(place)
+        'i1'
+    """
+
+    __slots__ = ("_by_place",)
+
+    def __init__(self) -> None:
+        self._by_place: dict[Place, Assignment] = {}
+
+    def learn(self, place: Place, assignment: Assignment) -> bool:
+        """Keeps the assignment if it is newer than the one known.
+
+        Returns:
+            Whether the map changed.
+        """
+        known = self._by_place.get(place)
+        if known is not None and _order(known) >= _order(assignment):
+            return False
+        self._by_place[place] = assignment
+        return True
+
+    def get(self, place: Place) -> Assignment | None:
+        """Returns the newest known assignment of a place, or None."""
+        return self._by_place.get(place)
+
+    def primary(self, place: Place) -> identifiers.InstanceId | None:
+        """Returns the newest known primary of a place, or None."""
+        assignment = self._by_place.get(place)
+        return assignment.primary if assignment else None
+
+    def items(self) -> Iterable[tuple[Place, Assignment]]:
+        """Returns all places with their assignments."""
+        return self._by_place.items()
+
+    def served_by(self, instance_id: identifiers.InstanceId) -> Iterator[Place]:
+        """Yields the places for which the instance is named as primary."""
+        return (
+            place
+            for place, assignment in self._by_place.items()
+            if assignment.primary == instance_id
+        )
+
+    def __repr__(self) -> str:
+        return f"AssignmentMap(places={len(self._by_place)})"
+
+
+def _order(assignment: Assignment) -> tuple[int, int]:
+    return (assignment.epoch, assignment.version)
--- /dev/null
+++ b/packages/bambooglade/bambooglade/table/__init__.py
@@ -0,0 +1,1 @@
+"""Aggregate: the operators' rows, pages and edits."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Aggregate: targets, load, choice and orders."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP in and out, and the messages between instances."""
