Tell calls of one key apart, and claims from lone primaries

Cause: two calls of one key at one instance could not be answered apart; a reservation that was never acknowledged had no safe way to be ended, since its epoch is not known; a primary without a backup can't know whether it was replaced, so a claim that it grants alone could be granted twice. Change: call_id and first_attempt on Call, attempt on ReservationId, UNKNOWN_EPOCH, needs_backup and otherwise on AfterReplication; all have defaults. Conclusion: types only, no behaviour yet.

--- a/packages/bambooglade/bambooglade/budgets/messages.py
+++ b/packages/bambooglade/bambooglade/budgets/messages.py
@@ -15,10 +15,24 @@
 
 
 class ReservationId(msgspec.Struct, frozen=True, kw_only=True, order=True):
-    """Names one reservation: the request's key and the instance it is for."""
+    """Names one reservation: the request's key and the instance it is for.
+
+    Attributes:
+        attempt: Grows with each attempt of the key at the instance, so that a
+            late message of an earlier attempt changes nothing.
+    """
 
     key: identifiers.RequestKey
     entry: identifiers.InstanceId
+    attempt: int = 0
+
+
+UNKNOWN_EPOCH = identifiers.Epoch(0)
+"""Epoch of a settlement whose reservation was never acknowledged.
+
+Such a settlement ends a recorded reservation, and refuses one that arrives
+later under the same id; it takes nothing out of rights held for an epoch.
+"""
 
 
 class RefusalReason(enum.StrEnum):
@@ -87,6 +101,7 @@
     Attributes:
         epoch: Epoch under which the reservation was made; a later primary
             takes the bound out of the rights that it holds for that epoch.
+            `UNKNOWN_EPOCH` if the reservation was never acknowledged.
         bound_tokens: Bound of the reservation, for a primary without a record.
         spent_tokens: Actual cost in tokens; at most the bound.
     """
--- a/packages/bambooglade/bambooglade/operations/calls.py
+++ b/packages/bambooglade/bambooglade/operations/calls.py
@@ -40,6 +40,11 @@
         repeatable: Whether running it twice does no harm.
         draws: Accounts to draw on; all or nothing.
         deadline_ms: When the caller gives up; milliseconds since the epoch.
+        call_id: Tells calls of the same key at one instance apart; the effects
+            that answer a call carry it.
+        first_attempt: Whether no call with this key can have been made before:
+            the router made the key, or the caller says so. Only then may a
+            refusal say "not run" without the arbiter's word.
     """
 
     key: identifiers.RequestKey
@@ -50,6 +55,8 @@
     repeatable: bool
     draws: tuple[Draw, ...]
     deadline_ms: int
+    call_id: str = ""
+    first_attempt: bool = False
 
 
 class KeptAnswer(msgspec.Struct, frozen=True, kw_only=True):
@@ -97,6 +104,7 @@
     """The call may be dispatched; everything it needs is reserved."""
 
     key: identifiers.RequestKey
+    call_id: str = ""
 
 
 class Refuse(effects.Effect, frozen=True, kw_only=True):
@@ -104,6 +112,7 @@
 
     key: identifiers.RequestKey
     failure: failures.Failure
+    call_id: str = ""
 
 
 class Replay(effects.Effect, frozen=True, kw_only=True):
@@ -112,6 +121,7 @@
     key: identifiers.RequestKey
     answer: KeptAnswer
     bill: Bill
+    call_id: str = ""
 
 
 class Billed(effects.Effect, frozen=True, kw_only=True):
@@ -119,3 +129,4 @@
 
     key: identifiers.RequestKey
     bill: Bill
+    call_id: str = ""
--- a/packages/bambooglade/bambooglade/shards/book.py
+++ b/packages/bambooglade/bambooglade/shards/book.py
@@ -42,10 +42,18 @@
 class AfterReplication(effects.Effect, frozen=True, kw_only=True):
     """Effects to release when all changes up to now are at the backup.
 
-    They are released at once when the document names no backup.
+    Attributes:
+        then: Released once the backup acknowledged; at once when the document
+            names no backup, unless `needs_backup` is set.
+        needs_backup: Whether a lone primary must not release them: it can't
+            tell whether another one was named in its place meanwhile.
+        otherwise: Released at once instead, when a backup is needed and none
+            is named.
     """
 
     then: tuple[effects.Effects, ...]
+    needs_backup: bool = False
+    otherwise: tuple[effects.Effects, ...] = ()
 
 
 class Book(Protocol):
