Add a virtual fleet for fuzzing and policy measurements

Cause: decisions have to be proved under combined failures on virtual time. They run the router's own state machines. Conclusion: small fakes at the interfaces suffice; no cluster simulator.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 	$(BIN)/ruff check .
 
 format: env ## Format the code and apply the linter's safe corrections.
+	$(BIN)/ruff format -q .
 	$(BIN)/ruff check --fix -q .
 	$(BIN)/ruff format -q .
 
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/failure_detector.py
@@ -0,0 +1,78 @@
+"""What each virtual instance believes about the others."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bambooglade.core import identifiers
+
+if TYPE_CHECKING:
+    from bambooglade_standins.virtual import fleet as virtual_fleet
+    from bambooglade_standins.virtual import instances
+
+DETECTION_MS = 3_000
+"""How long an instance is unreachable before the others suspect it."""
+
+
+class DetectedFleet:
+    """A `FleetView` that suspects what was unreachable for some time.
+
+    Two instances disagree while a partition lasts, and a paused instance is
+    suspected although it will go on, as with a real failure detector.
+
+    Args:
+        fleet: The virtual fleet.
+        viewer: The instance whose beliefs these are.
+    """
+
+    __slots__ = ("_fleet", "_viewer")
+
+    def __init__(
+        self,
+        fleet: virtual_fleet.VirtualFleet,
+        viewer: instances.VirtualInstance,
+    ) -> None:
+        self._fleet = fleet
+        self._viewer = viewer
+
+    def live_in_zone(
+        self, availability_zone: identifiers.AvailabilityZone
+    ) -> tuple[identifiers.InstanceId, ...]:
+        """Returns the instances of a zone that are not suspected, sorted."""
+        return tuple(
+            sorted(
+                instance.instance_id
+                for instance in self._fleet.instance_by_id.values()
+                if instance.availability_zone == availability_zone
+                and not self.is_suspected(instance.instance_id)
+            )
+        )
+
+    def zone_of(
+        self, instance_id: identifiers.InstanceId
+    ) -> identifiers.AvailabilityZone | None:
+        """Returns the zone of an instance, or None if it never existed."""
+        instance = self._fleet.instance_by_id.get(instance_id)
+        return instance.availability_zone if instance else None
+
+    def is_suspected(self, instance_id: identifiers.InstanceId) -> bool:
+        """Returns whether the instance is suspected by the viewer."""
+        instance = self._fleet.instance_by_id.get(instance_id)
+        if instance is None:
+            return True
+        if instance is self._viewer:
+            return False
+        moments_ms = (
+            instance.stopped_since_ms,
+            self._fleet.network.cut_since_ms(
+                self._viewer.availability_zone, instance.availability_zone
+            ),
+        )
+        return any(
+            since_ms is not None
+            and self._fleet.now_ms - since_ms >= DETECTION_MS
+            for since_ms in moments_ms
+        )
+
+    def __repr__(self) -> str:
+        return f"DetectedFleet(viewer={self._viewer.instance_id})"
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/fleet.py
@@ -0,0 +1,383 @@
+"""Many instances' decisions on virtual time, with faults between them.
+
+Used by the stateful fuzzing and by the policy measurements: the instances run
+the same state machines as the router process.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import functools
+import itertools
+import random
+
+from bambooglade.core import component
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+from bambooglade.operations import calls
+from bambooglade_standins.virtual import event_queue
+from bambooglade_standins.virtual import failure_detector
+from bambooglade_standins.virtual import instances
+from bambooglade_standins.virtual import network
+from bambooglade_standins.virtual import service
+
+START_MS = 1_800_000_000_000
+"""Virtual time at the start, in milliseconds since the Unix epoch."""
+
+
+class VirtualFleet:
+    """Runs instances against a virtual network and key-value service.
+
+    Args:
+        assemble: Builds the decisions of each instance that starts.
+        observer: Learns what happens and plays the targets.
+        seed: Seed of all randomness.
+        watched_prefixes: Keys below these are pushed to the instances that
+            reach the service, as answers that nobody asked for.
+        cross_zone_delay_ms: One-way delay between zones.
+    """
+
+    __slots__ = (
+        "_assemble",
+        "_names",
+        "_observer",
+        "_rng",
+        "_watched_prefixes",
+        "bytes_sent",
+        "instance_by_id",
+        "measure_bytes",
+        "messages_sent",
+        "network",
+        "queue",
+        "service",
+    )
+
+    def __init__(
+        self,
+        *,
+        assemble: instances.Assemble,
+        observer: instances.Observer,
+        seed: int,
+        watched_prefixes: tuple[str, ...] = ("table/",),
+        cross_zone_delay_ms: int = 1,
+    ) -> None:
+        self._assemble = assemble
+        self._observer = observer
+        self._rng = random.Random(seed)
+        self._watched_prefixes = watched_prefixes
+        self._names = itertools.count(1)
+        self.queue = event_queue.EventQueue(start_ms=START_MS)
+        self.network = network.VirtualNetwork(
+            rng=self._rng, cross_zone_delay_ms=cross_zone_delay_ms
+        )
+        self.service = service.VirtualService(
+            rng=self._rng, on_write=self._push_to_watchers
+        )
+        self.instance_by_id: dict[
+            identifiers.InstanceId, instances.VirtualInstance
+        ] = {}
+        self.messages_sent = 0
+        self.bytes_sent = 0
+        self.measure_bytes: Callable[[effects.Message], int] | None = None
+
+    @property
+    def now_ms(self) -> int:
+        """The virtual time in milliseconds since the Unix epoch."""
+        return self.queue.now_ms
+
+    def start(
+        self, availability_zone: identifiers.AvailabilityZone
+    ) -> identifiers.InstanceId:
+        """Starts a new instance in a zone and returns its id."""
+        instance_id = identifiers.InstanceId(
+            f"{availability_zone}-{next(self._names)}"
+        )
+        instance = instances.VirtualInstance(instance_id, availability_zone)
+        self.instance_by_id[instance_id] = instance
+        instance.parts = self._assemble(
+            instance_id=instance_id,
+            availability_zone=availability_zone,
+            fleet=failure_detector.DetectedFleet(self, instance),
+            now_ms=self.now_ms,
+        )
+        self._schedule_tick(instance)
+        return instance_id
+
+    def run_for(self, duration_ms: int) -> None:
+        """Lets virtual time pass."""
+        self.queue.run_for(duration_ms=duration_ms)
+
+    def begin(
+        self, instance_id: identifiers.InstanceId, call: calls.Call
+    ) -> None:
+        """Gives a call of a caller to an instance."""
+        instance = self.instance_by_id[instance_id]
+        self._deliver(instance, functools.partial(self._begin, instance, call))
+
+    def pause(self, instance_id: identifiers.InstanceId) -> None:
+        """Stops an instance from running until it is woken."""
+        instance = self.instance_by_id[instance_id]
+        instance.paused = True
+        instance.stopped_since_ms = self.now_ms
+
+    def wake(self, instance_id: identifiers.InstanceId) -> None:
+        """Lets a paused instance go on; what arrived is handled now."""
+        instance = self.instance_by_id[instance_id]
+        instance.paused = False
+        if instance.alive:
+            instance.stopped_since_ms = None
+        deferred, instance.deferred = instance.deferred, []
+        for action in deferred:
+            self._deliver(instance, action)
+
+    def kill(self, instance_id: identifiers.InstanceId) -> None:
+        """Ends an instance at once; its state is gone."""
+        instance = self.instance_by_id[instance_id]
+        instance.alive = False
+        instance.stopped_since_ms = instance.stopped_since_ms or self.now_ms
+        instance.calls_by_key.clear()
+        instance.deferred.clear()
+
+    def begin_stop(self, instance_id: identifiers.InstanceId) -> None:
+        """Starts a planned stop; the instance ends once it is drained."""
+        instance = self.instance_by_id[instance_id]
+        self._deliver(instance, functools.partial(self._begin_stop, instance))
+
+    def perform(
+        self,
+        instance_id: identifiers.InstanceId,
+        decide: Callable[[int], object],
+    ) -> None:
+        """Runs a decision at an instance: a function from time to effects."""
+        instance = self.instance_by_id[instance_id]
+        self._deliver(
+            instance,
+            lambda: self._carry_out(instance, list(decide(self.now_ms))),
+        )
+
+    def running(self) -> list[instances.VirtualInstance]:
+        """Returns the instances that are alive and not paused."""
+        return [
+            instance
+            for instance in self.instance_by_id.values()
+            if instance.alive and not instance.paused
+        ]
+
+    def _deliver(
+        self, instance: instances.VirtualInstance, action: Callable[[], None]
+    ) -> None:
+        if not instance.alive:
+            return
+        if instance.paused:
+            instance.deferred.append(action)
+            return
+        action()
+
+    def _deliver_after(
+        self,
+        delay_ms: int,
+        instance: instances.VirtualInstance,
+        action: Callable[[], None],
+    ) -> None:
+        self.queue.after(
+            delay_ms=delay_ms,
+            action=functools.partial(self._deliver, instance, action),
+        )
+
+    def _schedule_tick(self, instance: instances.VirtualInstance) -> None:
+        self._deliver_after(
+            component.TICK_MS,
+            instance,
+            functools.partial(self._tick, instance),
+        )
+
+    def _tick(self, instance: instances.VirtualInstance) -> None:
+        self._schedule_tick(instance)
+        self._carry_out(instance, instance.parts.machine.tick(self.now_ms))
+        if instance.parts.is_drained and instance.parts.is_drained():
+            self.kill(instance.instance_id)
+
+    def _begin(
+        self, instance: instances.VirtualInstance, call: calls.Call
+    ) -> None:
+        instance.calls_by_key[call.key] = call
+        self._carry_out(
+            instance,
+            list(instance.parts.coordinator.begin(call, self.now_ms)),
+        )
+
+    def _begin_stop(self, instance: instances.VirtualInstance) -> None:
+        if instance.parts.begin_stop is None:
+            self.kill(instance.instance_id)
+            return
+        self._carry_out(instance, list(instance.parts.begin_stop(self.now_ms)))
+
+    def _carry_out(
+        self,
+        instance: instances.VirtualInstance,
+        decided: list[effects.Effects],
+    ) -> None:
+        for effect in decided:
+            self._perform_effect(effect, instance)
+
+    def _perform_effect(
+        self, effect: effects.Effects, instance: instances.VirtualInstance
+    ) -> None:
+        match effect:
+            case effects.Send():
+                self._send(instance, effect)
+            case effects.ReadDocument() | effects.WriteDocument():
+                self._ask_service(instance, effect)
+            case calls.Permit():
+                self._run(instance, effect.key)
+            case calls.Refuse() | calls.Replay() | calls.Billed():
+                call = instance.calls_by_key.pop(effect.key, None)
+                if call is not None:
+                    self._observer.answered(
+                        instance.instance_id, call, effect, self.now_ms
+                    )
+            case _:
+                self._observer.local_effect(
+                    instance.instance_id, effect, self.now_ms
+                )
+
+    def _send(
+        self, sender: instances.VirtualInstance, effect: effects.Send
+    ) -> None:
+        recipient = self.instance_by_id.get(effect.recipient)
+        if recipient is None:
+            return
+        self.messages_sent += 1
+        if self.measure_bytes is not None:
+            self.bytes_sent += self.measure_bytes(effect.message)
+        own = recipient is sender
+        delays_ms = (
+            [0]
+            if own
+            else self.network.arrival_delays_ms(
+                sender.availability_zone, recipient.availability_zone
+            )
+        )
+        for delay_ms in delays_ms:
+            self._deliver_after(
+                delay_ms,
+                recipient,
+                functools.partial(
+                    self._receive, recipient, effect.message, sender.instance_id
+                ),
+            )
+
+    def _receive(
+        self,
+        instance: instances.VirtualInstance,
+        message: effects.Message,
+        sender: identifiers.InstanceId,
+    ) -> None:
+        self._carry_out(
+            instance,
+            instance.parts.machine.handle(message, sender, self.now_ms),
+        )
+
+    def _run(
+        self, instance: instances.VirtualInstance, key: identifiers.RequestKey
+    ) -> None:
+        call = instance.calls_by_key[key]
+        end = self._observer.permitted(instance.instance_id, call, self.now_ms)
+        if end is None:
+            return
+        self._deliver_after(
+            self._observer.run_duration_ms(call),
+            instance,
+            functools.partial(self._finish, instance, key, end),
+        )
+
+    def _finish(
+        self,
+        instance: instances.VirtualInstance,
+        key: identifiers.RequestKey,
+        end: calls.RunEnd,
+    ) -> None:
+        self._carry_out(
+            instance,
+            list(instance.parts.coordinator.finish(key, end, self.now_ms)),
+        )
+
+    def _ask_service(
+        self,
+        instance: instances.VirtualInstance,
+        request: effects.ReadDocument | effects.WriteDocument,
+    ) -> None:
+        delay_ms = self.network.delay_ms(
+            instance.availability_zone, network.PLATFORM
+        )
+        self.queue.after(
+            delay_ms=delay_ms + self.service.faults.latency_ms,
+            action=functools.partial(self._serve, instance, request, delay_ms),
+        )
+
+    def _serve(
+        self,
+        instance: instances.VirtualInstance,
+        request: effects.ReadDocument | effects.WriteDocument,
+        delay_ms: int,
+    ) -> None:
+        answer = self._answer_of_service(instance, request)
+        if answer is None:
+            no_answer = _no_answer(request)
+            self._answer(instance, no_answer, service.ANSWER_TIMEOUT_MS)
+            return
+        self._answer(instance, answer, delay_ms)
+
+    def _answer_of_service(
+        self,
+        instance: instances.VirtualInstance,
+        request: effects.ReadDocument | effects.WriteDocument,
+    ) -> effects.DocumentAnswer | None:
+        if not self._reaches_service(instance):
+            return None
+        if isinstance(request, effects.ReadDocument):
+            answer = self.service.read(request)
+        else:
+            answer = self.service.write(request)
+        return None if self.service.loses_answer() else answer
+
+    def _answer(
+        self,
+        instance: instances.VirtualInstance,
+        answer: effects.DocumentAnswer,
+        delay_ms: int,
+    ) -> None:
+        self._deliver_after(
+            delay_ms,
+            instance,
+            lambda: self._carry_out(
+                instance,
+                instance.parts.machine.document_answered(answer, self.now_ms),
+            ),
+        )
+
+    def _reaches_service(self, instance: instances.VirtualInstance) -> bool:
+        return not self.service.faults.down and self.network.connected(
+            instance.availability_zone, network.PLATFORM
+        )
+
+    def _push_to_watchers(self, key: str) -> None:
+        if not key.startswith(self._watched_prefixes):
+            return
+        for instance in self.instance_by_id.values():
+            if self._reaches_service(instance):
+                self._answer(instance, self.service.current(key), 1)
+
+    def __repr__(self) -> str:
+        return (
+            f"VirtualFleet(instances={len(self.instance_by_id)}, "
+            f"now_ms={self.now_ms})"
+        )
+
+
+def _no_answer(
+    request: effects.ReadDocument | effects.WriteDocument,
+) -> effects.DocumentAnswer:
+    if isinstance(request, effects.ReadDocument):
+        return effects.ReadFailed(key=request.key)
+    return effects.WriteUncertain(key=request.key)
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/instances.py
@@ -0,0 +1,120 @@
+"""The parts of a virtual instance, and who plays its callers and targets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+from typing import Protocol
+
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+from bambooglade.fleet import view
+from bambooglade.operations import calls
+from bambooglade.router import state_machine
+
+
+class Coordinator(Protocol):
+    """The part of an instance that takes calls."""
+
+    def begin(self, call: calls.Call, now_ms: int) -> Iterator[effects.Effects]:
+        """Takes a call of a caller."""
+        ...
+
+    def finish(
+        self,
+        key: identifiers.RequestKey,
+        run_end: calls.RunEnd,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        """Takes the end of a run."""
+        ...
+
+
+@dataclasses.dataclass(slots=True)
+class Parts:
+    """The decisions of one instance, as assembled for the virtual fleet.
+
+    Attributes:
+        machine: The state machine over all components.
+        coordinator: The component that takes calls.
+        begin_stop: Starts a planned stop, given the time; yields effects.
+        is_drained: Whether the planned stop has ended.
+    """
+
+    machine: state_machine.InstanceStateMachine
+    coordinator: Coordinator
+    begin_stop: Callable[[int], list[effects.Effects]] | None = None
+    is_drained: Callable[[], bool] | None = None
+
+
+class Assemble(Protocol):
+    """Builds the decisions of an instance that starts."""
+
+    def __call__(
+        self,
+        *,
+        instance_id: identifiers.InstanceId,
+        availability_zone: identifiers.AvailabilityZone,
+        fleet: view.FleetView,
+        now_ms: int,
+    ) -> Parts:
+        """Returns the decisions of the instance."""
+        ...
+
+
+class Observer(Protocol):
+    """Learns what the instances do; the oracle of the fuzzing is one."""
+
+    def permitted(
+        self,
+        instance_id: identifiers.InstanceId,
+        call: calls.Call,
+        now_ms: int,
+    ) -> calls.RunEnd | None:
+        """A run starts now; returns how it will end, None to drop it."""
+        ...
+
+    def run_duration_ms(self, call: calls.Call) -> int:
+        """Returns how long the run of a call takes."""
+        ...
+
+    def answered(
+        self,
+        instance_id: identifiers.InstanceId,
+        call: calls.Call,
+        effect: calls.Refuse | calls.Replay | calls.Billed,
+        now_ms: int,
+    ) -> None:
+        """A call ended for its caller."""
+        ...
+
+    def local_effect(
+        self,
+        instance_id: identifiers.InstanceId,
+        effect: effects.Effect,
+        now_ms: int,
+    ) -> None:
+        """Any other effect that concerns the own process only."""
+        ...
+
+
+@dataclasses.dataclass(slots=True)
+class VirtualInstance:
+    """One instance: its decisions, and whether it runs.
+
+    Attributes:
+        calls_by_key: Calls in progress.
+        deferred: What arrived while the instance was paused.
+    """
+
+    instance_id: identifiers.InstanceId
+    availability_zone: identifiers.AvailabilityZone
+    parts: Parts | None = None
+    alive: bool = True
+    paused: bool = False
+    stopped_since_ms: int | None = None
+    calls_by_key: dict[identifiers.RequestKey, calls.Call] = dataclasses.field(
+        default_factory=dict
+    )
+    deferred: list[Callable[[], None]] = dataclasses.field(default_factory=list)
