--- a/packages/bambooglade-standins/bambooglade_standins/virtual/fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/fleet.py
@@ -135,7 +135,7 @@
         instance = self.instance_by_id[instance_id]
         instance.alive = False
         instance.stopped_since_ms = instance.stopped_since_ms or self.now_ms
-        instance.calls_by_key.clear()
+        instance.call_by_reference.clear()
         instance.deferred.clear()
 
     def begin_stop(self, instance_id: identifiers.InstanceId) -> None:
@@ -200,7 +200,7 @@
     def _begin(
         self, instance: instances.VirtualInstance, call: calls.Call
     ) -> None:
-        instance.calls_by_key[call.key] = call
+        instance.call_by_reference[_reference(call)] = call
         self._carry_out(
             instance,
             list(instance.parts.coordinator.begin(call, self.now_ms)),
@@ -229,9 +229,10 @@
             case effects.ReadDocument() | effects.WriteDocument():
                 self._ask_service(instance, effect)
             case calls.Permit():
-                self._run(instance, effect.key)
+                self._run(instance, effect)
             case calls.Refuse() | calls.Replay() | calls.Billed():
-                call = instance.calls_by_key.pop(effect.key, None)
+                reference = _reference(effect)
+                call = instance.call_by_reference.pop(reference, None)
                 if call is not None:
                     self._observer.answered(
                         instance.instance_id, call, effect, self.now_ms
@@ -279,16 +280,16 @@
         )
 
     def _run(
-        self, instance: instances.VirtualInstance, key: identifiers.RequestKey
+        self, instance: instances.VirtualInstance, permit: calls.Permit
     ) -> None:
-        call = instance.calls_by_key[key]
+        call = instance.call_by_reference[_reference(permit)]
         end = self._observer.permitted(instance.instance_id, call, self.now_ms)
         if end is None:
             return
         self._deliver_after(
             self._observer.run_duration_ms(call),
             instance,
-            functools.partial(self._finish, instance, key, end),
+            functools.partial(self._finish, instance, permit.key, end),
         )
 
     def _finish(
@@ -381,3 +382,13 @@
     if isinstance(request, effects.ReadDocument):
         return effects.ReadFailed(key=request.key)
     return effects.WriteUncertain(key=request.key)
+
+
+def _reference(
+    subject: calls.Call
+    | calls.Permit
+    | calls.Refuse
+    | calls.Replay
+    | calls.Billed,
+) -> instances.CallReference:
+    return instances.CallReference(subject.key, subject.call_id)
--- a/packages/bambooglade-standins/bambooglade_standins/virtual/instances.py
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/instances.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
+from typing import NamedTuple
 from typing import Protocol
 
 from bambooglade.core import effects
@@ -99,12 +100,19 @@
         ...
 
 
+class CallReference(NamedTuple):
+    """Names a call at one instance, also among calls of the same key."""
+
+    key: identifiers.RequestKey
+    call_id: str
+
+
 @dataclasses.dataclass(slots=True)
 class VirtualInstance:
     """One instance: its decisions, and whether it runs.
 
     Attributes:
-        calls_by_key: Calls in progress.
+        call_by_reference: Calls in progress.
         deferred: What arrived while the instance was paused.
     """
 
@@ -114,7 +122,7 @@
     alive: bool = True
     paused: bool = False
     stopped_since_ms: int | None = None
-    calls_by_key: dict[identifiers.RequestKey, calls.Call] = dataclasses.field(
+    call_by_reference: dict[CallReference, calls.Call] = dataclasses.field(
         default_factory=dict
     )
     deferred: list[Callable[[], None]] = dataclasses.field(default_factory=list)
