--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/metrics.py
@@ -0,0 +1,210 @@
+"""Metrics of one instance, rendered for `GET /metrics`.
+
+Labels hold names of rows and kinds of failures only; never keys, bodies or
+anything else that a caller or an operator sends.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import enum
+import threading
+from typing import TypeAlias
+
+import aioprometheus
+from aioprometheus import collectors
+import msgspec
+
+Labels: TypeAlias = dict[str, str]
+
+REQUESTS_TOTAL = "bambooglade_requests_total"
+LATENCY_SECONDS = "bambooglade_request_seconds"
+SPENT_TOKENS_TOTAL = "bambooglade_spent_tokens_total"
+PLATFORM_CALLS_TOTAL = "bambooglade_platform_calls_total"
+PEER_MESSAGES_TOTAL = "bambooglade_peer_messages_total"
+PEER_BYTES_TOTAL = "bambooglade_peer_bytes_total"
+HELD_TOKENS = "bambooglade_held_tokens"
+OPEN_TOKENS = "bambooglade_open_tokens"
+INSTANCES = "bambooglade_instances"
+SHARDS_SERVED = "bambooglade_shards_served"
+TABLE_REVISION = "bambooglade_table_revision"
+PLATFORM_UP = "bambooglade_platform_up"
+
+LATENCY_BUCKETS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+    collectors.POS_INF,
+)
+_MS_PER_S = 1_000
+
+
+class Outcome(enum.StrEnum):
+    """How a request ended, for its caller."""
+
+    FINISHED = "finished"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class RequestEnd(msgspec.Struct, frozen=True, kw_only=True):
+    """One request that ended, as the metrics count it.
+
+    Attributes:
+        service: Name of the service; of a row, never of the caller's choice.
+        request_kind: Kind of request.
+        outcome: How it ended.
+        cause: Kind of the failure; empty for a finished request.
+        target_id: The target that answered last; empty for none.
+        availability_zone: Zone of that target, or else of the instance.
+        latency_ms: From the first byte of the request to the whole answer.
+        spent_tokens: What was billed.
+    """
+
+    service: str
+    request_kind: str
+    outcome: Outcome
+    availability_zone: str
+    latency_ms: int
+    cause: str = ""
+    target_id: str = ""
+    spent_tokens: int = 0
+
+
+class Metrics:
+    """Counts what an instance does; may be used from several threads.
+
+    Examples:
+        >>> metrics = Metrics()
+        >>> metrics.request_ended(RequestEnd(service="till-api",
+        ...     request_kind="deduct", outcome=Outcome.FINISHED,
+        ...     availability_zone="scot-a", latency_ms=12))
+        >>> b"bambooglade_requests_total" in metrics.render().body
+        True
+
+    See Also:
+        bambooglade_ctl.burn: the report on service-level burn reads them.
+    """
+
+    __slots__ = ("_by_name", "_lock", "_registry")
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._registry = aioprometheus.Registry()
+        self._by_name = {
+            collector.name: collector
+            for collector in _collectors(self._registry)
+        }
+
+    def request_ended(self, end: RequestEnd) -> None:
+        """Counts a request and its latency."""
+        request = {"service": end.service, "kind": end.request_kind}
+        origin = {"target": end.target_id, "zone": end.availability_zone}
+        ended = {"outcome": end.outcome.value, "cause": end.cause}
+        latency = {**request, **origin, "outcome": end.outcome.value}
+        with self._lock:
+            self._by_name[REQUESTS_TOTAL].inc({**request, **origin, **ended})
+            self._by_name[LATENCY_SECONDS].observe(
+                latency, end.latency_ms / _MS_PER_S
+            )
+            self._by_name[SPENT_TOKENS_TOTAL].add(request, end.spent_tokens)
+
+    def platform_called(self, *, call: str, outcome: str) -> None:
+        """Counts a call to a service of the platform.
+
+        Args:
+            call: For instance `read`, `write` or `watch`.
+            outcome: For instance `answered`, `refused` or `lost`.
+        """
+        labels = {"call": call, "outcome": outcome}
+        with self._lock:
+            self._by_name[PLATFORM_CALLS_TOTAL].inc(labels)
+
+    def peer_message_sent(self, *, message: str, size_bytes: int) -> None:
+        """Counts a message to another instance.
+
+        Args:
+            message: Type of the message.
+            size_bytes: Its size on the wire.
+        """
+        labels = {"message": message}
+        with self._lock:
+            self._by_name[PEER_MESSAGES_TOTAL].inc(labels)
+            self._by_name[PEER_BYTES_TOTAL].add(labels, size_bytes)
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Sets a gauge.
+
+        Args:
+            name: One of the names of this module, for instance `HELD_TOKENS`.
+            value: The new value, in the unit that the name ends with.
+        """
+        with self._lock:
+            self._by_name[name].set({}, value)
+
+    def render(self, accepts: Sequence[str] = ()) -> Rendered:
+        """Renders all metrics.
+
+        Args:
+            accepts: Values of the request's Accept headers.
+        """
+        with self._lock:
+            body, headers = aioprometheus.render(self._registry, list(accepts))
+        return Rendered(body=body, content_type=headers["Content-Type"])
+
+    def __repr__(self) -> str:
+        return f"Metrics(collectors={len(self._by_name)})"
+
+
+class Rendered(msgspec.Struct, frozen=True, kw_only=True):
+    """The body of an answer to `GET /metrics`, and its type."""
+
+    body: bytes
+    content_type: str
+
+
+def _collectors(
+    registry: aioprometheus.Registry,
+) -> tuple[collectors.Collector, ...]:
+    counters = {
+        REQUESTS_TOTAL: "Requests that ended.",
+        SPENT_TOKENS_TOTAL: "Tokens that were billed.",
+        PLATFORM_CALLS_TOTAL: "Calls to the platform's services.",
+        PEER_MESSAGES_TOTAL: "Messages sent to other instances.",
+        PEER_BYTES_TOTAL: "Bytes sent to other instances.",
+    }
+    gauges = {
+        HELD_TOKENS: "Rights of lost instances, held at this primary.",
+        OPEN_TOKENS: "Rights that this primary may reserve.",
+        INSTANCES: "Instances that this one believes to be alive.",
+        SHARDS_SERVED: "Shards that this instance is primary of.",
+        TABLE_REVISION: "Highest revision of a table page in force.",
+        PLATFORM_UP: "Whether the key-value service answered last.",
+    }
+    latency = aioprometheus.Histogram(
+        LATENCY_SECONDS,
+        "Time from a request to its whole answer, in seconds.",
+        registry=registry,
+        buckets=LATENCY_BUCKETS_S,
+    )
+    return (
+        latency,
+        *(
+            aioprometheus.Counter(name, doc, registry=registry)
+            for name, doc in counters.items()
+        ),
+        *(
+            aioprometheus.Gauge(name, doc, registry=registry)
+            for name, doc in gauges.items()
+        ),
+    )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/settings_reader.py
@@ -0,0 +1,284 @@
+"""Reads and checks a settings file; reports all its mistakes at once."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import difflib
+import ipaddress
+import pathlib
+import tomllib
+from typing import ClassVar
+
+import msgspec
+import result
+
+from bambooglade.core import failures
+from bambooglade.router import settings
+
+MIN_SHARED_KEY_CHARS = 32
+_FILE_KEYS = ("certificate_file", "key_file", "ca_file")
+
+
+class Mistake(msgspec.Struct, frozen=True, kw_only=True):
+    """One mistake in a settings file.
+
+    Attributes:
+        file: Path of the file.
+        key: Section and key, for instance `instance.port`.
+        problem: What was found; never the value of a secret.
+        remedy: What to write instead.
+    """
+
+    file: str
+    key: str
+    problem: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.key}: {self.problem}. {self.remedy}"
+
+
+class SettingsInvalid(failures.Failure, frozen=True, kw_only=True):
+    """The settings file has mistakes; all of them are listed."""
+
+    kind: ClassVar[str] = "settings_invalid"
+    remedy: ClassVar[str] = "Correct the listed keys and start again."
+
+    mistakes: tuple[Mistake, ...] = ()
+
+    def __str__(self) -> str:
+        return "\n".join(str(mistake) for mistake in self.mistakes)
+
+
+def load(
+    path: str | pathlib.Path,
+) -> result.Result[settings.Settings, SettingsInvalid]:
+    """Reads the settings of an instance.
+
+    Args:
+        path: The TOML file.
+
+    Returns:
+        The settings, or every mistake in the file.
+
+    Examples:
+        >>> print(load("/nonexistent.toml").unwrap_err())
+        /nonexistent.toml: (file): can't be read. Check the path and its
+        permissions.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError):
+        return _invalid(
+            Mistake(
+                file=str(path),
+                key="(file)",
+                problem="can't be read",
+                remedy="Check the path and its permissions.",
+            )
+        )
+    return parse(text, file=str(path))
+
+
+def parse(
+    text: str, *, file: str
+) -> result.Result[settings.Settings, SettingsInvalid]:
+    """Checks the text of a settings file.
+
+    Args:
+        text: The text, in TOML.
+        file: Path of the file, for the messages.
+    """
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return _invalid(
+            Mistake(
+                file=file,
+                key="(file)",
+                problem=f"is not TOML: {error}",
+                remedy="Correct the line that is named.",
+            )
+        )
+    reader = _Reader(file)
+    mistakes = tuple(reader.mistakes(document))
+    if mistakes:
+        return _invalid(*mistakes)
+    return result.Ok(
+        msgspec.convert(document, settings.Settings, dec_hook=_decode_secret)
+    )
+
+
+def _invalid(*mistakes: Mistake) -> result.Err[SettingsInvalid]:
+    count = len(mistakes)
+    return result.Err(
+        SettingsInvalid(
+            detail=f"{count} mistake{'s' if count > 1 else ''} found.",
+            mistakes=mistakes,
+        )
+    )
+
+
+def _decode_secret(wanted: type, value: object) -> settings.Secret:
+    if wanted is not settings.Secret:
+        raise NotImplementedError(wanted)
+    if not isinstance(value, str):
+        raise TypeError("Expected `str`")
+    return settings.Secret(value)
+
+
+class _Reader:
+    """Finds the mistakes of a decoded file, in the order of the sections."""
+
+    __slots__ = ("_file",)
+
+    def __init__(self, file: str) -> None:
+        self._file = file
+
+    def mistakes(self, document: Mapping[str, object]) -> Iterator[Mistake]:
+        sections = msgspec.structs.fields(settings.Settings)
+        yield from self._unknown("", document, [s.name for s in sections])
+        for section in sections:
+            values = document.get(section.name, {})
+            if isinstance(values, Mapping):
+                yield from self._section(section.name, section.type, values)
+                continue
+            yield self._mistake(
+                section.name,
+                "is not a section",
+                f"Write it as [{section.name}] with keys below it.",
+            )
+        yield from self._addresses(document.get("instance"))
+        yield from self._security(document.get("security"))
+
+    def _section(
+        self, name: str, struct: type, values: Mapping[str, object]
+    ) -> Iterator[Mistake]:
+        fields = msgspec.structs.fields(struct)
+        yield from self._unknown(name, values, [f.name for f in fields])
+        for field in fields:
+            key = f"{name}.{field.name}"
+            expected = _describe(field.type)
+            if field.name in values:
+                yield from self._value(key, field.type, values[field.name])
+            elif field.required:
+                remedy = f"Set it to {expected}."
+                yield self._mistake(key, "is missing", remedy)
+
+    def _value(
+        self, key: str, wanted: type, value: object
+    ) -> Iterator[Mistake]:
+        try:
+            msgspec.convert(value, wanted, dec_hook=_decode_secret)
+        except (msgspec.ValidationError, TypeError):
+            shown = "" if _is_secret(wanted) else f" {value!r}"
+            yield self._mistake(
+                key,
+                f"the value{shown} does not fit",
+                f"Set it to {_describe(wanted)}.",
+            )
+
+    def _unknown(
+        self, section: str, values: Mapping[str, object], known: list[str]
+    ) -> Iterator[Mistake]:
+        prefix = f"{section}." if section else ""
+        for key in values:
+            if key in known:
+                continue
+            near = difflib.get_close_matches(key, known, n=1)
+            remedy = (
+                f"Did you mean {prefix}{near[0]}?"
+                if near
+                else f"Remove it; known are: {', '.join(known)}."
+            )
+            yield self._mistake(f"{prefix}{key}", "is not known", remedy)
+
+    def _addresses(self, instance: object) -> Iterator[Mistake]:
+        if not isinstance(instance, Mapping):
+            return
+        host = instance.get("host")
+        if isinstance(host, str) and not _is_ip_number(host):
+            yield self._mistake(
+                "instance.host",
+                f"{host!r} is not an IP number",
+                'Set it to the IP number to listen on, such as "127.0.0.1".',
+            )
+        seeds = instance.get("seeds", [])
+        for seed in seeds if isinstance(seeds, list) else []:
+            if isinstance(seed, str) and not _is_peer_address(seed):
+                yield self._mistake(
+                    "instance.seeds",
+                    f"{seed!r} is not an IP number and a port",
+                    'Write each as "ip:port", such as "127.0.0.1:8080".',
+                )
+        if instance.get("arbiter_zones") == []:
+            yield self._mistake(
+                "instance.arbiter_zones",
+                "is empty",
+                "List the availability zones of the deployment.",
+            )
+
+    def _security(self, security: object) -> Iterator[Mistake]:
+        if not isinstance(security, Mapping):
+            return
+        for name in ("shared_key", "previous_shared_key"):
+            key = security.get(name)
+            if isinstance(key, str) and len(key) < MIN_SHARED_KEY_CHARS:
+                yield self._mistake(
+                    f"security.{name}",
+                    f"has {len(key)} characters",
+                    f"Use a random key of {MIN_SHARED_KEY_CHARS} or more.",
+                )
+        given = [name for name in _FILE_KEYS if security.get(name)]
+        if given and len(given) < len(_FILE_KEYS):
+            missing = [name for name in _FILE_KEYS if name not in given]
+            yield self._mistake(
+                "security." + missing[0],
+                f"is missing while {' and '.join(given)} is set",
+                f"Set all of {', '.join(_FILE_KEYS)}, or none.",
+            )
+        yield from self._files(security)
+
+    def _files(self, security: Mapping[str, object]) -> Iterator[Mistake]:
+        for name in _FILE_KEYS:
+            path = security.get(name)
+            if isinstance(path, str) and not pathlib.Path(path).is_file():
+                yield self._mistake(
+                    f"security.{name}",
+                    f"no file at {path!r}",
+                    "Give the path of a PEM file that the process can read.",
+                )
+
+    def _mistake(self, key: str, problem: str, remedy: str) -> Mistake:
+        return Mistake(file=self._file, key=key, problem=problem, remedy=remedy)
+
+
+def _describe(wanted: type) -> str:
+    """Returns what a field expects, for instance "a port from 0 to 65535"."""
+    if _is_secret(wanted):
+        return f"a random text of {MIN_SHARED_KEY_CHARS} characters or more"
+    arguments = getattr(wanted, "__args__", ())
+    for part in (wanted, *arguments):
+        for extra in getattr(part, "__metadata__", ()):
+            text = extra.description or "a value of the documented type"
+            is_list = getattr(wanted, "__origin__", None) is tuple
+            return f"a list; each is {text}" if is_list else text
+    return "a text in quotes"
+
+
+def _is_secret(wanted: type) -> bool:
+    return settings.Secret in (wanted, *getattr(wanted, "__args__", ()))
+
+
+def _is_ip_number(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_peer_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return _is_ip_number(host.strip("[]")) and port.isdigit()
--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/tests/test_metrics.py
@@ -0,0 +1,30 @@
+"""Tests of the metrics."""
+
+from __future__ import annotations
+
+from bambooglade.router import metrics
+
+
+def test_requests_and_gauges_are_rendered() -> None:
+    registry = metrics.Metrics()
+    for latency_ms in (20, 2_000):
+        registry.request_ended(
+            metrics.RequestEnd(
+                service="pantry-llm",
+                request_kind="plan",
+                outcome=metrics.Outcome.REFUSED,
+                cause="overloaded",
+                availability_zone="scot-a",
+                latency_ms=latency_ms,
+            )
+        )
+    registry.set_gauge(metrics.HELD_TOKENS, 40)
+    registry.platform_called(call="read", outcome="answered")
+    registry.peer_message_sent(message="Ping", size_bytes=80)
+    text = registry.render().body.decode()
+    assert 'cause="overloaded"' in text
+    lines = dict(line.rsplit(" ", 1) for line in text.splitlines())
+    assert lines["bambooglade_held_tokens"] == "40"
+    assert lines['bambooglade_peer_bytes_total{message="Ping"}'] == "80"
+    fast = [line for line in lines if 'le="0.025"' in line]
+    assert [float(lines[line]) for line in fast] == [1.0]
