--- a/packages/bambooglade/bambooglade/budgets/messages.py
+++ b/packages/bambooglade/bambooglade/budgets/messages.py
@@ -62,12 +62,21 @@
 
 
 class Reserved(effects.Message, frozen=True, kw_only=True):
-    """The bound is reserved under the epoch of the answering primary."""
+    """The bound is reserved under an epoch of the answering primary's place.
+
+    An entry that does not wait for this answer any more, or that already has
+    one with another zone, epoch or sequence, settles this one with 0 tokens.
+
+    Attributes:
+        sequence: Number of the reservation within account, zone and epoch;
+            `Reduce` and `Settle` repeat it with the epoch.
+    """
 
     reservation_id: ReservationId
     budget_id: identifiers.BudgetId
     availability_zone: identifiers.AvailabilityZone
     epoch: identifiers.Epoch
+    sequence: int
 
 
 class ReserveRefused(effects.Message, frozen=True, kw_only=True):
@@ -76,6 +85,8 @@
     Attributes:
         primary: Where to ask instead, for `NOT_PRIMARY`; None if unknown.
         detail: Explanation for callers and operators.
+        retry_after_ms: When asking again is sensible; None when only a top-up
+            helps.
     """
 
     reservation_id: ReservationId
@@ -83,14 +94,19 @@
     reason: RefusalReason
     detail: str
     primary: identifiers.InstanceId | None = None
+    retry_after_ms: int | None = None
 
 
 class Reduce(effects.Message, frozen=True, kw_only=True):
-    """Lowers a reservation to the actual cost while its bill is undecided."""
+    """Lowers a reservation to the actual cost while its bill is undecided.
+
+    It is sent once and not answered; it only gives rights back sooner.
+    """
 
     reservation_id: ReservationId
     budget_id: identifiers.BudgetId
     epoch: identifiers.Epoch
+    sequence: int
     bound_tokens: int
     reduced_tokens: int
 
@@ -102,6 +118,8 @@
         epoch: Epoch under which the reservation was made; a later primary
             takes the bound out of the rights that it holds for that epoch.
             `UNKNOWN_EPOCH` if the reservation was never acknowledged.
+        sequence: Number of the reservation, as `Reserved` gave it; 0 with
+            `UNKNOWN_EPOCH`.
         bound_tokens: Bound of the reservation, for a primary without a record.
         spent_tokens: Actual cost in tokens; at most the bound.
     """
@@ -109,6 +127,7 @@
     reservation_id: ReservationId
     budget_id: identifiers.BudgetId
     epoch: identifiers.Epoch
+    sequence: int
     bound_tokens: int
     spent_tokens: int
 
@@ -118,6 +137,8 @@
 
     reservation_id: ReservationId
     budget_id: identifiers.BudgetId
+    epoch: identifiers.Epoch
+    sequence: int
 
 
 class SettleMisdirected(effects.Message, frozen=True, kw_only=True):
@@ -125,4 +146,37 @@
 
     reservation_id: ReservationId
     budget_id: identifiers.BudgetId
+    epoch: identifiers.Epoch
+    sequence: int
     primary: identifiers.InstanceId | None
+
+
+class RecallRights(effects.Message, frozen=True, kw_only=True):
+    """Asks another zone's primary to return rights that it does not need.
+
+    Attributes:
+        availability_zone: The zone that needs them.
+        wanted_tokens: How much it lacks.
+    """
+
+    budget_id: identifiers.BudgetId
+    availability_zone: identifiers.AvailabilityZone
+    wanted_tokens: int
+
+
+class RecallAnswered(effects.Message, frozen=True, kw_only=True):
+    """What a zone returned to the free part of the budget, if anything.
+
+    Attributes:
+        availability_zone: The answering zone.
+        returned_tokens: Returned in the document for this recall.
+        reserved_tokens: Reserved there by requests in progress; a part of it
+            may come back when they are settled.
+        held_tokens: Held there for an earlier epoch.
+    """
+
+    budget_id: identifiers.BudgetId
+    availability_zone: identifiers.AvailabilityZone
+    returned_tokens: int
+    reserved_tokens: int
+    held_tokens: int
--- a/packages/bambooglade/bambooglade/shards/book.py
+++ b/packages/bambooglade/bambooglade/shards/book.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import Protocol
 
@@ -19,6 +20,7 @@
 from bambooglade.core import effects
 from bambooglade.core import identifiers
 from bambooglade.shards import assignments
+from bambooglade.shards import document as documents
 
 
 class Record(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -56,8 +58,31 @@
     otherwise: tuple[effects.Effects, ...] = ()
 
 
+class ReplicationNotice(effects.Effect, frozen=True, kw_only=True):
+    """Base of notices that a book gives itself inside `AfterReplication`.
+
+    The host gives it back to `Book.replicated` once the changes are copied.
+    """
+
+
+class DocumentWanted(effects.Effect, frozen=True, kw_only=True):
+    """The book has something to write to, or to learn from, the document.
+
+    Attributes:
+        urgent: Whether a request waits for it; otherwise it may be batched.
+        fresh: Whether the cached document does not do and is to be read again.
+    """
+
+    urgent: bool
+    fresh: bool = False
+
+
 class Book(Protocol):
-    """One shard's records of one kind, at the primary or at the backup."""
+    """One shard's records of one kind, at the primary or at the backup.
+
+    The methods after `promoted` have defaults for books that do not need them;
+    a book inherits from this class to get them.
+    """
 
     def handle(
         self,
@@ -89,3 +114,73 @@
     ) -> Iterator[effects.Effects]:
         """Takes over as the primary of a new epoch."""
         ...
+
+    def replicated(
+        self, notice: ReplicationNotice, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Takes back a notice after the changes before it were copied."""
+        return iter(())
+
+    def replication_required(self, *, required: bool) -> None:
+        """Learns whether a backup has to acknowledge what the primary does."""
+
+    def document_seen(
+        self, document: documents.ShardDocument, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Learns a newer document of the shard; called at the primary."""
+        return iter(())
+
+    def document_unavailable(self, now_ms: int) -> Iterator[effects.Effects]:
+        """Learns that the platform's service did not answer."""
+        return iter(())
+
+    def edit_document(
+        self, document: documents.ShardDocument, now_ms: int
+    ) -> documents.ShardDocument:
+        """Returns the document with what this book wants to write to it."""
+        return document
+
+    def final_records(self) -> Iterator[Record]:
+        """Yields what a stepped-down primary reports to its successor."""
+        return iter(())
+
+    def resolve(
+        self, epoch: identifiers.Epoch, records: Iterable[Record], now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Takes in the final records of a stepped-down primary."""
+        return iter(())
+
+    def stepped_down(
+        self, primary: identifiers.InstanceId | None, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Stops deciding; answers those that wait with the new primary."""
+        return iter(())
+
+
+class BookFactory(Protocol):
+    """Creates the books of one kind, and routes their messages to a shard."""
+
+    name: str
+    """Name of the kind of book within the replication stream."""
+
+    message_types: tuple[type[effects.Message], ...]
+    """Messages that its books handle."""
+
+    record_type: type
+    """Record type, or union of the record types, to decode copies into."""
+
+    def shard_key(self, message: effects.Message) -> str:
+        """Returns the key whose hash gives the shard of the message."""
+        ...
+
+    def create(self, place: assignments.Place) -> Book:
+        """Creates the empty book of a place."""
+        ...
+
+    def misdirected(
+        self,
+        message: effects.Message,
+        primary: identifiers.InstanceId | None,
+    ) -> effects.Message | None:
+        """Returns the answer of an instance that is not the primary."""
+        ...
