--- a/packages/bambooglade/bambooglade/shards/document.py
+++ b/packages/bambooglade/bambooglade/shards/document.py
@@ -173,9 +173,7 @@
     return msgspec.json.decode(value, type=ShardDocument)
 
 
-def violations(
-    old: ShardDocument, new: ShardDocument
-) -> Iterator[str]:
+def violations(old: ShardDocument, new: ShardDocument) -> Iterator[str]:
     """Yields how a write would break the ledger's rules; nothing if it is fine.
 
     Args:
