Add the key-value adapter, signed envelopes and peers

Cause: the decisions need the platform's service and each other over HTTP, and tests need a stand-in with faults.

--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/weight_store/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a service of the platform."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/platform/key_value.py
@@ -0,0 +1,195 @@
+"""Adapter to the platform's key-value service: JSON gateway of etcd v3.
+
+See Also:
+    bambooglade.platform.ports: the port that this adapter implements.
+    bambooglade.platform.document_client: keeps calls within their budget.
+"""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Iterator
+
+import msgspec
+
+from bambooglade.core import effects
+from bambooglade.platform import ports
+from bambooglade.platform import watch_stream
+from bambooglade.transport import http_client
+
+CONNECT_TIMEOUT_MS = 1_000
+CALL_TIMEOUT_MS = 3_000
+_OK = 200
+
+
+class _KeyValue(msgspec.Struct):
+    key: bytes
+    value: bytes = b""
+    mod_revision: str = "0"
+
+
+class _RangeAnswer(msgspec.Struct):
+    kvs: list[_KeyValue] = []
+
+
+class _Header(msgspec.Struct):
+    revision: str
+
+
+class _TransactionAnswer(msgspec.Struct):
+    header: _Header
+    succeeded: bool = False
+
+
+class _Event(msgspec.Struct):
+    kv: _KeyValue
+    type: str = "PUT"
+
+
+class _WatchResult(msgspec.Struct):
+    events: list[_Event] = []
+    canceled: bool = False
+
+
+class _WatchLine(msgspec.Struct):
+    result: _WatchResult
+
+
+class HttpKeyValueStore:
+    """Speaks to the key-value service over HTTP.
+
+    A write is reported as conflicted only when the service said so; every
+    other missing or unexpected answer leaves its outcome uncertain.
+
+    Args:
+        url: Base URL, for instance `http://127.0.0.1:2379`.
+        timeout_ms: Limit on one call.
+    """
+
+    __slots__ = ("_client", "_url")
+
+    def __init__(self, *, url: str, timeout_ms: int = CALL_TIMEOUT_MS) -> None:
+        self._url = url.rstrip("/")
+        self._client = http_client.HttpClient(
+            connect_timeout_ms=min(CONNECT_TIMEOUT_MS, timeout_ms),
+            timeout_ms=timeout_ms,
+        )
+
+    def read(self, request: effects.ReadDocument) -> effects.DocumentAnswer:
+        """Reads one key."""
+        found = self._range(request.key, None)
+        if found is None:
+            return effects.ReadFailed(key=request.key)
+        if not found:
+            return effects.DocumentRead(key=request.key, revision=0, value=None)
+        return found[0]
+
+    def write(self, request: effects.WriteDocument) -> effects.DocumentAnswer:
+        """Writes one key by compare-and-swap."""
+        answer = self._post("/v3/kv/txn", _transaction(request))
+        decoded = _decode(answer, _TransactionAnswer)
+        if decoded is None:
+            return effects.WriteUncertain(key=request.key)
+        if not decoded.succeeded:
+            return effects.WriteConflicted(key=request.key)
+        return effects.WriteApplied(
+            key=request.key, revision=int(decoded.header.revision)
+        )
+
+    def read_prefix(self, prefix: str) -> list[effects.DocumentRead] | None:
+        """Reads all keys below a prefix; None when there is no answer."""
+        return self._range(prefix, _prefix_end(prefix))
+
+    def watch(
+        self, prefix: str, *, after_revision: int, timeout_ms: int
+    ) -> Iterator[ports.DocumentChanged]:
+        """Yields changes below a prefix, until the time-out or a failure."""
+        body = _watch_request(prefix, after_revision)
+        lines = watch_stream.lines(
+            f"{self._url}/v3/watch",
+            body,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            timeout_ms=timeout_ms,
+        )
+        for line in lines:
+            try:
+                result = msgspec.json.decode(line, type=_WatchLine).result
+            except msgspec.DecodeError:
+                return
+            if result.canceled:
+                return
+            yield from (_changed(event) for event in result.events)
+
+    def _range(
+        self, key: str, range_end: str | None
+    ) -> list[effects.DocumentRead] | None:
+        body = {"key": _base64(key.encode())}
+        if range_end is not None:
+            body["range_end"] = _base64(range_end.encode())
+        answer = self._post("/v3/kv/range", msgspec.json.encode(body))
+        decoded = _decode(answer, _RangeAnswer)
+        if decoded is None:
+            return None
+        return [
+            effects.DocumentRead(
+                key=kv.key.decode(),
+                revision=int(kv.mod_revision),
+                value=kv.value,
+            )
+            for kv in decoded.kvs
+        ]
+
+    def _post(self, path: str, body: bytes) -> bytes | None:
+        answer = self._client.post(self._url + path, body)
+        if answer is None or answer.status != _OK:
+            return None
+        return answer.body
+
+    def __repr__(self) -> str:
+        return f"HttpKeyValueStore(url={self._url!r})"
+
+
+def _transaction(request: effects.WriteDocument) -> bytes:
+    key = _base64(request.key.encode())
+    compare = {
+        "key": key,
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(request.expected_revision),
+    }
+    put = {"request_put": {"key": key, "value": _base64(request.value)}}
+    return msgspec.json.encode({"compare": [compare], "success": [put]})
+
+
+def _watch_request(prefix: str, after_revision: int) -> bytes:
+    create = {
+        "key": _base64(prefix.encode()),
+        "range_end": _base64(_prefix_end(prefix).encode()),
+        "start_revision": str(after_revision + 1),
+    }
+    return msgspec.json.encode({"create_request": create})
+
+
+def _changed(event: _Event) -> ports.DocumentChanged:
+    return ports.DocumentChanged(
+        key=event.kv.key.decode(),
+        revision=int(event.kv.mod_revision),
+        value=None if event.type == "DELETE" else event.kv.value,
+    )
+
+
+def _decode(body: bytes | None, answer_type):
+    if body is None:
+        return None
+    try:
+        return msgspec.json.decode(body, type=answer_type)
+    except msgspec.DecodeError:
+        return None
+
+
+def _base64(raw: bytes) -> str:
+    return base64.b64encode(raw).decode()
+
+
+def _prefix_end(prefix: str) -> str:
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
--- /dev/null
+++ b/packages/bambooglade/bambooglade/transport/peers.py
@@ -0,0 +1,168 @@
+"""Sends messages to the other instances, and takes in theirs.
+
+Nothing is sent twice from here: what is lost is repeated by the component that
+sent it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from concurrent import futures
+import threading
+
+from absl import logging
+import result
+
+from bambooglade.core import clock as clocks
+from bambooglade.core import effects
+from bambooglade.core import failures
+from bambooglade.core import identifiers
+from bambooglade.transport import http_client
+from bambooglade.transport import peer_queue
+from bambooglade.transport import sealing
+
+PATH = "/internal/messages"
+THREADS = 8
+CONNECT_TIMEOUT_MS = 500
+TIMEOUT_MS = 1_500
+_OK = 200
+
+Receive = Callable[
+    [identifiers.InstanceId, tuple[effects.Message, ...]],
+    Sequence[effects.Message],
+]
+"""Takes a sender's messages; returns messages to send back in the answer."""
+
+
+class Peers:
+    """Queues messages per peer and posts them in batches.
+
+    At most one batch per peer is on its way. A peer that fails is left alone
+    for a growing pause, so that a partition can't occupy all threads.
+
+    Args:
+        sealer: Seals what is sent, opens what is answered.
+        clock: Tells the time for pauses after failures.
+        url_of: Returns the base URL of an instance, or None.
+        receive: Takes the messages that come back in answers.
+        threads: How many batches may be on their way.
+    """
+
+    def __init__(
+        self,
+        *,
+        sealer: sealing.Sealer,
+        clock: clocks.Clock,
+        url_of: Callable[[identifiers.InstanceId], str | None],
+        receive: Receive,
+        threads: int = THREADS,
+    ) -> None:
+        self._sealer = sealer
+        self._clock = clock
+        self._url_of = url_of
+        self._receive = receive
+        self._client = http_client.HttpClient(
+            connect_timeout_ms=CONNECT_TIMEOUT_MS, timeout_ms=TIMEOUT_MS
+        )
+        self._lock = threading.Lock()
+        self._queues = peer_queue.PeerQueues()
+        self._executor = futures.ThreadPoolExecutor(
+            max_workers=threads, thread_name_prefix="peers"
+        )
+        self._closed = False
+
+    def send(
+        self, recipient: identifiers.InstanceId, message: effects.Message
+    ) -> None:
+        """Queues a message; it is dropped if the peer can't be reached."""
+        with self._lock:
+            if self._closed:
+                return
+            start = self._queues.put(recipient, message, self._clock.now_ms())
+        if start:
+            self._submit(recipient)
+
+    def receive(
+        self, sealed: sealing.Sealed
+    ) -> result.Result[sealing.Sealed, failures.Failure]:
+        """Takes in an envelope that a peer posted, and returns the answer's."""
+        opened = self._sealer.open(sealed)
+        if opened.is_err():
+            failure = opened.unwrap_err()
+            logging.warning("event=envelope_refused kind=%s", failure.kind)
+            return opened
+        envelope = opened.unwrap()
+        answers = self._receive(envelope.sender, envelope.messages)
+        return result.Ok(self._sealer.seal(envelope.sender, answers))
+
+    def close(self) -> None:
+        """Sends what is queued and stops the threads."""
+        with self._lock:
+            self._closed = True
+        self._executor.shutdown(wait=True)
+
+    def _submit(self, recipient: identifiers.InstanceId) -> None:
+        try:
+            self._executor.submit(self._drain, recipient)
+        except RuntimeError:
+            logging.info("event=send_dropped reason=closed peer=%s", recipient)
+
+    def _drain(self, recipient: identifiers.InstanceId) -> None:
+        while True:
+            with self._lock:
+                batch = self._queues.take(recipient)
+            if not batch:
+                return
+            delivered = self._post(recipient, batch)
+            with self._lock:
+                self._queues.finished(
+                    recipient,
+                    delivered=delivered,
+                    now_ms=self._clock.now_ms(),
+                )
+
+    def _post(
+        self,
+        recipient: identifiers.InstanceId,
+        batch: Sequence[effects.Message],
+    ) -> bool:
+        url = self._url_of(recipient)
+        if url is None:
+            return False
+        sealed = self._sealer.seal(recipient, batch)
+        answer = self._client.post(
+            url + PATH,
+            sealed.body,
+            headers={sealing.SIGNATURE_HEADER: sealed.signature},
+        )
+        if answer is None or answer.status != _OK:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "event=peer_unreachable peer=%s status=%s",
+                1,
+                recipient,
+                answer.status if answer else "none",
+            )
+            return False
+        self._take_answer(answer)
+        return True
+
+    def _take_answer(self, answer: http_client.HttpAnswer) -> None:
+        signature = answer.headers.get(sealing.SIGNATURE_HEADER.lower(), "")
+        opened = self._sealer.open(
+            sealing.Sealed(body=answer.body, signature=signature)
+        )
+        if opened.is_err():
+            logging.warning(
+                "event=answer_refused kind=%s", opened.unwrap_err().kind
+            )
+            return
+        envelope = opened.unwrap()
+        if not envelope.messages:
+            return
+        for message in self._receive(envelope.sender, envelope.messages):
+            self.send(envelope.sender, message)
+
+    def __repr__(self) -> str:
+        return f"Peers({self._queues!r})"
--- /dev/null
+++ b/packages/bambooglade/bambooglade/transport/signing.py
@@ -0,0 +1,171 @@
+"""Signed envelopes: shared keys, key rotation, and a window against replay.
+
+To rotate the key, give every instance the new one as `also_accepted`, then
+swap the two everywhere, then remove the old one.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import secrets
+from typing import ClassVar
+
+import result
+import sortedcontainers
+
+from bambooglade.core import failures
+from bambooglade.core import identifiers
+
+MIN_KEY_BYTES = 32
+WINDOW_MS = 30_000
+"""Greatest accepted difference between sending and receiving time."""
+MAX_REMEMBERED_NONCES = 100_000
+_NONCE_BYTES = 9
+
+
+class Forged(failures.NotAuthorized, frozen=True, kw_only=True):
+    """The signature fits none of the accepted keys."""
+
+    kind: ClassVar[str] = "forged"
+    remedy: ClassVar[str] = (
+        "Check that all instances have the same [fleet] keys in their settings."
+    )
+
+
+class Stale(failures.NotAuthorized, frozen=True, kw_only=True):
+    """The envelope is older or newer than the window allows."""
+
+    kind: ClassVar[str] = "stale"
+    remedy: ClassVar[str] = "Synchronize the clocks of the instances."
+
+
+class Replayed(failures.NotAuthorized, frozen=True, kw_only=True):
+    """An envelope with this nonce was accepted before."""
+
+    kind: ClassVar[str] = "replayed"
+    remedy: ClassVar[str] = "Send a new envelope; one can't be sent twice."
+
+
+class Signer:
+    """Signs with one key, accepts that and at most one other.
+
+    Examples:
+        >>> signer = Signer(b"k" * 32)
+        >>> signer.verify(b"body", signer.sign(b"body")).is_ok()
+        True
+        >>> signer.verify(b"other", signer.sign(b"body")).unwrap_err().kind
+        'forged'
+    """
+
+    __slots__ = ("_accepted", "_key")
+
+    def __init__(self, key: bytes, *, also_accepted: bytes | None = None):
+        for each in (key, also_accepted):
+            if each is not None and len(each) < MIN_KEY_BYTES:
+                raise ValueError(
+                    f"a fleet key has {len(each)} bytes; use a random one of "
+                    f"{MIN_KEY_BYTES} or more"
+                )
+        self._key = key
+        self._accepted = (
+            (key,)
+            if also_accepted is None
+            else (
+                key,
+                also_accepted,
+            )
+        )
+
+    def sign(self, body: bytes) -> str:
+        """Returns the signature of a body."""
+        return _signature(self._key, body)
+
+    def verify(
+        self, body: bytes, signature: str
+    ) -> result.Result[None, Forged]:
+        """Checks a signature against the accepted keys."""
+        given = signature.encode()
+        fits = [
+            hmac.compare_digest(_signature(key, body).encode(), given)
+            for key in self._accepted
+        ]
+        if any(fits):
+            return result.Ok(None)
+        return result.Err(
+            Forged(detail="The signature fits none of the accepted keys.")
+        )
+
+    def __repr__(self) -> str:
+        return f"Signer(accepted_keys={len(self._accepted)})"
+
+
+class NonceWindow:
+    """Remembers the nonces of the window, in bounded memory.
+
+    When it is full it forgets the oldest and from then on refuses whatever is
+    as old as that, so forgetting never lets a replay in.
+    """
+
+    __slots__ = ("_capacity", "_floor_ms", "_remembered", "_seen", "_window_ms")
+
+    def __init__(
+        self,
+        *,
+        window_ms: int = WINDOW_MS,
+        capacity: int = MAX_REMEMBERED_NONCES,
+    ) -> None:
+        self._window_ms = window_ms
+        self._capacity = capacity
+        self._floor_ms = 0
+        self._seen: set[tuple[str, str]] = set()
+        self._remembered = sortedcontainers.SortedList()
+
+    def admit(
+        self,
+        sender: identifiers.InstanceId,
+        nonce: str,
+        *,
+        sent_at_ms: int,
+        now_ms: int,
+    ) -> result.Result[None, Stale | Replayed]:
+        """Accepts an envelope once, within the window."""
+        difference_ms = now_ms - sent_at_ms
+        if abs(difference_ms) > self._window_ms or sent_at_ms <= self._floor_ms:
+            return result.Err(
+                Stale(
+                    detail=f"The envelope of {sender} was sent "
+                    f"{difference_ms} ms ago; the window is "
+                    f"{self._window_ms} ms."
+                )
+            )
+        if (sender, nonce) in self._seen:
+            return result.Err(
+                Replayed(detail=f"{sender} sent nonce {nonce} before.")
+            )
+        self._forget(now_ms)
+        self._seen.add((sender, nonce))
+        self._remembered.add((sent_at_ms, sender, nonce))
+        return result.Ok(None)
+
+    def _forget(self, now_ms: int) -> None:
+        oldest_ms = now_ms - self._window_ms
+        while self._remembered and (
+            self._remembered[0][0] < oldest_ms
+            or len(self._remembered) >= self._capacity
+        ):
+            sent_at_ms, sender, nonce = self._remembered.pop(0)
+            self._floor_ms = max(self._floor_ms, sent_at_ms)
+            self._seen.discard((sender, nonce))
+
+    def __repr__(self) -> str:
+        return f"NonceWindow(remembered={len(self._remembered)})"
+
+
+def new_nonce() -> str:
+    """Returns a random nonce."""
+    return secrets.token_urlsafe(_NONCE_BYTES)
+
+
+def _signature(key: bytes, body: bytes) -> str:
+    return hmac.new(key, body, hashlib.sha256).hexdigest()
--- a/packages/bambooglade/bambooglade/transport/tests/__init__.py
+++ b/packages/bambooglade/bambooglade/transport/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the HTTP transport."""
+"""Tests of the package."""
