Add membership by gossip with constant fan-out

Cause: entries need to know instances and primaries while zones are cut off and the platform's list lags.

Change: pings, indirect pings, suspicion, refutation by incarnation, updates that ride on pings, digests that find what was missed, contacts to seeds and dead members so that partitions heal. The virtual fleet resolves contacts by address; a control fleet runs membership and table for tests.

Conclusion: tests on virtual time cover kills, loss of one message in ten, false suspicion, a paused instance, a zone cut off, a planned leave, assignments and a start without the service.

--- a/packages/bambooglade-standins/bambooglade_standins/virtual/fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/fleet.py
@@ -245,7 +245,7 @@
     def _send(
         self, sender: instances.VirtualInstance, effect: effects.Send
     ) -> None:
-        recipient = self.instance_by_id.get(effect.recipient)
+        recipient = instances.find(self.instance_by_id, effect.recipient)
         if recipient is None:
             return
         self.messages_sent += 1
--- a/packages/bambooglade-standins/bambooglade_standins/virtual/instances.py
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/instances.py
@@ -4,12 +4,14 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import dataclasses
 from typing import NamedTuple
 from typing import Protocol
 
 from bambooglade.core import effects
 from bambooglade.core import identifiers
+from bambooglade.fleet import contacts
 from bambooglade.fleet import view
 from bambooglade.operations import calls
 from bambooglade.router import state_machine
@@ -126,3 +128,19 @@
         default_factory=dict
     )
     deferred: list[Callable[[], None]] = dataclasses.field(default_factory=list)
+
+
+def url_of(instance_id: identifiers.InstanceId) -> str:
+    """Returns the URL under which a virtual instance can be contacted."""
+    return f"http://{instance_id}"
+
+
+def find(
+    instance_by_id: Mapping[identifiers.InstanceId, VirtualInstance],
+    name: identifiers.InstanceId,
+) -> VirtualInstance | None:
+    """Returns the instance with an id, or that answers at a contact's URL."""
+    url = contacts.url_of(name)
+    if url is not None:
+        name = identifiers.InstanceId(url.removeprefix("http://"))
+    return instance_by_id.get(name)
--- /dev/null
+++ b/packages/bambooglade/bambooglade/fleet/members.py
@@ -0,0 +1,136 @@
+"""What an instance believes of the members of the fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+from bambooglade.core import identifiers
+from bambooglade.fleet import messages
+
+DEAD_RETENTION_MS = 24 * 3_600_000
+"""How long a dead member is remembered, so that a partition can heal."""
+
+
+class Member(msgspec.Struct, kw_only=True):
+    """One member and when the belief last changed, in ms since the epoch."""
+
+    update: messages.MemberUpdate
+    changed_at_ms: int
+
+    @property
+    def is_live(self) -> bool:
+        """Whether it is not believed dead."""
+        return self.update.status is not messages.Status.DEAD
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether it is not believed dead and not leaving."""
+        return self.is_live and not self.update.leaving
+
+
+class Members:
+    """Merges updates; the order in which they arrive does not matter.
+
+    A higher incarnation wins; within one, the worse status wins. `leaving` is
+    never taken back.
+
+    Examples:
+        >>> members = Members()
+        >>> alive = messages.MemberUpdate(instance_id="i1", incarnation=0,
+        ...     status=messages.Status.ALIVE, leaving=False,
+        ...     availability_zone="scot-a", url="http://127.0.0.1:1")
+        >>> members.merge(alive, now_ms=0)
+        True
+        >>> members.merge(alive, now_ms=5)
+        False
+        >>> members.live_in_zone("scot-a")
+        ('i1',)
+    """
+
+    __slots__ = ("_by_id", "_live_by_zone")
+
+    def __init__(self) -> None:
+        self._by_id: dict[identifiers.InstanceId, Member] = {}
+        self._live_by_zone: (
+            dict[
+                identifiers.AvailabilityZone, tuple[identifiers.InstanceId, ...]
+            ]
+            | None
+        ) = None
+
+    def merge(self, update: messages.MemberUpdate, *, now_ms: int) -> bool:
+        """Takes in an update; returns whether the belief changed."""
+        known = self._by_id.get(update.instance_id)
+        if known is None:
+            merged = update
+        else:
+            merged = _join(known.update, update)
+            if merged == known.update:
+                return False
+        self._by_id[update.instance_id] = Member(
+            update=merged, changed_at_ms=now_ms
+        )
+        self._live_by_zone = None
+        return True
+
+    def get(self, instance_id: identifiers.InstanceId) -> Member | None:
+        """Returns a member, or None."""
+        return self._by_id.get(instance_id)
+
+    def all(self) -> Iterator[Member]:
+        """Yields all members that are remembered."""
+        return iter(self._by_id.values())
+
+    def live(self) -> Iterator[Member]:
+        """Yields the members that are not believed dead."""
+        return (member for member in self.all() if member.is_live)
+
+    def live_in_zone(
+        self, availability_zone: identifiers.AvailabilityZone
+    ) -> tuple[identifiers.InstanceId, ...]:
+        """Returns the members of a zone that take on work, sorted."""
+        if self._live_by_zone is None:
+            self._live_by_zone = self._group_by_zone()
+        return self._live_by_zone.get(availability_zone, ())
+
+    def forget_dead(self, *, now_ms: int) -> Iterator[identifiers.InstanceId]:
+        """Forgets long dead members, and yields their ids."""
+        forgotten = [
+            instance_id
+            for instance_id, member in self._by_id.items()
+            if not member.is_live
+            and now_ms - member.changed_at_ms > DEAD_RETENTION_MS
+        ]
+        for instance_id in forgotten:
+            del self._by_id[instance_id]
+            yield instance_id
+
+    def _group_by_zone(
+        self,
+    ) -> dict[identifiers.AvailabilityZone, tuple[identifiers.InstanceId, ...]]:
+        by_zone: dict[
+            identifiers.AvailabilityZone, list[identifiers.InstanceId]
+        ] = {}
+        for instance_id, member in sorted(self._by_id.items()):
+            if member.takes_work:
+                zone = member.update.availability_zone
+                by_zone.setdefault(zone, []).append(instance_id)
+        return {zone: tuple(ids) for zone, ids in by_zone.items()}
+
+    def __repr__(self) -> str:
+        live = sum(1 for _ in self.live())
+        return f"Members(live={live}, remembered={len(self._by_id)})"
+
+
+def _join(
+    known: messages.MemberUpdate, update: messages.MemberUpdate
+) -> messages.MemberUpdate:
+    newer = update if _order(update) > _order(known) else known
+    leaving = known.leaving or update.leaving
+    return msgspec.structs.replace(newer, leaving=leaving)
+
+
+def _order(update: messages.MemberUpdate) -> tuple[int, int]:
+    return (update.incarnation, update.status)
--- /dev/null
+++ b/packages/bambooglade/bambooglade/fleet/tests/test_membership.py
@@ -0,0 +1,216 @@
+"""Tests of membership on virtual time: failures, partitions, refutation."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+from bambooglade.fleet import membership as memberships
+from bambooglade.fleet import messages
+from bambooglade.platform import ports
+from bambooglade.shards import assignments
+from bambooglade_standins.virtual import control
+from bambooglade_standins.virtual import instances
+from bambooglade_standins.virtual import network
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+JOIN_MS = 15_000
+DETECT_MS = 20_000
+
+
+@pytest.fixture(name="fleet")
+def _fleet():
+    control_fleet = control.ControlFleet(seed=7, seeds=("http://zone-a-1",))
+    for index in range(9):
+        control_fleet.start(ZONES[index % 3])
+    control_fleet.fleet.run_for(JOIN_MS)
+    return control_fleet
+
+
+def _seen(fleet, viewer):
+    view = fleet.membership(viewer)
+    return {name for zone in ZONES for name in view.live_in_zone(zone)}
+
+
+def _statuses(fleet, subject):
+    return {
+        update.status
+        for viewer in fleet.fleet.running()
+        for update in fleet.membership(viewer.instance_id).members()
+        if update.instance_id == subject
+    }
+
+
+def test_all_find_each_other_from_one_seed(fleet):
+    everybody = set(fleet.parts_by_id)
+    assert len(everybody) == 9
+    for viewer in everybody:
+        assert _seen(fleet, viewer) == everybody
+
+
+def test_a_killed_instance_is_removed_everywhere(fleet):
+    fleet.fleet.kill("zone-b-2")
+    fleet.fleet.run_for(DETECT_MS)
+    assert _statuses(fleet, "zone-b-2") == {messages.Status.DEAD}
+    for viewer in fleet.fleet.running():
+        assert "zone-b-2" not in _seen(fleet, viewer.instance_id)
+        view = fleet.membership(viewer.instance_id)
+        assert view.is_suspected("zone-b-2")
+        assert view.zone_of("zone-b-2") == "zone-b"
+
+
+def test_a_lossy_network_removes_nobody(fleet):
+    fleet.fleet.network.faults.loss = 0.10
+    for _ in range(60):
+        fleet.fleet.run_for(1_000)
+        for viewer in fleet.parts_by_id:
+            assert len(_seen(fleet, viewer)) == 9
+
+
+def test_a_false_suspicion_is_refuted_with_a_higher_incarnation(fleet):
+    subject = "zone-c-3"
+    believed = messages.MemberUpdate(
+        instance_id=subject,
+        incarnation=0,
+        status=messages.Status.SUSPECT,
+        leaving=False,
+        availability_zone="zone-c",
+        url=instances.url_of(subject),
+    )
+    rumour = messages.Ping(sequence=0, digest=0, members=(believed,))
+    view = fleet.membership("zone-a-1")
+    fleet.fleet.perform(
+        "zone-a-1", lambda now_ms: view.handle(rumour, "zone-b-2", now_ms)
+    )
+    assert view.is_suspected(subject)
+    assert subject in view.live_in_zone("zone-c")
+    fleet.fleet.run_for(DETECT_MS)
+    assert _statuses(fleet, subject) == {messages.Status.ALIVE}
+    (update,) = [u for u in view.members() if u.instance_id == subject]
+    assert update.incarnation > 0
+
+
+def test_a_paused_instance_is_removed_returns_and_removes_nobody(fleet):
+    fleet.fleet.pause("zone-b-5")
+    fleet.fleet.run_for(60_000)
+    assert _statuses(fleet, "zone-b-5") - {messages.Status.ALIVE} == {
+        messages.Status.DEAD
+    }
+    fleet.fleet.wake("zone-b-5")
+    for _ in range(20):
+        fleet.fleet.run_for(500)
+        for viewer in set(fleet.parts_by_id) - {"zone-b-5"}:
+            assert len(_seen(fleet, viewer)) >= 8
+    fleet.fleet.run_for(JOIN_MS)
+    assert _statuses(fleet, "zone-b-5") == {messages.Status.ALIVE}
+    for viewer in fleet.parts_by_id:
+        assert len(_seen(fleet, viewer)) == 9
+
+
+def test_zones_that_lost_each_other_find_each_other_again(fleet):
+    for other in ("zone-b", "zone-c"):
+        fleet.fleet.network.cut("zone-a", other, now_ms=fleet.fleet.now_ms)
+    fleet.fleet.run_for(120_000)
+    assert _seen(fleet, "zone-a-1") == {"zone-a-1", "zone-a-4", "zone-a-7"}
+    assert len(_seen(fleet, "zone-b-2")) == 6
+    now_ms = fleet.fleet.now_ms
+    assert fleet.membership("zone-a-1").fleet_size(now_ms=now_ms) == 9
+    fleet.fleet.network.heal()
+    fleet.fleet.run_for(60_000)
+    for viewer in fleet.parts_by_id:
+        assert len(_seen(fleet, viewer)) == 9
+
+
+def test_a_leaving_instance_takes_no_work_anywhere_and_then_is_gone(fleet):
+    leaving = fleet.membership("zone-c-6")
+    fleet.fleet.perform("zone-c-6", leaving.start_leaving)
+    fleet.fleet.run_for(5_000)
+    for viewer in fleet.parts_by_id:
+        assert fleet.membership(viewer).is_suspected("zone-c-6")
+        assert "zone-c-6" not in _seen(fleet, viewer)
+    fleet.fleet.perform("zone-c-6", leaving.leave)
+    fleet.fleet.kill("zone-c-6")
+    fleet.fleet.run_for(5_000)
+    assert _statuses(fleet, "zone-c-6") == {messages.Status.DEAD}
+    now_ms = fleet.fleet.now_ms
+    assert fleet.membership("zone-a-1").fleet_size(now_ms=now_ms) == 8
+
+
+def test_assignments_reach_all_and_the_highest_epoch_wins(fleet):
+    place = assignments.Place(
+        shard=identifiers.ShardId(3),
+        availability_zone=identifiers.AvailabilityZone("zone-b"),
+    )
+    for holder, epoch in (("zone-a-1", 2), ("zone-c-9", 5), ("zone-b-2", 4)):
+        learned = assignments.Assignment(
+            epoch=identifiers.Epoch(epoch), primary=holder, backup=None
+        )
+        fleet.parts_by_id[holder].assignment_map.learn(place, learned)
+    fleet.fleet.run_for(JOIN_MS)
+    primaries = {
+        parts.assignment_map.primary(place)
+        for parts in fleet.parts_by_id.values()
+    }
+    assert primaries == {"zone-c-9"}
+
+
+def test_a_new_instance_learns_all_assignments_without_the_service(fleet):
+    fleet.fleet.service.faults.down = True
+    assignment_map = fleet.parts_by_id["zone-a-1"].assignment_map
+    for shard in range(1_000):
+        place = assignments.Place(
+            shard=identifiers.ShardId(shard),
+            availability_zone=identifiers.AvailabilityZone("zone-a"),
+        )
+        assignment_map.learn(
+            place,
+            assignments.Assignment(
+                epoch=identifiers.Epoch(1), primary="zone-a-1", backup=None
+            ),
+        )
+    fleet.fleet.run_for(60_000)
+    fresh = fleet.start("zone-b")
+    fleet.fleet.run_for(JOIN_MS)
+    learned = fleet.parts_by_id[fresh].assignment_map
+    assert len(list(learned.items())) == 1_000
+
+
+def test_the_platforms_word_that_an_instance_leaves_counts():
+    view = memberships.Membership(
+        instance_id="i1",
+        availability_zone="zone-a",
+        url="http://10.0.0.1:1",
+        assignment_map=assignments.AssignmentMap(),
+        random_source=random.Random(1),
+    )
+    other = messages.MemberUpdate(
+        instance_id="i2",
+        incarnation=0,
+        status=messages.Status.ALIVE,
+        leaving=False,
+        availability_zone="zone-a",
+        url="http://10.0.0.2:1",
+    )
+    ping = messages.Ping(sequence=1, digest=0, members=(other,))
+    assert any(
+        isinstance(effect, effects.Send)
+        and isinstance(effect.message, messages.Ack)
+        for effect in view.handle(ping, "i2", 0)
+    )
+    assert not view.is_suspected("i2")
+    view.observe_list([network_entry("http://10.0.0.2:1", leaving=True)], 1)
+    assert view.is_suspected("i2")
+    view.observe_list([], 2)
+    assert view.is_suspected("i2")
+
+
+def network_entry(url, *, leaving):
+    return ports.ListedInstance(
+        name="listed",
+        availability_zone=network.PLATFORM,
+        url=url,
+        leaving=leaving,
+    )
--- a/packages/bambooglade/bambooglade/shards/assignments.py
+++ b/packages/bambooglade/bambooglade/shards/assignments.py
@@ -52,10 +52,11 @@
         'i1'
     """
 
-    __slots__ = ("_by_place",)
+    __slots__ = ("_by_place", "_changed")
 
     def __init__(self) -> None:
         self._by_place: dict[Place, Assignment] = {}
+        self._changed: set[Place] = set()
 
     def learn(self, place: Place, assignment: Assignment) -> bool:
         """Keeps the assignment if it is newer than the one known.
@@ -67,8 +68,15 @@
         if known is not None and _order(known) >= _order(assignment):
             return False
         self._by_place[place] = assignment
+        self._changed.add(place)
         return True
 
+    def take_changed(self) -> frozenset[Place]:
+        """Returns the places that changed since the last call."""
+        changed = frozenset(self._changed)
+        self._changed.clear()
+        return changed
+
     def get(self, place: Place) -> Assignment | None:
         """Returns the newest known assignment of a place, or None."""
         return self._by_place.get(place)
