--- a/packages/bambooglade-standins/bambooglade_standins/engine/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-in for a model engine, with faults on request."""
--- a/packages/bambooglade-standins/bambooglade_standins/plain_service/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-in for a plain service, with faults on request."""
--- a/packages/bambooglade-standins/bambooglade_standins/plain_service/tests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the stand-in plain service."""
