Add the request coordinator and the claims of idempotency keys

Cause: a request had no entry side: nothing reserved over its accounts, kept a second run of a key out, or repeated a settlement whose answer was lost. Change: Coordinator (reserve, claim, permit, settle, bill; waits for calls of the same key), ClaimBook at the arbiter (grants after the backup has them, withdrawals by attempt number, one bill a key, retention, lost history), look-ups. 'Not run' is said of a key only if no earlier call with it can have run; otherwise the refusal says 'unknown'. KeyExpired now says 'unknown' too. Ruled out: billing whoever reports first, since a holder that outlives the loss of both copies could then be billed a second time.

--- a/packages/bambooglade/bambooglade/core/failures.py
+++ b/packages/bambooglade/bambooglade/core/failures.py
@@ -120,11 +120,20 @@
     remedy: ClassVar[str] = "Use a new key for a new request."
 
 
+class KeyWithoutAge(Failure, frozen=True, kw_only=True):
+    """The key does not tell its age, or lies in the future."""
+
+    kind: ClassVar[str] = "key_without_age"
+    http_status: ClassVar[int] = 422
+    remedy: ClassVar[str] = "Use a UUIDv7 key that was made just now."
+
+
 class KeyExpired(Failure, frozen=True, kw_only=True):
-    """The key is older than the retention period, or has no age."""
+    """The key is older than the retention period; what it did is forgotten."""
 
     kind: ClassVar[str] = "key_expired"
     http_status: ClassVar[int] = 422
+    ran: ClassVar[Ran] = Ran.UNKNOWN
     remedy: ClassVar[str] = (
         "Use a new UUIDv7 key, after checking that the old request did not run."
     )
--- a/packages/bambooglade/bambooglade/operations/calls.py
+++ b/packages/bambooglade/bambooglade/operations/calls.py
@@ -93,11 +93,20 @@
 
 
 class Bill(msgspec.Struct, frozen=True, kw_only=True):
-    """What a call was billed, the same amount on each of its accounts."""
+    """What a call was billed, the same amount on each of its accounts.
+
+    Attributes:
+        key: Idempotency key.
+        spent_tokens: The amount, in tokens.
+        voided: Whether another run of the same key is billed instead.
+        undecided: Whether the bill is not final: the outcome of the run is
+            unknown, or the arbiter did not answer yet.
+    """
 
     key: identifiers.RequestKey
     spent_tokens: int
     voided: bool = False
+    undecided: bool = False
 
 
 class Permit(effects.Effect, frozen=True, kw_only=True):
--- /dev/null
+++ b/packages/bambooglade/bambooglade/operations/claim_book.py
@@ -0,0 +1,375 @@
+"""The arbiter of idempotency keys: who may run a key, and who is billed.
+
+A call that may not be repeated is granted to one attempt, and the grant leaves
+the primary only after the backup has it. A repeatable call is granted alike,
+but its entry need not wait for the grant; the first run that is reported by the
+holder, or by anyone once the holder's time is over, is billed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import functools
+import heapq
+
+import msgspec
+
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+from bambooglade.operations import bill_decision
+from bambooglade.operations import claim_record
+from bambooglade.operations import claim_replies
+from bambooglade.operations import messages
+from bambooglade.operations import retention as retention_module
+from bambooglade.shards import assignments
+from bambooglade.shards import book
+
+MAX_EVICTED_PER_TICK = 500
+
+_State = claim_record.RecordState
+
+
+class ClaimBook(book.Book):
+    """The claims of one shard in one zone.
+
+    Args:
+        retention: How long records are kept.
+
+    Examples:
+        >>> ClaimBook(retention=retention_module.Retention())
+        ClaimBook(records=0)
+
+    See Also:
+        bambooglade.operations.claim_request: the entry's side.
+    """
+
+    def __init__(self, *, retention: retention_module.Retention) -> None:
+        self._retention = retention
+        self._history_lost_at_ms: int | None = None
+        self._by_key: dict[str, claim_record.ClaimRecord] = {}
+        self._due: list[tuple[int, str]] = []
+
+    @functools.singledispatchmethod
+    def handle(
+        self,
+        message: effects.Message,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        """Decides on a message of an entry."""
+        raise TypeError(
+            f"message is a {type(message).__name__}; pass one of "
+            "messages.TO_ARBITER"
+        )
+
+    @handle.register
+    def _(
+        self,
+        message: messages.Claim,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        record = self._current(message.key, now_ms) or self._new(
+            message.key, repeatable=message.repeatable, now_ms=now_ms
+        )
+        if record.is_withdrawn(message.attempt):
+            return
+        if record.is_older_attempt(message.attempt):
+            return
+        if record.fingerprint not in ("", message.fingerprint):
+            yield claim_replies.refusal(
+                message,
+                sender,
+                messages.ClaimRefusal.KEY_REUSED,
+                f"Key {message.key} was used for a different request.",
+            )
+            return
+        yield from self._claim(record, message, sender, now_ms)
+
+    @handle.register
+    def _(
+        self,
+        message: messages.Withdraw,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        record = self._by_key.get(message.key) or self._new(
+            message.key, repeatable=False, now_ms=now_ms
+        )
+        if not record.is_withdrawn(message.attempt):
+            yield from self._change(record.without(message.attempt), now_ms)
+        yield claim_replies.after_replication(
+            sender,
+            messages.Withdrawn(key=message.key, attempt=message.attempt),
+        )
+
+    @handle.register
+    def _(
+        self,
+        message: messages.ReportRun,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        record = self._by_key.get(message.key) or self._new(
+            message.key, repeatable=message.repeatable, now_ms=now_ms
+        )
+        decision = bill_decision.decide(
+            record,
+            message,
+            retention=self._retention,
+            history_lost_at_ms=self._history_lost_at_ms,
+            now_ms=now_ms,
+        )
+        if bill_decision.is_news(record, message, decision):
+            record = record.after_run(message)
+            yield from self._change(record, now_ms)
+        yield claim_replies.after_replication(
+            sender, claim_replies.run_recorded(record, message, decision)
+        )
+
+    @handle.register
+    def _(
+        self,
+        message: messages.ResolveOutcome,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        record = self._current(message.key, now_ms)
+        if record is not None and record.state is _State.UNKNOWN:
+            yield from self._change(
+                msgspec.structs.replace(
+                    record,
+                    state=_State.FINISHED,
+                    spent_tokens=message.spent_tokens,
+                ),
+                now_ms,
+            )
+        yield claim_replies.after_replication(
+            sender, self._looked_up(message.key, message.look_up_id, now_ms)
+        )
+
+    @handle.register
+    def _(
+        self,
+        message: messages.LookUp,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        yield claim_replies.after_replication(
+            sender, self._looked_up(message.key, message.look_up_id, now_ms)
+        )
+
+    def tick(self, now_ms: int) -> Iterator[effects.Effects]:
+        """Evicts what is past its retention; a bounded number at a time."""
+        for _ in range(MAX_EVICTED_PER_TICK):
+            if not self._due or self._due[0][0] > now_ms:
+                return
+            _, key = heapq.heappop(self._due)
+            yield from self._evict(key, now_ms)
+
+    def record(self, record_id: str) -> claim_record.ClaimRecord | None:
+        """Returns the record of a key, or None when it was evicted."""
+        return self._by_key.get(record_id)
+
+    def records(self) -> Iterator[claim_record.ClaimRecord]:
+        """Yields all records."""
+        yield from list(self._by_key.values())
+
+    def install(self, record: claim_record.ClaimRecord) -> None:
+        """Installs a copied record unless a newer version is present."""
+        known = self._by_key.get(record.record_id)
+        if known is None or known.version < record.version:
+            self._by_key[record.record_id] = record
+
+    def evict(self, record_id: str) -> None:
+        """Drops a copied record that the primary evicted."""
+        self._by_key.pop(record_id, None)
+
+    def promoted(
+        self, assignment: assignments.Assignment, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Takes over, and learns when the records were last lost."""
+        del now_ms
+        self._history_lost_at_ms = assignment.history_lost_at_ms
+        self._due = [
+            (self._due_ms(record), key) for key, record in self._by_key.items()
+        ]
+        heapq.heapify(self._due)
+        yield from ()
+
+    def _claim(
+        self,
+        record: claim_record.ClaimRecord,
+        claim: messages.Claim,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        match record.state:
+            case _State.FINISHED:
+                yield claim_replies.after_replication(
+                    sender, claim_replies.finished(record, claim)
+                )
+            case _State.UNKNOWN:
+                yield claim_replies.unknown(record, claim, sender)
+            case _State.HELD if not record.is_superseded_by(claim.attempt):
+                yield from self._claim_held(record, claim, sender, now_ms)
+            case _:
+                yield from self._grant_if_allowed(record, claim, sender, now_ms)
+
+    def _claim_held(
+        self,
+        record: claim_record.ClaimRecord,
+        claim: messages.Claim,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        if record.holder == claim.attempt:
+            yield self._granted(claim, sender)
+        elif record.repeatable and record.is_expired(now_ms):
+            yield from self._grant(record, claim, sender, now_ms)
+        else:
+            yield claim_replies.after_replication(
+                sender,
+                messages.ClaimHeld(
+                    key=claim.key,
+                    attempt=claim.attempt,
+                    holder=record.holder.entry,
+                ),
+            )
+
+    def _grant_if_allowed(
+        self,
+        record: claim_record.ClaimRecord,
+        claim: messages.Claim,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        objection = None
+        if not claim.repeatable:
+            objection = self._retention.objection(
+                claim.key,
+                now_ms=now_ms,
+                history_lost_at_ms=(
+                    None if claim.first_attempt else self._history_lost_at_ms
+                ),
+            )
+        if objection is None:
+            yield from self._grant(record, claim, sender, now_ms)
+        else:
+            yield claim_replies.refusal(
+                claim, sender, objection.reason, objection.detail
+            )
+
+    def _grant(
+        self,
+        record: claim_record.ClaimRecord,
+        claim: messages.Claim,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        held = record.held_by(
+            claim,
+            expires_at_ms=claim.deadline_ms + bill_decision.HOLDER_GRACE_MS,
+        )
+        yield from self._change(held, now_ms)
+        yield self._granted(claim, sender)
+
+    def _granted(
+        self, claim: messages.Claim, sender: identifiers.InstanceId
+    ) -> book.AfterReplication:
+        created_at_ms = identifiers.created_at_ms(claim.key)
+        first = claim.first_attempt or not self._retention.may_precede(
+            created_at_ms, self._history_lost_at_ms
+        )
+        return claim_replies.granted(claim, sender, first=first)
+
+    def _current(
+        self, key: identifiers.RequestKey, now_ms: int
+    ) -> claim_record.ClaimRecord | None:
+        """Returns the record; one whose holder is overdue counts as unknown."""
+        record = self._by_key.get(key)
+        if record is None or record.repeatable or not record.is_expired(now_ms):
+            return record
+        return msgspec.structs.replace(record, state=_State.UNKNOWN)
+
+    def _new(
+        self, key: identifiers.RequestKey, *, repeatable: bool, now_ms: int
+    ) -> claim_record.ClaimRecord:
+        return claim_record.ClaimRecord(
+            record_id=key,
+            version=0,
+            repeatable=repeatable,
+            changed_at_ms=now_ms,
+            evict_at_ms=0,
+        )
+
+    def _change(
+        self, record: claim_record.ClaimRecord, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        evict_at_ms = self._retention.evict_at_ms(
+            record.record_id, repeatable=record.repeatable, now_ms=now_ms
+        )
+        self._keep(
+            msgspec.structs.replace(
+                record,
+                version=record.version + 1,
+                changed_at_ms=now_ms,
+                evict_at_ms=evict_at_ms,
+            )
+        )
+        yield book.RecordChanged(record_id=record.record_id)
+
+    def _keep(self, record: claim_record.ClaimRecord) -> None:
+        self._by_key[record.record_id] = record
+        heapq.heappush(self._due, (self._due_ms(record), record.record_id))
+
+    def _due_ms(self, record: claim_record.ClaimRecord) -> int:
+        """Returns when the record, or its answer alone, is to be dropped."""
+        if record.repeatable and record.answer is not None:
+            return record.changed_at_ms + self._retention.answer_ms
+        return record.evict_at_ms
+
+    def _evict(self, key: str, now_ms: int) -> Iterator[effects.Effects]:
+        record = self._by_key.get(key)
+        if record is None or self._due_ms(record) > now_ms:
+            return
+        if record.evict_at_ms <= now_ms:
+            del self._by_key[key]
+        else:
+            self._keep(
+                msgspec.structs.replace(
+                    record, answer=None, version=record.version + 1
+                )
+            )
+        yield book.RecordChanged(record_id=key)
+
+    def _looked_up(
+        self, key: identifiers.RequestKey, look_up_id: str, now_ms: int
+    ) -> messages.LookedUp:
+        record = self._current(key, now_ms)
+        if record is None:
+            return messages.LookedUp(
+                key=key,
+                look_up_id=look_up_id,
+                state=self._state_without_record(key),
+            )
+        return messages.LookedUp(
+            key=key,
+            look_up_id=look_up_id,
+            state=claim_replies.OUTCOME_BY_STATE[record.state],
+            holder=record.holder.entry if record.holder else None,
+            spent_tokens=record.spent_tokens,
+            target_id=record.target_id,
+            answer=record.answer,
+        )
+
+    def _state_without_record(
+        self, key: identifiers.RequestKey
+    ) -> messages.OutcomeState:
+        created_at_ms = identifiers.created_at_ms(key)
+        if self._retention.may_precede(created_at_ms, self._history_lost_at_ms):
+            return messages.OutcomeState.UNKNOWN
+        return messages.OutcomeState.NOT_RECORDED
+
+    def __repr__(self) -> str:
+        return f"ClaimBook(records={len(self._by_key)})"
--- /dev/null
+++ b/packages/bambooglade/bambooglade/operations/claim_record.py
@@ -0,0 +1,131 @@
+"""The record of one key at its arbiter, and how it changes."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from bambooglade.core import identifiers
+from bambooglade.operations import calls
+from bambooglade.operations import messages
+from bambooglade.shards import book
+
+
+class RecordState(enum.StrEnum):
+    """What is known of a key.
+
+    `FREE`: nobody holds it. `HELD`: a run may be in progress. `FINISHED`: run
+    and billed. `UNKNOWN`: a run that may not be repeated and has no outcome.
+    """
+
+    FREE = "free"
+    HELD = "held"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+
+
+class ClaimRecord(book.Record, frozen=True, kw_only=True):
+    """What the arbiter keeps of one key.
+
+    Attributes:
+        repeatable: Whether running the request twice does no harm.
+        changed_at_ms: When it last changed.
+        evict_at_ms: When it may be forgotten.
+        fingerprint: Hash of the request; empty while only withdrawals came.
+        state: What is known.
+        holder: Who holds the claim, or ran the key.
+        expires_at_ms: When the run of the holder has ended at the latest.
+        withdrawn_by_entry: Highest attempt of each entry that never ran.
+        spent_tokens: What was billed.
+        target_id: The target that answered.
+        answer: The kept answer.
+    """
+
+    repeatable: bool
+    changed_at_ms: int
+    evict_at_ms: int
+    fingerprint: str = ""
+    state: RecordState = RecordState.FREE
+    holder: messages.Attempt | None = None
+    expires_at_ms: int = 0
+    withdrawn_by_entry: dict[identifiers.InstanceId, int] = msgspec.field(
+        default_factory=dict
+    )
+    spent_tokens: int = 0
+    target_id: identifiers.TargetId | None = None
+    answer: calls.KeptAnswer | None = None
+
+    def is_withdrawn(self, attempt: messages.Attempt) -> bool:
+        """Returns whether an attempt said that it never ran."""
+        highest = self.withdrawn_by_entry.get(attempt.entry, 0)
+        return attempt.number <= highest
+
+    def is_older_attempt(self, attempt: messages.Attempt) -> bool:
+        """Returns whether the holder is a later attempt of the same entry."""
+        return (
+            self.holder is not None
+            and self.holder.entry == attempt.entry
+            and attempt.number < self.holder.number
+        )
+
+    def is_superseded_by(self, attempt: messages.Attempt) -> bool:
+        """Returns whether the attempt replaces the holder.
+
+        An entry makes a new attempt only after it gave up the one before.
+        """
+        return (
+            self.holder is not None
+            and self.holder.entry == attempt.entry
+            and attempt.number > self.holder.number
+        )
+
+    def is_expired(self, now_ms: int) -> bool:
+        """Returns whether the holder's run has ended without a report."""
+        return self.state is RecordState.HELD and now_ms >= self.expires_at_ms
+
+    def held_by(
+        self, claim: messages.Claim, *, expires_at_ms: int
+    ) -> ClaimRecord:
+        """Returns the record with the claim granted."""
+        return msgspec.structs.replace(
+            self,
+            state=RecordState.HELD,
+            fingerprint=claim.fingerprint,
+            repeatable=claim.repeatable,
+            holder=claim.attempt,
+            expires_at_ms=expires_at_ms,
+        )
+
+    def without(self, attempt: messages.Attempt) -> ClaimRecord:
+        """Returns the record with an attempt withdrawn."""
+        withdrawn = dict(self.withdrawn_by_entry)
+        withdrawn[attempt.entry] = max(
+            withdrawn.get(attempt.entry, 0), attempt.number
+        )
+        is_holder = self.holder == attempt or self.is_superseded_by(attempt)
+        if self.state is not RecordState.HELD or not is_holder:
+            return msgspec.structs.replace(self, withdrawn_by_entry=withdrawn)
+        return msgspec.structs.replace(
+            self,
+            withdrawn_by_entry=withdrawn,
+            state=RecordState.FREE,
+            holder=None,
+        )
+
+    def after_run(self, report: messages.ReportRun) -> ClaimRecord:
+        """Returns the record with a reported run, which is the one billed."""
+        is_unknown = (
+            not report.repeatable
+            and report.end.result is calls.RunResult.UNKNOWN
+        )
+        return msgspec.structs.replace(
+            self,
+            state=RecordState.UNKNOWN if is_unknown else RecordState.FINISHED,
+            fingerprint=report.fingerprint,
+            repeatable=report.repeatable,
+            holder=report.attempt,
+            spent_tokens=report.end.spent_tokens,
+            target_id=report.end.target_id,
+            answer=report.end.answer,
+        )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/operations/claim_replies.py
@@ -0,0 +1,108 @@
+"""Answers of the arbiter to claims."""
+
+from __future__ import annotations
+
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+from bambooglade.operations import claim_record
+from bambooglade.operations import messages
+from bambooglade.shards import book
+
+OUTCOME_BY_STATE = {
+    claim_record.RecordState.FREE: messages.OutcomeState.NOT_RECORDED,
+    claim_record.RecordState.HELD: messages.OutcomeState.IN_PROGRESS,
+    claim_record.RecordState.FINISHED: messages.OutcomeState.FINISHED,
+    claim_record.RecordState.UNKNOWN: messages.OutcomeState.UNKNOWN,
+}
+
+
+def after_replication(
+    recipient: identifiers.InstanceId, message: effects.Message
+) -> book.AfterReplication:
+    """Returns a message that leaves once the changes before it are copied."""
+    return book.AfterReplication(
+        then=(effects.Send(recipient=recipient, message=message),)
+    )
+
+
+def granted(
+    claim: messages.Claim, recipient: identifiers.InstanceId, *, first: bool
+) -> book.AfterReplication:
+    """Returns a grant; where running twice does harm, it needs the backup."""
+    message = messages.ClaimGranted(
+        key=claim.key, attempt=claim.attempt, first=first
+    )
+    return book.AfterReplication(
+        then=(effects.Send(recipient=recipient, message=message),),
+        needs_backup=not claim.repeatable,
+        otherwise=(
+            refusal(
+                claim,
+                recipient,
+                messages.ClaimRefusal.NO_BACKUP,
+                "The arbiter of the key has no backup to record the claim.",
+            ),
+        ),
+    )
+
+
+def finished(
+    record: claim_record.ClaimRecord, claim: messages.Claim
+) -> messages.ClaimFinished:
+    """Returns the outcome of a key that was run before."""
+    return messages.ClaimFinished(
+        key=claim.key,
+        attempt=claim.attempt,
+        spent_tokens=record.spent_tokens,
+        answer=record.answer,
+    )
+
+
+def refusal(
+    claim: messages.Claim,
+    recipient: identifiers.InstanceId,
+    reason: messages.ClaimRefusal,
+    detail: str,
+) -> effects.Send:
+    """Returns the refusal of a claim."""
+    return effects.Send(
+        recipient=recipient,
+        message=messages.ClaimRefused(
+            key=claim.key,
+            attempt=claim.attempt,
+            reason=reason,
+            detail=detail,
+        ),
+    )
+
+
+def unknown(
+    record: claim_record.ClaimRecord,
+    claim: messages.Claim,
+    recipient: identifiers.InstanceId,
+) -> effects.Send:
+    """Returns the refusal of a claim whose key has no known outcome."""
+    return refusal(
+        claim,
+        recipient,
+        messages.ClaimRefusal.OUTCOME_UNKNOWN,
+        f"Instance {record.holder.entry} held key {claim.key} and did not "
+        "report how its run ended.",
+    )
+
+
+def run_recorded(
+    record: claim_record.ClaimRecord,
+    report: messages.ReportRun,
+    decision: messages.Decision,
+) -> messages.RunRecorded:
+    """Returns the answer to a report; a run without outcome stays pending."""
+    if record.state is claim_record.RecordState.UNKNOWN:
+        decision = messages.Decision.PENDING
+    is_billed = decision is messages.Decision.BILLED
+    return messages.RunRecorded(
+        key=report.key,
+        attempt=report.attempt,
+        decision=decision,
+        spent_tokens=record.spent_tokens if is_billed else 0,
+    )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/operations/coordinator.py
@@ -0,0 +1,357 @@
+"""Entry side of requests: takes calls and answers each exactly once."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import functools
+import itertools
+
+from bambooglade.budgets import messages as budget_messages
+from bambooglade.core import effects
+from bambooglade.core import failures
+from bambooglade.core import identifiers
+from bambooglade.fleet import view
+from bambooglade.operations import calls
+from bambooglade.operations import directory as directory_module
+from bambooglade.operations import look_ups
+from bambooglade.operations import messages
+from bambooglade.operations import operation as operation_module
+from bambooglade.operations import refusals
+from bambooglade.operations import reservation
+from bambooglade.operations import settlement_queue
+from bambooglade.shards import assignments
+
+_Phase = operation_module.Phase
+_BUDGET_MESSAGES = (
+    budget_messages.Reserved,
+    budget_messages.ReserveRefused,
+    budget_messages.Settled,
+    budget_messages.SettleMisdirected,
+)
+
+
+class Coordinator:
+    """Keeps the operations of one entry instance.
+
+    Each call that is begun gets exactly one of `Permit`, `Refuse` and `Replay`;
+    each permitted one that is finished gets one `Billed`. What is still to be
+    acknowledged goes on behind the answers.
+
+    Args:
+        instance_id: The own instance.
+        availability_zone: The own zone.
+        arbiter_zones: All zones of the settings.
+        shard_count: Number of shards of the deployment.
+        assignment_map: The newest known assignments.
+        fleet: The instances, as far as known.
+
+    Examples:
+        >>> zone = identifiers.AvailabilityZone("scot-a")
+        >>> Coordinator(instance_id=identifiers.InstanceId("i1"),
+        ...     availability_zone=zone, arbiter_zones=(zone,), shard_count=4,
+        ...     assignment_map=assignments.AssignmentMap(),
+        ...     fleet=view.FixedFleet({}))
+        Coordinator(active=0, pending=0)
+
+    See Also:
+        bambooglade.operations.operation: the course of one call.
+        bambooglade.operations.claim_book: the arbiter's side.
+    """
+
+    message_types = (*_BUDGET_MESSAGES, *messages.TO_ENTRY)
+    document_prefixes: tuple[str, ...] = ()
+
+    def __init__(
+        self,
+        *,
+        instance_id: identifiers.InstanceId,
+        availability_zone: identifiers.AvailabilityZone,
+        arbiter_zones: tuple[identifiers.AvailabilityZone, ...],
+        shard_count: int,
+        assignment_map: assignments.AssignmentMap,
+        fleet: view.FleetView,
+    ) -> None:
+        self._instance_id = instance_id
+        self._directory = directory_module.Directory(
+            availability_zone=availability_zone,
+            arbiter_zones=arbiter_zones,
+            shard_count=shard_count,
+            assignment_map=assignment_map,
+            fleet=fleet,
+        )
+        self._queue = settlement_queue.SettlementQueue(
+            directory=self._directory
+        )
+        self._look_ups = look_ups.LookUps(directory=self._directory)
+        self._numbers = itertools.count(1)
+        self._active_by_key: dict[
+            identifiers.RequestKey, operation_module.Operation
+        ] = {}
+        self._by_key: dict[
+            identifiers.RequestKey, list[operation_module.Operation]
+        ] = {}
+        self._waiting_by_key: dict[
+            identifiers.RequestKey, list[calls.Call]
+        ] = {}
+
+    def begin(self, call: calls.Call, now_ms: int) -> Iterator[effects.Effects]:
+        """Takes a call; one with a key in progress here waits for that one."""
+        active = self._active_by_key.get(call.key)
+        if active is None:
+            yield from self._start(call, now_ms)
+        elif active.call.fingerprint != call.fingerprint:
+            yield _refuse_reused(call)
+        elif active.phase is _Phase.ENDED:
+            yield from self._after_run(active, call, now_ms)
+        else:
+            self._waiting_by_key.setdefault(call.key, []).append(call)
+
+    def finish(
+        self,
+        key: identifiers.RequestKey,
+        run_end: calls.RunEnd,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        """Takes the end of the run of a permitted call."""
+        active = self._active_by_key.get(key)
+        if active is not None:
+            yield from active.finish(run_end, now_ms)
+            yield from self._clean_up(active, now_ms)
+
+    def cancel(
+        self,
+        key: identifiers.RequestKey,
+        now_ms: int,
+        call_id: str = "",
+    ) -> Iterator[effects.Effects]:
+        """Gives up a call that is not permitted yet; it is refused.
+
+        The run of a permitted call ends by `finish`, also when it is cut short.
+        """
+        waiting = self._waiting_by_key.get(key, [])
+        for call in [call for call in waiting if call.call_id == call_id]:
+            waiting.remove(call)
+            yield _refuse_waiting(call)
+            return
+        active = self._active_by_key.get(key)
+        if active is not None and active.call.call_id == call_id:
+            yield from active.cancel(now_ms)
+            yield from self._clean_up(active, now_ms)
+
+    def look_up(
+        self, key: identifiers.RequestKey, look_up_id: str, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Asks the arbiter what became of a key.
+
+        Yields, now or later, one `look_ups.OutcomeFound` or
+        `look_ups.OutcomeUnavailable`.
+        """
+        yield from self._look_ups.start(key, look_up_id, now_ms)
+
+    def resolve(
+        self, message: messages.ResolveOutcome, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Closes a key of unknown outcome, as an operator found it out.
+
+        It is answered like `look_up`.
+        """
+        yield from self._look_ups.resolve(message, now_ms)
+
+    def pending_settlements(self) -> int:
+        """Returns how many settlements and claims are not acknowledged yet.
+
+        A planned stop waits for 0, within its bound.
+        """
+        return len(self._queue) + sum(
+            operation.is_pending for operation in self._operations()
+        )
+
+    def active_calls(self) -> int:
+        """Returns how many calls have not been answered yet."""
+        return sum(
+            operation.phase is not _Phase.ENDED
+            for operation in self._active_by_key.values()
+        ) + sum(len(waiting) for waiting in self._waiting_by_key.values())
+
+    def document_answered(
+        self, answer: effects.DocumentAnswer, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Does nothing: no request waits for the platform's service."""
+        del answer, now_ms
+        yield from ()
+
+    def tick(self, now_ms: int) -> Iterator[effects.Effects]:
+        """Repeats what is due and gives up what is too late."""
+        for operation in list(self._operations()):
+            yield from operation.tick(now_ms)
+            yield from self._clean_up(operation, now_ms)
+        yield from self._queue.tick(now_ms)
+        yield from self._look_ups.tick(now_ms)
+        yield from self._refuse_late_waiting(now_ms)
+
+    def handle(
+        self,
+        message: effects.Message,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        """Decides on an answer of an account or of an arbiter."""
+        yield from self._queue.handle(message, sender, now_ms)
+        yield from self._look_ups.handle(message, sender, now_ms)
+        concerned = [
+            operation
+            for operation in self._by_key.get(_key_of(message), ())
+            if operation.concerns(message)
+        ]
+        for operation in concerned:
+            yield from operation.handle(message, sender, now_ms)
+            yield from self._clean_up(operation, now_ms)
+        if not concerned and isinstance(message, budget_messages.Reserved):
+            yield from self._release_unwanted(message, now_ms)
+
+    def _release_unwanted(
+        self, message: budget_messages.Reserved, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Credits back what a late message reserved for nobody."""
+        bound_tokens = next(
+            (
+                draw.bound_tokens
+                for operation in self._by_key.get(_key_of(message), ())
+                for draw in operation.call.draws
+                if draw.budget_id == message.budget_id
+            ),
+            0,
+        )
+        yield from self._queue.add(
+            reservation.release_of(message, bound_tokens),
+            message.availability_zone,
+            now_ms,
+        )
+
+    def _operations(self) -> Iterator[operation_module.Operation]:
+        return itertools.chain.from_iterable(self._by_key.values())
+
+    def _start(
+        self, call: calls.Call, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        operation = operation_module.Operation(
+            call=call,
+            instance_id=self._instance_id,
+            next_number=functools.partial(next, self._numbers),
+            begun_at_ms=now_ms,
+            directory=self._directory,
+            queue=self._queue,
+        )
+        self._active_by_key[call.key] = operation
+        self._by_key.setdefault(call.key, []).append(operation)
+        yield from operation.start(now_ms)
+        yield from operation.advance(now_ms)
+        yield from self._clean_up(operation, now_ms)
+
+    def _after_run(
+        self,
+        ended: operation_module.Operation,
+        call: calls.Call,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        """Answers a call whose key ended here, and is still being recorded."""
+        run_end = ended.run_end
+        if run_end is None or ended.closing.is_without_run:
+            yield from self._start(call, now_ms)
+        elif run_end.answer is not None:
+            yield operation_module.replay_of(
+                call, run_end.answer, ended.closing.bill().spent_tokens
+            )
+        elif call.repeatable:
+            yield from self._start(call, now_ms)
+        else:
+            yield _refuse_without_answer(call, run_end)
+
+    def _clean_up(
+        self, operation: operation_module.Operation, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Wakes calls that wait for an ended one, and forgets the latter."""
+        if operation.phase is not _Phase.ENDED:
+            return
+        key = operation.call.key
+        if self._active_by_key.get(key) is operation:
+            waiting = self._waiting_by_key.pop(key, [])
+            if not operation.is_pending:
+                del self._active_by_key[key]
+            for call in waiting:
+                yield from self._wake(operation, call, now_ms)
+        if not operation.is_pending:
+            self._forget(operation)
+
+    def _wake(
+        self,
+        ended: operation_module.Operation,
+        call: calls.Call,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        if self._active_by_key.get(call.key) in (None, ended):
+            yield from self._after_run(ended, call, now_ms)
+        else:
+            yield from self.begin(call, now_ms)
+
+    def _forget(self, operation: operation_module.Operation) -> None:
+        key = operation.call.key
+        if self._active_by_key.get(key) is operation:
+            del self._active_by_key[key]
+        operations = self._by_key.get(key, [])
+        if operation in operations:
+            operations.remove(operation)
+        if not operations:
+            self._by_key.pop(key, None)
+
+    def _refuse_late_waiting(self, now_ms: int) -> Iterator[effects.Effects]:
+        for key, waiting in list(self._waiting_by_key.items()):
+            late = [
+                call
+                for call in waiting
+                if now_ms >= call.deadline_ms - operation_module.REPLY_MARGIN_MS
+            ]
+            for call in late:
+                waiting.remove(call)
+                yield _refuse_waiting(call)
+            if not waiting:
+                del self._waiting_by_key[key]
+
+    def __repr__(self) -> str:
+        return (
+            f"Coordinator(active={self.active_calls()}, "
+            f"pending={self.pending_settlements()})"
+        )
+
+
+def _key_of(message: effects.Message) -> identifiers.RequestKey:
+    if isinstance(message, _BUDGET_MESSAGES):
+        return message.reservation_id.key
+    return message.key
+
+
+def _refuse_reused(call: calls.Call) -> calls.Refuse:
+    failure = failures.KeyReused(
+        detail=f"Key {call.key} is in use here for a different request."
+    )
+    return calls.Refuse(key=call.key, failure=failure, call_id=call.call_id)
+
+
+def _refuse_waiting(call: calls.Call) -> calls.Refuse:
+    failure = failures.OutcomeUnknown(
+        detail=f"Another call with key {call.key} is still in progress here.",
+        retry_after_ms=refusals.RETRY_AFTER_MS,
+    )
+    return calls.Refuse(key=call.key, failure=failure, call_id=call.call_id)
+
+
+def _refuse_without_answer(
+    call: calls.Call, run_end: calls.RunEnd
+) -> calls.Refuse:
+    failure = failures.OutcomeUnknown(
+        detail=(
+            f"The request ended as {run_end.result.value} here, and there is "
+            "no answer to be returned again."
+        )
+    )
+    return calls.Refuse(key=call.key, failure=failure, call_id=call.call_id)
--- a/packages/bambooglade/bambooglade/shards/assignments.py
+++ b/packages/bambooglade/bambooglade/shards/assignments.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bambooglade.core import hashing
 from bambooglade.core import identifiers
 
 
@@ -16,6 +17,24 @@
     shard: identifiers.ShardId
     availability_zone: identifiers.AvailabilityZone
 
+    def ranked(
+        self, instances: Iterable[identifiers.InstanceId]
+    ) -> list[identifiers.InstanceId]:
+        """Ranks instances as primary of this place; only a proposal.
+
+        Every instance ranks alike, so that callers find the likely primary
+        before they know the assignment.
+
+        Examples:
+            >>> place = Place(shard=identifiers.ShardId(3),
+            ...     availability_zone=identifiers.AvailabilityZone("scot-a"))
+            >>> sorted(place.ranked(["i1", "i2"]))
+            ['i1', 'i2']
+        """
+        return hashing.rendezvous(
+            f"{self.availability_zone}/{self.shard}", instances
+        )
+
 
 class Assignment(msgspec.Struct, frozen=True, kw_only=True):
     """The pair that serves a place at an epoch.
