--- a/packages/bambooglade/bambooglade/table/changes.py
+++ b/packages/bambooglade/bambooglade/table/changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import ClassVar
 
 import result
@@ -12,7 +13,10 @@
 from bambooglade.table import pages
 from bambooglade.table import rows
 
-Check = Callable[[rows.Row], result.Result[None, failures.Failure]]
+Check = Callable[
+    [rows.Row, Sequence[rows.Row]], result.Result[None, failures.Failure]
+]
+"""Checks a row that is written together with the given ones."""
 
 
 class StaleEdit(failures.Failure, frozen=True, kw_only=True):
@@ -97,7 +101,7 @@
         if known is not None and edit.edit_id in known.edit_ids:
             return result.Ok(None)
         checked = _check_version(change, known).and_then(
-            lambda _: _check_row(change, check)
+            lambda _: _check_row(edit, change, check)
         )
         if checked.is_err():
             return checked
@@ -194,7 +198,7 @@
 
 
 def _check_row(
-    change: messages.RowChange, check: Check
+    edit: messages.EditRows, change: messages.RowChange, check: Check
 ) -> result.Result[None, failures.Failure]:
     if change.row is None:
         return result.Ok(None)
@@ -205,4 +209,5 @@
                 f"{change.row.row_key}."
             )
         )
-    return check(change.row)
+    written = [each.row for each in edit.changes if each.row is not None]
+    return check(change.row, written)
--- a/packages/bambooglade/bambooglade/table/editor.py
+++ b/packages/bambooglade/bambooglade/table/editor.py
@@ -15,20 +15,16 @@
 
 from absl import logging
 import msgspec
-import result
 
 from bambooglade.core import effects
-from bambooglade.core import failures
 from bambooglade.core import identifiers
 from bambooglade.table import changes
 from bambooglade.table import messages
 from bambooglade.table import pages
-from bambooglade.table import rows
 
 FIRST_PAUSE_MS = 200
 MAX_PAUSE_MS = 3_000
 
-Check = Callable[[rows.Row], result.Result[None, failures.Failure]]
 InForce = Callable[[int], pages.Page]
 
 
@@ -96,7 +92,7 @@
         *,
         page_count: int,
         in_force: InForce,
-        check: Check,
+        check: changes.Check,
         random_source: random.Random,
     ) -> None:
         self._page_count = page_count
--- a/packages/bambooglade/bambooglade/table/replica.py
+++ b/packages/bambooglade/bambooglade/table/replica.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 import functools
 import random
 
@@ -18,6 +19,7 @@
 from bambooglade.core import effects
 from bambooglade.core import failures
 from bambooglade.core import identifiers
+from bambooglade.table import changes
 from bambooglade.table import editor as editor_
 from bambooglade.table import installed as installed_
 from bambooglade.table import messages
@@ -66,7 +68,7 @@
         peers: synchronization.Peers,
         random_source: random.Random,
         page_count: int = pages.PAGE_COUNT,
-        check: editor_.Check | None = None,
+        check: changes.Check | None = None,
     ) -> None:
         self._peers = peers
         self._random = random_source
@@ -302,6 +304,8 @@
         return f"TableReplica({self._installed!r}, loaded={self.loaded})"
 
 
-def _accept(row: rows.Row) -> result.Result[None, failures.Failure]:
-    del row
+def _accept(
+    row: rows.Row, written: Sequence[rows.Row]
+) -> result.Result[None, failures.Failure]:
+    del row, written
     return result.Ok(None)
--- /dev/null
+++ b/packages/bambooglade/bambooglade/table/tests/test_checks.py
@@ -0,0 +1,167 @@
+"""Tests of the checks on rows and columns."""
+
+from __future__ import annotations
+
+import pytest
+
+from bambooglade.table import checks
+from bambooglade.table import columns
+from bambooglade.table import rows
+from bambooglade.table import view
+
+PLAIN = rows.ServiceForm.PLAIN
+IN_FORCE = (
+    rows.TeamRow(team_id="t1", key_hash="x"),
+    rows.ServiceRow(service="till", form=PLAIN),
+    rows.KindRow(service="till", request_kind="status", path_prefix="/s"),
+    rows.KindRow(
+        service="till", request_kind="put", path_prefix="/s", method="PUT"
+    ),
+    rows.TargetRow(
+        target_id="x1",
+        service="till",
+        availability_zone="scot-a",
+        url="http://10.0.0.1:1",
+    ),
+)
+
+
+def _target(**changed):
+    row = {
+        "target_id": "x2",
+        "service": "till",
+        "availability_zone": "scot-a",
+        "url": "http://10.0.0.2:1",
+        **changed,
+    }
+    return rows.TargetRow(**row)
+
+
+def _kinds(row, *, granted=0, batch=()):
+    checker = checks.Checker(
+        view.FixedTable(IN_FORCE), granted_out=lambda _: granted
+    )
+    checked = checker.check(row, batch)
+    if checked.is_ok():
+        return "ok"
+    failure = checked.unwrap_err()
+    assert failure.remedy in str(failure)
+    return failure.kind
+
+
+@pytest.mark.parametrize(
+    ("row", "kind"),
+    [
+        (rows.TeamRow(team_id="t2", key_hash="x"), "ok"),
+        (rows.TeamRow(team_id="t2", key_hash="x", weight=0), "ok"),
+        (rows.TeamRow(team_id="t1", key_hash="x", weight=0), "no_weight_left"),
+        (rows.TeamRow(team_id="t2", key_hash="x", weight=-1), "out_of_range"),
+        (
+            rows.TeamRow(team_id="t2", key_hash="x", weight=float("nan")),
+            "out_of_range",
+        ),
+        (
+            rows.TeamRow(team_id="t", key_hash="x", cutoff_reserve_share=1.1),
+            "out_of_range",
+        ),
+        (rows.TeamRow(team_id="a/b", key_hash="x"), "bad_name"),
+        (rows.TeamRow(team_id="", key_hash="x"), "bad_name"),
+        (rows.LimitRow(team_id="t1", spend_limit_tokens=0), "ok"),
+        (rows.LimitRow(spend_limit_tokens=-1), "out_of_range"),
+        (rows.LimitRow(team_id="t9"), "unknown_reference"),
+        (rows.LimitRow(service="till", request_kind="status"), "ok"),
+        (rows.LimitRow(service="till", request_kind="no"), "unknown_reference"),
+        (rows.LimitRow(request_kind="status"), "ok"),
+        (rows.LimitRow(request_kind="no"), "unknown_reference"),
+        (
+            rows.LimitRow(team_id="t9", spend_limit_tokens=-1),
+            "row_invalid",
+        ),
+        (
+            rows.KindRow(service="till", request_kind="k", path_prefix="/k"),
+            "ok",
+        ),
+        (
+            rows.KindRow(service="till", request_kind="k", path_prefix="/s/"),
+            "shadowed",
+        ),
+        (
+            rows.KindRow(
+                service="till",
+                request_kind="k",
+                path_prefix="/s",
+                method="GET",
+            ),
+            "ok",
+        ),
+        (
+            rows.KindRow(service="till", request_kind="k", path_prefix="k"),
+            "out_of_range",
+        ),
+        (
+            rows.KindRow(service="till", request_kind="k", max_concurrency=0),
+            "out_of_range",
+        ),
+        (rows.KindRow(service="no", request_kind="k"), "unknown_reference"),
+        (_target(), "ok"),
+        (_target(weight=0.0), "ok"),
+        (_target(target_id="x1", weight=0.0), "no_weight_left"),
+        (_target(url="http://10.0.0.1:1"), "shadowed"),
+        (_target(url="10.0.0.2"), "out_of_range"),
+        (rows.ObjectiveRow(service="till", share=1.0), "out_of_range"),
+        (rows.ObjectiveRow(service="till"), "ok"),
+        (
+            rows.OperatorRow(operator="ana", key_hash="x", role="root"),
+            "out_of_range",
+        ),
+        (rows.OrderRow(target_id="x1", model="m"), "ok"),
+        (rows.OrderRow(target_id="x9", model="m"), "unknown_reference"),
+    ],
+)
+def test_rows_are_checked_when_they_are_edited(row, kind):
+    assert _kinds(row) == kind
+
+
+@pytest.mark.parametrize(
+    ("granted", "kind"),
+    [(99, "ok"), (100, "ok"), (101, "limit_below_granted")],
+)
+def test_a_limit_is_not_set_below_what_is_granted_out(granted, kind):
+    row = rows.LimitRow(team_id="t1", spend_limit_tokens=100)
+    assert _kinds(row, granted=granted) == kind
+
+
+def test_a_row_may_refer_to_another_of_the_same_edit():
+    service = rows.ServiceRow(service="new", form=PLAIN)
+    kind = rows.KindRow(service="new", request_kind="k")
+    assert _kinds(kind) == "unknown_reference"
+    assert _kinds(kind, batch=(service, kind)) == "ok"
+
+
+@pytest.mark.parametrize(
+    ("given", "kind"),
+    [
+        ({"type": "team", "team_id": "t", "key_hash": "x"}, "ok"),
+        (
+            {"type": "team", "team_id": "t", "key_hash": "x", "weight": "2.5"},
+            "ok",
+        ),
+        (
+            {"type": "team", "team_id": "t", "key_hash": "x", "enabled": "no"},
+            "bad_value",
+        ),
+        (
+            {"type": "team", "team_id": "t", "key_hash": "x", "weight": ""},
+            "ok",
+        ),
+        ({"type": "team", "team_id": "t"}, "bad_value"),
+        ({"type": "limit", "limit": "5"}, "unknown_column"),
+        ({"type": "limit", "spend_limit_tokens": "x"}, "bad_value"),
+        ({"type": "limits"}, "unknown_row_type"),
+        ({"team_id": "t"}, "unknown_row_type"),
+    ],
+)
+def test_columns_are_checked(given, kind):
+    parsed = columns.parse_row(given)
+    found = "ok" if parsed.is_ok() else parsed.unwrap_err().kind
+    assert found == kind
