--- /dev/null
+++ b/packages/bambooglade/bambooglade/budgets/account_book.py
@@ -0,0 +1,596 @@
+"""The accounts of one shard in one zone, as the shard host sees them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import functools
+
+from bambooglade.budgets import account as accounts
+from bambooglade.budgets import account_state
+from bambooglade.budgets import book_notices
+from bambooglade.budgets import ended_reservations
+from bambooglade.budgets import messages
+from bambooglade.budgets import recalls
+from bambooglade.budgets import records
+from bambooglade.budgets import refill_policy
+from bambooglade.budgets import refusals
+from bambooglade.budgets import reserve_share
+from bambooglade.budgets import settlement
+from bambooglade.budgets import spend_limits
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+from bambooglade.shards import assignments
+from bambooglade.shards import book as books
+from bambooglade.shards import document as documents
+from bambooglade.table import view
+
+SETTLED_WRITE_MS = 10_000
+"""How long a change of the settled counter alone may stay unwritten."""
+
+REFILL_WRITE_MS = 500
+"""How long refills that no request waits for are gathered."""
+
+
+class AccountBook(books.Book):
+    """Reserves, settles, opens, refills and returns the rights of budgets.
+
+    Args:
+        place: The shard and zone.
+        assignment_map: Finds the primaries of the other zones.
+        table: Rows with the share to hold in reserve, and spend limits.
+        zone_count: Number of availability zones of the deployment.
+
+    See Also:
+        bambooglade.budgets.account: how one account counts.
+        bambooglade.budgets.settlement: settling once, also after a promotion.
+    """
+
+    __slots__ = (
+        "_assignments",
+        "_document",
+        "_ended",
+        "_epoch",
+        "_lost_epoch",
+        "_needs_backup",
+        "_place",
+        "_service_failures",
+        "_state_by_budget_id",
+        "_table",
+        "_zone_count",
+    )
+
+    def __init__(
+        self,
+        *,
+        place: assignments.Place,
+        assignment_map: assignments.AssignmentMap,
+        table: view.TableView,
+        zone_count: int,
+    ) -> None:
+        self._place = place
+        self._assignments = assignment_map
+        self._table = table
+        self._zone_count = zone_count
+        self._epoch = identifiers.Epoch(0)
+        self._lost_epoch: identifiers.Epoch | None = None
+        self._needs_backup = False
+        self._service_failures = 0
+        self._document: documents.ShardDocument | None = None
+        self._ended = ended_reservations.EndedReservations()
+        self._state_by_budget_id: dict[
+            identifiers.BudgetId, account_state.AccountState
+        ] = {}
+
+    def states(self) -> Iterable[account_state.AccountState]:
+        """Returns the accounts that this book knows."""
+        return self._state_by_budget_id.values()
+
+    def state(
+        self, budget_id: identifiers.BudgetId
+    ) -> account_state.AccountState | None:
+        """Returns one account, or None if this book does not know it."""
+        return self._state_by_budget_id.get(budget_id)
+
+    # Messages.
+
+    def handle(
+        self,
+        message: effects.Message,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        """Decides on a message; called at the primary only."""
+        yield from self._handle(message, sender, now_ms)
+
+    @functools.singledispatchmethod
+    def _handle(
+        self,
+        message: effects.Message,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        return iter(())
+
+    @_handle.register
+    def _(
+        self,
+        message: messages.Reserve,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        state = self._state_of(message.budget_id)
+        number = state.account.number_by_id.get(message.reservation_id)
+        if number is not None:
+            yield self._reserved(message, number, sender)
+            return
+        if self._ended.contains(message.reservation_id, message.budget_id):
+            return
+        if not state.is_waiting(message.reservation_id):
+            state.meter.add(message.bound_tokens)
+            waiter = account_state.Waiter(message, sender, now_ms)
+            state.waiters.append(waiter)
+            yield from self._work(state, now_ms)
+
+    @_handle.register
+    def _(
+        self,
+        message: messages.Settle,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        state = self._state_of(message.budget_id)
+        if message.epoch > self._epoch:
+            yield books.DocumentWanted(fresh=True)
+            return
+        if message.epoch == messages.UNKNOWN_EPOCH:
+            state.stop_waiting(message.reservation_id)
+            freed = settlement.settle_by_id(
+                state.account, message.reservation_id
+            )
+        else:
+            freed = settlement.settle(state.account, message)
+        self._ended.add(message.reservation_id, message.budget_id, now_ms)
+        settled = messages.Settled(
+            reservation_id=message.reservation_id,
+            budget_id=message.budget_id,
+            epoch=message.epoch,
+            sequence=message.sequence,
+        )
+        yield from self._freed(state, freed)
+        sent = effects.Send(recipient=sender, message=settled)
+        yield books.AfterReplication(then=(sent,))
+        yield books.DocumentWanted(within_ms=SETTLED_WRITE_MS)
+
+    @_handle.register
+    def _(
+        self,
+        message: messages.Reduce,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        state = self._state_of(message.budget_id)
+        freed = settlement.reduce(state.account, message)
+        if freed is None:
+            return
+        record_id = records.reservation_record_id(
+            message.budget_id, freed.number
+        )
+        yield books.RecordChanged(record_id=record_id)
+        yield from self._account_changed(state.account)
+        notice = book_notices.RightsFreed(
+            budget_id=message.budget_id, tokens=freed.tokens
+        )
+        yield books.AfterReplication(then=(notice,))
+
+    @_handle.register
+    def _(
+        self,
+        message: messages.RecallRights,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        state = self._state_of(message.budget_id)
+        tokens = recalls.give(state, message, sender)
+        if tokens == 0:
+            zone = self._place.availability_zone
+            yield recalls.answer(state, zone, sender, 0)
+            return
+        yield from self._account_changed(state.account)
+        notice = book_notices.MarkLowered(
+            budget_id=message.budget_id, generation=state.account.generation
+        )
+        yield books.AfterReplication(then=(notice,))
+
+    @_handle.register
+    def _(
+        self,
+        message: messages.RecallAnswered,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        state = self._state_of(message.budget_id)
+        recall = state.recall_by_zone.get(message.availability_zone)
+        if recall is None:
+            return
+        recall.answer = message
+        if message.returned_tokens > 0:
+            yield books.DocumentWanted(fresh=True)
+        yield from self._work(state, now_ms)
+
+    # Replication.
+
+    def replicated(
+        self, notice: books.ReplicationNotice, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Takes back a notice after the changes before it were copied."""
+        state = self._state_of(notice.budget_id)
+        book_notices.apply(notice, state.account)
+        if isinstance(notice, book_notices.MarkLowered):
+            yield books.DocumentWanted()
+        yield from self._work(state, now_ms)
+
+    def replication_required(self, *, required: bool) -> None:
+        """Learns whether a backup has to acknowledge what the primary does."""
+        self._needs_backup = required
+        for state in self.states():
+            state.account.require_backup(required=required)
+
+    def record(self, record_id: str) -> books.Record | None:
+        """Returns a record to be copied, or None when it was evicted."""
+        kind, _, rest = record_id.partition("|")
+        if kind == "account":
+            state = self.state(identifiers.BudgetId(rest))
+            return state.account.record() if state else None
+        epoch, sequence, budget_id = rest.split("|", 2)
+        state = self.state(identifiers.BudgetId(budget_id))
+        number = records.ReservationNumber(
+            identifiers.Epoch(int(epoch)), int(sequence)
+        )
+        return state.account.open_by_number.get(number) if state else None
+
+    def records(self) -> Iterator[books.Record]:
+        """Yields all records, for a full copy."""
+        for state in self.states():
+            yield state.account.record()
+            yield from state.account.open_by_number.values()
+
+    def install(self, record: books.Record) -> None:
+        """Installs a copied record unless a newer version is present."""
+        account = self._state_of(record.budget_id).account
+        if isinstance(record, records.ReservationRecord):
+            account.add_open(record)
+        elif record.version >= account.version:
+            account.install(record)
+
+    def evict(self, record_id: str) -> None:
+        """Drops a copied reservation that the primary evicted."""
+        record = self.record(record_id)
+        if isinstance(record, records.ReservationRecord):
+            account = self._state_of(record.budget_id).account
+            account.remove_open(record.number)
+
+    def promoted(
+        self, assignment: assignments.Assignment, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Takes over as the primary of a new epoch."""
+        self._epoch = assignment.epoch
+        inherited = assignment.inherited_epoch
+        if inherited is None:
+            self._lost_epoch = identifiers.Epoch(assignment.epoch - 1)
+            return
+        for state in self.states():
+            settlement.hold_inherited(
+                state.account, inherited, assignment.epoch
+            )
+            yield from self._account_changed(state.account)
+
+    def final_records(self) -> Iterator[books.Record]:
+        """Yields what a stepped-down primary reports to its successor."""
+        for state in self.states():
+            known = state.account.open_by_number | (
+                state.account.settling_by_number
+            )
+            yield from (
+                record
+                for number, record in known.items()
+                if number.epoch == self._epoch
+            )
+
+    def resolve(
+        self,
+        epoch: identifiers.Epoch,
+        records: Iterable[books.Record],
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        """Takes in the final records of a stepped-down primary."""
+        by_budget_id: dict[identifiers.BudgetId, list[books.Record]] = {}
+        for record in records:
+            by_budget_id.setdefault(record.budget_id, []).append(record)
+        for state in list(self.states()):
+            reported = by_budget_id.get(state.account.budget_id, ())
+            freed = settlement.resolve(state.account, epoch, reported)
+            for record in reported:
+                yield books.RecordChanged(record_id=record.record_id)
+            yield from self._account_changed(state.account)
+            yield books.AfterReplication(
+                then=(
+                    book_notices.RightsFreed(
+                        budget_id=state.account.budget_id, tokens=freed
+                    ),
+                )
+            )
+
+    def stepped_down(
+        self, primary: identifiers.InstanceId | None, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Sends those that wait to the new primary."""
+        for state in self.states():
+            for waiter in state.waiters:
+                refused = messages.ReserveRefused(
+                    reservation_id=waiter.request.reservation_id,
+                    budget_id=waiter.request.budget_id,
+                    reason=messages.RefusalReason.NOT_PRIMARY,
+                    detail="Another instance is the primary now.",
+                    primary=primary,
+                )
+                yield effects.Send(recipient=waiter.sender, message=refused)
+
+    # The document.
+
+    def document_seen(
+        self, document: documents.ShardDocument, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Learns a newer document of the shard; called at the primary."""
+        self._document = document
+        self._service_failures = 0
+        zone = self._place.availability_zone
+        for budget_id, ledger in document.account_by_budget_id.items():
+            if budget_id in self._state_by_budget_id or (
+                ledger.counters(zone).granted
+            ):
+                self._state_of(budget_id)
+        for state in list(self.states()):
+            yield from self._ledger_seen(state, document, now_ms)
+        self._lost_epoch = None
+
+    def document_unavailable(self, now_ms: int) -> Iterator[effects.Effects]:
+        """Learns that the platform's service did not answer."""
+        self._service_failures += 1
+        for state in list(self.states()):
+            if state.waiters:
+                yield from self._work(state, now_ms)
+
+    def edit_document(
+        self, document: documents.ShardDocument, now_ms: int
+    ) -> documents.ShardDocument:
+        """Returns the document with the counters of this zone."""
+        zone = self._place.availability_zone
+        for state in self.states():
+            budget_id = state.account.budget_id
+            ledger = spend_limits.applied(
+                self._table, budget_id, document.account_by_budget_id
+            )
+            if ledger is None:
+                continue
+            document = document.with_account(budget_id, ledger)
+            counters = ledger.counters(zone)
+            changed = self._counters(state, ledger, counters)
+            if changed != counters:
+                document = document.with_account(
+                    budget_id, ledger.with_counters(zone, changed)
+                )
+        return document
+
+    def tick(self, now_ms: int) -> Iterator[effects.Effects]:
+        """Does what is due for the accounts that something waits for."""
+        self._ended.forget_old(now_ms)
+        for state in list(self.states()):
+            state.meter.tick(now_ms)
+            if state.waiters:
+                yield from self._work(state, now_ms)
+
+    # Below: one account.
+
+    def _ledger_seen(
+        self,
+        state: account_state.AccountState,
+        document: documents.ShardDocument,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        account = state.account
+        state.ledger = document.account_by_budget_id.get(account.budget_id)
+        state.ledger_seen_ms = now_ms
+        if state.ledger is not None:
+            zone = self._place.availability_zone
+            account.seen(state.ledger.counters(zone))
+            if self._lost_epoch is not None:
+                settlement.hold_everything(account, self._lost_epoch)
+            yield from recalls.answer_written(state, zone)
+        yield from self._work(state, now_ms)
+
+    def _counters(
+        self,
+        state: account_state.AccountState,
+        ledger: documents.Account,
+        counters: documents.ZoneCounters,
+    ) -> documents.ZoneCounters:
+        account = state.account
+        granted = counters.granted
+        if not state.giving_by_zone:
+            wanted = refill_policy.grant(self._situation(state))
+            granted += min(wanted, max(0, ledger.free_tokens))
+        returned = counters.returned
+        if account.may_write_returned:
+            returned = max(returned, account.returned)
+        return documents.ZoneCounters(
+            granted=granted,
+            returned=returned,
+            settled=max(counters.settled, account.settled_for_document),
+        )
+
+    def _work(
+        self, state: account_state.AccountState, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        yield from self._serve(state)
+        yield from self._open_more(state)
+        if state.waiters:
+            yield from self._obtain(state, now_ms)
+            yield from self._refuse(state, now_ms)
+        elif refill_policy.is_low(self._situation(state)):
+            yield books.DocumentWanted(within_ms=REFILL_WRITE_MS)
+
+    def _serve(
+        self, state: account_state.AccountState
+    ) -> Iterator[effects.Effects]:
+        account = state.account
+        for waiter in list(state.waiters):
+            request = waiter.request
+            if request.bound_tokens > account.free:
+                continue
+            state.waiters.remove(waiter)
+            record = account.reserve(
+                request.reservation_id, request.bound_tokens
+            )
+            yield books.RecordChanged(record_id=record.record_id)
+            yield from self._account_changed(account)
+            yield self._reserved(request, record.number, waiter.sender)
+
+    def _open_more(
+        self, state: account_state.AccountState
+    ) -> Iterator[effects.Effects]:
+        account = state.account
+        if not account.needs_backup or account.opened >= account.rights:
+            return
+        tranche = refill_policy.tranche(
+            state.meter.tokens_per_s, state.meter.last
+        )
+        wanted = state.waiting_tokens + tranche // 2
+        if account.opened - account.used >= wanted:
+            return
+        account.open_up_to(account.used + state.waiting_tokens + tranche)
+        notice = book_notices.MarkRaised(
+            budget_id=account.budget_id,
+            mark=account.opened,
+            generation=account.generation,
+        )
+        yield from self._account_changed(account)
+        yield books.AfterReplication(then=(notice,))
+
+    def _obtain(
+        self, state: account_state.AccountState, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        if state.waiting_tokens <= state.account.unused:
+            return
+        newest_ms = state.waiters[-1].since_ms
+        if not state.is_fresh(newest_ms):
+            yield books.DocumentWanted(fresh=True)
+        elif self._limit_pending(state) or (
+            state.ledger is not None and state.ledger.free_tokens > 0
+        ):
+            yield books.DocumentWanted()
+        yield from recalls.ask_other_zones(
+            state, self._place, self._assignments, now_ms
+        )
+
+    def _refuse(
+        self, state: account_state.AccountState, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        around = refusals.Surroundings(
+            self._place.availability_zone,
+            self._service_failures,
+            self._limit_pending(state),
+        )
+        for waiter in list(state.waiters):
+            refusal = refusals.refusal(state, waiter, around, now_ms)
+            if refusal is None:
+                continue
+            state.waiters.remove(waiter)
+            refused = messages.ReserveRefused(
+                reservation_id=waiter.request.reservation_id,
+                budget_id=waiter.request.budget_id,
+                reason=refusal.reason,
+                detail=refusal.detail,
+                retry_after_ms=refusal.retry_after_ms,
+            )
+            yield effects.Send(recipient=waiter.sender, message=refused)
+
+    def _freed(
+        self,
+        state: account_state.AccountState,
+        freed: settlement.Freed | None,
+    ) -> Iterator[effects.Effects]:
+        if freed is None:
+            return
+        account = state.account
+        if freed.was_known:
+            record_id = records.reservation_record_id(
+                account.budget_id, freed.number
+            )
+            yield books.RecordChanged(record_id=record_id)
+        yield from self._account_changed(account)
+        notice = book_notices.RightsFreed(
+            budget_id=account.budget_id,
+            tokens=freed.tokens,
+            number=freed.number,
+        )
+        yield books.AfterReplication(then=(notice,))
+
+    def _account_changed(
+        self, account: accounts.ZoneAccount
+    ) -> Iterator[effects.Effects]:
+        record_id = records.account_record_id(account.budget_id)
+        yield books.RecordChanged(record_id=record_id)
+
+    def _reserved(
+        self,
+        request: messages.Reserve,
+        number: records.ReservationNumber,
+        sender: identifiers.InstanceId,
+    ) -> effects.Send:
+        reserved = messages.Reserved(
+            reservation_id=request.reservation_id,
+            budget_id=request.budget_id,
+            availability_zone=self._place.availability_zone,
+            epoch=number.epoch,
+            sequence=number.sequence,
+        )
+        return effects.Send(recipient=sender, message=reserved)
+
+    def _situation(
+        self, state: account_state.AccountState
+    ) -> refill_policy.Situation:
+        return state.situation(
+            reserve_share=reserve_share.reserve_share(
+                self._table, state.account.budget_id
+            ),
+            zone_count=self._zone_count,
+        )
+
+    def _limit_pending(self, state: account_state.AccountState) -> bool:
+        if self._document is None:
+            return False
+        by_budget_id = self._document.account_by_budget_id
+        limited = spend_limits.applied(
+            self._table, state.account.budget_id, by_budget_id
+        )
+        return limited != by_budget_id.get(state.account.budget_id)
+
+    def _state_of(
+        self, budget_id: identifiers.BudgetId
+    ) -> account_state.AccountState:
+        state = self._state_by_budget_id.get(budget_id)
+        if state is None:
+            account = accounts.ZoneAccount(
+                budget_id=budget_id, epoch=self._epoch
+            )
+            account.require_backup(required=self._needs_backup)
+            state = account_state.AccountState(account=account)
+            self._state_by_budget_id[budget_id] = state
+        return state
+
+    def __repr__(self) -> str:
+        return (
+            f"AccountBook({self._place.shard}, epoch={self._epoch}, "
+            f"accounts={len(self._state_by_budget_id)})"
+        )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/budgets/account_book_factory.py
@@ -0,0 +1,84 @@
+"""Creates the account books, and finds the shard of their messages."""
+
+from __future__ import annotations
+
+from bambooglade.budgets import account_book
+from bambooglade.budgets import messages
+from bambooglade.budgets import records
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+from bambooglade.shards import assignments
+from bambooglade.table import view
+
+
+class AccountBookFactory:
+    """The `shards.book.BookFactory` of the accounts.
+
+    Args:
+        assignment_map: Finds the primaries of the other zones.
+        table: The operators' rows.
+        zone_count: Number of availability zones of the deployment.
+    """
+
+    __slots__ = ("_assignments", "_table", "_zone_count")
+
+    name = "accounts"
+    message_types = (
+        messages.Reserve,
+        messages.Reduce,
+        messages.Settle,
+        messages.RecallRights,
+        messages.RecallAnswered,
+    )
+    record_type = records.AccountRecord | records.ReservationRecord
+
+    def __init__(
+        self,
+        *,
+        assignment_map: assignments.AssignmentMap,
+        table: view.TableView,
+        zone_count: int,
+    ) -> None:
+        self._assignments = assignment_map
+        self._table = table
+        self._zone_count = zone_count
+
+    def shard_key(self, message: effects.Message) -> str:
+        """Returns the budget id of a message."""
+        return message.budget_id
+
+    def create(self, place: assignments.Place) -> account_book.AccountBook:
+        """Creates the empty book of a place."""
+        return account_book.AccountBook(
+            place=place,
+            assignment_map=self._assignments,
+            table=self._table,
+            zone_count=self._zone_count,
+        )
+
+    def misdirected(
+        self,
+        message: effects.Message,
+        primary: identifiers.InstanceId | None,
+    ) -> effects.Message | None:
+        """Returns the answer of an instance that is not the primary."""
+        if isinstance(message, messages.Reserve):
+            return messages.ReserveRefused(
+                reservation_id=message.reservation_id,
+                budget_id=message.budget_id,
+                reason=messages.RefusalReason.NOT_PRIMARY,
+                detail="This instance does not serve the account.",
+                primary=primary,
+            )
+        if isinstance(message, messages.Settle):
+            return messages.SettleMisdirected(
+                reservation_id=message.reservation_id,
+                budget_id=message.budget_id,
+                epoch=message.epoch,
+                sequence=message.sequence,
+                primary=primary,
+            )
+        return None
+
+    def __repr__(self) -> str:
+        return f"AccountBookFactory(zone_count={self._zone_count})"
--- /dev/null
+++ b/packages/bambooglade/bambooglade/budgets/account_state.py
@@ -0,0 +1,146 @@
+"""An account together with those that wait for it and what may still come."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import dataclasses
+
+from bambooglade.budgets import account as accounts
+from bambooglade.budgets import messages
+from bambooglade.budgets import refill_policy
+from bambooglade.core import identifiers
+from bambooglade.shards import document as documents
+
+RECALL_TIMEOUT_MS = 500
+"""A zone that did not answer a recall within this time is not waited for."""
+
+RECALL_PAUSE_MS = 400
+"""Pause before the same zone is asked again."""
+
+FRESH_MS = 1_000
+"""A ledger seen this long before a request is new enough to refuse it."""
+
+
+@dataclasses.dataclass(slots=True)
+class Waiter:
+    """A request whose reservation waits, in the order of arrival."""
+
+    request: messages.Reserve
+    sender: identifiers.InstanceId
+    since_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class Recall:
+    """What another zone was asked to return, and what it answered."""
+
+    asked_at_ms: int
+    answer: messages.RecallAnswered | None = None
+
+    def is_pending(self, now_ms: int) -> bool:
+        """Returns whether an answer may still come."""
+        return (
+            self.answer is None
+            and now_ms - self.asked_at_ms < RECALL_TIMEOUT_MS
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Giving:
+    """What this zone returns for another one.
+
+    Attributes:
+        returned_target: Cumulative counter to be seen in the document.
+    """
+
+    sender: identifiers.InstanceId
+    tokens: int
+    returned_target: int
+
+
+@dataclasses.dataclass(slots=True)
+class AccountState:
+    """One account at its zone's primary.
+
+    Attributes:
+        account: The rights and their use.
+        ledger: The account in the newest document; None if it has none.
+        ledger_seen_ms: When the document was last seen.
+        waiters: Requests that wait for rights.
+        recall_by_zone: What the other zones were asked for.
+        giving_by_zone: What other zones asked of this one.
+        meter: Recent demand.
+    """
+
+    account: accounts.ZoneAccount
+    ledger: documents.Account | None = None
+    ledger_seen_ms: int = -FRESH_MS
+    waiters: list[Waiter] = dataclasses.field(default_factory=list)
+    recall_by_zone: dict[identifiers.AvailabilityZone, Recall] = (
+        dataclasses.field(default_factory=dict)
+    )
+    giving_by_zone: dict[identifiers.AvailabilityZone, Giving] = (
+        dataclasses.field(default_factory=dict)
+    )
+    meter: refill_policy.DemandMeter = dataclasses.field(
+        default_factory=refill_policy.DemandMeter
+    )
+
+    def is_fresh(self, since_ms: int) -> bool:
+        """Returns whether the ledger is new enough for a request."""
+        return self.ledger_seen_ms + FRESH_MS >= since_ms
+
+    @property
+    def waiting_tokens(self) -> int:
+        """Sum of the bounds of the waiting requests."""
+        return sum(waiter.request.bound_tokens for waiter in self.waiters)
+
+    @property
+    def remaining_tokens(self) -> int:
+        """Prepaid, less what all zones reported as spent."""
+        if self.ledger is None:
+            return 0
+        return self.ledger.prepaid_tokens - sum(
+            counters.settled
+            for counters in self.ledger.counters_by_availability_zone.values()
+        )
+
+    def situation(
+        self, *, reserve_share: float, zone_count: int
+    ) -> refill_policy.Situation:
+        """Returns what the refill goes by."""
+        return refill_policy.Situation(
+            waiting=self.waiting_tokens,
+            unused=self.account.unused,
+            free=self.ledger.free_tokens if self.ledger else 0,
+            remaining=self.remaining_tokens,
+            tokens_per_s=self.meter.tokens_per_s,
+            reserve_share=reserve_share,
+            zone_count=zone_count,
+        )
+
+    def zones_with_rights(
+        self, own_zone: identifiers.AvailabilityZone
+    ) -> Iterator[identifiers.AvailabilityZone]:
+        """Yields the other zones that may have unspent rights."""
+        if self.ledger is None:
+            return
+        by_zone = self.ledger.counters_by_availability_zone
+        for zone, counters in sorted(by_zone.items()):
+            if zone != own_zone and counters.outstanding > counters.settled:
+                yield zone
+
+    def is_waiting(self, reservation_id: messages.ReservationId) -> bool:
+        """Returns whether a request with this id waits."""
+        return any(
+            waiter.request.reservation_id == reservation_id
+            for waiter in self.waiters
+        )
+
+    def stop_waiting(self, reservation_id: messages.ReservationId) -> None:
+        """Removes a waiting request."""
+        self.waiters = [
+            waiter
+            for waiter in self.waiters
+            if waiter.request.reservation_id != reservation_id
+        ]
--- /dev/null
+++ b/packages/bambooglade/bambooglade/budgets/recalls.py
@@ -0,0 +1,108 @@
+"""Moving unused rights from one zone to another, over the document."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from bambooglade.budgets import account_state
+from bambooglade.budgets import messages
+from bambooglade.budgets import refill_policy
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+from bambooglade.shards import assignments
+
+
+def ask_other_zones(
+    state: account_state.AccountState,
+    place: assignments.Place,
+    assignment_map: assignments.AssignmentMap,
+    now_ms: int,
+) -> Iterator[effects.Effects]:
+    """Asks the zones with unspent rights for what the waiters lack."""
+    ledger = state.ledger
+    lacking = state.waiting_tokens - max(0, state.account.unused)
+    if ledger is None or lacking <= max(0, ledger.free_tokens):
+        return
+    for zone in state.zones_with_rights(place.availability_zone):
+        recall = state.recall_by_zone.get(zone)
+        if recall and now_ms - recall.asked_at_ms < _pause_ms(recall):
+            continue
+        primary = assignment_map.primary(
+            assignments.Place(shard=place.shard, availability_zone=zone)
+        )
+        state.recall_by_zone[zone] = account_state.Recall(asked_at_ms=now_ms)
+        if primary is not None:
+            yield effects.Send(
+                recipient=primary,
+                message=messages.RecallRights(
+                    budget_id=state.account.budget_id,
+                    availability_zone=place.availability_zone,
+                    wanted_tokens=lacking - max(0, ledger.free_tokens),
+                ),
+            )
+
+
+def give(
+    state: account_state.AccountState,
+    message: messages.RecallRights,
+    sender: identifiers.InstanceId,
+) -> int:
+    """Starts to return what the zone does not need.
+
+    Returns:
+        Tokens that are being returned; 0 when there are none to spare.
+    """
+    if message.availability_zone in state.giving_by_zone:
+        return state.giving_by_zone[message.availability_zone].tokens
+    spare = refill_policy.surplus(
+        state.account.unused, state.waiting_tokens, state.meter.tokens_per_s
+    )
+    tokens = min(message.wanted_tokens, max(0, spare))
+    if tokens > 0:
+        state.account.give_back(tokens)
+        state.giving_by_zone[message.availability_zone] = account_state.Giving(
+            sender=sender,
+            tokens=tokens,
+            returned_target=state.account.returned,
+        )
+    return tokens
+
+
+def answer_written(
+    state: account_state.AccountState,
+    own_zone: identifiers.AvailabilityZone,
+) -> Iterator[effects.Effects]:
+    """Answers the recalls whose return the document shows."""
+    if state.ledger is None:
+        return
+    written = state.ledger.counters(own_zone).returned
+    for zone, giving in list(state.giving_by_zone.items()):
+        if giving.returned_target <= written:
+            del state.giving_by_zone[zone]
+            yield answer(state, own_zone, giving.sender, giving.tokens)
+
+
+def answer(
+    state: account_state.AccountState,
+    own_zone: identifiers.AvailabilityZone,
+    recipient: identifiers.InstanceId,
+    tokens: int,
+) -> effects.Send:
+    """Returns the answer to a recall."""
+    account = state.account
+    return effects.Send(
+        recipient=recipient,
+        message=messages.RecallAnswered(
+            budget_id=account.budget_id,
+            availability_zone=own_zone,
+            returned_tokens=tokens,
+            reserved_tokens=account.reserved + account.unreleased,
+            held_tokens=account.held_tokens,
+        ),
+    )
+
+
+def _pause_ms(recall: account_state.Recall) -> int:
+    if recall.answer is None:
+        return account_state.RECALL_TIMEOUT_MS
+    return account_state.RECALL_PAUSE_MS
--- /dev/null
+++ b/packages/bambooglade/bambooglade/budgets/refill_policy.py
@@ -0,0 +1,150 @@
+"""How many rights a zone asks for, keeps and opens.
+
+More rights in a zone let it serve longer when it is cut off; fewer leave less
+stranded when another zone needs them. The row of the team sets the share.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+HORIZON_S = 10
+"""Demand for which rights are asked at a refill, in seconds."""
+
+LOW_WATER_S = 3
+"""A refill is asked for when the rights left cover less, in seconds."""
+
+TRANCHE_S = 2
+"""Demand for which rights are opened at once, in seconds."""
+
+KEEP_S = 1
+"""Demand for which a zone keeps rights when another one asks, in seconds."""
+
+BOUNDS_PER_TRANCHE = 2
+"""A tranche covers at least this many of the latest bounds."""
+
+_SMOOTHING = 0.3
+_WINDOW_MS = 1_000
+
+
+class DemandMeter:
+    """Estimates the recent demand of one account in one zone.
+
+    Examples:
+        >>> meter = DemandMeter()
+        >>> meter.add(500)
+        >>> meter.tick(now_ms=1_000)
+        >>> meter.tokens_per_s
+        150.0
+    """
+
+    __slots__ = ("_window_start_ms", "_window_tokens", "last", "tokens_per_s")
+
+    def __init__(self) -> None:
+        self._window_start_ms = 0
+        self._window_tokens = 0
+        self.last = 0
+        self.tokens_per_s = 0.0
+
+    def add(self, bound_tokens: int) -> None:
+        """Counts a request's upper bound, in tokens."""
+        self._window_tokens += bound_tokens
+        self.last = bound_tokens
+
+    def tick(self, now_ms: int) -> None:
+        """Ends the window when it is over."""
+        if now_ms - self._window_start_ms < _WINDOW_MS:
+            return
+        self.tokens_per_s += _SMOOTHING * (
+            self._window_tokens - self.tokens_per_s
+        )
+        self._window_tokens = 0
+        self._window_start_ms = now_ms
+
+    def __repr__(self) -> str:
+        return f"DemandMeter(tokens_per_s={self.tokens_per_s:.1f})"
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Situation:
+    """What the refill of one account in one zone goes by, in tokens.
+
+    Attributes:
+        waiting: Bounds of the requests that wait here.
+        unused: Rights in the zone that nothing uses.
+        free: Rights that are granted to no zone.
+        remaining: Prepaid, less what all zones reported as spent.
+        tokens_per_s: Recent demand of the zone.
+        reserve_share: Share of the remaining budget that is to lie in the
+            zones in advance, from 0 to 1.
+        zone_count: Number of zones; 1 or more.
+    """
+
+    waiting: int
+    unused: int
+    free: int
+    remaining: int
+    tokens_per_s: float
+    reserve_share: float
+    zone_count: int
+
+
+def target_unused(situation: Situation) -> int:
+    """Returns how many unused rights the zone is to have after a refill."""
+    reserve = (
+        situation.reserve_share * situation.remaining / situation.zone_count
+    )
+    return int(max(situation.tokens_per_s * HORIZON_S, reserve))
+
+
+def is_low(situation: Situation) -> bool:
+    """Returns whether the zone should ask for a refill."""
+    if situation.free <= 0:
+        return False
+    if situation.waiting > situation.unused:
+        return True
+    low_mark = max(
+        situation.tokens_per_s * LOW_WATER_S, target_unused(situation) / 2
+    )
+    return situation.unused - situation.waiting < low_mark
+
+
+def grant(situation: Situation) -> int:
+    """Returns how many rights to move to the zone now.
+
+    What the waiting requests lack comes first. What is asked beyond it leaves
+    the other zones their part of the free rights.
+
+    Examples:
+        >>> grant(Situation(waiting=30, unused=0, free=100, remaining=100,
+        ...     tokens_per_s=0, reserve_share=0.4, zone_count=4))
+        40
+    """
+    if not is_low(situation):
+        return 0
+    lacking = max(0, situation.waiting - situation.unused)
+    needed = min(lacking, situation.free)
+    left = situation.free - needed
+    spare = max(0, situation.unused - situation.waiting)
+    extra = max(0, target_unused(situation) - spare)
+    return needed + min(extra, _share_of(left, situation.zone_count))
+
+
+def tranche(tokens_per_s: float, last_bound: int) -> int:
+    """Returns how many rights to open beyond those that are asked for."""
+    return int(max(tokens_per_s * TRANCHE_S, last_bound * BOUNDS_PER_TRANCHE))
+
+
+def surplus(unused: int, waiting: int, tokens_per_s: float) -> int:
+    """Returns how many rights a zone gives up when another one lacks some.
+
+    Examples:
+        >>> surplus(unused=100, waiting=10, tokens_per_s=20.0)
+        70
+    """
+    left = max(0, unused - waiting)
+    return left - min(left // 2, int(tokens_per_s * KEEP_S))
+
+
+def _share_of(left: int, zone_count: int) -> int:
+    return -(-left // max(1, min(zone_count, 2)))
--- /dev/null
+++ b/packages/bambooglade/bambooglade/budgets/reserve_share.py
@@ -0,0 +1,29 @@
+"""The share of a budget to hold in the zones, as the table states it."""
+
+from __future__ import annotations
+
+from bambooglade.core import identifiers
+from bambooglade.table import rows
+from bambooglade.table import view
+
+DEFAULT_SHARE = 0.5
+"""Share for an account whose team has no row."""
+
+
+def reserve_share(
+    table: view.TableView, budget_id: identifiers.BudgetId
+) -> float:
+    """Returns the share for an account: a team's, or a limit's of a team.
+
+    Examples:
+        >>> table = view.FixedTable([rows.TeamRow(
+        ...     team_id="t1", key_hash="x", cutoff_reserve_share=0.2)])
+        >>> reserve_share(table, identifiers.BudgetId("team/t1"))
+        0.2
+    """
+    row = table.get(budget_id)
+    if isinstance(row, rows.LimitRow):
+        row = table.get(f"team/{row.team_id}")
+    if isinstance(row, rows.TeamRow):
+        return row.cutoff_reserve_share
+    return DEFAULT_SHARE
--- /dev/null
+++ b/packages/bambooglade/bambooglade/budgets/settlement.py
@@ -0,0 +1,256 @@
+"""Settling reservations once, also those of an earlier primary.
+
+A settlement is told apart by epoch and sequence number. The primary of an epoch
+knows every open reservation of it, so one that it does not know was settled
+before. After a promotion, reservations above the last number that the copy knew
+are settled out of the rights held for their epoch, each number once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import dataclasses
+
+from absl import logging
+import msgspec
+
+from bambooglade.budgets import account as accounts
+from bambooglade.budgets import messages
+from bambooglade.budgets import records
+from bambooglade.core import identifiers
+
+RESOLVED_SEQUENCE = 1 << 62
+"""Every reservation of the epoch is known one by one."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Freed:
+    """What a settlement changed.
+
+    Attributes:
+        number: The reservation.
+        tokens: Freed tokens, unreleased until the backup knows of them.
+        was_known: Whether a record of the reservation has to be evicted.
+    """
+
+    number: records.ReservationNumber
+    tokens: int
+    was_known: bool
+
+
+def settle(
+    account: accounts.ZoneAccount, message: messages.Settle
+) -> Freed | None:
+    """Takes a settlement; returns None when it was settled before.
+
+    Args:
+        account: The account, at the primary.
+        message: The settlement; its epoch is not later than the account's.
+    """
+    number = records.ReservationNumber(message.epoch, message.sequence)
+    known = account.remove_open(number)
+    if known is not None:
+        return _settle_known(account, known, message.spent_tokens)
+    if message.epoch >= account.epoch:
+        return None
+    return _settle_unknown(account, number, message)
+
+
+def settle_by_id(
+    account: accounts.ZoneAccount, reservation_id: messages.ReservationId
+) -> Freed | None:
+    """Ends an open reservation that nothing was spent on."""
+    number = account.number_by_id.get(reservation_id)
+    if number is None:
+        return None
+    known = account.remove_open(number)
+    return _settle_known(account, known, 0)
+
+
+def reduce(
+    account: accounts.ZoneAccount, message: messages.Reduce
+) -> Freed | None:
+    """Lowers the bound of an open reservation of the present epoch."""
+    number = records.ReservationNumber(message.epoch, message.sequence)
+    known = account.open_by_number.get(number)
+    if known is None or message.epoch != account.epoch:
+        return None
+    freed = known.bound_tokens - message.reduced_tokens
+    if freed <= 0:
+        return None
+    account.open_by_number[number] = msgspec.structs.replace(
+        known,
+        version=known.version + 1,
+        bound_tokens=message.reduced_tokens,
+    )
+    account.reserved -= freed
+    account.unreleased += freed
+    account.version += 1
+    return Freed(number, freed, was_known=True)
+
+
+def hold_inherited(
+    account: accounts.ZoneAccount,
+    inherited: identifiers.Epoch,
+    epoch: identifiers.Epoch,
+) -> None:
+    """Starts a new epoch from a full copy of the one before."""
+    tokens = account.opened - account.settled - account.held_tokens
+    account.hold(
+        records.HeldRights(
+            epoch=inherited,
+            tokens=tokens,
+            is_exact=True,
+            next_sequence=account.next_sequence,
+        )
+    )
+    account.reserved = 0
+    account.unreleased = 0
+    account.epoch = epoch
+    account.next_sequence = 1
+
+
+def hold_everything(
+    account: accounts.ZoneAccount, last_epoch: identifiers.Epoch
+) -> None:
+    """Starts without a copy: all that is granted and not settled is held."""
+    account.hold(
+        records.HeldRights(
+            epoch=last_epoch,
+            tokens=account.rights - account.settled,
+            is_exact=False,
+        )
+    )
+
+
+def resolve(
+    account: accounts.ZoneAccount,
+    epoch: identifiers.Epoch,
+    reported: Iterable[records.ReservationRecord],
+) -> int:
+    """Takes in the final records of the epoch's primary.
+
+    Returns:
+        Tokens that turned out to be free, unreleased until the backup knows.
+    """
+    held = account.held.get(epoch)
+    if held is None or not held.is_exact:
+        return 0
+    before = account.settled + account.held_tokens
+    for record in reported:
+        if _is_settled_here(account, held, record.number):
+            continue
+        if record.spent_tokens is not None:
+            account.remove_open(record.number)
+            account.settled += record.spent_tokens
+        else:
+            account.add_open(record)
+    account.hold(_resolved(account, held))
+    freed = before - account.settled - account.held_tokens
+    account.unreleased += freed
+    return freed
+
+
+def _resolved(
+    account: accounts.ZoneAccount, held: records.HeldRights
+) -> records.HeldRights:
+    tokens = sum(
+        record.bound_tokens
+        for number, record in account.open_by_number.items()
+        if number.epoch == held.epoch
+    )
+    return msgspec.structs.replace(
+        held, tokens=tokens, next_sequence=RESOLVED_SEQUENCE, settled=()
+    )
+
+
+def _is_settled_here(
+    account: accounts.ZoneAccount,
+    held: records.HeldRights,
+    number: records.ReservationNumber,
+) -> bool:
+    if number in held.settled:
+        return True
+    return (
+        number.sequence < held.next_sequence
+        and number not in account.open_by_number
+    )
+
+
+def _settle_known(
+    account: accounts.ZoneAccount,
+    known: records.ReservationRecord,
+    spent_tokens: int,
+) -> Freed:
+    if known.number.epoch == account.epoch:
+        account.reserved -= known.bound_tokens
+    else:
+        _shrink_held(account, known.number, known.bound_tokens)
+    _count_spent(account, known, spent_tokens)
+    freed = known.bound_tokens - spent_tokens
+    account.unreleased += freed
+    return Freed(known.number, freed, was_known=True)
+
+
+def _settle_unknown(
+    account: accounts.ZoneAccount,
+    number: records.ReservationNumber,
+    message: messages.Settle,
+) -> Freed | None:
+    held = account.held_for(number.epoch)
+    if held is None or number in held.settled:
+        return None
+    if held.is_exact and number.sequence < held.next_sequence:
+        return None
+    taken = message.bound_tokens if held.is_exact else message.spent_tokens
+    _shrink_held(account, number, taken)
+    record = records.ReservationRecord(
+        record_id=records.reservation_record_id(account.budget_id, number),
+        version=1,
+        budget_id=account.budget_id,
+        number=number,
+        reservation_id=message.reservation_id,
+        bound_tokens=taken,
+    )
+    _count_spent(account, record, message.spent_tokens)
+    freed = taken - message.spent_tokens
+    account.unreleased += freed
+    return Freed(number, freed, was_known=False)
+
+
+def _shrink_held(
+    account: accounts.ZoneAccount,
+    number: records.ReservationNumber,
+    tokens: int,
+) -> None:
+    held = account.held_for(number.epoch)
+    if held is None or held.tokens < tokens:
+        logging.error(
+            "event=held_rights_short budget=%s number=%s held=%s taken=%s",
+            account.budget_id,
+            number,
+            held.tokens if held else 0,
+            tokens,
+        )
+    if held is None:
+        return
+    settled = held.settled
+    if not held.is_exact or number.sequence >= held.next_sequence:
+        settled = (*held.settled, number)
+    account.hold(
+        msgspec.structs.replace(
+            held, tokens=max(0, held.tokens - tokens), settled=settled
+        )
+    )
+
+
+def _count_spent(
+    account: accounts.ZoneAccount,
+    record: records.ReservationRecord,
+    spent_tokens: int,
+) -> None:
+    account.settled += spent_tokens
+    account.version += 1
+    account.settling_by_number[record.number] = msgspec.structs.replace(
+        record, version=record.version + 1, spent_tokens=spent_tokens
+    )
--- a/packages/bambooglade/bambooglade/shards/assignments.py
+++ b/packages/bambooglade/bambooglade/shards/assignments.py
@@ -45,6 +45,8 @@
         backup: The instance that holds a full copy; None when there is none.
         version: Grows with every change of the backup within an epoch.
         history_lost_at_ms: When both copies were last lost; None if never.
+        inherited_epoch: Epoch of which the primary holds a full copy, having
+            been its named backup; None if it started without a copy.
     """
 
     epoch: identifiers.Epoch
@@ -52,6 +54,7 @@
     backup: identifiers.InstanceId | None
     version: int = 0
     history_lost_at_ms: int | None = None
+    inherited_epoch: identifiers.Epoch | None = None
 
 
 class AssignmentMap:
--- a/packages/bambooglade/bambooglade/shards/book.py
+++ b/packages/bambooglade/bambooglade/shards/book.py
@@ -69,11 +69,12 @@
     """The book has something to write to, or to learn from, the document.
 
     Attributes:
-        urgent: Whether a request waits for it; otherwise it may be batched.
+        within_ms: How long it may be gathered with other writes of the shard;
+            0 when a request waits for it.
         fresh: Whether the cached document does not do and is to be read again.
     """
 
-    urgent: bool
+    within_ms: int = 0
     fresh: bool = False
 
 
@@ -109,6 +110,10 @@
         """Installs a copied record unless a newer version is present."""
         ...
 
+    def evict(self, record_id: str) -> None:
+        """Drops a copied record that the primary evicted."""
+        ...
+
     def promoted(
         self, assignment: assignments.Assignment, now_ms: int
     ) -> Iterator[effects.Effects]:
--- /dev/null
+++ b/packages/bambooglade/bambooglade/shards/book_set.py
@@ -0,0 +1,168 @@
+"""The books of one shard at one instance, as a unit of replication."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+import msgspec
+
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+from bambooglade.shards import assignments
+from bambooglade.shards import book as books
+from bambooglade.shards import document as documents
+from bambooglade.shards import messages
+from bambooglade.shards import replication
+
+_EVICTED = msgspec.Raw(b"null")
+
+
+class BookSet:
+    """Creates, copies and asks the books of one place.
+
+    Args:
+        place: The shard and zone.
+        factories: One per kind of book.
+    """
+
+    __slots__ = ("_factories", "_factory_by_name", "_place", "by_name")
+
+    def __init__(
+        self,
+        place: assignments.Place,
+        factories: tuple[books.BookFactory, ...],
+    ) -> None:
+        self._place = place
+        self._factories = factories
+        self._factory_by_name = {factory.name: factory for factory in factories}
+        self.by_name: dict[str, books.Book] = {}
+        self.clear()
+
+    def clear(self) -> None:
+        """Replaces all books by empty ones."""
+        self.by_name = {
+            factory.name: factory.create(self._place)
+            for factory in self._factories
+        }
+
+    def items(self) -> Iterable[tuple[str, books.Book]]:
+        """Returns the books with the names of their kinds."""
+        return self.by_name.items()
+
+    def record_names(self) -> Iterator[replication.RecordName]:
+        """Yields the names of all records, for a full copy."""
+        for name, book in self.by_name.items():
+            for record in book.records():
+                yield replication.RecordName(name, record.record_id)
+
+    def copy(self, name: replication.RecordName) -> messages.RecordCopy:
+        """Returns the present state of a record for the backup."""
+        record = self.by_name[name.book].record(name.record_id)
+        return messages.RecordCopy(
+            book=name.book,
+            record_id=name.record_id,
+            record=_encoded(record),
+        )
+
+    def install(self, copies: Iterable[messages.RecordCopy]) -> None:
+        """Installs the records of a batch; unknown kinds are ignored."""
+        for copy in copies:
+            book = self.by_name.get(copy.book)
+            if book is None:
+                continue
+            if copy.is_evicted:
+                book.evict(copy.record_id)
+            else:
+                book.install(self._decoded(copy))
+
+    def final_copies(self) -> tuple[messages.RecordCopy, ...]:
+        """Returns what a stepped-down primary reports to its successor."""
+        return tuple(
+            messages.RecordCopy(
+                book=name,
+                record_id=record.record_id,
+                record=_encoded(record),
+            )
+            for name, book in self.by_name.items()
+            for record in book.final_records()
+        )
+
+    def resolve(
+        self,
+        name: str,
+        report: messages.FinalReport,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        """Gives the final report of a former primary to one book."""
+        records = [
+            self._decoded(copy)
+            for copy in report.records
+            if copy.book == name and not copy.is_evicted
+        ]
+        return self.by_name[name].resolve(report.epoch, records, now_ms)
+
+    def edit_document(
+        self, document: documents.ShardDocument, now_ms: int
+    ) -> documents.ShardDocument:
+        """Returns the document with what all books want to write."""
+        for book in self.by_name.values():
+            document = book.edit_document(document, now_ms)
+        return document
+
+    def replication_required(self, *, required: bool) -> None:
+        """Tells all books whether a backup has to acknowledge changes."""
+        for book in self.by_name.values():
+            book.replication_required(required=required)
+
+    def _decoded(self, copy: messages.RecordCopy) -> books.Record:
+        record_type = self._factory_by_name[copy.book].record_type
+        return msgspec.json.decode(copy.record, type=record_type)
+
+    def __repr__(self) -> str:
+        return f"BookSet({', '.join(self.by_name)})"
+
+
+def _encoded(record: books.Record | None) -> msgspec.Raw:
+    if record is None:
+        return _EVICTED
+    return msgspec.Raw(msgspec.json.encode(record))
+
+
+def lost_assignment(
+    assignment: assignments.Assignment, now_ms: int
+) -> assignments.Assignment:
+    """Returns an assignment that says that no copy was inherited."""
+    return msgspec.structs.replace(
+        assignment,
+        inherited_epoch=None,
+        history_lost_at_ms=assignment.history_lost_at_ms or now_ms,
+    )
+
+
+def successor(
+    current: assignments.Assignment | None,
+    *,
+    primary: identifiers.InstanceId,
+    inherits: bool,
+    now_ms: int,
+) -> assignments.Assignment:
+    """Returns the assignment that follows one, with a new primary.
+
+    Args:
+        current: The present one; None when the place was never served.
+        primary: The new primary.
+        inherits: Whether it holds a full copy, as the named backup.
+        now_ms: The time, noted when the history is lost.
+    """
+    if current is None:
+        return assignments.Assignment(
+            epoch=identifiers.Epoch(1), primary=primary, backup=None
+        )
+    return assignments.Assignment(
+        epoch=identifiers.Epoch(current.epoch + 1),
+        primary=primary,
+        backup=None,
+        history_lost_at_ms=current.history_lost_at_ms if inherits else now_ms,
+        inherited_epoch=current.epoch if inherits else None,
+    )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/shards/edits.py
@@ -0,0 +1,156 @@
+"""Top-ups of accounts, from any instance, by compare-and-swap."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import dataclasses
+import enum
+
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+from bambooglade.shards import document as documents
+
+EDIT_TIMEOUT_MS = 5_000
+"""How long an edit is tried before its outcome is given as it is known."""
+
+
+class TopUp(effects.Message, frozen=True, kw_only=True):
+    """Adds to the prepaid amount of a budget; may be given to any instance.
+
+    Attributes:
+        edit_id: Repeating an edit with the same id does nothing twice.
+        tokens: Tokens to add; a negative number deducts.
+    """
+
+    edit_id: identifiers.EditId
+    budget_id: identifiers.BudgetId
+    tokens: int
+
+
+class EditOutcome(enum.StrEnum):
+    """How an edit ended."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class TopUpEnded(effects.Effect, frozen=True, kw_only=True):
+    """The outcome of a top-up, for the operator who waits for it.
+
+    Attributes:
+        detail: Explanation with a remedy, when it was not accepted.
+        prepaid_tokens: Prepaid amount after the edit; None if not known.
+    """
+
+    edit_id: identifiers.EditId
+    budget_id: identifiers.BudgetId
+    outcome: EditOutcome
+    detail: str = ""
+    prepaid_tokens: int | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    top_up: TopUp
+    since_ms: int
+
+
+class PendingEdits:
+    """The top-ups of one shard that this instance was asked for."""
+
+    __slots__ = ("_by_edit_id",)
+
+    def __init__(self) -> None:
+        self._by_edit_id: dict[identifiers.EditId, _Pending] = {}
+
+    def add(self, top_up: TopUp, now_ms: int) -> None:
+        """Takes a top-up on; the same one again changes nothing."""
+        self._by_edit_id.setdefault(top_up.edit_id, _Pending(top_up, now_ms))
+
+    def applied(
+        self, document: documents.ShardDocument
+    ) -> documents.ShardDocument:
+        """Returns the document with all pending top-ups that it allows."""
+        for pending in self._by_edit_id.values():
+            if not _overdraws(pending.top_up, document):
+                document = _topped_up(pending.top_up, document)
+        return document
+
+    def settled(
+        self, document: documents.ShardDocument
+    ) -> Iterator[effects.Effects]:
+        """Yields the outcomes that a document of the service decides."""
+        for edit_id, pending in list(self._by_edit_id.items()):
+            top_up = pending.top_up
+            account = document.account_by_budget_id.get(top_up.budget_id)
+            if account and edit_id in account.recent_edit_ids:
+                del self._by_edit_id[edit_id]
+                yield TopUpEnded(
+                    edit_id=edit_id,
+                    budget_id=top_up.budget_id,
+                    outcome=EditOutcome.ACCEPTED,
+                    prepaid_tokens=account.prepaid_tokens,
+                )
+            elif _overdraws(top_up, document):
+                del self._by_edit_id[edit_id]
+                yield _overdrawn(top_up, document)
+
+    def expired(
+        self, now_ms: int, *, in_doubt: bool
+    ) -> Iterator[effects.Effects]:
+        """Yields the outcomes of the edits that could not be completed."""
+        for edit_id, pending in list(self._by_edit_id.items()):
+            if now_ms - pending.since_ms < EDIT_TIMEOUT_MS:
+                continue
+            del self._by_edit_id[edit_id]
+            yield TopUpEnded(
+                edit_id=edit_id,
+                budget_id=pending.top_up.budget_id,
+                outcome=(
+                    EditOutcome.UNKNOWN if in_doubt else EditOutcome.REFUSED
+                ),
+                detail=(
+                    "The platform's service gave no answer within "
+                    f"{EDIT_TIMEOUT_MS} ms. Repeat the edit with the same "
+                    "edit id; it is never applied twice."
+                ),
+            )
+
+    def __repr__(self) -> str:
+        return f"PendingEdits({len(self._by_edit_id)})"
+
+
+def _topped_up(
+    top_up: TopUp, document: documents.ShardDocument
+) -> documents.ShardDocument:
+    return document.topped_up(
+        top_up.budget_id, tokens=top_up.tokens, edit_id=top_up.edit_id
+    )
+
+
+def _overdraws(top_up: TopUp, document: documents.ShardDocument) -> bool:
+    if top_up.tokens >= 0:
+        return False
+    changed = _topped_up(top_up, document)
+    return (
+        changed is not document
+        and changed.account_by_budget_id[top_up.budget_id].free_tokens < 0
+    )
+
+
+def _overdrawn(top_up: TopUp, document: documents.ShardDocument) -> TopUpEnded:
+    account = document.account_by_budget_id.get(
+        top_up.budget_id, documents.Account()
+    )
+    return TopUpEnded(
+        edit_id=top_up.edit_id,
+        budget_id=top_up.budget_id,
+        outcome=EditOutcome.REFUSED,
+        detail=(
+            f"Deducting {-top_up.tokens} tokens is more than the "
+            f"{account.free_tokens} that are not granted to a zone. Deduct "
+            "less, or again once the zones have returned what they do not need."
+        ),
+        prepaid_tokens=account.prepaid_tokens,
+    )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/shards/pairing.py
@@ -0,0 +1,163 @@
+"""How a primary gets, names and drops its backup."""
+
+from __future__ import annotations
+
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+from bambooglade.fleet import view
+from bambooglade.shards import assignments
+from bambooglade.shards import book as books
+from bambooglade.shards import replication
+
+BACKUP_TIMEOUT_MS = 2_000
+"""A backup that leaves a batch unacknowledged this long is dropped."""
+
+CANDIDATE_PAUSE_MS = 5_000
+"""A candidate that failed is not tried again within this time."""
+
+Released = list[tuple[str, books.AfterReplication]]
+
+
+class Pairing:
+    """The primary's side of the pair.
+
+    A candidate gets a full copy and every change from then on; only then is it
+    named in the document. While a write that may name or drop it is in doubt,
+    the stream is kept, and nothing is done without its acknowledgement.
+
+    Args:
+        place: The shard and zone.
+        instance_id: The primary.
+        fleet: Whom it believes to be alive.
+    """
+
+    __slots__ = (
+        "_document_backup",
+        "_dropping",
+        "_failed_at_ms_by_candidate",
+        "_fleet",
+        "_instance_id",
+        "_place",
+        "_streams",
+        "started",
+        "stream",
+    )
+
+    def __init__(
+        self,
+        place: assignments.Place,
+        instance_id: identifiers.InstanceId,
+        fleet: view.FleetView,
+    ) -> None:
+        self._place = place
+        self._instance_id = instance_id
+        self._fleet = fleet
+        self._streams = 0
+        self._dropping = False
+        self._document_backup: identifiers.InstanceId | None = None
+        self._failed_at_ms_by_candidate: dict[identifiers.InstanceId, int] = {}
+        self.stream: replication.ReplicationStream | None = None
+        self.started = False
+
+    @property
+    def wanted_backup(self) -> identifiers.InstanceId | None:
+        """The backup that the document is to name."""
+        if self.stream is None or self._dropping:
+            return None
+        return self.stream.recipient if self.stream.has_full_copy else None
+
+    @property
+    def differs_from_document(self) -> bool:
+        """Whether the document names another backup than is wanted."""
+        return self.wanted_backup != self._document_backup
+
+    def release_or_wait(
+        self, name: str, effect: books.AfterReplication
+    ) -> tuple[effects.Effects, ...]:
+        """Returns the effects that need not wait for a backup."""
+        if self.stream is not None:
+            return self.stream.release_or_wait(name, effect)
+        return effect.otherwise if effect.needs_backup else effect.then
+
+    def follow(self, backup: identifiers.InstanceId | None) -> Released:
+        """Learns the backup that the document names.
+
+        Returns:
+            What waited for a backup that is named no more.
+        """
+        self._document_backup = backup
+        if self.stream is None:
+            return []
+        if backup == self.stream.recipient:
+            self.stream.named = True
+            return []
+        if not self.stream.named:
+            return []
+        return self._closed()
+
+    def tend(
+        self, *, epoch: identifiers.Epoch, in_doubt: bool, now_ms: int
+    ) -> Released:
+        """Starts a stream when there is none, and gives up a silent backup.
+
+        Returns:
+            What waited for a candidate that was given up.
+        """
+        if self.stream is None:
+            self._start(epoch, now_ms)
+            return []
+        silent = self._is_silent(now_ms)
+        if self.stream.named:
+            self._dropping = silent
+            return []
+        if not silent or in_doubt:
+            return []
+        self._failed_at_ms_by_candidate[self.stream.recipient] = now_ms
+        return self._closed()
+
+    def abandon(self) -> None:
+        """Forgets the stream; what waits for it is never released."""
+        self.stream = None
+        self._dropping = False
+        self._document_backup = None
+
+    def _closed(self) -> Released:
+        released = self.stream.close()
+        self.stream = None
+        self._dropping = False
+        return released
+
+    def _is_silent(self, now_ms: int) -> bool:
+        return (
+            self._fleet.is_suspected(self.stream.recipient)
+            or self.stream.unanswered_ms(now_ms) > BACKUP_TIMEOUT_MS
+        )
+
+    def _start(self, epoch: identifiers.Epoch, now_ms: int) -> None:
+        if self._document_backup is not None:
+            return
+        candidate = self._candidate(now_ms)
+        if candidate is None:
+            return
+        self._streams += 1
+        self.stream = replication.ReplicationStream(
+            place=self._place,
+            epoch=epoch,
+            recipient=candidate,
+            stream_id=f"{epoch}.{self._streams}",
+        )
+        self.started = True
+
+    def _candidate(self, now_ms: int) -> identifiers.InstanceId | None:
+        live = self._fleet.live_in_zone(self._place.availability_zone)
+        for candidate in self._place.ranked(live):
+            failed_at_ms = self._failed_at_ms_by_candidate.get(
+                candidate, -CANDIDATE_PAUSE_MS
+            )
+            rested = now_ms - failed_at_ms >= CANDIDATE_PAUSE_MS
+            if candidate != self._instance_id and rested:
+                return candidate
+        return None
+
+    def __repr__(self) -> str:
+        return f"Pairing(stream={self.stream}, dropping={self._dropping})"
--- /dev/null
+++ b/packages/bambooglade/bambooglade/shards/replication.py
@@ -0,0 +1,223 @@
+"""Copies a primary's changed records to its backup, in groups."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+from bambooglade.shards import assignments
+from bambooglade.shards import book as books
+from bambooglade.shards import messages
+
+RESEND_MS = 200
+"""An unacknowledged batch is sent again after this time."""
+
+
+class RecordName(NamedTuple):
+    """Names a record within the shard."""
+
+    book: str
+    record_id: str
+
+
+class _Waiting(NamedTuple):
+    sequence: int
+    book: str
+    effect: books.AfterReplication
+
+
+class ReplicationStream:
+    """The primary's side of the stream to one backup.
+
+    One batch is in flight at a time; what changes meanwhile is gathered into
+    the next one, so that the batches grow with the load.
+
+    Args:
+        place: The shard and zone.
+        epoch: Epoch of the primary.
+        recipient: The backup, or the candidate for it.
+        stream_id: Unique name of the stream.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_epoch",
+        "_in_flight",
+        "_place",
+        "_sent_at_ms",
+        "_sequence",
+        "_started_at_ms",
+        "_stream_id",
+        "_waiting",
+        "named",
+        "recipient",
+    )
+
+    def __init__(
+        self,
+        *,
+        place: assignments.Place,
+        epoch: identifiers.Epoch,
+        recipient: identifiers.InstanceId,
+        stream_id: str,
+    ) -> None:
+        self._place = place
+        self._epoch = epoch
+        self._stream_id = stream_id
+        self._sequence = 0
+        self._in_flight: messages.Replicate | None = None
+        self._sent_at_ms = 0
+        self._started_at_ms = 0
+        self._changed: dict[RecordName, None] = {}
+        self._waiting: collections.deque[_Waiting] = collections.deque()
+        self.recipient = recipient
+        self.named = False
+
+    @property
+    def stream_id(self) -> str:
+        """The unique name of the stream."""
+        return self._stream_id
+
+    @property
+    def has_full_copy(self) -> bool:
+        """Whether the recipient acknowledged the full copy."""
+        return self._sequence > 1 or (
+            self._sequence == 1 and self._in_flight is None
+        )
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether everything that changed is acknowledged."""
+        return self._in_flight is None and not self._changed
+
+    def unanswered_ms(self, now_ms: int) -> int:
+        """Returns how long the batch in flight has been unacknowledged."""
+        return now_ms - self._started_at_ms if self._in_flight else 0
+
+    def changed(self, names: Iterable[RecordName]) -> None:
+        """Notes changed records for the next batch."""
+        self._changed.update(dict.fromkeys(names))
+
+    def release_or_wait(
+        self, book: str, effect: books.AfterReplication
+    ) -> tuple[effects.Effects, ...]:
+        """Returns the effects to carry out now; keeps the others back."""
+        if effect.needs_backup and not self.named:
+            return effect.otherwise
+        if self.is_idle and self._sequence:
+            return effect.then
+        pending = bool(self._changed) or not self._sequence
+        sequence = self._sequence + pending
+        self._waiting.append(_Waiting(sequence, book, effect))
+        return ()
+
+    def flush(
+        self,
+        copy: Callable[[RecordName], messages.RecordCopy],
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        """Sends the next batch if none is in flight, or repeats it when due."""
+        if self._in_flight is not None:
+            if now_ms - self._sent_at_ms >= RESEND_MS:
+                yield self._sent(now_ms)
+            return
+        if not self._changed and self._sequence:
+            return
+        self._sequence += 1
+        self._in_flight = messages.Replicate(
+            place=self._place,
+            epoch=self._epoch,
+            stream_id=self._stream_id,
+            sequence=self._sequence,
+            records=tuple(copy(name) for name in self._changed),
+        )
+        self._changed = {}
+        self._started_at_ms = now_ms
+        yield self._sent(now_ms)
+
+    def acknowledged(
+        self, sequence: int
+    ) -> Iterator[tuple[str, books.AfterReplication]]:
+        """Yields what waited for this batch, with the name of its book."""
+        if self._in_flight is None or sequence != self._sequence:
+            return
+        self._in_flight = None
+        while self._waiting and self._waiting[0].sequence <= sequence:
+            waiting = self._waiting.popleft()
+            yield waiting.book, waiting.effect
+
+    def close(self) -> list[tuple[str, books.AfterReplication]]:
+        """Returns all that still waits, at the end of the stream."""
+        remaining = [(item.book, item.effect) for item in self._waiting]
+        self._waiting.clear()
+        return remaining
+
+    def _sent(self, now_ms: int) -> effects.Send:
+        self._sent_at_ms = now_ms
+        return effects.Send(recipient=self.recipient, message=self._in_flight)
+
+    def __repr__(self) -> str:
+        return (
+            f"ReplicationStream(to={self.recipient}, named={self.named}, "
+            f"sequence={self._sequence}, changed={len(self._changed)})"
+        )
+
+
+class CopyState:
+    """How far the backup's copy of a shard goes.
+
+    Attributes:
+        epoch: Epoch of the primary that it is a copy of; 0 for no copy.
+        stream_id: Stream that it was made from.
+        sequence: Last batch that was installed.
+    """
+
+    __slots__ = ("epoch", "sequence", "stream_id")
+
+    def __init__(self) -> None:
+        self.epoch = identifiers.Epoch(0)
+        self.stream_id = ""
+        self.sequence = 0
+
+    def accepts(self, batch: messages.Replicate) -> bool:
+        """Returns whether the batch continues this copy or starts it anew."""
+        if batch.stream_id == self.stream_id:
+            return batch.sequence <= self.sequence + 1
+        return batch.sequence == 1 and self._is_newer(batch)
+
+    def starts_anew(self, batch: messages.Replicate) -> bool:
+        """Returns whether the batch is the full copy of another stream."""
+        return batch.stream_id != self.stream_id
+
+    def installed(self, batch: messages.Replicate) -> None:
+        """Notes an installed batch."""
+        self.epoch = batch.epoch
+        self.stream_id = batch.stream_id
+        self.sequence = max(batch.sequence, self._sequence_of(batch))
+
+    def _sequence_of(self, batch: messages.Replicate) -> int:
+        return self.sequence if batch.stream_id == self.stream_id else 0
+
+    def _is_newer(self, batch: messages.Replicate) -> bool:
+        return (batch.epoch, stream_number(batch.stream_id)) > (
+            self.epoch,
+            stream_number(self.stream_id),
+        )
+
+    def __repr__(self) -> str:
+        return f"CopyState(epoch={self.epoch}, sequence={self.sequence})"
+
+
+def stream_number(stream_id: str) -> int:
+    """Returns the number of a stream among those of its epoch.
+
+    Examples:
+        >>> stream_number("3.12")
+        12
+    """
+    return int(stream_id.rpartition(".")[2] or 0)
