--- a/packages/bambooglade/bambooglade/operations/claim_book.py
+++ b/packages/bambooglade/bambooglade/operations/claim_book.py
@@ -277,11 +277,16 @@
     def _granted(
         self, claim: messages.Claim, sender: identifiers.InstanceId
     ) -> book.AfterReplication:
-        created_at_ms = identifiers.created_at_ms(claim.key)
+        record = self._by_key[claim.key]
         first = claim.first_attempt or not self._retention.may_precede(
-            created_at_ms, self._history_lost_at_ms
+            identifiers.created_at_ms(claim.key), self._history_lost_at_ms
+        )
+        return claim_replies.granted(
+            claim,
+            sender,
+            first=first,
+            never_ran=first and not record.may_have_run,
         )
-        return claim_replies.granted(claim, sender, first=first)
 
     def _current(
         self, key: identifiers.RequestKey, now_ms: int
--- a/packages/bambooglade/bambooglade/operations/claim_record.py
+++ b/packages/bambooglade/bambooglade/operations/claim_record.py
@@ -40,6 +40,8 @@
         spent_tokens: What was billed.
         target_id: The target that answered.
         answer: The kept answer.
+        may_have_run: Whether the claim was taken over from a holder whose run
+            was never reported.
     """
 
     repeatable: bool
@@ -55,6 +57,7 @@
     spent_tokens: int = 0
     target_id: identifiers.TargetId | None = None
     answer: calls.KeptAnswer | None = None
+    may_have_run: bool = False
 
     def is_withdrawn(self, attempt: messages.Attempt) -> bool:
         """Returns whether an attempt said that it never ran."""
@@ -95,6 +98,7 @@
             repeatable=claim.repeatable,
             holder=claim.attempt,
             expires_at_ms=expires_at_ms,
+            may_have_run=self.may_have_run or self.state is RecordState.HELD,
         )
 
     def without(self, attempt: messages.Attempt) -> ClaimRecord:
--- a/packages/bambooglade/bambooglade/operations/claim_replies.py
+++ b/packages/bambooglade/bambooglade/operations/claim_replies.py
@@ -26,11 +26,18 @@
 
 
 def granted(
-    claim: messages.Claim, recipient: identifiers.InstanceId, *, first: bool
+    claim: messages.Claim,
+    recipient: identifiers.InstanceId,
+    *,
+    first: bool,
+    never_ran: bool,
 ) -> book.AfterReplication:
     """Returns a grant; where running twice does harm, it needs the backup."""
     message = messages.ClaimGranted(
-        key=claim.key, attempt=claim.attempt, first=first
+        key=claim.key,
+        attempt=claim.attempt,
+        first=first,
+        never_ran=never_ran,
     )
     return book.AfterReplication(
         then=(effects.Send(recipient=recipient, message=message),),
--- a/packages/bambooglade/bambooglade/operations/claim_request.py
+++ b/packages/bambooglade/bambooglade/operations/claim_request.py
@@ -42,6 +42,7 @@
     Attributes:
         state: What is known of the claim.
         holder: The entry that holds the claim instead, for `HELD`.
+        never_ran: Whether the arbiter knows of no earlier run, for `GRANTED`.
         no_backup_detail: What an arbiter without a backup said, if any.
         finished: The answer of the arbiter, for `FINISHED`.
         refused: The answer of the arbiter, for `REFUSED`.
@@ -59,6 +60,7 @@
         "attempt",
         "finished",
         "holder",
+        "never_ran",
         "no_backup_detail",
         "recorded",
         "refused",
@@ -77,6 +79,7 @@
         self._begun_at_ms = begun_at_ms
         self._directory = directory
         self._is_first_holder = False
+        self.never_ran = False
         self._place = directory.arbiter_place(call.key)
         self._timer = retry.RetryTimer()
         self._open: effects.Message | None = None
@@ -152,6 +155,7 @@
         del now_ms
         if self._is_open():
             self._is_first_holder = message.first
+            self.never_ran = message.never_ran
         self._end_claim(ClaimState.GRANTED)
         yield from ()
 
--- a/packages/bambooglade/bambooglade/operations/closing.py
+++ b/packages/bambooglade/bambooglade/operations/closing.py
@@ -82,6 +82,15 @@
             and self.run_end.spent_tokens == 0
         )
 
+    @property
+    def is_unresolved(self) -> bool:
+        """Whether only an operator can tell the outcome."""
+        return (
+            not self._call.repeatable
+            and self.run_end.result is calls.RunResult.UNKNOWN
+            and self._claim.decision is messages.Decision.PENDING
+        )
+
     def start(self, now_ms: int) -> Iterator[effects.Effects]:
         """Reports the run, and settles what needs no decision."""
         if self.is_without_run:
--- a/packages/bambooglade/bambooglade/operations/coordinator.py
+++ b/packages/bambooglade/bambooglade/operations/coordinator.py
@@ -160,10 +160,12 @@
     def pending_settlements(self) -> int:
         """Returns how many settlements and claims are not acknowledged yet.
 
-        A planned stop waits for 0, within its bound.
+        A planned stop waits for 0, within its bound. Runs without an outcome
+        do not count: only an operator can end them.
         """
         return len(self._queue) + sum(
-            operation.is_pending for operation in self._operations()
+            operation.is_pending and not operation.is_unresolved
+            for operation in self._operations()
         )
 
     def active_calls(self) -> int:
@@ -232,7 +234,7 @@
         return itertools.chain.from_iterable(self._by_key.values())
 
     def _start(
-        self, call: calls.Call, now_ms: int
+        self, call: calls.Call, now_ms: int, *, ran_before: bool = False
     ) -> Iterator[effects.Effects]:
         operation = operation_module.Operation(
             call=call,
@@ -241,6 +243,7 @@
             begun_at_ms=now_ms,
             directory=self._directory,
             queue=self._queue,
+            ran_before=ran_before,
         )
         self._active_by_key[call.key] = operation
         self._by_key.setdefault(call.key, []).append(operation)
@@ -263,7 +266,7 @@
                 call, run_end.answer, ended.closing.bill().spent_tokens
             )
         elif call.repeatable:
-            yield from self._start(call, now_ms)
+            yield from self._start(call, now_ms, ran_before=True)
         else:
             yield _refuse_without_answer(call, run_end)
 
--- a/packages/bambooglade/bambooglade/operations/messages.py
+++ b/packages/bambooglade/bambooglade/operations/messages.py
@@ -59,11 +59,13 @@
         attempt: The attempt that asked.
         first: Whether no earlier run of the key can have been billed; False
             where the records may have been lost.
+        never_ran: Whether no earlier run of the key is on record or in doubt.
     """
 
     key: identifiers.RequestKey
     attempt: Attempt
     first: bool = True
+    never_ran: bool = True
 
 
 class ClaimHeld(effects.Message, frozen=True, kw_only=True):
--- a/packages/bambooglade/bambooglade/operations/operation.py
+++ b/packages/bambooglade/bambooglade/operations/operation.py
@@ -57,6 +57,7 @@
         begun_at_ms: The time; milliseconds since the epoch.
         directory: Finds primaries and arbiters.
         queue: Takes over the settlements.
+        ran_before: Whether an earlier attempt of this instance ran the key.
 
     Attributes:
         call: The call.
@@ -72,6 +73,7 @@
         "_instance_id",
         "_next_number",
         "_queue",
+        "_ran_before",
         "call",
         "claim",
         "closing",
@@ -88,12 +90,14 @@
         begun_at_ms: int,
         directory: directory_module.Directory,
         queue: settlement_queue.SettlementQueue,
+        ran_before: bool = False,
     ) -> None:
         self._begun_at_ms = begun_at_ms
         self._directory = directory
         self._instance_id = instance_id
         self._next_number = next_number
         self._queue = queue
+        self._ran_before = ran_before
         self.call = call
         self.phase = Phase.OPENING
         self.closing: closing.Closing | None = None
@@ -117,6 +121,11 @@
             return self.closing.is_pending
         return self.claim.is_pending
 
+    @property
+    def is_unresolved(self) -> bool:
+        """Whether the run has no outcome, and the arbiter recorded that."""
+        return self.closing is not None and self.closing.is_unresolved
+
     def start(self, now_ms: int) -> Iterator[effects.Effects]:
         """Claims, and reserves at once where running twice does no harm."""
         yield from self.claim.start(now_ms)
@@ -281,9 +290,10 @@
         self, failure: failures.Failure, now_ms: int
     ) -> Iterator[effects.Effects]:
         state = self.claim.state
-        key_never_ran = self.call.first_attempt or state in (
-            _State.GRANTED,
-            _State.REFUSED,
+        key_never_ran = not self._ran_before and (
+            self.call.first_attempt
+            or self.claim.never_ran
+            or state is _State.REFUSED
         )
         self.phase = Phase.ENDED
         yield calls.Refuse(
--- a/packages/bambooglade/bambooglade/shards/assignments.py
+++ b/packages/bambooglade/bambooglade/shards/assignments.py
@@ -31,9 +31,7 @@
             >>> sorted(place.ranked(["i1", "i2"]))
             ['i1', 'i2']
         """
-        return hashing.rendezvous(
-            f"{self.availability_zone}/{self.shard}", instances
-        )
+        return hashing.rendezvous(f"shard/{self.shard}", instances)
 
 
 class Assignment(msgspec.Struct, frozen=True, kw_only=True):
