--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a model engine, with faults on request."""
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/plain_service/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a plain service, with faults on request."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/transport/client.py
@@ -0,0 +1,147 @@
+"""HTTP client with reused connections, on libcurl.
+
+Each exchange is a generator of its answer's parts, so that a caller can stop
+at any point; a connection whose exchange did not end whole is closed.
+
+See Also:
+    bambooglade.transport.exchange: one exchange on one connection.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Generator
+import threading
+
+import result
+
+from bambooglade.core import clock as clocks
+from bambooglade.transport import exchange
+from bambooglade.transport import messages
+
+MAX_IDLE_CHANNELS_PER_ORIGIN = 32
+
+
+class HttpClient:
+    """Sends requests, and keeps connections that ended whole for reuse.
+
+    Args:
+        ca_file: Certificates to trust for TLS; None for those of the system.
+        clock: The clock for time-outs.
+
+    Examples:
+        >>> client = HttpClient()
+        >>> failure = client.request(messages.Request(
+        ...     method="GET", url="http://127.0.0.1:1/")).err()
+        >>> failure.sent
+        False
+
+    See Also:
+        bambooglade.transport.server.HttpServer: the other end.
+    """
+
+    __slots__ = ("_ca_file", "_clock", "_idle_by_origin", "_lock")
+
+    def __init__(
+        self, *, ca_file: str | None = None, clock: clocks.Clock | None = None
+    ) -> None:
+        self._ca_file = ca_file
+        self._clock = clock or clocks.Clock()
+        self._lock = threading.Lock()
+        self._idle_by_origin: dict[str, collections.deque[exchange.Channel]] = (
+            collections.defaultdict(collections.deque)
+        )
+
+    def request(
+        self,
+        request: messages.Request,
+        *,
+        cancelled: Callable[[], bool] = exchange.never,
+    ) -> result.Result[messages.Response, messages.TransferFailure]:
+        """Sends a request and collects its whole answer.
+
+        Args:
+            request: The request.
+            cancelled: Asked about ten times a second; True gives up.
+        """
+        stream = self.stream(request, cancelled=cancelled)
+        body = bytearray()
+        head: messages.ResponseHead | None = None
+        while True:
+            try:
+                part = next(stream)
+            except StopIteration as stop:
+                return _whole(stop.value, head, bytes(body))
+            if isinstance(part, messages.ResponseHead):
+                head = part
+            else:
+                body += part
+
+    def stream(
+        self,
+        request: messages.Request,
+        *,
+        cancelled: Callable[[], bool] = exchange.never,
+    ) -> Generator[
+        messages.ResponseHead | bytes,
+        None,
+        result.Result[None, messages.TransferFailure],
+    ]:
+        """Yields the head and the body's pieces as they come.
+
+        Closing the generator closes the connection, which cancels the request
+        at a target that notices.
+
+        Returns:
+            `Ok` when the answer ended whole, else why not.
+        """
+        origin = messages.origin_of(request.url)
+        channel = self._take(origin, reuse=request.may_be_resent)
+        whole = False
+        try:
+            ended = yield from channel.run(request, cancelled=cancelled)
+            whole = ended.is_ok()
+            return ended
+        finally:
+            if whole:
+                self._give_back(origin, channel)
+            else:
+                channel.close()
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        with self._lock:
+            idle = [c for cs in self._idle_by_origin.values() for c in cs]
+            self._idle_by_origin.clear()
+        for channel in idle:
+            channel.close()
+
+    def _take(self, origin: str, *, reuse: bool) -> exchange.Channel:
+        with self._lock:
+            idle = self._idle_by_origin[origin]
+            if reuse and idle:
+                return idle.pop()
+        return exchange.Channel(ca_file=self._ca_file, clock=self._clock)
+
+    def _give_back(self, origin: str, channel: exchange.Channel) -> None:
+        with self._lock:
+            idle = self._idle_by_origin[origin]
+            if len(idle) < MAX_IDLE_CHANNELS_PER_ORIGIN:
+                idle.append(channel)
+                return
+        channel.close()
+
+    def __repr__(self) -> str:
+        idle = sum(len(cs) for cs in self._idle_by_origin.values())
+        return f"HttpClient(idle={idle})"
+
+
+def _whole(
+    ended: result.Result[None, messages.TransferFailure],
+    head: messages.ResponseHead | None,
+    body: bytes,
+) -> result.Result[messages.Response, messages.TransferFailure]:
+    if isinstance(ended, result.Err):
+        return ended
+    return result.Ok(messages.Response(head=head, body=body))
--- /dev/null
+++ b/packages/bambooglade/bambooglade/transport/exchange.py
@@ -0,0 +1,257 @@
+"""One HTTP exchange on one connection, driven by libcurl's multi interface."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Generator
+from collections.abc import Iterator
+import contextlib
+import select
+
+import pycurl
+import result
+
+from bambooglade.core import clock as clocks
+from bambooglade.transport import messages
+
+POLL_MS = 100
+"""Longest wait between two looks at the time-outs and at `cancelled`."""
+
+_MS_PER_S = 1_000
+_PROTOCOLS = pycurl.PROTO_HTTP | pycurl.PROTO_HTTPS
+_ENDED_ON_AN_OPEN_CONNECTION = frozenset(
+    {pycurl.E_SEND_ERROR, pycurl.E_RECV_ERROR, pycurl.E_GOT_NOTHING}
+)
+_POLL_EVENTS_BY_ACTION = {
+    pycurl.POLL_NONE: 0,
+    pycurl.POLL_IN: select.POLLIN,
+    pycurl.POLL_OUT: select.POLLOUT,
+    pycurl.POLL_INOUT: select.POLLIN | select.POLLOUT,
+}
+
+Ended = result.Result[None, messages.TransferFailure]
+
+
+def never() -> bool:
+    """Returns False: the exchange is not given up."""
+    return False
+
+
+class Channel:
+    """A connection, and the curl handles that drive it.
+
+    It serves one exchange at a time. After an exchange that did not end whole
+    it has to be closed.
+
+    Args:
+        ca_file: Certificates to trust for TLS; None for those of the system.
+        clock: The clock for time-outs.
+    """
+
+    __slots__ = (
+        "_answer",
+        "_ca_file",
+        "_clock",
+        "_curl",
+        "_multi",
+        "_poller",
+    )
+
+    def __init__(self, *, ca_file: str | None, clock: clocks.Clock) -> None:
+        self._ca_file = ca_file
+        self._clock = clock
+        self._curl = pycurl.Curl()
+        self._poller = select.poll()
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
+        self._answer = _AnswerCollector()
+
+    def run(
+        self, request: messages.Request, *, cancelled: Callable[[], bool]
+    ) -> Generator[messages.ResponseHead | bytes, None, Ended]:
+        """Yields the head and the pieces of the body; returns how it ended."""
+        self._answer = _AnswerCollector(request.max_answer_bytes)
+        self._prepare(request)
+        started_ms = self._clock.now_ms()
+        self._multi.add_handle(self._curl)
+        self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        try:
+            while True:
+                yield from self._answer.take()
+                ended = self._ended()
+                if ended is not None:
+                    return ended
+                elapsed_ms = self._clock.now_ms() - started_ms
+                stopped = self._stopped(request, elapsed_ms, cancelled)
+                if stopped is not None:
+                    return stopped
+                self._wait(request, elapsed_ms)
+        finally:
+            self._multi.remove_handle(self._curl)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._multi.close()
+        self._curl.close()
+
+    def _prepare(self, request: messages.Request) -> None:
+        curl = self._curl
+        curl.reset()
+        curl.setopt(pycurl.URL, request.url)
+        curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+        curl.setopt(pycurl.PROTOCOLS, _PROTOCOLS)
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.NOSIGNAL, True)
+        curl.setopt(pycurl.FOLLOWLOCATION, False)
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        curl.setopt(pycurl.TCP_NODELAY, True)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, request.connect_timeout_ms)
+        if not request.may_be_resent:
+            curl.setopt(pycurl.FRESH_CONNECT, True)
+        if self._ca_file:
+            curl.setopt(pycurl.CAINFO, self._ca_file)
+        if request.method == "HEAD":
+            curl.setopt(pycurl.NOBODY, True)
+        if request.body is not None:
+            curl.setopt(pycurl.POSTFIELDS, request.body)
+        lines = [f"{h.name}: {h.value}" for h in request.headers]
+        curl.setopt(pycurl.HTTPHEADER, ["Expect:", *lines])
+        curl.setopt(pycurl.HEADERFUNCTION, self._answer.take_header)
+        curl.setopt(pycurl.WRITEFUNCTION, self._answer.take_body)
+
+    def _ended(self) -> Ended | None:
+        _, succeeded, failed = self._multi.info_read()
+        if succeeded and self._answer.status:
+            return result.Ok(None)
+        if succeeded:  # libcurl takes a head that is cut off for an answer
+            return result.Err(
+                messages.TransferFailure(detail="The head is cut.", sent=True)
+            )
+        for _, code, text in failed:
+            return result.Err(self._failure(code, text))
+        return None
+
+    def _failure(self, code: int, text: str) -> messages.TransferFailure:
+        sent = self._may_have_sent(code)
+        detail = f"{text or 'The connection failed'} (curl {code})."
+        if code == pycurl.E_OPERATION_TIMEDOUT:
+            return messages.TransferTimeout(detail=detail, sent=sent)
+        return messages.TransferFailure(detail=detail, sent=sent)
+
+    def _may_have_sent(self, code: int) -> bool:
+        if self._answer.status or code in _ENDED_ON_AN_OPEN_CONNECTION:
+            return True
+        return self._curl.getinfo(pycurl.REQUEST_SIZE) > 0
+
+    def _stopped(
+        self,
+        request: messages.Request,
+        elapsed_ms: int,
+        cancelled: Callable[[], bool],
+    ) -> Ended | None:
+        sent = self._may_have_sent(pycurl.E_OK)
+        if cancelled():
+            return result.Err(
+                messages.TransferCancelled(detail="Given up.", sent=sent)
+            )
+        if elapsed_ms >= request.total_timeout_ms:
+            return result.Err(
+                messages.TransferTimeout(
+                    detail=f"No whole answer in {elapsed_ms} ms.", sent=sent
+                )
+            )
+        waited_ms = request.first_byte_timeout_ms
+        if not self._answer.status and elapsed_ms >= waited_ms:
+            return result.Err(
+                messages.TransferTimeout(
+                    detail=f"No answer in {elapsed_ms} ms.", sent=sent
+                )
+            )
+        return None
+
+    def _wait(self, request: messages.Request, elapsed_ms: int) -> None:
+        limit_ms = request.total_timeout_ms
+        if not self._answer.status:
+            limit_ms = min(limit_ms, request.first_byte_timeout_ms)
+        wait_ms = max(1, min(POLL_MS, limit_ms - elapsed_ms))
+        curl_ms = self._multi.timeout()
+        if curl_ms >= 0:
+            wait_ms = min(wait_ms, curl_ms)
+        ready = self._poller.poll(wait_ms)
+        for descriptor, events in ready:
+            self._multi.socket_action(descriptor, _curl_events(events))
+        if not ready:
+            self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+
+    def _watch_socket(
+        self, action: int, descriptor: int, multi: object, data: object
+    ) -> None:
+        del multi, data
+        if action == pycurl.POLL_REMOVE:
+            with contextlib.suppress(KeyError):
+                self._poller.unregister(descriptor)
+            return
+        self._poller.register(descriptor, _POLL_EVENTS_BY_ACTION[action])
+
+    def __repr__(self) -> str:
+        return f"Channel(status={self._answer.status})"
+
+
+class _AnswerCollector:
+    """Collects what curl's callbacks receive until the generator takes it."""
+
+    __slots__ = ("_left_bytes", "_lines", "_parts", "status")
+
+    def __init__(self, max_bytes: int = 0) -> None:
+        self._left_bytes = max_bytes
+        self._lines: list[str] = []
+        self._parts: collections.deque[messages.ResponseHead | bytes] = (
+            collections.deque()
+        )
+        self.status = 0
+
+    def take_header(self, raw: bytes) -> None:
+        line = raw.decode("latin-1").strip()
+        if line:
+            self._lines.append(line)
+            return
+        lines, self._lines = self._lines, []
+        status_line = lines[0].split(None, 2) if lines else []
+        if len(status_line) < 2 or not status_line[1].isdigit():
+            return
+        status = int(status_line[1])
+        if status < 200:
+            return
+        self.status = status
+        headers = tuple(_header(text) for text in lines[1:])
+        self._parts.append(
+            messages.ResponseHead(status=status, headers=headers)
+        )
+
+    def take_body(self, data: bytes) -> int | None:
+        self._left_bytes -= len(data)
+        if self._left_bytes < 0:
+            return 0  # makes curl fail with a write error
+        self._parts.append(data)
+        return None
+
+    def take(self) -> Iterator[messages.ResponseHead | bytes]:
+        while self._parts:
+            yield self._parts.popleft()
+
+
+def _header(line: str) -> messages.Header:
+    name, _, value = line.partition(":")
+    return messages.Header(name.strip().lower(), value.strip())
+
+
+def _curl_events(events: int) -> int:
+    mask = 0
+    if events & (select.POLLIN | select.POLLHUP):
+        mask |= pycurl.CSELECT_IN
+    if events & select.POLLOUT:
+        mask |= pycurl.CSELECT_OUT
+    if events & (select.POLLERR | select.POLLNVAL):
+        mask |= pycurl.CSELECT_ERR
+    return mask
--- /dev/null
+++ b/packages/bambooglade/bambooglade/transport/request_handler.py
@@ -0,0 +1,270 @@
+"""Serves one request of a connection by a WSGI application."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import contextlib
+import io
+import socket
+
+from absl import logging
+from werkzeug import exceptions
+from werkzeug import serving
+
+from bambooglade.core import failures
+from bambooglade.transport import connections
+from bambooglade.transport import problems
+
+CLIENT_GONE = "bambooglade.client_gone"
+"""Key of the WSGI environment: tells whether the client has gone away."""
+
+_DRAIN_BYTES = 65_536
+_BODILESS_STATUSES = (204, 304)
+_MS_PER_S = 1_000
+
+
+class RequestHandler(serving.WSGIRequestHandler):
+    """Serves one request whose headers have arrived whole.
+
+    Unlike its base it keeps connections alive, and tells of every fault as
+    problem+json, without a traceback.
+    """
+
+    protocol_version = "HTTP/1.1"
+    server_version = "bambooglade"
+    sys_version = ""
+
+    def setup(self) -> None:
+        """Reads the headers from what the connection has received."""
+        self.connection = self.request.sock
+        self._body = connections.BodyInput(
+            self.request,
+            self.server.limits.body_timeout_ms,
+            self.server.clock.now_ms,
+        )
+        self.rfile = io.BytesIO(self.request.take_head())
+        self.wfile = _SocketWriter(
+            self.connection, self.server.limits.write_timeout_ms
+        )
+        self.close_connection = True
+
+    def finish(self) -> None:
+        """Leaves the connection open; the server decides on it."""
+
+    def handle(self) -> None:
+        """Serves the request."""
+        try:
+            self.handle_one_request()
+        except OSError as error:
+            self.close_connection = True
+            logging.debug("event=connection_dropped error=%r", error)
+
+    def make_environ(self):
+        """Returns the WSGI environment, with the body as its input."""
+        head = self.rfile
+        self.rfile = self._body
+        environ = super().make_environ()
+        self.rfile = head
+        environ[CLIENT_GONE] = self.request.is_gone
+        if environ.get("wsgi.input_terminated"):
+            environ["wsgi.input"] = connections.BoundedInput(
+                environ["wsgi.input"], self.server.limits.max_body_bytes
+            )
+        return environ
+
+    def run_wsgi(self) -> None:
+        """Runs the application, and sends its answer or a refusal."""
+        failure = self._head_failure()
+        if failure:
+            self.close_connection = True
+            self._refuse(failure)
+            return
+        if self.headers.get("Expect", "").lower() == "100-continue":
+            self.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        answer = _Answer(self)
+        try:
+            self._run_application(answer)
+        except connections.ReceiveTimeoutError as error:
+            self._fail(answer, problems.ClientTooSlow(detail=f"{error}."))
+        except exceptions.HTTPException as error:
+            self._fail(answer, problems.failure_of_exception(error))
+        except OSError as error:
+            self.close_connection = True
+            logging.debug("event=client_gone error=%r", error)
+        except Exception as error:  # noqa: BLE001  the last boundary
+            _log_fault(error)
+            self._fail(
+                answer, problems.InternalFault(detail="The router failed.")
+            )
+        self._drain()
+
+    def send_error(
+        self, code: int, message: str | None = None, explain: str | None = None
+    ) -> None:
+        """Refuses a request that could not be parsed."""
+        self.close_connection = True
+        self.request_version = "HTTP/1.1"
+        self.command = self.command or "GET"
+        detail = f"{message or explain or 'The request is malformed'}."
+        self._refuse(problems.failure_of_status(int(code), detail))
+
+    def log_request(self, code: object = "-", size: object = "-") -> None:
+        """Logs nothing; the application logs its decisions."""
+
+    def log(self, type: str, message: str, *args: object) -> None:
+        """Logs what the library reports, at debug level."""
+        logging.debug("event=http kind=%s detail=%r", type, message % args)
+
+    def _run_application(self, answer: _Answer) -> None:
+        environ = self.make_environ()
+        parts = self.server.app(environ, answer.start)
+        try:
+            for part in parts:
+                answer.write(part)
+            answer.end()
+        finally:
+            if hasattr(parts, "close"):
+                parts.close()
+
+    def _head_failure(self) -> failures.Failure | None:
+        lengths = set(self.headers.get_all("Content-Length", []))
+        codings = self.headers.get_all("Transfer-Encoding", [])
+        if codings and (lengths or codings != ["chunked"]):
+            return failures.BadRequest(
+                detail="Transfer-Encoding may only be chunked, and without"
+                " Content-Length."
+            )
+        if len(lengths) > 1 or not all(
+            text.isascii() and text.isdigit() for text in lengths
+        ):
+            return failures.BadRequest(
+                detail="Content-Length has to be one number of bytes."
+            )
+        maximum = self.server.limits.max_body_bytes
+        if any(int(text) > maximum for text in lengths):
+            return problems.PayloadTooLarge(
+                detail=f"The body has over {maximum} bytes."
+            )
+        return None
+
+    def _fail(self, answer: _Answer, failure: failures.Failure) -> None:
+        self.close_connection = True
+        if not answer.started:
+            with contextlib.suppress(OSError):
+                self._refuse(failure)
+
+    def _refuse(self, failure: failures.Failure) -> None:
+        response = problems.response_of(failure)
+        answer = _Answer(self)
+        answer.start(response.status, list(response.headers))
+        answer.write(response.get_data())
+        answer.end()
+
+    def _drain(self) -> None:
+        """Reads what is left of the body, or gives the connection up."""
+        if self.headers.get("Transfer-Encoding"):
+            self.close_connection = True
+        length = int(self.headers.get("Content-Length", 0))
+        rest = length - self._body.received_bytes
+        if self.close_connection or rest <= 0:
+            return
+        if rest > _DRAIN_BYTES:
+            self.close_connection = True
+            return
+        try:
+            self._body.read(rest)
+        except (OSError, connections.ReceiveTimeoutError):
+            self.close_connection = True
+
+
+class _Answer:
+    """Writes the status, the headers and the parts of one answer."""
+
+    __slots__ = ("_chunked", "_handler", "_headers", "_status", "started")
+
+    def __init__(self, handler: RequestHandler) -> None:
+        self._handler = handler
+        self._status = ""
+        self._headers: list[tuple[str, str]] = []
+        self._chunked = False
+        self.started = False
+
+    def start(
+        self,
+        status: str,
+        headers: Iterable[tuple[str, str]],
+        exc_info: object = None,
+    ) -> Callable[[bytes], None]:
+        """Keeps status and headers until the first part; WSGI's callable."""
+        del exc_info
+        self._status = status
+        self._headers = list(headers)
+        return self.write
+
+    def write(self, part: bytes) -> None:
+        if not self.started:
+            self._send_head()
+        if not part or self._handler.command == "HEAD":
+            return
+        if self._chunked:
+            part = b"%x\r\n%b\r\n" % (len(part), part)
+        self._handler.wfile.write(part)
+
+    def end(self) -> None:
+        if not self.started:
+            self._send_head()
+        if self._chunked and self._handler.command != "HEAD":
+            self._handler.wfile.write(b"0\r\n\r\n")
+
+    def _send_head(self) -> None:
+        handler = self._handler
+        code_text, _, phrase = self._status.partition(" ")
+        code = int(code_text)
+        names = {name.lower() for name, _ in self._headers}
+        handler.send_response(code, phrase)
+        for name, value in self._headers:
+            handler.send_header(name, value)
+        if "content-length" not in names and code not in _BODILESS_STATUSES:
+            self._chunk_or_close()
+        if handler.close_connection or handler.server.draining:
+            handler.close_connection = True
+            handler.send_header("Connection", "close")
+        handler.end_headers()
+        self.started = True
+
+    def _chunk_or_close(self) -> None:
+        if self._handler.request_version == "HTTP/1.1":
+            self._chunked = True
+            self._handler.send_header("Transfer-Encoding", "chunked")
+        else:
+            self._handler.close_connection = True
+
+
+class _SocketWriter(io.RawIOBase):
+    """Writes whole pieces, each within the time-out."""
+
+    def __init__(self, sock: socket.socket, timeout_ms: int) -> None:
+        super().__init__()
+        self._sock = sock
+        self._timeout_s = timeout_ms / _MS_PER_S
+
+    def writable(self) -> bool:
+        return True
+
+    def write(self, data: bytes) -> int:
+        self._sock.settimeout(self._timeout_s)
+        self._sock.sendall(data)
+        return len(data)
+
+
+def _log_fault(error: Exception) -> None:
+    trace = error.__traceback__
+    while trace and trace.tb_next:
+        trace = trace.tb_next
+    place = f"{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}"
+    logging.error(
+        "event=request_fault error=%r at=%s",
+        error,
+        place,
+    )
--- a/packages/bambooglade/bambooglade/transport/tests/__init__.py
+++ b/packages/bambooglade/bambooglade/transport/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the package."""
+"""Tests of the HTTP transport."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/transport/tests/test_client.py
@@ -0,0 +1,174 @@
+"""Tests of the HTTP client against sockets that misbehave."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import itertools
+import socket
+import threading
+
+import pytest
+
+from bambooglade.transport import client as client_lib
+from bambooglade.transport import messages
+
+TIMEOUT_S = 10
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+
+@contextlib.contextmanager
+def listening(
+    serve: Callable[[socket.socket, int], None],
+) -> Iterator[tuple[str, list[bytes]]]:
+    """Serves each connection by `serve(socket, connection number)`."""
+    requests: list[bytes] = []
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def answer(sock, number):
+            sock.settimeout(TIMEOUT_S)
+            with contextlib.suppress(OSError), sock:
+                requests.append(sock.recv(65_536))
+                serve(sock, number)
+
+        def accept():
+            with contextlib.suppress(OSError):
+                for number in itertools.count():
+                    sock, _ = listener.accept()
+                    threading.Thread(
+                        target=answer, args=(sock, number), daemon=True
+                    ).start()
+
+        threading.Thread(target=accept, daemon=True).start()
+        yield f"http://127.0.0.1:{listener.getsockname()[1]}/", requests
+
+
+def answer_then_close(data: bytes):
+    return lambda sock, number: sock.sendall(data)
+
+
+def wait_for_close(data: bytes):
+    def serve(sock, number):
+        sock.sendall(data)
+        sock.recv(1)
+
+    return serve
+
+
+FAILURES = {
+    "no_answer": (answer_then_close(b""), messages.TransferFailure, True),
+    "cut_head": (answer_then_close(OK[:20]), messages.TransferFailure, True),
+    "cut_body": (answer_then_close(OK[:-1]), messages.TransferFailure, True),
+    "cut_chunks": (
+        answer_then_close(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n"
+        ),
+        messages.TransferFailure,
+        True,
+    ),
+    "garbage": (answer_then_close(b"x" * 99), messages.TransferFailure, True),
+    "late": (wait_for_close(b""), messages.TransferTimeout, True),
+    "late_end": (wait_for_close(OK[:-1]), messages.TransferTimeout, True),
+    "too_long": (
+        answer_then_close(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 200),
+        messages.TransferFailure,
+        True,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", FAILURES)
+def test_failures_tell_whether_bytes_were_sent(name):
+    serve, kind, sent = FAILURES[name]
+    client = client_lib.HttpClient()
+    with listening(serve) as (url, _):
+        failure = client.request(
+            messages.Request(
+                method="POST",
+                url=url,
+                body=b"x",
+                first_byte_timeout_ms=200,
+                total_timeout_ms=300,
+                max_answer_bytes=100,
+            )
+        ).unwrap_err()
+    assert type(failure) is kind
+    assert failure.sent is sent
+
+
+def test_refused_connection_sent_nothing():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+    request = messages.Request(method="GET", url=f"http://127.0.0.1:{port}/")
+    assert not client_lib.HttpClient().request(request).unwrap_err().sent
+
+
+def test_connect_timeout_sent_nothing():
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
+        address = listener.getsockname()
+        with contextlib.ExitStack() as stack:
+            for _ in range(4):  # fills the backlog
+                sock = stack.enter_context(socket.socket())
+                sock.setblocking(False)
+                sock.connect_ex(address)
+            failure = (
+                client_lib.HttpClient()
+                .request(
+                    messages.Request(
+                        method="POST",
+                        url=f"http://127.0.0.1:{address[1]}/",
+                        body=b"x",
+                        connect_timeout_ms=200,
+                    )
+                )
+                .unwrap_err()
+            )
+    assert isinstance(failure, messages.TransferTimeout)
+    assert not failure.sent
+
+
+@pytest.mark.parametrize(
+    ("may_be_resent", "expected_posts"), [(True, 2), (False, 1)]
+)
+def test_calls_that_may_not_be_resent_are_sent_once(
+    may_be_resent, expected_posts
+):
+    """Libcurl by itself resends on a reused connection that was closed."""
+    posts = []
+
+    def serve(sock, number):
+        if number == 0:
+            sock.sendall(OK)
+            posts.append(sock.recv(65_536))  # runs, and closes unanswered
+
+    client = client_lib.HttpClient()
+    with listening(serve) as (url, firsts):
+        client.request(messages.Request(method="GET", url=url)).unwrap()
+        answer = client.request(
+            messages.Request(
+                method="POST", url=url, body=b"x", may_be_resent=may_be_resent
+            )
+        )
+        client.close()
+    assert answer.unwrap_err().sent
+    seen = [post for post in posts + firsts if post.startswith(b"POST")]
+    assert len(seen) == expected_posts
+
+
+def test_cancelled_exchange_closes_its_connection():
+    closed = threading.Event()
+
+    def serve(sock, number):
+        sock.sendall(OK[:-1])
+        if sock.recv(1) == b"":
+            closed.set()
+
+    client = client_lib.HttpClient()
+    with listening(serve) as (url, _):
+        stream = client.stream(messages.Request(method="GET", url=url))
+        assert isinstance(next(stream), messages.ResponseHead)
+        assert next(stream) == b"h"
+        stream.close()
+        assert closed.wait(TIMEOUT_S)
+    assert repr(client) == "HttpClient(idle=0)"
--- /dev/null
+++ b/packages/bambooglade/bambooglade/transport/tests/test_server.py
@@ -0,0 +1,222 @@
+"""Tests of the HTTP server over real sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import contextlib
+from http import client
+import socket
+import threading
+
+import msgspec
+import pytest
+import trustme
+from werkzeug import wrappers
+
+from bambooglade.transport import client as client_lib
+from bambooglade.transport import limits as limits_lib
+from bambooglade.transport import messages
+from bambooglade.transport import problems
+from bambooglade.transport import request_handler
+from bambooglade.transport import server as server_lib
+
+TIMEOUT_S = 10
+SMALL = limits_lib.ServerLimits(
+    max_head_bytes=2_000,
+    max_body_bytes=1_000,
+    max_threads=2,
+    max_connections=4,
+    head_timeout_ms=200,
+    body_timeout_ms=200,
+    stop_timeout_ms=5_000,
+)
+
+
+def echo(environ, start_response):
+    request = wrappers.Request(environ)
+    if request.path == "/fail":
+        raise ValueError("secret detail")
+    response = wrappers.Response(request.get_data())
+    return response(environ, start_response)
+
+
+@contextlib.contextmanager
+def serving(app, **options) -> Iterator[server_lib.HttpServer]:
+    server = server_lib.HttpServer(app, host="127.0.0.1", port=0, **options)
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop()
+
+
+def connect(server: server_lib.HttpServer) -> socket.socket:
+    return socket.create_connection(("127.0.0.1", server.port), TIMEOUT_S)
+
+
+def receive_all(sock: socket.socket) -> bytes:
+    return b"".join(iter(lambda: sock.recv(65_536), b""))
+
+
+CHUNKED = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+REFUSALS = {
+    "garbage": (b"\x00\x01\x02\r\n\r\n", 400, "bad_request"),
+    "no_version": (b"GET / HTTP/x\r\n\r\n", 400, "bad_request"),
+    "long_head": (b"GET / HTTP/1.1\r\nA: " + b"x" * 2_100, 431, "head_too"),
+    "slow_head": (b"GET / HTTP/1.1\r\nA: ", 408, "client_too_slow"),
+    "long_body": (
+        b"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n",
+        413,
+        "payload_too_large",
+    ),
+    "long_chunks": (
+        CHUNKED + b"5dc\r\n" + b"x" * 1_500 + b"\r\n0\r\n\r\n",
+        413,
+        "payload_too_large",
+    ),
+    "slow_body": (
+        b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nab",
+        408,
+        "client_too_slow",
+    ),
+    "two_lengths": (
+        b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\na",
+        400,
+        "bad_request",
+    ),
+    "length_and_chunks": (
+        CHUNKED.replace(b"\r\n\r\n", b"\r\nContent-Length: 3\r\n\r\n"),
+        400,
+        "bad_request",
+    ),
+    "negative_length": (
+        b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        400,
+        "bad_request",
+    ),
+    "fault": (b"GET /fail HTTP/1.1\r\n\r\n", 500, "internal_fault"),
+}
+
+
+@pytest.mark.parametrize("name", REFUSALS)
+def test_bad_input_gets_a_typed_refusal(name):
+    data, status, kind = REFUSALS[name]
+    with serving(echo, limits=SMALL) as server, connect(server) as sock:
+        sock.sendall(data)
+        answer = receive_all(sock).decode()
+    head, _, body = answer.partition("\r\n\r\n")
+    assert head.startswith(f"HTTP/1.1 {status} ")
+    problem = msgspec.json.decode(body, type=problems.Problem)
+    assert problem.kind.startswith(kind)
+    assert "Traceback" not in answer
+    assert "secret" not in answer
+
+
+def test_idle_connections_do_not_starve_the_threads():
+    limits = msgspec.structs.replace(SMALL, max_connections=64)
+    with serving(echo, limits=limits) as server:
+        idle = [
+            client.HTTPConnection("127.0.0.1", server.port, timeout=TIMEOUT_S)
+            for _ in range(16)
+        ]
+        for body in (b"a", b"b"):
+            for connection in idle:
+                connection.request("POST", "/", body=body)
+                assert connection.getresponse().read() == body
+        for connection in idle:
+            connection.close()
+
+
+def test_pipelined_requests_are_answered_in_order():
+    one = b"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n"
+    last = b"POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 1\r\n\r\n"
+    with serving(echo, limits=SMALL) as server, connect(server) as sock:
+        sock.sendall(one + b"a" + one + b"b" + last + b"c")
+        answer = receive_all(sock)
+    assert answer.count(b"HTTP/1.1 200") == 3
+    bodies = [part[:1] for part in answer.split(b"\r\n\r\n")[1:]]
+    assert bodies == [b"a", b"b", b"c"]
+
+
+def test_connections_over_the_limit_are_turned_away():
+    with serving(echo, limits=SMALL) as server, contextlib.ExitStack() as stack:
+        for _ in range(SMALL.max_connections):
+            sock = stack.enter_context(connect(server))
+            sock.sendall(b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+            sock.recv(4_096)
+        extra = stack.enter_context(connect(server))
+        assert b"too_many_connections" in receive_all(extra)
+
+
+def test_stop_lets_streams_end():
+    started = threading.Event()
+    release = threading.Event()
+
+    @wrappers.Request.application
+    def stream(request):
+        def parts():
+            yield b"first,"
+            started.set()
+            release.wait(TIMEOUT_S)
+            yield b"last"
+
+        return wrappers.Response(parts())
+
+    server = server_lib.HttpServer(
+        stream, host="127.0.0.1", port=0, limits=SMALL
+    )
+    server.start()
+    with connect(server) as sock:
+        sock.sendall(b"GET / HTTP/1.0\r\n\r\n")
+        assert started.wait(TIMEOUT_S)
+        stopper = threading.Thread(target=server.stop)
+        stopper.start()
+        with pytest.raises(OSError):
+            while True:
+                connect(server).close()
+        release.set()
+        assert receive_all(sock).endswith(b"first,last")
+    stopper.join(TIMEOUT_S)
+
+
+def test_application_learns_that_the_client_is_gone():
+    gone = threading.Event()
+    entered = threading.Event()
+
+    @wrappers.Request.application
+    def wait(request):
+        is_gone = request.environ[request_handler.CLIENT_GONE]
+        assert not is_gone()
+        entered.set()
+        while not is_gone():
+            gone.wait(0.01)
+        gone.set()
+        return wrappers.Response()
+
+    with serving(wait) as server:
+        with connect(server) as sock:
+            sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            assert entered.wait(TIMEOUT_S)
+        assert gone.wait(TIMEOUT_S)
+
+
+def test_tls_serves_and_slow_handshakes_block_nobody(tmp_path):
+    authority = trustme.CA()
+    certificate = authority.issue_cert("127.0.0.1")
+    authority.cert_pem.write_to_path(tmp_path / "ca.pem")
+    certificate.cert_chain_pems[0].write_to_path(tmp_path / "cert.pem")
+    certificate.private_key_pem.write_to_path(tmp_path / "key.pem")
+    tls = server_lib.TlsFiles(
+        certificate_file=str(tmp_path / "cert.pem"),
+        key_file=str(tmp_path / "key.pem"),
+    )
+    with serving(echo, tls=tls) as server, connect(server):
+        request = messages.Request(method="POST", url=server.url, body=b"hi")
+        trusting = client_lib.HttpClient(ca_file=str(tmp_path / "ca.pem"))
+        assert [trusting.request(request).unwrap().body for _ in range(2)] == [
+            b"hi",
+            b"hi",
+        ]
+        trusting.close()
+        failure = client_lib.HttpClient().request(request).unwrap_err()
+        assert not failure.sent
