Run an instance's decisions on threads

Cause: the aggregates yield effects; the process has to carry them out. Conclusion: wiring only, the decisions are unchanged.

--- a/packages/bambooglade/bambooglade/operations/claim_book.py
+++ b/packages/bambooglade/bambooglade/operations/claim_book.py
@@ -366,6 +366,7 @@
             spent_tokens=record.spent_tokens,
             target_id=record.target_id,
             answer=record.answer,
+            fingerprint=record.fingerprint,
         )
 
     def _state_without_record(
--- a/packages/bambooglade/bambooglade/operations/messages.py
+++ b/packages/bambooglade/bambooglade/operations/messages.py
@@ -227,6 +227,7 @@
         spent_tokens: What was billed.
         target_id: The target that gave the answer.
         answer: The kept answer.
+        fingerprint: Hash of the request; empty when none is recorded.
     """
 
     key: identifiers.RequestKey
@@ -236,6 +237,7 @@
     spent_tokens: int = 0
     target_id: identifiers.TargetId | None = None
     answer: calls.KeptAnswer | None = None
+    fingerprint: str = ""
 
 
 class ArbiterMisdirected(effects.Message, frozen=True, kw_only=True):
--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/operator_service.py
@@ -0,0 +1,367 @@
+"""Answers the operators' interface from the decisions of an instance."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent import futures
+import functools
+from typing import TypeVar
+
+import result
+
+from bambooglade.core import clock as clocks
+from bambooglade.core import effects
+from bambooglade.core import failures
+from bambooglade.core import hashing
+from bambooglade.core import identifiers
+from bambooglade.fleet import messages as fleet_messages
+from bambooglade.platform import ports
+from bambooglade.router import assembly
+from bambooglade.router import effect_waiters
+from bambooglade.router import operator_api
+from bambooglade.router import operator_messages as messages
+from bambooglade.router import runtime as runtimes
+from bambooglade.router import trace
+from bambooglade.shards import document as documents
+from bambooglade.shards import edits
+from bambooglade.table import messages as table_messages
+from bambooglade.table import pages
+
+EDIT_DEADLINE_MS = 8_000
+THREADS = 2
+
+Given = TypeVar("Given")
+Taken = TypeVar("Taken")
+
+
+class OperatorService:
+    """Implements `operator_api.OperatorPort` on top of a runtime.
+
+    Args:
+        networked: The decisions of the instance.
+        runtime: Runs them.
+        waiters: Connects their answers with the threads that asked.
+        store: The platform's key-value service, for questions about budgets.
+        ring: The decisions that the instance remembers.
+        targets: Lists the targets as this instance sees them.
+        clock: Tells the time.
+    """
+
+    def __init__(
+        self,
+        *,
+        networked: assembly.NetworkedParts,
+        runtime: runtimes.Runtime,
+        waiters: effect_waiters.EffectWaiters,
+        store: ports.KeyValueStore,
+        ring: trace.TraceRing,
+        targets: Callable[[], tuple[messages.TargetDescription, ...]],
+        clock: clocks.Clock,
+    ) -> None:
+        self._networked = networked
+        self._parts = networked.parts
+        self._runtime = runtime
+        self._waiters = waiters
+        self._store = store
+        self._ring = ring
+        self._targets = targets
+        self._clock = clock
+        self._executor = futures.ThreadPoolExecutor(
+            max_workers=THREADS, thread_name_prefix="operators"
+        )
+
+    def edit_rows(
+        self, request: messages.EditRows, operator: messages.Operator
+    ) -> operator_api.Eventual[messages.EditOutcomes]:
+        """Writes rows, each by compare-and-swap on its version."""
+        answered = self._ask(
+            request.edit_id,
+            table_messages.EditRows(
+                edit_id=identifiers.EditId(request.edit_id),
+                edited_by=operator.name,
+                changes=tuple(map(_change, request.edits)),
+                deadline_ms=self._clock.now_ms() + EDIT_DEADLINE_MS,
+            ),
+        )
+        return _then(answered, self._edit_outcomes)
+
+    def rows(self, prefix: str) -> operator_api.Eventual[messages.RowList]:
+        """Lists the rows whose keys begin with the prefix."""
+        found = tuple(
+            _versioned(record)
+            for record in self._networked.table.records()
+            if record.row_key.startswith(prefix)
+        )
+        return _done(messages.RowList(rows=found))
+
+    def top_up(
+        self, request: messages.TopUpBudget, operator: messages.Operator
+    ) -> operator_api.Eventual[messages.BudgetToppedUp]:
+        """Adds to a budget, once per edit id."""
+        del operator
+        answered = self._ask(
+            request.edit_id,
+            edits.TopUp(
+                edit_id=identifiers.EditId(request.edit_id),
+                budget_id=identifiers.BudgetId(request.budget_id),
+                tokens=request.tokens,
+            ),
+        )
+        return _then(answered, _topped_up)
+
+    def describe_budget(
+        self, budget_id: identifiers.BudgetId
+    ) -> operator_api.Eventual[messages.BudgetDescription]:
+        """Tells where a budget's rights lie."""
+        return self._executor.submit(self._describe_budget, budget_id)
+
+    def release_held(
+        self, request: messages.ReleaseHeld, operator: messages.Operator
+    ) -> operator_api.Eventual[messages.HeldReleased]:
+        """Gives held rights back to a budget, once per edit id."""
+        del operator
+        return _failed(
+            failures.Unavailable(
+                detail=f"Releasing held rights of {request.budget_id} is not "
+                "available in this version."
+            )
+        )
+
+    def fleet(self) -> operator_api.Eventual[messages.FleetDescription]:
+        """Lists the instances."""
+        members = self._networked.membership.members()
+        return _done(
+            messages.FleetDescription(
+                seen_by=self._parts.instance_id,
+                instances=tuple(map(_instance, members)),
+            )
+        )
+
+    def shards(self) -> operator_api.Eventual[messages.ShardList]:
+        """Lists the assignments of the shards."""
+        known = sorted(self._parts.assignment_map.items())
+        return _done(
+            messages.ShardList(
+                seen_by=self._parts.instance_id,
+                shards=tuple(
+                    messages.ShardDescription(
+                        shard=place.shard,
+                        availability_zone=place.availability_zone,
+                        epoch=assignment.epoch,
+                        primary=assignment.primary,
+                        backup=assignment.backup,
+                        history_lost_at_ms=assignment.history_lost_at_ms,
+                    )
+                    for place, assignment in known
+                ),
+            )
+        )
+
+    def targets(self) -> operator_api.Eventual[messages.TargetList]:
+        """Lists the targets."""
+        return _done(
+            messages.TargetList(
+                seen_by=self._parts.instance_id, targets=self._targets()
+            )
+        )
+
+    def explain(
+        self, key: identifiers.RequestKey
+    ) -> operator_api.Eventual[messages.Explanation]:
+        """Tells what this instance decided on a request."""
+        return _done(
+            messages.Explanation(
+                key=key,
+                seen_by=self._parts.instance_id,
+                decisions=self._ring.decisions(key),
+            )
+        )
+
+    def close(self) -> None:
+        """Stops the threads."""
+        self._executor.shutdown(wait=True)
+
+    def _ask(
+        self, reference: str, message: effects.Message
+    ) -> futures.Future[effects.Effect]:
+        future = self._waiters.wait(reference)
+        self._runtime.decide(
+            functools.partial(
+                self._parts.machine.handle, message, self._parts.instance_id
+            )
+        )
+        return future
+
+    def _edit_outcomes(
+        self, answered: table_messages.EditAnswered
+    ) -> result.Result[messages.EditOutcomes, failures.Failure]:
+        return result.Ok(
+            messages.EditOutcomes(
+                edit_id=answered.edit_id,
+                outcomes=tuple(map(self._row_outcome, answered.outcomes)),
+            )
+        )
+
+    def _row_outcome(
+        self, outcome: table_messages.Outcome
+    ) -> messages.RowOutcome:
+        if isinstance(outcome, table_messages.Accepted):
+            return messages.RowOutcome(
+                row_key=outcome.row_key, version=outcome.version
+            )
+        record = self._networked.table.record(outcome.row_key)
+        return messages.RowOutcome(
+            row_key=outcome.row_key,
+            version=record.version if record else 0,
+            refusal=messages.Refusal(
+                kind=outcome.failure.kind,
+                detail=outcome.failure.detail,
+                remedy=outcome.failure.remedy,
+            ),
+            current=_versioned(record) if record else None,
+        )
+
+    def _describe_budget(
+        self, budget_id: identifiers.BudgetId
+    ) -> result.Result[messages.BudgetDescription, failures.Failure]:
+        shard = hashing.shard_of(
+            budget_id, shard_count=self._parts.identity.shard_count
+        )
+        answer = self._store.read(
+            effects.ReadDocument(key=documents.document_key(shard))
+        )
+        if isinstance(answer, effects.ReadFailed):
+            return result.Err(
+                failures.Unavailable(
+                    detail="The platform's key-value service did not answer."
+                )
+            )
+        document = documents.decode(answer.value)
+        account = document.account_by_budget_id.get(budget_id)
+        if account is None:
+            return result.Err(
+                failures.NotFound(detail=f"{budget_id} has no account.")
+            )
+        return result.Ok(_budget(budget_id, account, document))
+
+    def __repr__(self) -> str:
+        return f"OperatorService(instance_id={self._parts.instance_id!r})"
+
+
+def _then(
+    asked: futures.Future[Given],
+    convert: Callable[[Given], result.Result[Taken, failures.Failure]],
+) -> operator_api.Eventual[Taken]:
+    """Returns a future with the converted answer of another one."""
+    converted: operator_api.Eventual[Taken] = futures.Future()
+    asked.add_done_callback(
+        lambda done: converted.set_result(convert(done.result()))
+    )
+    return converted
+
+
+def _done(answer: Taken) -> operator_api.Eventual[Taken]:
+    future: operator_api.Eventual[Taken] = futures.Future()
+    future.set_result(result.Ok(answer))
+    return future
+
+
+def _failed(failure: failures.Failure) -> operator_api.Eventual[Taken]:
+    future: operator_api.Eventual[Taken] = futures.Future()
+    future.set_result(result.Err(failure))
+    return future
+
+
+def _change(edit: messages.RowEdit) -> table_messages.RowChange:
+    return table_messages.RowChange(
+        row_key=edit.row_key,
+        expected_version=edit.expected_version,
+        row=edit.row,
+    )
+
+
+def _versioned(record: pages.RowRecord) -> messages.VersionedRow:
+    return messages.VersionedRow(
+        row_key=record.row_key,
+        row=record.row,
+        version=record.version,
+        edited_by=record.edited_by,
+        edited_at_ms=record.edited_at_ms,
+    )
+
+
+class TopUpRefused(failures.BadRequest, frozen=True, kw_only=True):
+    """The top-up can't be applied to the account."""
+
+    kind = "top_up_refused"
+
+
+def _topped_up(
+    ended: edits.TopUpEnded,
+) -> result.Result[messages.BudgetToppedUp, failures.Failure]:
+    match ended.outcome:
+        case edits.EditOutcome.ACCEPTED:
+            return result.Ok(
+                messages.BudgetToppedUp(
+                    edit_id=ended.edit_id,
+                    budget_id=ended.budget_id,
+                    prepaid_tokens=ended.prepaid_tokens or 0,
+                )
+            )
+        case edits.EditOutcome.REFUSED:
+            return result.Err(TopUpRefused(detail=ended.detail))
+        case _:
+            return result.Err(failures.OutcomeUnknown(detail=ended.detail))
+
+
+def _instance(
+    member: fleet_messages.MemberUpdate,
+) -> messages.InstanceDescription:
+    return messages.InstanceDescription(
+        instance_id=member.instance_id,
+        availability_zone=member.availability_zone,
+        url=member.url,
+        state=_state(member),
+    )
+
+
+def _state(member: fleet_messages.MemberUpdate) -> messages.InstanceState:
+    if member.status is fleet_messages.Status.DEAD:
+        return messages.InstanceState.GONE
+    if member.leaving:
+        return messages.InstanceState.LEAVING
+    if member.status is fleet_messages.Status.SUSPECT:
+        return messages.InstanceState.SUSPECTED
+    return messages.InstanceState.ALIVE
+
+
+def _budget(
+    budget_id: identifiers.BudgetId,
+    account: documents.Account,
+    document: documents.ShardDocument,
+) -> messages.BudgetDescription:
+    return messages.BudgetDescription(
+        budget_id=budget_id,
+        prepaid_tokens=account.prepaid_tokens,
+        zones=tuple(
+            _zone_rights(zone, counters, document)
+            for zone, counters in sorted(
+                account.counters_by_availability_zone.items()
+            )
+        ),
+    )
+
+
+def _zone_rights(
+    zone: identifiers.AvailabilityZone,
+    counters: documents.ZoneCounters,
+    document: documents.ShardDocument,
+) -> messages.ZoneRights:
+    assignment = document.assignment(zone)
+    return messages.ZoneRights(
+        availability_zone=zone,
+        granted_tokens=counters.granted,
+        returned_tokens=counters.returned,
+        settled_tokens=counters.settled,
+        primary=assignment.primary if assignment else None,
+    )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/pending_calls.py
@@ -0,0 +1,65 @@
+"""Futures of the calls that threads wait for."""
+
+from __future__ import annotations
+
+from concurrent import futures
+import threading
+
+from bambooglade.core import identifiers
+from bambooglade.operations import calls
+
+
+class PendingCalls:
+    """Connects the effects that answer calls with the waiting threads.
+
+    Thread-safe. Each future ends once; effects for calls that nobody waits for
+    are ignored.
+    """
+
+    __slots__ = ("_begin_by_call_id", "_finish_by_key", "_lock")
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._begin_by_call_id: dict[
+            str, futures.Future[calls.Permit | calls.Refuse | calls.Replay]
+        ] = {}
+        self._finish_by_key: dict[
+            identifiers.RequestKey, futures.Future[calls.Billed]
+        ] = {}
+
+    def begin(self, call_id: str) -> futures.Future:
+        """Returns the future of a call that begins."""
+        future: futures.Future = futures.Future()
+        with self._lock:
+            self._begin_by_call_id[call_id] = future
+        return future
+
+    def finish(self, key: identifiers.RequestKey) -> futures.Future:
+        """Returns the future of the bill of a call whose run ended."""
+        future: futures.Future = futures.Future()
+        with self._lock:
+            self._finish_by_key[key] = future
+        return future
+
+    def answer(
+        self, effect: calls.Permit | calls.Refuse | calls.Replay
+    ) -> None:
+        """Ends the future of a call that began."""
+        with self._lock:
+            future = self._begin_by_call_id.pop(effect.call_id, None)
+        if future is not None:
+            future.set_result(effect)
+
+    def bill(self, effect: calls.Billed) -> None:
+        """Ends the future of a call's bill."""
+        with self._lock:
+            future = self._finish_by_key.pop(effect.key, None)
+        if future is not None:
+            future.set_result(effect)
+
+    def __len__(self) -> int:
+        with self._lock:
+            return len(self._begin_by_call_id) + len(self._finish_by_key)
+
+    def __repr__(self) -> str:
+        return f"PendingCalls({len(self)})"
--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/ticker.py
@@ -0,0 +1,61 @@
+"""Threads that repeat an action until they are stopped."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import threading
+
+from absl import logging
+
+_MS_PER_S = 1_000
+
+
+class Ticker:
+    """Calls an action on its own thread, with a pause after each call.
+
+    A failing action is logged and called again: the components repeat what
+    they need.
+
+    Args:
+        action: What to do; it should end within a few pauses.
+        pause_ms: Pause between two calls in milliseconds.
+        name: Name of the thread and of the log lines.
+    """
+
+    __slots__ = ("_action", "_name", "_pause_ms", "_stopped", "_thread")
+
+    def __init__(
+        self, *, action: Callable[[], None], pause_ms: int, name: str
+    ) -> None:
+        self._action = action
+        self._pause_ms = pause_ms
+        self._name = name
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=name, daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def stop(self, *, timeout_ms: int) -> None:
+        """Stops the thread and waits for its current call to end."""
+        self._stopped.set()
+        if self._thread.is_alive():
+            self._thread.join(timeout_ms / _MS_PER_S)
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether the thread was told to stop."""
+        return self._stopped.is_set()
+
+    def _run(self) -> None:
+        while not self._stopped.wait(self._pause_ms / _MS_PER_S):
+            try:
+                self._action()
+            except Exception:  # noqa: BLE001 - the thread has to go on
+                logging.exception("event=ticker_failed ticker=%s", self._name)
+
+    def __repr__(self) -> str:
+        return f"Ticker(name={self._name!r}, pause_ms={self._pause_ms})"
