Keep calls to the platform within a budget; send a write once

Cause: a service that counts every call must not be overrun, least of all in the minute after an outage.

Change: token buckets per instance that shrink with the fleet, pauses with jitter and one probe after a failure, merged reads, writes of a key in sequence, a bounded queue, a client on threads, and a watch that reads all again after each end. The second HTTP client is gone; all use transport.client. Stand-ins and adapters for the list of instances and the weight store.

--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/instance_list/tests/test_platform_lists.py
@@ -0,0 +1,81 @@
+"""Tests of the product's adapters against list and weight store."""
+
+from __future__ import annotations
+
+import contextlib
+import threading
+
+from werkzeug import test as werkzeug_test
+
+from bambooglade.core import clock as clocks
+from bambooglade.platform import listing
+from bambooglade.platform import ports
+from bambooglade_standins import platform_server
+from bambooglade_standins.instance_list import app as instance_list
+from bambooglade_standins.weight_store import app as weight_store
+
+ENTRY = ports.ListedInstance(
+    name="x1", availability_zone="scot-a", url="http://10.0.0.1:1", leaving=True
+)
+
+
+@contextlib.contextmanager
+def _serving(application):
+    http = platform_server.make_server(application, host="127.0.0.1", port=0)
+    thread = threading.Thread(target=http.serve_forever)
+    thread.start()
+    try:
+        yield f"http://127.0.0.1:{http.port}"
+    finally:
+        http.shutdown()
+        thread.join()
+        http.server_close()
+
+
+def test_the_list_lags_and_may_be_down():
+    clock = clocks.ManualClock(now_ms=0)
+    application = instance_list.InstanceListApplication(clock=clock)
+    control = werkzeug_test.Client(application)
+    with _serving(application) as url:
+        adapter = listing.HttpInstanceList(url=url)
+        control.post("/control/faults", json={"lag_ms": 5_000})
+        control.post(
+            "/control/targets",
+            json={
+                "entries": [
+                    {
+                        "name": "x1",
+                        "availability_zone": "scot-a",
+                        "url": "http://10.0.0.1:1",
+                        "leaving": True,
+                    }
+                ]
+            },
+        )
+        clock.advance(delta_ms=4_999)
+        assert adapter.targets() == []
+        clock.advance(delta_ms=1)
+        assert adapter.targets() == [ENTRY]
+        assert adapter.instances() == []
+        control.post("/control/faults", json={"down": True})
+        assert adapter.targets() is None
+
+
+def test_the_weight_store_refuses_calls_above_its_rate():
+    clock = clocks.ManualClock(now_ms=0)
+    application = weight_store.WeightStoreApplication(
+        calls_per_s=1, clock=clock
+    )
+    control = werkzeug_test.Client(application)
+    control.post("/control/weights", json={"weight_by_target": {"x1": 2.0}})
+    with _serving(application) as url:
+        adapter = listing.HttpWeightStore(url=url)
+        assert adapter.weights() == {"x1": 2.0}
+        assert adapter.weights() is None
+        clock.advance(delta_ms=1_000)
+        assert adapter.weights() == {"x1": 2.0}
+
+
+def test_an_unreachable_list_is_none():
+    adapter = listing.HttpInstanceList(url="http://127.0.0.1:9")
+    assert adapter.instances() is None
--- a/packages/bambooglade-standins/bambooglade_standins/key_value/__main__.py
+++ b/packages/bambooglade-standins/bambooglade_standins/key_value/__main__.py
@@ -5,6 +5,7 @@
 from absl import app
 from absl import flags
 
+from bambooglade_standins import platform_server
 from bambooglade_standins.key_value import server
 from bambooglade_standins.key_value import store
 
@@ -16,7 +17,9 @@
     """Serves until the process is ended."""
     del argv
     application = server.KeyValueApplication(store.MemoryStore())
-    http = server.make_server(application, host=_HOST.value, port=_PORT.value)
+    http = platform_server.make_server(
+        application, host=_HOST.value, port=_PORT.value
+    )
     print(f"event=listening url=http://{http.host}:{http.port}", flush=True)
     http.serve_forever()
 
--- a/packages/bambooglade-standins/bambooglade_standins/key_value/server.py
+++ b/packages/bambooglade-standins/bambooglade_standins/key_value/server.py
@@ -8,10 +8,10 @@
 
 import msgspec
 from werkzeug import exceptions
-from werkzeug import serving
 from werkzeug import wrappers
 
 from bambooglade.core import clock as clocks
+from bambooglade_standins import platform_server
 from bambooglade_standins.key_value import gateway
 from bambooglade_standins.key_value import store as stores
 
@@ -94,7 +94,7 @@
             )
             kvs = [_key_value(entry) for entry in found]
             header = self._header()
-        return _json(
+        return platform_server.json_response(
             gateway.RangeAnswer(header=header, kvs=kvs, count=str(len(kvs)))
         )
 
@@ -109,7 +109,7 @@
                 self._carry_out(operation)
             self._changed.notify_all()
             header = self._header()
-        return _json(
+        return platform_server.json_response(
             gateway.TransactionAnswer(header=header, succeeded=succeeded)
         )
 
@@ -133,7 +133,7 @@
             lease_id = self.store.grant_lease(
                 int(request.TTL) * _MS_PER_S, self._clock.now_ms()
             )
-            return _json(
+            return platform_server.json_response(
                 gateway.LeaseAnswer(
                     header=self._header(),
                     ID=str(lease_id),
@@ -153,7 +153,9 @@
                 ID=str(request.ID),
                 TTL=str(ttl_ms // _MS_PER_S),
             )
-        return _json(gateway.KeepAliveAnswer(result=answer))
+        return platform_server.json_response(
+            gateway.KeepAliveAnswer(result=answer)
+        )
 
     def _revoke(self, body: bytes) -> wrappers.Response:
         request = msgspec.json.decode(body, type=gateway.LeaseRequest)
@@ -161,7 +163,7 @@
             self.store.writes += 1
             self.store.revoke_lease(int(request.ID))
             self._changed.notify_all()
-            return _json(
+            return platform_server.json_response(
                 gateway.LeaseAnswer(header=self._header(), ID=str(request.ID))
             )
 
@@ -216,11 +218,11 @@
         faults = msgspec.json.decode(body, type=Faults)
         self.store.answering = faults.answering
         self.store.delay_ms = faults.delay_ms
-        return _json(faults)
+        return platform_server.json_response(faults)
 
     def _counters(self, body: bytes) -> wrappers.Response:
         del body
-        return _json(
+        return platform_server.json_response(
             Counters(
                 reads=self.store.reads,
                 writes=self.store.writes,
@@ -240,28 +242,6 @@
         return self._counters(body)
 
 
-def make_server(
-    application: KeyValueApplication, *, host: str, port: int
-) -> serving.BaseWSGIServer:
-    """Returns a threaded server; port 0 takes a free one."""
-    return serving.make_server(
-        host,
-        port,
-        application,
-        threaded=True,
-        request_handler=_RequestHandler,
-    )
-
-
-class _RequestHandler(serving.WSGIRequestHandler):
-    """Keeps connections open, and logs nothing per request."""
-
-    protocol_version = "HTTP/1.1"
-
-    def log_request(self, code: int | str = "-", size: int | str = "-") -> None:
-        """Logs nothing."""
-
-
 def _key_value(entry: stores.Entry) -> gateway.KeyValue:
     return gateway.KeyValue(
         key=entry.key.encode(),
@@ -285,12 +265,6 @@
     return msgspec.json.encode(gateway.WatchLine(result=result)) + b"\n"
 
 
-def _json(answer: msgspec.Struct) -> wrappers.Response:
-    return wrappers.Response(
-        msgspec.json.encode(answer), mimetype="application/json"
-    )
-
-
 def _error(error: exceptions.HTTPException) -> wrappers.Response:
     return wrappers.Response(
         msgspec.json.encode({"error": error.description or error.name}),
--- a/packages/bambooglade-standins/bambooglade_standins/key_value/tests/test_key_value.py
+++ b/packages/bambooglade-standins/bambooglade_standins/key_value/tests/test_key_value.py
@@ -9,7 +9,9 @@
 
 from bambooglade.core import effects
 from bambooglade.platform import key_value
-from bambooglade.transport import http_client
+from bambooglade.transport import client as http_client
+from bambooglade.transport import messages
+from bambooglade_standins import platform_server
 from bambooglade_standins.key_value import server
 from bambooglade_standins.key_value import store as stores
 
@@ -19,7 +21,7 @@
 @pytest.fixture(name="running")
 def _running():
     application = server.KeyValueApplication(stores.MemoryStore())
-    http = server.make_server(application, host="127.0.0.1", port=0)
+    http = platform_server.make_server(application, host="127.0.0.1", port=0)
     thread = threading.Thread(target=http.serve_forever)
     thread.start()
     yield application, f"http://127.0.0.1:{http.port}"
@@ -159,18 +161,22 @@
     assert store.keep_alive(lease_id, now_ms=1_901) == 0
 
 
+def _post(url, body):
+    client = http_client.HttpClient()
+    answer = client.request(messages.Request(method="POST", url=url, body=body))
+    return answer.unwrap()
+
+
 def test_leases_and_faults_over_http(running):
     application, url = running
-    client = http_client.HttpClient(
-        connect_timeout_ms=TIMEOUT_MS, timeout_ms=TIMEOUT_MS
-    )
-    granted = client.post(f"{url}/v3/lease/grant", b'{"TTL": 5}')
+    granted = _post(f"{url}/v3/lease/grant", b'{"TTL": 5}')
     lease_id = msgspec.json.decode(granted.body)["ID"]
     body = msgspec.json.encode({"ID": lease_id})
-    renewed = client.post(f"{url}/v3/lease/keepalive", body)
+    renewed = _post(f"{url}/v3/lease/keepalive", body)
     assert msgspec.json.decode(renewed.body)["result"]["TTL"] == "5"
-    assert client.post(f"{url}/v3/lease/revoke", body).status == 200
-    client.post(f"{url}/control/faults", b'{"answering": "down"}')
+    assert _post(f"{url}/v3/lease/revoke", body).head.status == 200
+    _post(f"{url}/control/faults", b'{"answering": "down"}')
     assert application.store.answering is stores.Answering.DOWN
-    assert client.post(f"{url}/v3/kv/range", b'{"key": "YQ=="}').status == 503
-    assert client.post(f"{url}/v3/nothing", b"{}").status == 404
+    refused = _post(f"{url}/v3/kv/range", b'{"key": "YQ=="}')
+    assert refused.head.status == 503
+    assert _post(f"{url}/v3/nothing", b"{}").head.status == 404
--- /dev/null
+++ b/packages/bambooglade/bambooglade/platform/document_client.py
@@ -0,0 +1,125 @@
+"""Makes the calls to the key-value service that the decisions ask for."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from concurrent import futures
+import threading
+
+from bambooglade.core import clock as clocks
+from bambooglade.core import effects
+from bambooglade.platform import call_budget
+from bambooglade.platform import call_queue
+from bambooglade.platform import ports
+
+THREADS = 4
+
+Deliver = Callable[[effects.DocumentAnswer], None]
+
+
+class DocumentClient:
+    """Queues requests, calls the service on threads, delivers the answers.
+
+    `submit` does not block. `tick` has to be called regularly, as requests may
+    wait for the budget.
+
+    Args:
+        store: The service.
+        budget: Shared with the watches of the same service.
+        clock: Tells the time.
+        deliver: Takes each answer; called from the threads of this client, or
+            from within `submit` when the queue is full.
+    """
+
+    __slots__ = (
+        "_budget",
+        "_clock",
+        "_closed",
+        "_deliver",
+        "_executor",
+        "_lock",
+        "_queue",
+        "_store",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: ports.KeyValueStore,
+        budget: call_budget.CallBudget,
+        clock: clocks.Clock,
+        deliver: Deliver,
+    ) -> None:
+        self._store = store
+        self._budget = budget
+        self._queue = call_queue.CallQueue(budget)
+        self._clock = clock
+        self._deliver = deliver
+        self._lock = threading.Lock()
+        self._closed = False
+        self._executor = futures.ThreadPoolExecutor(
+            max_workers=THREADS, thread_name_prefix="documents"
+        )
+
+    def submit(self, request: call_queue.Request) -> None:
+        """Queues a request; its answer comes through `deliver`."""
+        with self._lock:
+            answers = list(self._queue.put(request, self._clock.now_ms()))
+        self._deliver_all(answers)
+        self._send_due()
+
+    def tick(self) -> None:
+        """Sends what may be sent by now, and ends what waited too long."""
+        with self._lock:
+            answers = list(self._queue.expired(self._clock.now_ms()))
+        self._deliver_all(answers)
+        self._send_due()
+
+    def set_fleet_size(self, fleet_size: int) -> None:
+        """Takes the share of a fleet of this size."""
+        with self._lock:
+            self._budget.set_fleet_size(fleet_size, now_ms=self._clock.now_ms())
+
+    def take_read(self) -> bool:
+        """Returns whether a read or a watch may start now, and counts it."""
+        with self._lock:
+            return self._budget.take_read(now_ms=self._clock.now_ms())
+
+    def note(self, *, answered: bool) -> None:
+        """Notes how a call fared that was made with `take_read`."""
+        with self._lock:
+            if answered:
+                self._budget.backoff.succeeded()
+            else:
+                self._budget.backoff.failed(self._clock.now_ms())
+
+    def close(self) -> None:
+        """Waits for the calls in progress and stops the threads."""
+        with self._lock:
+            self._closed = True
+        self._executor.shutdown(wait=True)
+
+    def _send_due(self) -> None:
+        with self._lock:
+            if self._closed:
+                return
+            for request in self._queue.due(self._clock.now_ms()):
+                self._executor.submit(self._call, request)
+
+    def _call(self, request: call_queue.Request) -> None:
+        if isinstance(request, effects.ReadDocument):
+            answer = self._store.read(request)
+        else:
+            answer = self._store.write(request)
+        with self._lock:
+            answers = list(self._queue.answered(answer, self._clock.now_ms()))
+        self._deliver_all(answers)
+        self._send_due()
+
+    def _deliver_all(self, answers: Iterable[effects.DocumentAnswer]) -> None:
+        for answer in answers:
+            self._deliver(answer)
+
+    def __repr__(self) -> str:
+        return f"DocumentClient({self._queue!r})"
--- a/packages/bambooglade/bambooglade/platform/key_value.py
+++ b/packages/bambooglade/bambooglade/platform/key_value.py
@@ -9,17 +9,20 @@
 
 import base64
 from collections.abc import Iterator
+import threading
 
 import msgspec
 
 from bambooglade.core import effects
 from bambooglade.platform import ports
-from bambooglade.platform import watch_stream
-from bambooglade.transport import http_client
+from bambooglade.transport import client as http_client
+from bambooglade.transport import messages
 
 CONNECT_TIMEOUT_MS = 1_000
 CALL_TIMEOUT_MS = 3_000
+MAX_WATCH_BYTES = 1_000_000_000
 _OK = 200
+_HEADERS = (messages.Header("Content-Type", "application/json"),)
 
 
 class _KeyValue(msgspec.Struct):
@@ -59,21 +62,33 @@
     """Speaks to the key-value service over HTTP.
 
     A write is reported as conflicted only when the service said so; every
-    other missing or unexpected answer leaves its outcome uncertain.
+    other missing or unexpected answer leaves its outcome uncertain. A write is
+    sent at most once: sent again by the library after a lost answer, it would
+    conflict with itself.
 
     Args:
         url: Base URL, for instance `http://127.0.0.1:2379`.
+        client: Sends the requests.
         timeout_ms: Limit on one call.
     """
 
-    __slots__ = ("_client", "_url")
+    __slots__ = ("_client", "_closed", "_timeout_ms", "_url")
 
-    def __init__(self, *, url: str, timeout_ms: int = CALL_TIMEOUT_MS) -> None:
+    def __init__(
+        self,
+        *,
+        url: str,
+        client: http_client.HttpClient | None = None,
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> None:
         self._url = url.rstrip("/")
-        self._client = http_client.HttpClient(
-            connect_timeout_ms=min(CONNECT_TIMEOUT_MS, timeout_ms),
-            timeout_ms=timeout_ms,
-        )
+        self._client = client or http_client.HttpClient()
+        self._timeout_ms = timeout_ms
+        self._closed = threading.Event()
+
+    def close(self) -> None:
+        """Ends the watches."""
+        self._closed.set()
 
     def read(self, request: effects.ReadDocument) -> effects.DocumentAnswer:
         """Reads one key."""
@@ -86,7 +101,9 @@
 
     def write(self, request: effects.WriteDocument) -> effects.DocumentAnswer:
         """Writes one key by compare-and-swap."""
-        answer = self._post("/v3/kv/txn", _transaction(request))
+        answer = self._post(
+            "/v3/kv/txn", _transaction(request), may_be_resent=False
+        )
         decoded = _decode(answer, _TransactionAnswer)
         if decoded is None:
             return effects.WriteUncertain(key=request.key)
@@ -104,14 +121,17 @@
         self, prefix: str, *, after_revision: int, timeout_ms: int
     ) -> Iterator[ports.DocumentChanged]:
         """Yields changes below a prefix, until the time-out or a failure."""
-        body = _watch_request(prefix, after_revision)
-        lines = watch_stream.lines(
-            f"{self._url}/v3/watch",
-            body,
-            connect_timeout_ms=CONNECT_TIMEOUT_MS,
-            timeout_ms=timeout_ms,
+        request = messages.Request(
+            method="POST",
+            url=f"{self._url}/v3/watch",
+            headers=_HEADERS,
+            body=_watch_request(prefix, after_revision),
+            connect_timeout_ms=min(CONNECT_TIMEOUT_MS, self._timeout_ms),
+            total_timeout_ms=timeout_ms,
+            max_answer_bytes=MAX_WATCH_BYTES,
         )
-        for line in lines:
+        parts = self._client.stream(request, cancelled=self._closed.is_set)
+        for line in _lines(_body(parts)):
             try:
                 result = msgspec.json.decode(line, type=_WatchLine).result
             except msgspec.DecodeError:
@@ -139,11 +159,23 @@
             for kv in decoded.kvs
         ]
 
-    def _post(self, path: str, body: bytes) -> bytes | None:
-        answer = self._client.post(self._url + path, body)
-        if answer is None or answer.status != _OK:
+    def _post(
+        self, path: str, body: bytes, *, may_be_resent: bool = True
+    ) -> bytes | None:
+        request = messages.Request(
+            method="POST",
+            url=self._url + path,
+            headers=_HEADERS,
+            body=body,
+            may_be_resent=may_be_resent,
+            connect_timeout_ms=min(CONNECT_TIMEOUT_MS, self._timeout_ms),
+            first_byte_timeout_ms=self._timeout_ms,
+            total_timeout_ms=self._timeout_ms,
+        )
+        answered = self._client.request(request)
+        if answered.is_err() or answered.unwrap().head.status != _OK:
             return None
-        return answer.body
+        return answered.unwrap().body
 
     def __repr__(self) -> str:
         return f"HttpKeyValueStore(url={self._url!r})"
@@ -170,6 +202,21 @@
     return msgspec.json.encode({"create_request": create})
 
 
+def _body(parts: Iterator[messages.ResponseHead | bytes]) -> Iterator[bytes]:
+    for part in parts:
+        if isinstance(part, bytes):
+            yield part
+        elif part.status != _OK:
+            return
+
+
+def _lines(chunks: Iterator[bytes]) -> Iterator[bytes]:
+    buffered = b""
+    for chunk in chunks:
+        *whole, buffered = (buffered + chunk).split(b"\n")
+        yield from (line for line in whole if line.strip())
+
+
 def _changed(event: _Event) -> ports.DocumentChanged:
     return ports.DocumentChanged(
         key=event.kv.key.decode(),
--- a/packages/bambooglade/bambooglade/table/replica.py
+++ b/packages/bambooglade/bambooglade/table/replica.py
@@ -208,6 +208,16 @@
             self._editor.document_answered(answer, now_ms)
         )
 
+    def snapshot_read(
+        self, values: Sequence[effects.DocumentRead], now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Installs all pages at once; those without a value are empty."""
+        found = {value.key: value for value in values}
+        for number in range(self._installed.page_count):
+            key = pages.document_key(number)
+            missing = effects.DocumentRead(key=key, revision=0, value=None)
+            yield from self._page_read(found.get(key, missing), now_ms)
+
     def tick(self, now_ms: int) -> Iterator[effects.Effects]:
         """Reads, compares, repairs and repeats, as far as each is due."""
         yield from self._read_pages(now_ms)
--- a/packages/bambooglade/bambooglade/transport/peers.py
+++ b/packages/bambooglade/bambooglade/transport/peers.py
@@ -18,7 +18,8 @@
 from bambooglade.core import effects
 from bambooglade.core import failures
 from bambooglade.core import identifiers
-from bambooglade.transport import http_client
+from bambooglade.transport import client as http_client
+from bambooglade.transport import messages
 from bambooglade.transport import peer_queue
 from bambooglade.transport import sealing
 
@@ -46,6 +47,8 @@
         clock: Tells the time for pauses after failures.
         url_of: Returns the base URL of an instance, or None.
         receive: Takes the messages that come back in answers.
+        client: Posts the batches; one that trusts the fleet's certificates
+            where TLS is used.
         threads: How many batches may be on their way.
     """
 
@@ -56,15 +59,14 @@
         clock: clocks.Clock,
         url_of: Callable[[identifiers.InstanceId], str | None],
         receive: Receive,
+        client: http_client.HttpClient | None = None,
         threads: int = THREADS,
     ) -> None:
         self._sealer = sealer
         self._clock = clock
         self._url_of = url_of
         self._receive = receive
-        self._client = http_client.HttpClient(
-            connect_timeout_ms=CONNECT_TIMEOUT_MS, timeout_ms=TIMEOUT_MS
-        )
+        self._client = client or http_client.HttpClient()
         self._lock = threading.Lock()
         self._queues = peer_queue.PeerQueues()
         self._executor = futures.ThreadPoolExecutor(
@@ -131,25 +133,17 @@
         if url is None:
             return False
         sealed = self._sealer.seal(recipient, batch)
-        answer = self._client.post(
-            url + PATH,
-            sealed.body,
-            headers={sealing.SIGNATURE_HEADER: sealed.signature},
-        )
-        if answer is None or answer.status != _OK:
+        answered = self._client.request(_request(url, sealed))
+        if answered.is_err() or answered.unwrap().head.status != _OK:
             logging.log_every_n_seconds(
-                logging.WARNING,
-                "event=peer_unreachable peer=%s status=%s",
-                1,
-                recipient,
-                answer.status if answer else "none",
+                logging.WARNING, "event=peer_unreachable peer=%s", 1, recipient
             )
             return False
-        self._take_answer(answer)
+        self._take_answer(answered.unwrap())
         return True
 
-    def _take_answer(self, answer: http_client.HttpAnswer) -> None:
-        signature = answer.headers.get(sealing.SIGNATURE_HEADER.lower(), "")
+    def _take_answer(self, answer: messages.Response) -> None:
+        signature = answer.head.header(sealing.SIGNATURE_HEADER.lower())
         opened = self._sealer.open(
             sealing.Sealed(body=answer.body, signature=signature)
         )
@@ -166,3 +160,18 @@
 
     def __repr__(self) -> str:
         return f"Peers({self._queues!r})"
+
+
+def _request(url: str, sealed: sealing.Sealed) -> messages.Request:
+    return messages.Request(
+        method="POST",
+        url=url + PATH,
+        headers=(
+            messages.Header("Content-Type", "application/json"),
+            messages.Header(sealing.SIGNATURE_HEADER, sealed.signature),
+        ),
+        body=sealed.body,
+        connect_timeout_ms=CONNECT_TIMEOUT_MS,
+        first_byte_timeout_ms=TIMEOUT_MS,
+        total_timeout_ms=TIMEOUT_MS,
+    )
