--- a/packages/bambooglade-standins/bambooglade_standins/faults.py
+++ b/packages/bambooglade-standins/bambooglade_standins/faults.py
@@ -54,12 +54,12 @@
 
     def __init__(self, faults: Faults | None = None) -> None:
         self._lock = threading.Lock()
-        self._faults = faults or Faults()
+        self.set(faults or Faults())
 
     def set(self, faults: Faults) -> None:
-        """Replaces the faults."""
+        """Replaces the faults; keeps a copy, since `remaining` counts down."""
         with self._lock:
-            self._faults = faults
+            self._faults = msgspec.structs.replace(faults)
 
     def next(self) -> Faults:
         """Returns the faults for the next request."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/target_directory.py
@@ -0,0 +1,262 @@
+"""The routing policy behind one lock, for the threads that serve requests.
+
+See Also:
+    bambooglade.targets: the policy itself, free of threads.
+    bambooglade.router.target_watcher: feeds it from the targets.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import threading
+
+from bambooglade.core import clock as clocks
+from bambooglade.core import identifiers
+from bambooglade.table import rows
+from bambooglade.table import view
+from bambooglade.targets import affinity
+from bambooglade.targets import breaker
+from bambooglade.targets import chooser
+from bambooglade.targets import latency
+from bambooglade.targets import leaving
+from bambooglade.targets import load
+from bambooglade.targets import retry_budget
+from bambooglade.targets import target as target_lib
+from bambooglade.targets import weights
+
+
+class TargetDirectory:
+    """Chooses targets, and learns from what became of the dispatches.
+
+    Args:
+        availability_zone: The own zone.
+        instance_id: The own instance.
+        table: The rows in force.
+        clock: The clock.
+        leaving_targets: Shared with the gossip about leaving targets.
+
+    Examples:
+        >>> table = view.FixedTable([rows.TargetRow(target_id="e1",
+        ...     service="jury", availability_zone="z", url="http://127.0.0.1")])
+        >>> directory = TargetDirectory(availability_zone="z",
+        ...     instance_id="i1", table=table, clock=clocks.ManualClock())
+        >>> directory.choose("jury", blocks=(), tried=()).target.target_id
+        'e1'
+    """
+
+    __slots__ = (
+        "_availability_zone",
+        "_breakers",
+        "_budget",
+        "_clock",
+        "_latency",
+        "_leaving",
+        "_load",
+        "_lock",
+        "_prefixes",
+        "_table",
+        "_weights",
+    )
+
+    def __init__(
+        self,
+        *,
+        availability_zone: identifiers.AvailabilityZone,
+        instance_id: identifiers.InstanceId,
+        table: view.TableView,
+        clock: clocks.Clock,
+        leaving_targets: leaving.LeavingTargets | None = None,
+    ) -> None:
+        self._availability_zone = availability_zone
+        self._table = table
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._load = load.LoadTracker()
+        self._latency = latency.LatencyTracker()
+        self._prefixes = affinity.PrefixIndex()
+        self._breakers = breaker.CircuitBreakers()
+        self._budget = retry_budget.RetryBudget()
+        self._weights = weights.WeightCache(instance_id=instance_id)
+        self._leaving = leaving_targets or leaving.LeavingTargets()
+
+    def choose(
+        self,
+        service: identifiers.ServiceName,
+        *,
+        blocks: Sequence[str],
+        tried: Sequence[identifiers.TargetId],
+    ) -> chooser.Choice:
+        """Chooses a target.
+
+        Args:
+            service: The service.
+            blocks: Hashes of the prompt's blocks; see `affinity.blocks_of`.
+            tried: Targets that failed for this request.
+        """
+        now_ms = self._clock.now_ms()
+        targets = list(target_lib.of_service(self._table, service))
+        with self._lock:
+            shut_out = self._breakers.shut_out(
+                [target.target_id for target in targets], now_ms
+            )
+            candidates = [
+                self._candidate(
+                    target,
+                    blocks,
+                    now_ms,
+                    excluded=self._exclusion(target, tried, shut_out, now_ms),
+                )
+                for target in targets
+            ]
+        return chooser.choose(candidates, self._availability_zone)
+
+    def started(
+        self,
+        target_id: identifiers.TargetId,
+        attempt_id: str,
+        blocks: Sequence[str] = (),
+    ) -> None:
+        """Notes a dispatch."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            self._load.started(target_id, attempt_id, now_ms)
+            self._breakers.probing(target_id, now_ms)
+            self._prefixes.dispatched(target_id, blocks, now_ms)
+
+    def ended(
+        self,
+        target_id: identifiers.TargetId,
+        attempt_id: str,
+        *,
+        is_whole: bool | None,
+        unit_ms: float | None = None,
+    ) -> None:
+        """Notes the end of a dispatch.
+
+        Args:
+            target_id: The target.
+            attempt_id: The dispatch.
+            is_whole: Whether the answer was whole; None when the router gave
+                it up, which says nothing about the target.
+            unit_ms: Time per unit of work, for comparing targets.
+        """
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            self._load.ended(target_id, attempt_id, now_ms)
+            if is_whole:
+                self._breakers.succeeded(target_id)
+            elif is_whole is not None:
+                self._breakers.failed(target_id, now_ms)
+            if is_whole and unit_ms is not None:
+                self._latency.observed(target_id, unit_ms, now_ms)
+
+    def earn_retries(self) -> None:
+        """Notes a request's first attempt, for the retry budget."""
+        with self._lock:
+            self._budget.earn()
+
+    def may_retry(self) -> bool:
+        """Returns whether the retry budget allows another attempt."""
+        with self._lock:
+            return self._budget.take()
+
+    def reported(
+        self, target: target_lib.Target, report: load.LoadReport
+    ) -> None:
+        """Takes a target's load report."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            self._load.reported(target.target_id, report, now_ms)
+        if report.leaving:
+            self.is_leaving(target.target_id, target.url, leaving.Source.TARGET)
+
+    def is_leaving(
+        self,
+        target_id: identifiers.TargetId,
+        url: str,
+        source: leaving.Source,
+    ) -> None:
+        """Takes a sign that a target is leaving."""
+        sign = leaving.LeavingSign(target_id=target_id, url=url)
+        with self._lock:
+            self._leaving.signed(sign, source, self._clock.now_ms())
+
+    def cache_events(
+        self,
+        target_id: identifiers.TargetId,
+        events: Sequence[affinity.CacheEvent],
+    ) -> None:
+        """Takes cache events of a target."""
+        with self._lock:
+            self._prefixes.seen(target_id, events, self._clock.now_ms())
+
+    def last_cache_seq(self, target_id: identifiers.TargetId) -> int:
+        """Returns the number of the last cache event that was seen."""
+        with self._lock:
+            return self._prefixes.last_seq(target_id)
+
+    def refresh_weights(
+        self, read: Callable[[], Mapping[identifiers.TargetId, float] | None]
+    ) -> None:
+        """Reads the weight store if that is due."""
+        with self._lock:
+            is_due = self._weights.is_due(self._clock.now_ms())
+        if not is_due:
+            return
+        weight_by_target = read()
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            if weight_by_target is None:
+                self._weights.refused(now_ms)
+            else:
+                self._weights.read(weight_by_target, now_ms)
+
+    def all_targets(self) -> list[target_lib.Target]:
+        """Returns the targets of all services."""
+        services = {row.service for row in self._table.of_type(rows.TargetRow)}
+        return [
+            target
+            for service in sorted(services)
+            for target in target_lib.of_service(
+                self._table, identifiers.ServiceName(service)
+            )
+        ]
+
+    def _candidate(
+        self,
+        target: target_lib.Target,
+        blocks: Sequence[str],
+        now_ms: int,
+        *,
+        excluded: str,
+    ) -> chooser.Candidate:
+        target_id = target.target_id
+        cached = self._prefixes.cached_blocks(target_id, blocks, now_ms)
+        return chooser.Candidate(
+            target=target,
+            weight=self._weights.weight(target_id, default=target.weight),
+            load=self._load.estimate(target_id, now_ms),
+            slowness=self._latency.slowness(target_id, now_ms),
+            cached_share=cached / len(blocks) if blocks else 0.0,
+            excluded=excluded,
+        )
+
+    def _exclusion(
+        self,
+        target: target_lib.Target,
+        tried: Sequence[identifiers.TargetId],
+        shut_out: set[identifiers.TargetId],
+        now_ms: int,
+    ) -> str:
+        if self._leaving.is_leaving(target.target_id, target.url, now_ms):
+            return "leaving"
+        if target.target_id in tried:
+            return "tried before"
+        if target.target_id in shut_out:
+            return "circuit open"
+        return ""
+
+    def __repr__(self) -> str:
+        return f"TargetDirectory(availability_zone={self._availability_zone!r})"
--- /dev/null
+++ b/packages/bambooglade/bambooglade/targets/latency.py
@@ -0,0 +1,82 @@
+"""How fast targets answer, relative to one another."""
+
+from __future__ import annotations
+
+import math
+import statistics
+
+from bambooglade.core import identifiers
+
+HALF_LIFE_MS = 10_000
+"""Time after which an observation counts half."""
+
+SLOWEST_FACTOR = 20.0
+"""Bound on how much slower than the median a target is taken to be."""
+
+
+class LatencyTracker:
+    """Exponentially weighted mean of the time per unit of work.
+
+    What is known of a target fades while it gets no requests, so that a target
+    that recovered is tried again.
+
+    Examples:
+        >>> tracker = LatencyTracker()
+        >>> for target_id, time_ms in (("e1", 10), ("e2", 10), ("e3", 100)):
+        ...     tracker.observed(target_id, time_ms, now_ms=0)
+        >>> round(tracker.slowness("e3", now_ms=0))
+        10
+    """
+
+    __slots__ = ("_by_target",)
+
+    def __init__(self) -> None:
+        self._by_target: dict[identifiers.TargetId, _Mean] = {}
+
+    def observed(
+        self, target_id: identifiers.TargetId, time_ms: float, now_ms: int
+    ) -> None:
+        """Takes the time per unit of work of a request that ended."""
+        mean = self._by_target.setdefault(target_id, _Mean(now_ms))
+        mean.add(time_ms, now_ms)
+
+    def slowness(self, target_id: identifiers.TargetId, now_ms: int) -> float:
+        """Returns the target's time relative to the median of all; 1 or more.
+
+        A target without recent observations counts as usual.
+        """
+        mean = self._by_target.get(target_id)
+        if mean is None or len(self._by_target) < 2:
+            return 1.0
+        median = statistics.median(m.value_ms for m in self._by_target.values())
+        ratio = mean.value_ms / median if median > 0 else 1.0
+        excess = (ratio - 1.0) * mean.confidence(now_ms)
+        return min(max(1.0, 1.0 + excess), SLOWEST_FACTOR)
+
+    def typical_ms(self, target_id: identifiers.TargetId) -> float | None:
+        """Returns the mean time per unit of work, or None when unknown."""
+        mean = self._by_target.get(target_id)
+        return mean.value_ms if mean else None
+
+    def __repr__(self) -> str:
+        return f"LatencyTracker(targets={len(self._by_target)})"
+
+
+class _Mean:
+    __slots__ = ("_last_ms", "_weight", "value_ms")
+
+    def __init__(self, now_ms: int) -> None:
+        self._last_ms = now_ms
+        self._weight = 0.0
+        self.value_ms = 0.0
+
+    def add(self, time_ms: float, now_ms: int) -> None:
+        self._weight *= self.confidence(now_ms)
+        total = self.value_ms * self._weight + time_ms
+        self._weight += 1.0
+        self.value_ms = total / self._weight
+        self._last_ms = max(now_ms, self._last_ms)
+
+    def confidence(self, now_ms: int) -> float:
+        age_ms = max(0, now_ms - self._last_ms)
+        return math.exp2(-age_ms / HALF_LIFE_MS)
--- /dev/null
+++ b/packages/bambooglade/bambooglade/targets/target.py
@@ -0,0 +1,55 @@
+"""Targets, as the routing policy sees them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+from bambooglade.core import identifiers
+from bambooglade.table import rows
+from bambooglade.table import view
+
+
+class Target(msgspec.Struct, frozen=True, kw_only=True):
+    """A target of a service.
+
+    Attributes:
+        target_id: Name of the target.
+        service: Service that it serves.
+        availability_zone: Where it stands.
+        url: Base URL, with an IP number.
+        weight: Capacity weight, relative to the other targets.
+    """
+
+    target_id: identifiers.TargetId
+    service: identifiers.ServiceName
+    availability_zone: identifiers.AvailabilityZone
+    url: str
+    weight: float = 1.0
+
+
+def of_service(
+    table: view.TableView, service: identifiers.ServiceName
+) -> Iterator[Target]:
+    """Yields the targets of a service, sorted by name.
+
+    Examples:
+        >>> table = view.FixedTable([rows.TargetRow(target_id="e1",
+        ...     service="jury", availability_zone="z", url="http://127.0.0.1")])
+        >>> [target.target_id for target in of_service(table, "jury")]
+        ['e1']
+    """
+    return (
+        Target(
+            target_id=identifiers.TargetId(row.target_id),
+            service=service,
+            availability_zone=identifiers.AvailabilityZone(
+                row.availability_zone
+            ),
+            url=row.url.rstrip("/"),
+            weight=row.weight,
+        )
+        for row in table.of_type(rows.TargetRow)
+        if row.service == service
+    )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/targets/weights.py
@@ -0,0 +1,80 @@
+"""Capacity weights from the rate-limited weight store."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from bambooglade.core import hashing
+from bambooglade.core import identifiers
+
+READ_PERIOD_MS = 5_000
+MAX_BACKOFF_MS = 60_000
+_JITTER_STEPS = 1_000
+
+
+class WeightCache:
+    """Keeps the weights last read, also while the store refuses or is down.
+
+    Args:
+        instance_id: Spreads the reads of the instances over the period.
+        read_period_ms: Pause between two reads.
+
+    Examples:
+        >>> cache = WeightCache(instance_id="i1")
+        >>> cache.is_due(0)
+        True
+        >>> cache.read({"e1": 2.0}, 0)
+        >>> cache.weight("e1", default=1.0), cache.is_due(1)
+        (2.0, False)
+    """
+
+    __slots__ = (
+        "_backoff_ms",
+        "_jitter",
+        "_next_ms",
+        "_read_period_ms",
+        "_weight_by_target",
+    )
+
+    def __init__(
+        self, *, instance_id: str, read_period_ms: int = READ_PERIOD_MS
+    ) -> None:
+        step = hashing.stable_hash(instance_id) % _JITTER_STEPS
+        self._jitter = 1.0 + step / _JITTER_STEPS
+        self._read_period_ms = read_period_ms
+        self._backoff_ms = read_period_ms
+        self._next_ms = 0
+        self._weight_by_target: dict[identifiers.TargetId, float] = {}
+
+    def is_due(self, now_ms: int) -> bool:
+        """Returns whether the store should be read."""
+        return now_ms >= self._next_ms
+
+    def read(
+        self, weights: Mapping[identifiers.TargetId, float], now_ms: int
+    ) -> None:
+        """Takes the weights that were read; a target without one keeps its."""
+        self._weight_by_target.update(
+            (target_id, weight)
+            for target_id, weight in weights.items()
+            if weight >= 0
+        )
+        self._backoff_ms = self._read_period_ms
+        self._put_off(now_ms)
+
+    def refused(self, now_ms: int) -> None:
+        """Notes that the store gave no answer; the next read waits longer."""
+        self._backoff_ms = min(self._backoff_ms * 2, MAX_BACKOFF_MS)
+        self._put_off(now_ms)
+
+    def weight(
+        self, target_id: identifiers.TargetId, *, default: float
+    ) -> float:
+        """Returns the weight of a target, or the default of its row."""
+        return self._weight_by_target.get(target_id, default)
+
+    def _put_off(self, now_ms: int) -> None:
+        self._next_ms = now_ms + int(self._backoff_ms * self._jitter)
+
+    def __repr__(self) -> str:
+        return f"WeightCache(targets={len(self._weight_by_target)})"
--- a/packages/bambooglade/bambooglade/transport/exchange.py
+++ b/packages/bambooglade/bambooglade/transport/exchange.py
@@ -104,6 +104,7 @@
         curl.setopt(pycurl.PROXY, "")
         curl.setopt(pycurl.NOSIGNAL, True)
         curl.setopt(pycurl.FOLLOWLOCATION, False)
+        curl.setopt(pycurl.PATH_AS_IS, True)
         curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         curl.setopt(pycurl.TCP_NODELAY, True)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, request.connect_timeout_ms)
