--- /dev/null
+++ b/packages/bambooglade/bambooglade/fleet/gossip.py
@@ -0,0 +1,367 @@
+"""Pings, their answers, and what rides on them.
+
+Each period an instance pings one other; if there is no answer it asks a few
+more to ping it, and only then suspects it. A suspected member has time to
+refute that. All beliefs ride on pings and their answers, and digests find what
+they missed.
+
+See Also:
+    bambooglade.fleet.membership: the view of the fleet that results.
+    docs/design/fleet.md: the ways weighed, and what a node spends on it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import functools
+import random
+
+from absl import logging
+import msgspec
+
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+from bambooglade.fleet import beliefs
+from bambooglade.fleet import contacts as contacts_
+from bambooglade.fleet import members as members_
+from bambooglade.fleet import messages
+from bambooglade.fleet import probing
+from bambooglade.shards import assignments
+
+CONTACT_PERIOD_MS = 5_000
+"""Pause between attempts to reach a seed, or a member believed dead."""
+SYNC_PERIOD_MS = 10_000
+"""Least pause between two comparisons of all digests."""
+FORGET_PERIOD_MS = 60_000
+ANNOUNCE_FANOUT = 3
+
+
+class Gossip:
+    """Detects failures, and spreads beliefs with a constant fan-out.
+
+    Args:
+        own: This instance as it presents itself.
+        seeds: Base URLs of instances from the settings.
+        assignment_map: Assignments to spread and to learn.
+        random_source: Seeded in tests.
+    """
+
+    message_types = (
+        messages.Ping,
+        messages.Ack,
+        messages.PingRequest,
+        messages.StateDigests,
+        messages.StatePart,
+    )
+
+    def __init__(
+        self,
+        *,
+        own: messages.MemberUpdate,
+        seeds: Iterable[str],
+        assignment_map: assignments.AssignmentMap,
+        random_source: random.Random,
+    ) -> None:
+        self._id = own.instance_id
+        self._random = random_source
+        self._beliefs = beliefs.Beliefs(assignment_map)
+        self._contacts = contacts_.Contacts(own_url=own.url, seeds=seeds)
+        self._probes = probing.Probes(
+            instance_id=own.instance_id, random_source=random_source
+        )
+        self._next_contact_ms = 0
+        self._next_sync_ms = 0
+        self._next_forget_ms = 0
+        self._beliefs.learn_member(own, now_ms=0)
+
+    @property
+    def members(self) -> members_.Members:
+        """What this instance believes of the members."""
+        return self._beliefs.members
+
+    @property
+    def contacts(self) -> contacts_.Contacts:
+        """Addresses to try when nobody else is known."""
+        return self._contacts
+
+    def peers(self) -> tuple[identifiers.InstanceId, ...]:
+        """Returns all other instances that are not believed dead, sorted."""
+        return tuple(
+            sorted(
+                member.update.instance_id
+                for member in self.members.live()
+                if member.update.instance_id != self._id
+            )
+        )
+
+    def handle(
+        self,
+        message: effects.Message,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        """Decides on a message of another instance."""
+        self._beliefs.take_in_changes()
+        yield from self._handle(message, sender, now_ms)
+
+    @functools.singledispatchmethod
+    def _handle(
+        self,
+        message: effects.Message,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        del message, sender, now_ms
+        return iter(())
+
+    @_handle.register
+    def _(
+        self,
+        message: messages.Ping,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        self._take_in(message.members, message.places, now_ms)
+        news = self._news_for(sender)
+        ack = messages.Ack(
+            sequence=message.sequence,
+            digest=self._beliefs.root,
+            subject=self._id,
+            origin=message.origin,
+            members=news.members,
+            places=news.places,
+        )
+        yield effects.Send(recipient=sender, message=ack)
+        yield from self._compare(message.digest, sender, now_ms)
+
+    @_handle.register
+    def _(
+        self,
+        message: messages.Ack,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        self._take_in(message.members, message.places, now_ms)
+        if message.origin is not None and message.origin != self._id:
+            forwarded = msgspec.structs.replace(
+                message, members=(), places=(), digest=self._beliefs.root
+            )
+            yield effects.Send(recipient=message.origin, message=forwarded)
+            return
+        self._probes.answered(message.sequence, message.subject)
+        yield from self._compare(message.digest, sender, now_ms)
+
+    @_handle.register
+    def _(
+        self,
+        message: messages.PingRequest,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        del now_ms
+        yield self._ping(message.subject, message.sequence, origin=sender)
+
+    @_handle.register
+    def _(
+        self,
+        message: messages.StateDigests,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        del now_ms
+        part = self._beliefs.differences(message)
+        if part.wanted_buckets:
+            yield effects.Send(recipient=sender, message=part)
+
+    @_handle.register
+    def _(
+        self,
+        message: messages.StatePart,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        before = self._beliefs.root
+        if message.wanted_buckets:
+            buckets = list(message.wanted_buckets)
+            own = self._beliefs.part(buckets, ask=False)
+            yield effects.Send(recipient=sender, message=own)
+        self._take_in(message.members, message.places, now_ms)
+        if message.more and self._beliefs.root != before:
+            yield effects.Send(
+                recipient=sender, message=self._beliefs.digests()
+            )
+
+    def tick(self, now_ms: int) -> Iterator[effects.Effects]:
+        """Probes, suspects and contacts, as far as each is due."""
+        self._beliefs.take_in_changes()
+        self._probes.notice_pause(now_ms)
+        yield from self._continue_probes(now_ms)
+        self._end_suspicions(now_ms)
+        yield from self._start_probe(now_ms)
+        yield from self._contact(now_ms)
+        if now_ms >= self._next_forget_ms:
+            self._next_forget_ms = now_ms + FORGET_PERIOD_MS
+            self._beliefs.forget_dead(now_ms=now_ms)
+
+    def _continue_probes(self, now_ms: int) -> Iterator[effects.Effects]:
+        for probe in self._probes.unanswered(now_ms):
+            helpers = self._probes.helpers(self.peers(), probe.subject)
+            request = messages.PingRequest(
+                sequence=probe.sequence, subject=probe.subject
+            )
+            for helper in helpers:
+                yield effects.Send(recipient=helper, message=request)
+        for probe in self._probes.failed(now_ms):
+            self._suspect(probe.subject, now_ms)
+
+    def _suspect(self, subject: identifiers.InstanceId, now_ms: int) -> None:
+        member = self.members.get(subject)
+        if member and member.update.status is messages.Status.ALIVE:
+            self.learn(
+                msgspec.structs.replace(
+                    member.update, status=messages.Status.SUSPECT
+                ),
+                now_ms,
+            )
+
+    def _end_suspicions(self, now_ms: int) -> None:
+        suspects = [
+            member
+            for member in self.members.live()
+            if member.update.status is messages.Status.SUSPECT
+        ]
+        for member in suspects:
+            since_ms = max(member.changed_at_ms, self._probes.resumed_at_ms)
+            if now_ms - since_ms >= self._suspicion_ms():
+                self.learn(
+                    msgspec.structs.replace(
+                        member.update, status=messages.Status.DEAD
+                    ),
+                    now_ms,
+                )
+
+    def _suspicion_ms(self) -> int:
+        return probing.suspicion_ms(sum(1 for _ in self.members.live()))
+
+    def _start_probe(self, now_ms: int) -> Iterator[effects.Effects]:
+        subject = self._probes.next_subject(self.peers, now_ms)
+        if subject is not None:
+            probe = self._probes.start(subject, now_ms)
+            yield self._ping(subject, probe.sequence)
+
+    def _contact(self, now_ms: int) -> Iterator[effects.Effects]:
+        if now_ms < self._next_contact_ms:
+            return
+        jitter_ms = self._random.randrange(CONTACT_PERIOD_MS // 5)
+        self._next_contact_ms = now_ms + CONTACT_PERIOD_MS - jitter_ms
+        recipient = self._contacts.choose(self.members, self._id, self._random)
+        if recipient is not None:
+            yield self._ping(recipient, probing.CONTACT_SEQUENCE)
+
+    def _ping(
+        self,
+        recipient: identifiers.InstanceId,
+        sequence: int,
+        *,
+        origin: identifiers.InstanceId | None = None,
+    ) -> effects.Send:
+        news = self._news_for(recipient)
+        ping = messages.Ping(
+            sequence=sequence,
+            digest=self._beliefs.root,
+            origin=origin,
+            members=news.members,
+            places=news.places,
+        )
+        return effects.Send(recipient=recipient, message=ping)
+
+    def _news_for(self, recipient: identifiers.InstanceId) -> beliefs.News:
+        """Returns news, with what the recipient has to know to be believed."""
+        news = self._beliefs.news()
+        known = self.members.get(recipient)
+        extra = []
+        if known is None or not known.is_live:
+            extra.append(self._own())
+        if known and known.update.status is not messages.Status.ALIVE:
+            extra.append(known.update)
+        return msgspec.structs.replace(news, members=(*news.members, *extra))
+
+    def _take_in(
+        self,
+        members: Iterable[messages.MemberUpdate],
+        places: Iterable[messages.AssignmentUpdate],
+        now_ms: int,
+    ) -> None:
+        for update in members:
+            if update.instance_id == self._id:
+                self._refute(update, now_ms)
+            else:
+                self.learn(update, now_ms)
+        self._beliefs.learn_places(places)
+        self._beliefs.take_in_changes()
+
+    def _refute(self, update: messages.MemberUpdate, now_ms: int) -> None:
+        """Answers a belief about this instance that is not its own."""
+        own = self._own()
+        gone = own.status is messages.Status.DEAD
+        doubted = (
+            update.status is not messages.Status.ALIVE
+            or update.leaving != own.leaving
+        )
+        if gone or not doubted or update.incarnation < own.incarnation:
+            return
+        refuted = msgspec.structs.replace(
+            own,
+            incarnation=update.incarnation + 1,
+            leaving=own.leaving or update.leaving,
+        )
+        logging.info(
+            "event=suspicion_refuted incarnation=%d", refuted.incarnation
+        )
+        self._beliefs.learn_member(refuted, now_ms=now_ms)
+
+    def learn(self, update: messages.MemberUpdate, now_ms: int) -> None:
+        """Takes in an update on another member."""
+        if self._beliefs.learn_member(update, now_ms=now_ms):
+            logging.info(
+                "event=member_changed instance=%s status=%s leaving=%s "
+                "incarnation=%d",
+                update.instance_id,
+                update.status.name.lower(),
+                update.leaving,
+                update.incarnation,
+            )
+
+    def _compare(
+        self, digest: int, sender: identifiers.InstanceId, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        if digest == self._beliefs.root or now_ms < self._next_sync_ms:
+            return
+        self._next_sync_ms = now_ms + SYNC_PERIOD_MS
+        yield effects.Send(recipient=sender, message=self._beliefs.digests())
+
+    def announce(
+        self, now_ms: int, status: messages.Status
+    ) -> Iterator[effects.Effects]:
+        """Tells a few others at once that this instance leaves."""
+        own = self._own()
+        self._beliefs.learn_member(
+            msgspec.structs.replace(
+                own,
+                incarnation=own.incarnation + 1,
+                status=status,
+                leaving=True,
+            ),
+            now_ms=now_ms,
+        )
+        peers = self.peers()
+        fanout = min(ANNOUNCE_FANOUT, len(peers))
+        for peer in self._random.sample(peers, fanout):
+            yield self._ping(peer, probing.CONTACT_SEQUENCE)
+
+    def _own(self) -> messages.MemberUpdate:
+        return self.members.get(self._id).update
+
+    def __repr__(self) -> str:
+        return f"Gossip(instance_id={self._id!r}, {self._beliefs!r})"
--- a/packages/bambooglade/bambooglade/fleet/membership.py
+++ b/packages/bambooglade/bambooglade/fleet/membership.py
@@ -1,39 +1,25 @@
-"""Failure detection and spreading of beliefs by gossip with constant fan-out.
-
-Each period an instance pings one other; if there is no answer it asks a few
-more to ping it, and only then suspects it. A suspected member has time to
-refute that. All beliefs ride on pings and their answers, and digests find what
-they missed.
+"""The view of the fleet that one instance has.
 
 See Also:
-    docs/design/fleet.md: the ways weighed, and what a node spends on it.
+    bambooglade.fleet.gossip: how it comes about.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 from collections.abc import Iterator
-import functools
 import random
 
-from absl import logging
 import msgspec
 
 from bambooglade.core import effects
 from bambooglade.core import identifiers
-from bambooglade.fleet import beliefs
-from bambooglade.fleet import contacts as contacts_
+from bambooglade.fleet import contacts
+from bambooglade.fleet import gossip
 from bambooglade.fleet import messages
-from bambooglade.fleet import probing
 from bambooglade.platform import ports
 from bambooglade.shards import assignments
 
-CONTACT_PERIOD_MS = 5_000
-"""Pause between attempts to reach a seed, or a member believed dead."""
-SYNC_PERIOD_MS = 10_000
-"""Least pause between two comparisons of all digests."""
-FORGET_PERIOD_MS = 60_000
-ANNOUNCE_FANOUT = 3
 BUDGET_RETENTION_MS = 3_600_000
 """Members that were seen within it count as drawing on shared budgets."""
 
@@ -61,13 +47,7 @@
         ('i1',)
     """
 
-    message_types = (
-        messages.Ping,
-        messages.Ack,
-        messages.PingRequest,
-        messages.StateDigests,
-        messages.StatePart,
-    )
+    message_types = gossip.Gossip.message_types
     document_prefixes = ()
 
     def __init__(
@@ -81,15 +61,6 @@
         random_source: random.Random,
     ) -> None:
         self._id = instance_id
-        self._random = random_source
-        self._beliefs = beliefs.Beliefs(assignment_map)
-        self._contacts = contacts_.Contacts(own_url=url, seeds=seeds)
-        self._probes = probing.Probes(
-            instance_id=instance_id, random_source=random_source
-        )
-        self._next_contact_ms = 0
-        self._next_sync_ms = 0
-        self._next_forget_ms = 0
         own = messages.MemberUpdate(
             instance_id=instance_id,
             incarnation=0,
@@ -98,7 +69,12 @@
             availability_zone=availability_zone,
             url=url,
         )
-        self._beliefs.learn_member(own, now_ms=0)
+        self._gossip = gossip.Gossip(
+            own=own,
+            seeds=seeds,
+            assignment_map=assignment_map,
+            random_source=random_source,
+        )
 
     def live_in_zone(
         self, availability_zone: identifiers.AvailabilityZone
@@ -108,18 +84,18 @@
         Suspected ones are among them until they are believed dead, so that a
         false suspicion moves no work.
         """
-        return self._beliefs.members.live_in_zone(availability_zone)
+        return self._gossip.members.live_in_zone(availability_zone)
 
     def zone_of(
         self, instance_id: identifiers.InstanceId
     ) -> identifiers.AvailabilityZone | None:
         """Returns the zone of an instance, also of one that left; or None."""
-        member = self._beliefs.members.get(instance_id)
+        member = self._gossip.members.get(instance_id)
         return member.update.availability_zone if member else None
 
     def is_suspected(self, instance_id: identifiers.InstanceId) -> bool:
         """Returns whether the instance is suspected, leaving or gone."""
-        member = self._beliefs.members.get(instance_id)
+        member = self._gossip.members.get(instance_id)
         if member is None:
             return True
         return (
@@ -129,17 +105,11 @@
 
     def peers(self) -> tuple[identifiers.InstanceId, ...]:
         """Returns all other instances that are not believed dead, sorted."""
-        return tuple(
-            sorted(
-                member.update.instance_id
-                for member in self._beliefs.members.live()
-                if member.update.instance_id != self._id
-            )
-        )
+        return self._gossip.peers()
 
     def members(self) -> tuple[messages.MemberUpdate, ...]:
         """Returns what is believed of each remembered member, sorted."""
-        updates = (member.update for member in self._beliefs.members.all())
+        updates = (member.update for member in self._gossip.members.all())
         return tuple(sorted(updates, key=lambda update: update.instance_id))
 
     def fleet_size(self, *, now_ms: int) -> int:
@@ -154,38 +124,40 @@
                 not member.update.leaving
                 and now_ms - member.changed_at_ms < BUDGET_RETENTION_MS
             )
-            for member in self._beliefs.members.all()
+            for member in self._gossip.members.all()
         )
 
     def url(self, instance_id: identifiers.InstanceId) -> str | None:
         """Returns the base URL of an instance or a contact, or None."""
-        member = self._beliefs.members.get(instance_id)
+        member = self._gossip.members.get(instance_id)
         if member is not None:
             return member.update.url
-        return contacts_.url_of(instance_id)
+        return contacts.url_of(instance_id)
 
     def observe_list(
         self, listed: Iterable[ports.ListedInstance], now_ms: int
     ) -> None:
         """Takes in the platform's list; absence from it means nothing."""
         entries = tuple(listed)
-        self._contacts.listed(entry.url for entry in entries)
+        self._gossip.contacts.listed(entry.url for entry in entries)
         leaving_urls = {entry.url for entry in entries if entry.leaving}
         leaving = [
             member.update
-            for member in self._beliefs.members.live()
+            for member in self._gossip.members.live()
             if member.update.url in leaving_urls and not member.update.leaving
         ]
         for update in leaving:
-            self._learn(msgspec.structs.replace(update, leaving=True), now_ms)
+            self._gossip.learn(
+                msgspec.structs.replace(update, leaving=True), now_ms
+            )
 
     def start_leaving(self, now_ms: int) -> Iterator[effects.Effects]:
         """Announces that this instance takes on no more work."""
-        yield from self._announce(now_ms, messages.Status.ALIVE)
+        yield from self._gossip.announce(now_ms, messages.Status.ALIVE)
 
     def leave(self, now_ms: int) -> Iterator[effects.Effects]:
         """Announces that this instance is gone; the last thing it does."""
-        yield from self._announce(now_ms, messages.Status.DEAD)
+        yield from self._gossip.announce(now_ms, messages.Status.DEAD)
 
     def handle(
         self,
@@ -194,95 +166,7 @@
         now_ms: int,
     ) -> Iterator[effects.Effects]:
         """Decides on a message of another instance."""
-        self._beliefs.take_in_changes()
-        yield from self._handle(message, sender, now_ms)
-
-    @functools.singledispatchmethod
-    def _handle(
-        self,
-        message: effects.Message,
-        sender: identifiers.InstanceId,
-        now_ms: int,
-    ) -> Iterator[effects.Effects]:
-        del message, sender, now_ms
-        return iter(())
-
-    @_handle.register
-    def _(
-        self,
-        message: messages.Ping,
-        sender: identifiers.InstanceId,
-        now_ms: int,
-    ) -> Iterator[effects.Effects]:
-        self._take_in(message.members, message.places, now_ms)
-        news = self._news_for(sender)
-        ack = messages.Ack(
-            sequence=message.sequence,
-            digest=self._beliefs.root,
-            subject=self._id,
-            origin=message.origin,
-            members=news.members,
-            places=news.places,
-        )
-        yield effects.Send(recipient=sender, message=ack)
-        yield from self._compare(message.digest, sender, now_ms)
-
-    @_handle.register
-    def _(
-        self,
-        message: messages.Ack,
-        sender: identifiers.InstanceId,
-        now_ms: int,
-    ) -> Iterator[effects.Effects]:
-        self._take_in(message.members, message.places, now_ms)
-        if message.origin is not None and message.origin != self._id:
-            forwarded = msgspec.structs.replace(
-                message, members=(), places=(), digest=self._beliefs.root
-            )
-            yield effects.Send(recipient=message.origin, message=forwarded)
-            return
-        self._probes.answered(message.sequence, message.subject)
-        yield from self._compare(message.digest, sender, now_ms)
-
-    @_handle.register
-    def _(
-        self,
-        message: messages.PingRequest,
-        sender: identifiers.InstanceId,
-        now_ms: int,
-    ) -> Iterator[effects.Effects]:
-        del now_ms
-        yield self._ping(message.subject, message.sequence, origin=sender)
-
-    @_handle.register
-    def _(
-        self,
-        message: messages.StateDigests,
-        sender: identifiers.InstanceId,
-        now_ms: int,
-    ) -> Iterator[effects.Effects]:
-        del now_ms
-        part = self._beliefs.differences(message)
-        if part.wanted_buckets:
-            yield effects.Send(recipient=sender, message=part)
-
-    @_handle.register
-    def _(
-        self,
-        message: messages.StatePart,
-        sender: identifiers.InstanceId,
-        now_ms: int,
-    ) -> Iterator[effects.Effects]:
-        before = self._beliefs.root
-        if message.wanted_buckets:
-            buckets = list(message.wanted_buckets)
-            own = self._beliefs.part(buckets, ask=False)
-            yield effects.Send(recipient=sender, message=own)
-        self._take_in(message.members, message.places, now_ms)
-        if message.more and self._beliefs.root != before:
-            yield effects.Send(
-                recipient=sender, message=self._beliefs.digests()
-            )
+        return self._gossip.handle(message, sender, now_ms)
 
     def document_answered(
         self, answer: effects.DocumentAnswer, now_ms: int
@@ -293,176 +177,7 @@
 
     def tick(self, now_ms: int) -> Iterator[effects.Effects]:
         """Probes, suspects and contacts, as far as each is due."""
-        self._beliefs.take_in_changes()
-        self._probes.notice_pause(now_ms)
-        yield from self._continue_probes(now_ms)
-        self._end_suspicions(now_ms)
-        yield from self._start_probe(now_ms)
-        yield from self._contact(now_ms)
-        if now_ms >= self._next_forget_ms:
-            self._next_forget_ms = now_ms + FORGET_PERIOD_MS
-            self._beliefs.forget_dead(now_ms=now_ms)
-
-    def _continue_probes(self, now_ms: int) -> Iterator[effects.Effects]:
-        for probe in self._probes.unanswered(now_ms):
-            helpers = self._probes.helpers(self.peers(), probe.subject)
-            request = messages.PingRequest(
-                sequence=probe.sequence, subject=probe.subject
-            )
-            for helper in helpers:
-                yield effects.Send(recipient=helper, message=request)
-        for probe in self._probes.failed(now_ms):
-            self._suspect(probe.subject, now_ms)
-
-    def _suspect(self, subject: identifiers.InstanceId, now_ms: int) -> None:
-        member = self._beliefs.members.get(subject)
-        if member and member.update.status is messages.Status.ALIVE:
-            self._learn(
-                msgspec.structs.replace(
-                    member.update, status=messages.Status.SUSPECT
-                ),
-                now_ms,
-            )
-
-    def _end_suspicions(self, now_ms: int) -> None:
-        suspects = [
-            member
-            for member in self._beliefs.members.live()
-            if member.update.status is messages.Status.SUSPECT
-        ]
-        for member in suspects:
-            since_ms = max(member.changed_at_ms, self._probes.resumed_at_ms)
-            if now_ms - since_ms >= self._suspicion_ms():
-                self._learn(
-                    msgspec.structs.replace(
-                        member.update, status=messages.Status.DEAD
-                    ),
-                    now_ms,
-                )
-
-    def _suspicion_ms(self) -> int:
-        return probing.suspicion_ms(
-            sum(1 for _ in self._beliefs.members.live())
-        )
-
-    def _start_probe(self, now_ms: int) -> Iterator[effects.Effects]:
-        subject = self._probes.next_subject(self.peers, now_ms)
-        if subject is not None:
-            probe = self._probes.start(subject, now_ms)
-            yield self._ping(subject, probe.sequence)
-
-    def _contact(self, now_ms: int) -> Iterator[effects.Effects]:
-        if now_ms < self._next_contact_ms:
-            return
-        jitter_ms = self._random.randrange(CONTACT_PERIOD_MS // 5)
-        self._next_contact_ms = now_ms + CONTACT_PERIOD_MS - jitter_ms
-        recipient = self._contacts.choose(
-            self._beliefs.members, self._id, self._random
-        )
-        if recipient is not None:
-            yield self._ping(recipient, probing.CONTACT_SEQUENCE)
-
-    def _ping(
-        self,
-        recipient: identifiers.InstanceId,
-        sequence: int,
-        *,
-        origin: identifiers.InstanceId | None = None,
-    ) -> effects.Send:
-        news = self._news_for(recipient)
-        ping = messages.Ping(
-            sequence=sequence,
-            digest=self._beliefs.root,
-            origin=origin,
-            members=news.members,
-            places=news.places,
-        )
-        return effects.Send(recipient=recipient, message=ping)
-
-    def _news_for(self, recipient: identifiers.InstanceId) -> beliefs.News:
-        """Returns news, with what the recipient has to know to be believed."""
-        news = self._beliefs.news()
-        known = self._beliefs.members.get(recipient)
-        extra = []
-        if known is None or not known.is_live:
-            extra.append(self._own())
-        if known and known.update.status is not messages.Status.ALIVE:
-            extra.append(known.update)
-        return msgspec.structs.replace(news, members=(*news.members, *extra))
-
-    def _take_in(
-        self,
-        members: Iterable[messages.MemberUpdate],
-        places: Iterable[messages.AssignmentUpdate],
-        now_ms: int,
-    ) -> None:
-        for update in members:
-            if update.instance_id == self._id:
-                self._refute(update, now_ms)
-            else:
-                self._learn(update, now_ms)
-        self._beliefs.learn_places(places)
-        self._beliefs.take_in_changes()
-
-    def _refute(self, update: messages.MemberUpdate, now_ms: int) -> None:
-        """Answers a belief about this instance that is not its own."""
-        own = self._own()
-        gone = own.status is messages.Status.DEAD
-        doubted = (
-            update.status is not messages.Status.ALIVE
-            or update.leaving != own.leaving
-        )
-        if gone or not doubted or update.incarnation < own.incarnation:
-            return
-        refuted = msgspec.structs.replace(
-            own,
-            incarnation=update.incarnation + 1,
-            leaving=own.leaving or update.leaving,
-        )
-        logging.info(
-            "event=suspicion_refuted incarnation=%d", refuted.incarnation
-        )
-        self._beliefs.learn_member(refuted, now_ms=now_ms)
-
-    def _learn(self, update: messages.MemberUpdate, now_ms: int) -> None:
-        if self._beliefs.learn_member(update, now_ms=now_ms):
-            logging.info(
-                "event=member_changed instance=%s status=%s leaving=%s "
-                "incarnation=%d",
-                update.instance_id,
-                update.status.name.lower(),
-                update.leaving,
-                update.incarnation,
-            )
-
-    def _compare(
-        self, digest: int, sender: identifiers.InstanceId, now_ms: int
-    ) -> Iterator[effects.Effects]:
-        if digest == self._beliefs.root or now_ms < self._next_sync_ms:
-            return
-        self._next_sync_ms = now_ms + SYNC_PERIOD_MS
-        yield effects.Send(recipient=sender, message=self._beliefs.digests())
-
-    def _announce(
-        self, now_ms: int, status: messages.Status
-    ) -> Iterator[effects.Effects]:
-        own = self._own()
-        self._beliefs.learn_member(
-            msgspec.structs.replace(
-                own,
-                incarnation=own.incarnation + 1,
-                status=status,
-                leaving=True,
-            ),
-            now_ms=now_ms,
-        )
-        peers = self.peers()
-        fanout = min(ANNOUNCE_FANOUT, len(peers))
-        for peer in self._random.sample(peers, fanout):
-            yield self._ping(peer, probing.CONTACT_SEQUENCE)
-
-    def _own(self) -> messages.MemberUpdate:
-        return self._beliefs.members.get(self._id).update
+        return self._gossip.tick(now_ms)
 
     def __repr__(self) -> str:
-        return f"Membership(instance_id={self._id!r}, {self._beliefs!r})"
+        return f"Membership(instance_id={self._id!r}, {self._gossip!r})"
