--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,31 @@
+"""Runs all experiments and prints their results as key=value lines.
+
+`python -m benchmarks [NAME ...]` runs only the named ones.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+import sys
+
+from absl import logging
+
+from benchmarks import budget_policy
+
+EXPERIMENT_BY_NAME: dict[str, Callable[[], Iterator[str]]] = {
+    "budget_policy": budget_policy.lines,
+}
+
+
+def main(names: Iterable[str]) -> None:
+    """Runs the named experiments, or all of them."""
+    logging.set_verbosity(logging.ERROR)
+    for name in names or EXPERIMENT_BY_NAME:
+        for line in EXPERIMENT_BY_NAME[name]():
+            print(line, flush=True)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
