Start the router as a process

Cause: the parts stood side by side; no process connected them. Change: construction from the settings, the process with planned stop, the platform's list, table watch, checks of spend limits against what is granted out, descriptions of targets, and a demonstration with two zones. Conclusion: the process only wires; all decisions stay in the aggregates.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 env: $(STAMP) ## Create the virtual environment.
 
 run: env ## Start the stand-ins and two zones, and send example requests.
-	$(BIN)/python tools/demo.py
+	tools/demo/run.sh $(BIN)
 
 check: env ## Run the formatter and the linter without changing files.
 	$(BIN)/ruff format --check .
--- a/packages/bambooglade/bambooglade/router/assembly.py
+++ b/packages/bambooglade/bambooglade/router/assembly.py
@@ -18,8 +18,11 @@
 from bambooglade.router import state_machine
 from bambooglade.shards import assignments
 from bambooglade.shards import host as hosts
+from bambooglade.table import checks
 from bambooglade.table import replica as replicas
 from bambooglade.table import view as table_view
+from bambooglade.targets import leaving
+from bambooglade.targets import leaving_gossip
 
 
 class Identity(msgspec.Struct, frozen=True, kw_only=True):
@@ -114,6 +117,7 @@
     parts: Parts
     membership: memberships.Membership
     table: replicas.TableReplica
+    leaving_targets: leaving.LeavingTargets
 
 
 def assemble_networked(
@@ -122,6 +126,7 @@
     url: str,
     seeds: tuple[str, ...],
     page_count: int,
+    granted_out: checks.GrantedOut,
 ) -> NetworkedParts:
     """Returns the decisions of a router process.
 
@@ -130,6 +135,7 @@
         url: Base URL by which the others reach it.
         seeds: Base URLs of instances to ask first.
         page_count: Number of pages of the table.
+        granted_out: Looks up what is granted out of an account.
     """
     random_source = random.Random()
     assignment_map = assignments.AssignmentMap()
@@ -145,12 +151,35 @@
         peers=membership.peers,
         random_source=random_source,
         page_count=page_count,
+        check=lambda row, written: checker.check(row, written),
+    )
+    checker = checks.Checker(table, granted_out=granted_out)
+    leaving_targets = leaving.LeavingTargets()
+    gossip = leaving_gossip.LeavingGossip(
+        instance_id=identity.instance_id,
+        availability_zones=_own_zone_first(identity),
+        fleet=membership,
+        registry=leaving_targets,
+        seed=random_source.getrandbits(32),
     )
     parts = assemble(
         identity,
         assignment_map=assignment_map,
         fleet=membership,
         table=table,
-        others=(membership, table),
+        others=(membership, table, gossip),
+    )
+    return NetworkedParts(
+        parts=parts,
+        membership=membership,
+        table=table,
+        leaving_targets=leaving_targets,
     )
-    return NetworkedParts(parts=parts, membership=membership, table=table)
+
+
+def _own_zone_first(
+    identity: Identity,
+) -> tuple[identifiers.AvailabilityZone, ...]:
+    own = identity.availability_zone
+    others = (zone for zone in identity.arbiter_zones if zone != own)
+    return (own, *others)
--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/construction.py
@@ -0,0 +1,142 @@
+"""Builds the parts of a router process from its settings."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import random
+import uuid
+
+from bambooglade.core import clock as clocks
+from bambooglade.core import effects
+from bambooglade.core import identifiers
+from bambooglade.platform import call_budget
+from bambooglade.platform import key_value
+from bambooglade.platform import prefix_watch
+from bambooglade.router import application
+from bambooglade.router import assembly
+from bambooglade.router import granted_out as granted_out_lib
+from bambooglade.router import runtime as runtimes
+from bambooglade.router import settings as settings_lib
+from bambooglade.table import pages
+from bambooglade.transport import limits
+from bambooglade.transport import server as server_lib
+
+STOP_TIMEOUT_MS = 2_000
+"""How long a stopping process waits for each of its threads."""
+
+
+def new_instance_id(name: str) -> identifiers.InstanceId:
+    """Returns the id of a new start of an instance."""
+    return identifiers.InstanceId(f"{name}-{uuid.uuid4().hex[:8]}")
+
+
+def server(
+    app: application.Application,
+    settings: settings_lib.Settings,
+    clock: clocks.Clock,
+) -> server_lib.HttpServer:
+    """Returns the HTTP server of the settings; it is bound, not started."""
+    security = settings.security
+    tls = None
+    if security.certificate_file and security.key_file:
+        tls = server_lib.TlsFiles(
+            certificate_file=security.certificate_file,
+            key_file=security.key_file,
+        )
+    return server_lib.HttpServer(
+        app,
+        host=settings.instance.host,
+        port=settings.instance.port,
+        limits=server_limits(settings.limits),
+        tls=tls,
+        clock=clock,
+    )
+
+
+def server_limits(
+    configured: settings_lib.LimitSettings,
+) -> limits.ServerLimits:
+    """Returns the server's part of the limits."""
+    return limits.ServerLimits(
+        max_head_bytes=configured.max_header_bytes,
+        max_body_bytes=configured.max_body_bytes,
+        max_connections=configured.max_connections,
+        max_threads=configured.request_threads,
+        head_timeout_ms=configured.slow_client_timeout_ms,
+        body_timeout_ms=configured.slow_client_timeout_ms,
+        write_timeout_ms=configured.slow_client_timeout_ms,
+        stop_timeout_ms=STOP_TIMEOUT_MS,
+    )
+
+
+def networked(
+    instance_id: identifiers.InstanceId,
+    url: str,
+    *,
+    settings: settings_lib.Settings,
+    granted_out: granted_out_lib.GrantedOut,
+) -> assembly.NetworkedParts:
+    """Returns the decisions of the instance that the settings describe."""
+    instance = settings.instance
+    scheme = "https" if settings.security.uses_tls else "http"
+    identity = assembly.Identity(
+        instance_id=instance_id,
+        availability_zone=identifiers.AvailabilityZone(
+            instance.availability_zone
+        ),
+        arbiter_zones=tuple(
+            map(identifiers.AvailabilityZone, instance.arbiter_zones)
+        ),
+        shard_count=instance.shard_count,
+    )
+    return assembly.assemble_networked(
+        identity,
+        url=url,
+        seeds=tuple(f"{scheme}://{seed}" for seed in instance.seeds),
+        page_count=instance.table_page_count,
+        granted_out=granted_out,
+    )
+
+
+def store(settings: settings_lib.Settings) -> key_value.HttpKeyValueStore:
+    """Returns the client of the key-value service."""
+    return key_value.HttpKeyValueStore(
+        url=settings.platform.key_value_url or ""
+    )
+
+
+def budget(
+    settings: settings_lib.Settings,
+    random_source: random.Random,
+    clock: clocks.Clock,
+) -> call_budget.CallBudget:
+    """Returns the budget of calls to the key-value service."""
+    return call_budget.CallBudget(
+        random_source=random_source,
+        now_ms=clock.now_ms(),
+        limit=call_budget.Share(
+            reads_per_s=settings.platform.reads_per_s,
+            writes_per_s=settings.platform.writes_per_s,
+        ),
+    )
+
+
+def watch(
+    store: key_value.HttpKeyValueStore,
+    runtime: runtimes.Runtime,
+    random_source: random.Random,
+) -> prefix_watch.PrefixWatch:
+    """Returns the watch of the table's pages; it is not started."""
+
+    def install_all(values: Sequence[effects.DocumentRead]) -> None:
+        for value in values:
+            runtime.document_answered(value)
+
+    return prefix_watch.PrefixWatch(
+        store=store,
+        documents=runtime.documents,
+        prefix=f"{pages.KEY_PREFIX}/",
+        on_snapshot=install_all,
+        on_change=runtime.document_answered,
+        random_source=random_source,
+    )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/fleet_refresh.py
@@ -0,0 +1,59 @@
+"""Brings the platform's list of instances to the membership."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from bambooglade.core import clock as clocks
+from bambooglade.core import effects
+from bambooglade.fleet import membership as memberships
+from bambooglade.platform import ports
+from bambooglade.router import runtime as runtimes
+
+PAUSE_MS = 1_000
+"""Pause between two reads of the list, in milliseconds."""
+
+
+class FleetRefresh:
+    """Reads the list, and shares the calls to the service among the fleet.
+
+    Args:
+        instance_list: The platform's list; None without one.
+        membership: What the instance believes about the fleet.
+        runtime: Runs decisions.
+        clock: Tells the time.
+    """
+
+    __slots__ = ("_clock", "_instance_list", "_membership", "_runtime")
+
+    def __init__(
+        self,
+        *,
+        instance_list: ports.InstanceList | None,
+        membership: memberships.Membership,
+        runtime: runtimes.Runtime,
+        clock: clocks.Clock,
+    ) -> None:
+        self._instance_list = instance_list
+        self._membership = membership
+        self._runtime = runtime
+        self._clock = clock
+
+    def refresh(self) -> None:
+        """Reads the list once; without an answer nothing changes."""
+        listed = self._instance_list and self._instance_list.instances()
+        if listed:
+            self._runtime.decide(lambda now_ms: self._observe(listed, now_ms))
+        now_ms = self._clock.now_ms()
+        self._runtime.documents.set_fleet_size(
+            self._membership.fleet_size(now_ms=now_ms)
+        )
+
+    def _observe(
+        self, listed: list[ports.ListedInstance], now_ms: int
+    ) -> Iterator[effects.Effects]:
+        self._membership.observe_list(listed, now_ms)
+        yield from ()
+
+    def __repr__(self) -> str:
+        return f"FleetRefresh({self._instance_list!r})"
--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/main.py
@@ -0,0 +1,46 @@
+"""The router's binary: `bambooglade --settings=FILE`."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+
+from absl import app
+from absl import flags
+from absl import logging
+
+from bambooglade.router import process
+from bambooglade.router import settings_reader
+
+EXIT_SETTINGS_INVALID = 2
+
+_SETTINGS = flags.DEFINE_string(
+    "settings", None, "TOML file with the settings of this instance."
+)
+
+
+def main() -> None:
+    """Runs the router until it is told to stop."""
+    flags.mark_flag_as_required("settings")
+    app.run(_run)
+
+
+def _run(arguments: list[str]) -> None:
+    del arguments
+    logging.set_verbosity(logging.INFO)
+    loaded = settings_reader.load(_SETTINGS.value)
+    if loaded.is_err():
+        print(loaded.unwrap_err(), file=sys.stderr)
+        sys.exit(EXIT_SETTINGS_INVALID)
+    router = process.RouterProcess(loaded.unwrap())
+    stop_requested = threading.Event()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(signal_number, lambda *_: stop_requested.set())
+    router.start()
+    stop_requested.wait()
+    router.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/bambooglade/bambooglade/router/operator_service.py
+++ b/packages/bambooglade/bambooglade/router/operator_service.py
@@ -18,6 +18,7 @@
 from bambooglade.platform import ports
 from bambooglade.router import assembly
 from bambooglade.router import effect_waiters
+from bambooglade.router import granted_out as granted_out_lib
 from bambooglade.router import operator_api
 from bambooglade.router import operator_messages as messages
 from bambooglade.router import runtime as runtimes
@@ -26,6 +27,7 @@
 from bambooglade.shards import edits
 from bambooglade.table import messages as table_messages
 from bambooglade.table import pages
+from bambooglade.table import rows
 
 EDIT_DEADLINE_MS = 8_000
 THREADS = 2
@@ -44,6 +46,7 @@
         store: The platform's key-value service, for questions about budgets.
         ring: The decisions that the instance remembers.
         targets: Lists the targets as this instance sees them.
+        granted_out: Is refreshed before spend limits are checked.
         clock: Tells the time.
     """
 
@@ -56,8 +59,10 @@
         store: ports.KeyValueStore,
         ring: trace.TraceRing,
         targets: Callable[[], tuple[messages.TargetDescription, ...]],
+        granted_out: granted_out_lib.GrantedOut,
         clock: clocks.Clock,
     ) -> None:
+        self._granted_out = granted_out
         self._networked = networked
         self._parts = networked.parts
         self._runtime = runtime
@@ -74,6 +79,12 @@
         self, request: messages.EditRows, operator: messages.Operator
     ) -> operator_api.Eventual[messages.EditOutcomes]:
         """Writes rows, each by compare-and-swap on its version."""
+        limited = [
+            identifiers.BudgetId(edit.row_key)
+            for edit in request.edits
+            if isinstance(edit.row, rows.LimitRow)
+        ]
+        self._granted_out.refresh(limited)
         answered = self._ask(
             request.edit_id,
             table_messages.EditRows(
--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/process.py
@@ -0,0 +1,296 @@
+"""One router process: its settings, decisions, threads and servers."""
+
+from __future__ import annotations
+
+import random
+import time
+
+from absl import logging
+
+from bambooglade.core import clock as clocks
+from bambooglade.core import identifiers
+from bambooglade.fleet import drain as drains
+from bambooglade.platform import listing
+from bambooglade.router import admission_gate
+from bambooglade.router import application
+from bambooglade.router import call_session
+from bambooglade.router import caller_api
+from bambooglade.router import caller_request
+from bambooglade.router import construction
+from bambooglade.router import dispatch
+from bambooglade.router import drain_steps
+from bambooglade.router import effect_waiters
+from bambooglade.router import fleet_refresh
+from bambooglade.router import granted_out as granted_out_lib
+from bambooglade.router import metrics as metrics_lib
+from bambooglade.router import operator_api
+from bambooglade.router import operator_credentials
+from bambooglade.router import operator_service
+from bambooglade.router import peer_api
+from bambooglade.router import runtime as runtimes
+from bambooglade.router import settings as settings_lib
+from bambooglade.router import target_descriptions
+from bambooglade.router import target_directory
+from bambooglade.router import target_watcher
+from bambooglade.router import ticker
+from bambooglade.router import trace
+from bambooglade.table import credentials
+from bambooglade.transport import client as client_lib
+from bambooglade.transport import codec as codecs
+from bambooglade.transport import peers as transport_peers
+from bambooglade.transport import sealing
+from bambooglade.transport import signing
+
+_DRAIN_POLL_MS = 50
+_MS_PER_S = 1_000
+
+
+class RouterProcess:
+    """Connects the decisions of an instance with the network.
+
+    Args:
+        settings: The checked settings.
+        clock: Tells the time.
+
+    See Also:
+        bambooglade.router.main: the binary around it.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        *,
+        clock: clocks.Clock | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock or clocks.Clock()
+        self._ready = False
+        self._application = application.Application()
+        self._server = construction.server(
+            self._application, settings, self._clock
+        )
+        self.instance_id = construction.new_instance_id(settings.instance.name)
+        self._store = construction.store(settings)
+        self._granted_out = granted_out_lib.GrantedOut(
+            self._store, shard_count=settings.instance.shard_count
+        )
+        self._networked = construction.networked(
+            self.instance_id,
+            self.url,
+            settings=settings,
+            granted_out=self._granted_out,
+        )
+        self._drain = self._build_drain()
+        self._build()
+
+    @property
+    def url(self) -> str:
+        """Returns the base URL of the instance."""
+        return self._server.url
+
+    def start(self) -> None:
+        """Starts all threads and serves."""
+        self._runtime.start(self._peers)
+        self._watch.start()
+        self._listing.start()
+        self._target_watcher.start()
+        self._server.start()
+        self._ready = True
+        logging.info(
+            "event=instance_started instance=%s zone=%s url=%s",
+            self.instance_id,
+            self._settings.instance.availability_zone,
+            self.url,
+        )
+
+    def stop(self) -> None:
+        """Stops gracefully, within the bound of the settings.
+
+        The balancer is told first; calls in progress end, settlements are
+        acknowledged and shards handed over before the instance leaves.
+        """
+        self._server.drain()
+        self._runtime.decide(self._drain.begin)
+        while not self._drain.is_ended:
+            time.sleep(_DRAIN_POLL_MS / _MS_PER_S)
+            self._runtime.decide(self._drain.tick)
+        logging.info("event=instance_stopped instance=%s", self.instance_id)
+        self._server.stop()
+        self._close()
+
+    def kill(self) -> None:
+        """Ends at once as a crash would, for tests."""
+        self._ready = False
+        self._server.kill()
+        self._close()
+
+    def _build_drain(self) -> drains.Drain:
+        parts = self._networked.parts
+        membership = self._networked.membership
+        bound_ms = self._settings.limits.drain_bound_ms
+        return drains.Drain(
+            steps=drain_steps.steps_of(parts, membership, bound_ms=bound_ms),
+            bound_ms=bound_ms,
+        )
+
+    def _build(self) -> None:
+        waiters = effect_waiters.EffectWaiters()
+        random_source = random.Random()
+        self._runtime = runtimes.Runtime(
+            parts=self._networked.parts,
+            clock=self._clock,
+            store=self._store,
+            budget=construction.budget(
+                self._settings, random_source, self._clock
+            ),
+            waiters=waiters,
+        )
+        self._peers = self._build_peers()
+        self._watch = construction.watch(
+            self._store, self._runtime, random_source
+        )
+        self._listing = self._build_listing()
+        ring = trace.TraceRing(capacity=self._settings.limits.trace_capacity)
+        courier = self._build_courier(ring)
+        self._operators = operator_service.OperatorService(
+            networked=self._networked,
+            runtime=self._runtime,
+            waiters=waiters,
+            store=self._store,
+            ring=ring,
+            targets=lambda: tuple(
+                target_descriptions.describe(courier.directory)
+            ),
+            granted_out=self._granted_out,
+            clock=self._clock,
+        )
+        self._application.connect(
+            callers=self._build_callers(courier, ring),
+            operators=self._build_operators(),
+            instances=peer_api.PeerApi(self._peers),
+        )
+
+    def _build_peers(self) -> transport_peers.Peers:
+        security = self._settings.security
+        previous = security.previous_shared_key
+        signer = signing.Signer(
+            security.shared_key.reveal().encode(),
+            also_accepted=previous.reveal().encode() if previous else None,
+        )
+        sealer = sealing.Sealer(
+            instance_id=self.instance_id,
+            signer=signer,
+            clock=self._clock,
+            codec=codecs.Codec(),
+            aliases=(identifiers.InstanceId(f"url:{self.url}"),),
+        )
+        return transport_peers.Peers(
+            sealer=sealer,
+            clock=self._clock,
+            url_of=self._networked.membership.url,
+            receive=self._runtime.receive,
+        )
+
+    def _build_courier(self, ring: trace.TraceRing) -> dispatch.Courier:
+        client = client_lib.HttpClient()
+        directory = target_directory.TargetDirectory(
+            availability_zone=identifiers.AvailabilityZone(
+                self._settings.instance.availability_zone
+            ),
+            instance_id=self.instance_id,
+            table=self._networked.table,
+            clock=self._clock,
+            leaving_targets=self._networked.leaving_targets,
+        )
+        platform = self._settings.platform
+        weights_url = platform.weight_store_url
+        self._target_watcher = target_watcher.TargetWatcher(
+            directory=directory,
+            client=client,
+            instance_list=self._instance_list(),
+            weight_store=(
+                listing.HttpWeightStore(url=weights_url)
+                if weights_url
+                else None
+            ),
+        )
+        return dispatch.Courier(
+            directory=directory,
+            client=client,
+            clock=self._clock,
+            ring=ring,
+            instance_id=self.instance_id,
+        )
+
+    def _instance_list(self) -> listing.HttpInstanceList | None:
+        url = self._settings.platform.instance_list_url
+        return listing.HttpInstanceList(url=url) if url else None
+
+    def _build_listing(self) -> ticker.Ticker:
+        refresh = fleet_refresh.FleetRefresh(
+            instance_list=self._instance_list(),
+            membership=self._networked.membership,
+            runtime=self._runtime,
+            clock=self._clock,
+        )
+        return ticker.Ticker(
+            action=refresh.refresh,
+            pause_ms=fleet_refresh.PAUSE_MS,
+            name="fleet",
+        )
+
+    def _build_callers(
+        self, courier: dispatch.Courier, ring: trace.TraceRing
+    ) -> caller_api.CallerApi:
+        desk = call_session.Desk(
+            port=self._runtime,
+            gate=admission_gate.AdmissionGate(self._clock),
+            clock=self._clock,
+            ring=ring,
+            metrics=metrics_lib.Metrics(),
+            instance_id=self.instance_id,
+            availability_zone=self._settings.instance.availability_zone,
+        )
+        return caller_api.CallerApi(
+            desk=desk,
+            courier=courier,
+            table=self._networked.table,
+            authenticator=credentials.TeamAuthenticator(
+                self._networked.table, credentials.Verifier()
+            ),
+            is_ready=self._is_ready,
+            deadlines=caller_request.DeadlineLimits(
+                default_ms=self._settings.limits.default_deadline_ms,
+                maximum_ms=self._settings.limits.max_deadline_ms,
+            ),
+        )
+
+    def _build_operators(self) -> operator_api.OperatorApi:
+        authenticator = operator_credentials.OperatorAuthenticator(
+            self._networked.table,
+            bootstrap_key_hash=(
+                self._settings.security.bootstrap_operator_key_hash
+            ),
+        )
+        return operator_api.OperatorApi(
+            self._operators, authenticator=authenticator
+        )
+
+    def _is_ready(self) -> bool:
+        return (
+            self._ready
+            and self._drain.is_ready
+            and self._networked.table.loaded
+        )
+
+    def _close(self) -> None:
+        self._target_watcher.stop()
+        self._listing.stop(timeout_ms=construction.STOP_TIMEOUT_MS)
+        self._store.close()
+        self._watch.close()
+        self._runtime.stop()
+        self._peers.close()
+        self._operators.close()
+
+    def __repr__(self) -> str:
+        return f"RouterProcess(instance_id={self.instance_id!r})"
--- a/packages/bambooglade/bambooglade/router/runtime.py
+++ b/packages/bambooglade/bambooglade/router/runtime.py
@@ -14,12 +14,13 @@
 from bambooglade.core import effects
 from bambooglade.core import identifiers
 from bambooglade.operations import calls
+from bambooglade.platform import call_budget
+from bambooglade.platform import document_client
 from bambooglade.platform import ports
 from bambooglade.router import assembly
 from bambooglade.router import call_status
 from bambooglade.router import calls_port
 from bambooglade.router import decision_loop
-from bambooglade.router import document_worker
 from bambooglade.router import effect_waiters
 from bambooglade.router import pending_calls
 from bambooglade.router import ticker
@@ -36,6 +37,7 @@
         parts: The decisions.
         clock: Tells the time.
         store: The platform's key-value service.
+        budget: Calls that the instance may make to it.
         waiters: Takes the effects that answer questions.
 
     See Also:
@@ -48,6 +50,7 @@
         parts: assembly.Parts,
         clock: clocks.Clock,
         store: ports.KeyValueStore,
+        budget: call_budget.CallBudget,
         waiters: effect_waiters.EffectWaiters,
     ) -> None:
         self._parts = parts
@@ -60,11 +63,14 @@
             clock=clock,
             perform=self._perform,
         )
-        self._documents = document_worker.DocumentWorker(
-            store=store, answered=self._loop.document_answered
+        self.documents = document_client.DocumentClient(
+            store=store,
+            budget=budget,
+            clock=clock,
+            deliver=self._loop.document_answered,
         )
         self._ticker = ticker.Ticker(
-            action=self._loop.tick, pause_ms=component.TICK_MS, name="tick"
+            action=self._tick, pause_ms=component.TICK_MS, name="tick"
         )
 
     def start(self, peers: transport_peers.Peers) -> None:
@@ -75,7 +81,7 @@
     def stop(self) -> None:
         """Stops the threads; calls in progress are abandoned."""
         self._ticker.stop(timeout_ms=STOP_TIMEOUT_MS)
-        self._documents.close()
+        self.documents.close()
 
     def begin(
         self, call: calls.Call
@@ -132,13 +138,17 @@
         """Takes in a change that a watch saw."""
         self._loop.document_answered(answer)
 
+    def _tick(self) -> None:
+        self._loop.tick()
+        self.documents.tick()
+
     def _perform(self, effect: effects.Effects) -> None:
         match effect:
             case effects.Send():
                 if self._peers is not None:
                     self._peers.send(effect.recipient, effect.message)
             case effects.ReadDocument() | effects.WriteDocument():
-                self._documents.submit(effect)
+                self.documents.submit(effect)
             case calls.Permit() | calls.Refuse() | calls.Replay():
                 self._pending.answer(effect)
             case calls.Billed():
--- a/packages/bambooglade/bambooglade/router/target_directory.py
+++ b/packages/bambooglade/bambooglade/router/target_directory.py
@@ -95,13 +95,24 @@
             blocks: Hashes of the prompt's blocks; see `affinity.blocks_of`.
             tried: Targets that failed for this request.
         """
+        candidates = self.candidates(service, blocks=blocks, tried=tried)
+        return chooser.choose(candidates, self._availability_zone)
+
+    def candidates(
+        self,
+        service: identifiers.ServiceName,
+        *,
+        blocks: Sequence[str] = (),
+        tried: Sequence[identifiers.TargetId] = (),
+    ) -> list[chooser.Candidate]:
+        """Returns all targets of a service, rated; see `choose`."""
         now_ms = self._clock.now_ms()
         targets = list(target_lib.of_service(self._table, service))
         with self._lock:
             shut_out = self._breakers.shut_out(
                 [target.target_id for target in targets], now_ms
             )
-            candidates = [
+            return [
                 self._candidate(
                     target,
                     blocks,
@@ -110,7 +121,11 @@
                 )
                 for target in targets
             ]
-        return chooser.choose(candidates, self._availability_zone)
+
+    def services(self) -> list[identifiers.ServiceName]:
+        """Returns the services that have targets, sorted."""
+        named = {row.service for row in self._table.of_type(rows.TargetRow)}
+        return [identifiers.ServiceName(name) for name in sorted(named)]
 
     def started(
         self,
@@ -215,13 +230,10 @@
 
     def all_targets(self) -> list[target_lib.Target]:
         """Returns the targets of all services."""
-        services = {row.service for row in self._table.of_type(rows.TargetRow)}
         return [
             target
-            for service in sorted(services)
-            for target in target_lib.of_service(
-                self._table, identifiers.ServiceName(service)
-            )
+            for service in self.services()
+            for target in target_lib.of_service(self._table, service)
         ]
 
     def _candidate(
