--- a/packages/bambooglade-standins/bambooglade_standins/virtual/control.py
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/control.py
@@ -13,6 +13,7 @@
 from bambooglade.shards import assignments
 from bambooglade.table import messages
 from bambooglade.table import replica
+from bambooglade.table import synchronization
 from bambooglade_standins.virtual import fleet as virtual_fleet
 from bambooglade_standins.virtual import instances
 
@@ -44,7 +45,9 @@
             peers=self.membership.peers,
             random_source=random_source,
             page_count=page_count,
+            summary_period_ms=synchronization.CARRIED_SUMMARY_PERIOD_MS,
         )
+        self.membership.carry(self.table)
 
 
 class ControlFleet:
@@ -54,6 +57,8 @@
         seed: Seed of all randomness.
         seeds: URLs that new instances contact first.
         page_count: Pages of the table.
+        watches: Whether the service tells instances of changes; without, they
+            learn of them from each other only.
         on_effect: Called with the other effects, for instance
             `messages.RowsInstalled`.
     """
@@ -74,6 +79,7 @@
         seed: int,
         seeds: tuple[str, ...],
         page_count: int = 4,
+        watches: bool = True,
         on_effect: Callable[[identifiers.InstanceId, effects.Effect, int], None]
         | None = None,
     ) -> None:
@@ -86,7 +92,10 @@
             identifiers.EditId, messages.EditAnswered
         ] = {}
         self.fleet = virtual_fleet.VirtualFleet(
-            assemble=self._assemble, observer=self, seed=seed
+            assemble=self._assemble,
+            observer=self,
+            seed=seed,
+            watched_prefixes=("table/",) if watches else (),
         )
 
     def start(self, zone: str) -> identifiers.InstanceId:
--- a/packages/bambooglade/bambooglade/fleet/beliefs.py
+++ b/packages/bambooglade/bambooglade/fleet/beliefs.py
@@ -52,14 +52,26 @@
         return self._digest.root
 
     def learn_member(
-        self, update: messages.MemberUpdate, *, now_ms: int
+        self,
+        update: messages.MemberUpdate,
+        *,
+        now_ms: int,
+        pass_on: bool = True,
     ) -> bool:
-        """Merges an update on a member; passes it on if it is new."""
+        """Merges an update on a member; passes it on if it is new.
+
+        Args:
+            update: The update.
+            now_ms: Milliseconds since the epoch.
+            pass_on: Whether it rides on the next pings. What a comparison of
+                digests brought in bulk need not: the others compare, too.
+        """
         if not self.members.merge(update, now_ms=now_ms):
             return False
         merged = self.members.get(update.instance_id).update
         self._digest.set(_member_key(merged.instance_id), _version(merged))
-        self._member_news.put(merged.instance_id, merged)
+        if pass_on:
+            self._member_news.put(merged.instance_id, merged)
         return True
 
     def learn_places(
--- a/packages/bambooglade/bambooglade/fleet/dissemination.py
+++ b/packages/bambooglade/bambooglade/fleet/dissemination.py
@@ -11,8 +11,8 @@
 Update = TypeVar("Update")
 
 MAX_QUEUED = 1_000
-RETRANSMIT_FACTOR = 3
-"""An update is sent about this many times log2(members)."""
+SENDS_PER_DECADE = 4
+"""An update is sent this many times the decimal logarithm of the members."""
 
 
 class Dissemination(Generic[Update]):
@@ -44,7 +44,7 @@
 
     def take(self, *, members: int) -> tuple[Update, ...]:
         """Returns the updates for one message, and counts them as sent."""
-        limit = RETRANSMIT_FACTOR * math.ceil(math.log2(members + 1))
+        limit = SENDS_PER_DECADE * math.ceil(math.log10(members + 1))
         return tuple(self._take(limit))
 
     def _take(self, limit: int) -> Iterator[Update]:
--- a/packages/bambooglade/bambooglade/fleet/gossip.py
+++ b/packages/bambooglade/bambooglade/fleet/gossip.py
@@ -16,6 +16,7 @@
 from collections.abc import Iterator
 import functools
 import random
+from typing import Protocol
 
 from absl import logging
 import msgspec
@@ -35,6 +36,23 @@
 """Least pause between two comparisons of all digests."""
 FORGET_PERIOD_MS = 60_000
 ANNOUNCE_FANOUT = 3
+BULK_MEMBERS = 10
+"""More members than these in one comparison are not news to the others."""
+
+
+class CarriedTable(Protocol):
+    """What the pings compare besides the beliefs."""
+
+    @property
+    def root(self) -> int:
+        """Digest of the table."""
+        ...
+
+    def compare(
+        self, peer: identifiers.InstanceId
+    ) -> Iterator[effects.Effects]:
+        """Starts a comparison with a peer whose digest differs."""
+        ...
 
 
 class Gossip:
@@ -73,6 +91,7 @@
         self._next_contact_ms = 0
         self._next_sync_ms = 0
         self._next_forget_ms = 0
+        self.table: CarriedTable | None = None
         self._beliefs.learn_member(own, now_ms=0)
 
     @property
@@ -127,13 +146,14 @@
         ack = messages.Ack(
             sequence=message.sequence,
             digest=self._beliefs.root,
+            table_root=self._table_root(),
             subject=self._id,
             origin=message.origin,
             members=news.members,
             places=news.places,
         )
         yield effects.Send(recipient=sender, message=ack)
-        yield from self._compare(message.digest, sender, now_ms)
+        yield from self._compare(message, sender, now_ms)
 
     @_handle.register
     def _(
@@ -145,12 +165,16 @@
         self._take_in(message.members, message.places, now_ms)
         if message.origin is not None and message.origin != self._id:
             forwarded = msgspec.structs.replace(
-                message, members=(), places=(), digest=self._beliefs.root
+                message,
+                members=(),
+                places=(),
+                digest=self._beliefs.root,
+                table_root=self._table_root(),
             )
             yield effects.Send(recipient=message.origin, message=forwarded)
             return
         self._probes.answered(message.sequence, message.subject)
-        yield from self._compare(message.digest, sender, now_ms)
+        yield from self._compare(message, sender, now_ms)
 
     @_handle.register
     def _(
@@ -186,7 +210,12 @@
             buckets = list(message.wanted_buckets)
             own = self._beliefs.part(buckets, ask=False)
             yield effects.Send(recipient=sender, message=own)
-        self._take_in(message.members, message.places, now_ms)
+        self._take_in(
+            message.members,
+            message.places,
+            now_ms,
+            pass_on=len(message.members) <= BULK_MEMBERS,
+        )
         if message.more and self._beliefs.root != before:
             yield effects.Send(
                 recipient=sender, message=self._beliefs.digests()
@@ -270,6 +299,7 @@
         ping = messages.Ping(
             sequence=sequence,
             digest=self._beliefs.root,
+            table_root=self._table_root(),
             origin=origin,
             members=news.members,
             places=news.places,
@@ -292,12 +322,14 @@
         members: Iterable[messages.MemberUpdate],
         places: Iterable[messages.AssignmentUpdate],
         now_ms: int,
+        *,
+        pass_on: bool = True,
     ) -> None:
         for update in members:
             if update.instance_id == self._id:
                 self._refute(update, now_ms)
             else:
-                self.learn(update, now_ms)
+                self.learn(update, now_ms, pass_on=pass_on)
         self._beliefs.learn_places(places)
         self._beliefs.take_in_changes()
 
@@ -321,9 +353,15 @@
         )
         self._beliefs.learn_member(refuted, now_ms=now_ms)
 
-    def learn(self, update: messages.MemberUpdate, now_ms: int) -> None:
+    def learn(
+        self,
+        update: messages.MemberUpdate,
+        now_ms: int,
+        *,
+        pass_on: bool = True,
+    ) -> None:
         """Takes in an update on another member."""
-        if self._beliefs.learn_member(update, now_ms=now_ms):
+        if self._beliefs.learn_member(update, now_ms=now_ms, pass_on=pass_on):
             logging.info(
                 "event=member_changed instance=%s status=%s leaving=%s "
                 "incarnation=%d",
@@ -333,10 +371,19 @@
                 update.incarnation,
             )
 
+    def _table_root(self) -> int:
+        return self.table.root if self.table else 0
+
     def _compare(
-        self, digest: int, sender: identifiers.InstanceId, now_ms: int
+        self,
+        message: messages.Ping | messages.Ack,
+        sender: identifiers.InstanceId,
+        now_ms: int,
     ) -> Iterator[effects.Effects]:
-        if digest == self._beliefs.root or now_ms < self._next_sync_ms:
+        if self.table and message.table_root != self.table.root:
+            yield from self.table.compare(sender)
+        same = message.digest == self._beliefs.root
+        if same or now_ms < self._next_sync_ms:
             return
         self._next_sync_ms = now_ms + SYNC_PERIOD_MS
         yield effects.Send(recipient=sender, message=self._beliefs.digests())
--- a/packages/bambooglade/bambooglade/fleet/membership.py
+++ b/packages/bambooglade/bambooglade/fleet/membership.py
@@ -103,6 +103,10 @@
             or member.update.status is not messages.Status.ALIVE
         )
 
+    def carry(self, table: gossip.CarriedTable) -> None:
+        """Lets the pings compare the digest of a table, too."""
+        self._gossip.table = table
+
     def peers(self) -> tuple[identifiers.InstanceId, ...]:
         """Returns all other instances that are not believed dead, sorted."""
         return self._gossip.peers()
--- a/packages/bambooglade/bambooglade/fleet/messages.py
+++ b/packages/bambooglade/bambooglade/fleet/messages.py
@@ -1,7 +1,7 @@
 """Messages by which instances learn of each other and of assignments.
 
-Updates are encoded as arrays, because each instance sends and receives some
-every second.
+Pings have short names on the wire and updates are arrays, because each
+instance sends and receives some every second.
 """
 
 from __future__ import annotations
@@ -56,12 +56,30 @@
     history_lost_at_ms: int | None
 
 
-class Ping(effects.Message, frozen=True, kw_only=True):
+_SHORT_NAMES = {
+    "sequence": "s",
+    "digest": "d",
+    "table_root": "t",
+    "subject": "u",
+    "origin": "o",
+    "members": "m",
+    "places": "p",
+}
+
+
+class Ping(
+    effects.Message,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    rename=_SHORT_NAMES,
+):
     """Asks for an `Ack`, on behalf of `origin` if that is set.
 
     Attributes:
         sequence: Number of the probe at the origin.
         digest: Digest of all that the sender believes.
+        table_root: Digest of the sender's table; 0 when it has none.
         origin: The instance that could not reach the recipient itself.
         members: Recent updates on members.
         places: Recent updates on assignments.
@@ -69,16 +87,24 @@
 
     sequence: int
     digest: int
+    table_root: int = 0
     origin: identifiers.InstanceId | None = None
     members: tuple[MemberUpdate, ...] = ()
     places: tuple[AssignmentUpdate, ...] = ()
 
 
-class Ack(effects.Message, frozen=True, kw_only=True):
+class Ack(
+    effects.Message,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    rename=_SHORT_NAMES,
+):
     """Answers a `Ping`; `subject` is the member that was probed."""
 
     sequence: int
     digest: int
+    table_root: int = 0
     subject: identifiers.InstanceId
     origin: identifiers.InstanceId | None = None
     members: tuple[MemberUpdate, ...] = ()
--- a/packages/bambooglade/bambooglade/table/pages.py
+++ b/packages/bambooglade/bambooglade/table/pages.py
@@ -21,7 +21,8 @@
 MAX_EDIT_IDS = 8
 """Edits that a row remembers, to recognize one that is repeated."""
 TOMBSTONE_RETENTION_MS = 30 * 24 * 3_600_000
-MAX_PAGE_BYTES = 1_000_000
+MAX_PAGE_BYTES = 500_000
+"""Half of what service and server take, for the frame around a page."""
 
 
 class RowRecord(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/packages/bambooglade/bambooglade/table/replica.py
+++ b/packages/bambooglade/bambooglade/table/replica.py
@@ -43,6 +43,8 @@
         peers: Returns the other instances, for instance `Membership.peers`.
         random_source: Seeded in tests.
         page_count: Pages of the table; the same at every instance.
+        summary_period_ms: Pause between two comparisons with a random peer;
+            longer when pings compare the digest, see `Membership.carry`.
         check: Checks a row before it is written; accepts all by default.
 
     Examples:
@@ -68,6 +70,7 @@
         peers: synchronization.Peers,
         random_source: random.Random,
         page_count: int = pages.PAGE_COUNT,
+        summary_period_ms: int = synchronization.SUMMARY_PERIOD_MS,
         check: changes.Check | None = None,
     ) -> None:
         self._peers = peers
@@ -77,6 +80,7 @@
             installed=self._installed,
             peers=peers,
             random_source=random_source,
+            period_ms=summary_period_ms,
         )
         self._editor = editor_.Editor(
             page_count=page_count,
@@ -100,6 +104,17 @@
         """Pages of which the service was found to have an older copy."""
         return len(self._repair_at_ms_by_page)
 
+    @property
+    def root(self) -> int:
+        """Digest of all pages."""
+        return self._installed.root
+
+    def compare(
+        self, peer: identifiers.InstanceId
+    ) -> Iterator[effects.Effects]:
+        """Starts a comparison with a peer whose digest differs."""
+        return self._synchronization.compare(peer)
+
     def get(self, row_key: str) -> rows.Row | None:
         """Returns the row in force, or None."""
         return self._installed.get(row_key)
--- a/packages/bambooglade/bambooglade/table/synchronization.py
+++ b/packages/bambooglade/bambooglade/table/synchronization.py
@@ -12,17 +12,21 @@
 from collections.abc import Sequence
 import random
 
+import msgspec
+
 from bambooglade.core import effects
 from bambooglade.core import identifiers
 from bambooglade.table import installed as installed_
 from bambooglade.table import messages
 
 SUMMARY_PERIOD_MS = 1_000
+CARRIED_SUMMARY_PERIOD_MS = 10_000
+"""The same where pings compare the digest every second."""
 PUSH_FANOUT = 2
 DIGESTS_PERIOD_MS = 3_000
 """Least pause between two requests for the digests of all pages."""
 MAX_PAGES_PER_REQUEST = 16
-PULL_TIMEOUT_MS = 3_000
+MAX_PARTS_BYTES = 250_000
 
 Peers = Callable[[], Sequence[identifiers.InstanceId]]
 
@@ -34,14 +38,16 @@
         installed: The pages of this instance.
         peers: Returns the other instances.
         random_source: Seeded in tests.
+        period_ms: Pause between two comparisons with a random peer, once the
+            table is loaded.
     """
 
     __slots__ = (
-        "_asked_until_ms",
         "_installed",
         "_next_digests_ms",
         "_next_summary_ms",
         "_peers",
+        "_period_ms",
         "_random",
         "_wanted",
         "loaded",
@@ -53,13 +59,14 @@
         installed: installed_.InstalledPages,
         peers: Peers,
         random_source: random.Random,
+        period_ms: int = SUMMARY_PERIOD_MS,
     ) -> None:
         self._installed = installed
         self._peers = peers
         self._random = random_source
+        self._period_ms = period_ms
         self._next_summary_ms = 0
         self._next_digests_ms = 0
-        self._asked_until_ms = 0
         self._wanted: list[int] = []
         self.loaded = False
 
@@ -67,14 +74,21 @@
         """Tells a random peer what this instance has, when it is due."""
         if now_ms < self._next_summary_ms:
             return
-        jitter_ms = self._random.randrange(SUMMARY_PERIOD_MS // 5)
-        self._next_summary_ms = now_ms + SUMMARY_PERIOD_MS - jitter_ms
+        period_ms = self._period_ms if self.loaded else SUMMARY_PERIOD_MS
+        jitter_ms = self._random.randrange(period_ms // 5)
+        self._next_summary_ms = now_ms + period_ms - jitter_ms
         yield from self._tell(fanout=1)
 
     def push(self) -> Iterator[effects.Effects]:
         """Tells a few peers of a change at once."""
         yield from self._tell(fanout=PUSH_FANOUT)
 
+    def compare(
+        self, peer: identifiers.InstanceId
+    ) -> Iterator[effects.Effects]:
+        """Tells one peer what this instance has."""
+        yield effects.Send(recipient=peer, message=self._summary())
+
     def on_summary(
         self,
         message: messages.TableSummary,
@@ -118,7 +132,7 @@
         self._wanted = [
             digest.page for digest in message.digests if self.lacks(digest)
         ]
-        yield from self._pull_next(sender, now_ms)
+        yield from self._pull_next(sender)
 
     def on_pull(
         self,
@@ -126,8 +140,7 @@
         sender: identifiers.InstanceId,
     ) -> Iterator[effects.Effects]:
         """Answers with the records that are asked for."""
-        requests = message.requests[:MAX_PAGES_PER_REQUEST]
-        parts = tuple(map(self._part, requests))
+        parts = tuple(self._parts(message.requests[:MAX_PAGES_PER_REQUEST]))
         yield effects.Send(
             recipient=sender, message=messages.PageParts(parts=parts)
         )
@@ -157,7 +170,7 @@
             yield effects.Send(
                 recipient=sender, message=messages.PullPages(requests=requests)
             )
-        yield from self._pull_next(sender, now_ms)
+        yield from self._pull_next(sender)
 
     def lacks(self, digest: messages.PageDigest) -> bool:
         """Returns whether another's page may have rows that are newer."""
@@ -173,13 +186,12 @@
         yield effects.Send(recipient=sender, message=messages.PullDigests())
 
     def _pull_next(
-        self, sender: identifiers.InstanceId, now_ms: int
+        self, sender: identifiers.InstanceId
     ) -> Iterator[effects.Effects]:
         if not self._wanted:
             return
         now_wanted = self._wanted[:MAX_PAGES_PER_REQUEST]
         del self._wanted[:MAX_PAGES_PER_REQUEST]
-        self._asked_until_ms = now_ms + PULL_TIMEOUT_MS
         yield self._pull(sender, now_wanted)
 
     def _pull(
@@ -196,6 +208,18 @@
             recipient=sender, message=messages.PullPages(requests=requests)
         )
 
+    def _parts(
+        self, requests: Iterable[messages.PageRequest]
+    ) -> Iterator[messages.PagePart]:
+        """Yields parts until they are large enough for one message."""
+        size = 0
+        for request in requests:
+            part = self._part(request)
+            yield part
+            size += len(msgspec.json.encode(part))
+            if size >= MAX_PARTS_BYTES:
+                return
+
     def _part(self, request: messages.PageRequest) -> messages.PagePart:
         page = self._installed.page(request.page)
         return messages.PagePart(
--- a/packages/bambooglade/bambooglade/transport/codec.py
+++ b/packages/bambooglade/bambooglade/transport/codec.py
@@ -20,7 +20,7 @@
 from bambooglade.core import identifiers
 
 
-class Envelope(msgspec.Struct, frozen=True, kw_only=True):
+class Envelope(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A batch of messages from one instance to another.
 
     Attributes:
--- a/packages/bambooglade/bambooglade/transport/peers.py
+++ b/packages/bambooglade/bambooglade/transport/peers.py
@@ -168,6 +168,8 @@
         url=url + PATH,
         headers=(
             messages.Header("Content-Type", "application/json"),
+            messages.Header("User-Agent", ""),
+            messages.Header("Accept", ""),
             messages.Header(sealing.SIGNATURE_HEADER, sealed.signature),
         ),
         body=sealed.body,
--- a/packages/bambooglade/bambooglade/transport/signing.py
+++ b/packages/bambooglade/bambooglade/transport/signing.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import base64
 import hashlib
 import hmac
 import secrets
@@ -22,6 +23,8 @@
 """Greatest accepted difference between sending and receiving time."""
 MAX_REMEMBERED_NONCES = 100_000
 _NONCE_BYTES = 9
+_SIGNATURE_BYTES = 18
+"""Half of the HMAC or more is enough; it is sent twice a second."""
 
 
 class Forged(failures.NotAuthorized, frozen=True, kw_only=True):
@@ -168,4 +171,5 @@
 
 
 def _signature(key: bytes, body: bytes) -> str:
-    return hmac.new(key, body, hashlib.sha256).hexdigest()
+    digest = hmac.new(key, body, hashlib.sha256).digest()
+    return base64.urlsafe_b64encode(digest[:_SIGNATURE_BYTES]).decode()
