Let the last rights of a budget reach the request that they serve

Cause: near exhaustion, zones waited for each other's remainders. A zone kept half of what it had for requests to come; it took free rights that served none of its waiting requests; an answer 'nothing' to a large request also refused a small one that came within the pause; answers from long ago counted as rights that may still come; rights on their way to another zone counted nowhere. Change: a zone gives all that nobody waits for; where two zones lack rights, all go to the one that lacks less; rights that serve nobody stay free; a recall says what its smallest request lacks and is repeated for a smaller one; answers say what is kept there; three failed calls to the service, not two, end the wait for it.

--- a/packages/bambooglade/bambooglade/budgets/account_book.py
+++ b/packages/bambooglade/bambooglade/budgets/account_book.py
@@ -191,9 +191,9 @@
         now_ms: int,
     ) -> Iterator[effects.Effects]:
         state = self._state_of(message.budget_id)
-        tokens = recalls.give(state, message, sender)
+        zone = self._place.availability_zone
+        tokens = recalls.give(state, message, sender, zone)
         if tokens == 0:
-            zone = self._place.availability_zone
             yield recalls.answer(state, zone, sender, 0)
             return
         yield from self._account_changed(state.account)
--- a/packages/bambooglade/bambooglade/budgets/account_state.py
+++ b/packages/bambooglade/bambooglade/budgets/account_state.py
@@ -32,9 +32,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Recall:
-    """What another zone was asked to return, and what it answered."""
+    """What another zone was asked to return, and what it answered.
+
+    Attributes:
+        asked_at_ms: When it was asked.
+        least_tokens: What the smallest waiting request lacked then.
+        answer: The answer; None as long as there is none.
+    """
 
     asked_at_ms: int
+    least_tokens: int
     answer: messages.RecallAnswered | None = None
 
     def is_pending(self, now_ms: int) -> bool:
@@ -44,6 +51,15 @@
             and now_ms - self.asked_at_ms < RECALL_TIMEOUT_MS
         )
 
+    def may_ask_again(self, least_tokens: int, now_ms: int) -> bool:
+        """Returns whether it is time to ask, or a smaller request came."""
+        if self.answer is None:
+            return now_ms - self.asked_at_ms >= RECALL_TIMEOUT_MS
+        return (
+            least_tokens < self.least_tokens
+            or now_ms - self.asked_at_ms >= RECALL_PAUSE_MS
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class Giving:
@@ -95,6 +111,14 @@
         """Sum of the bounds of the waiting requests."""
         return sum(waiter.request.bound_tokens for waiter in self.waiters)
 
+    @property
+    def least_lacking(self) -> int:
+        """What the smallest waiting request lacks here; 0 if none waits."""
+        smallest = min(
+            (waiter.request.bound_tokens for waiter in self.waiters), default=0
+        )
+        return max(0, smallest - max(0, self.account.unused))
+
     @property
     def remaining_tokens(self) -> int:
         """Prepaid, less what all zones reported as spent."""
@@ -111,6 +135,7 @@
         """Returns what the refill goes by."""
         return refill_policy.Situation(
             waiting=self.waiting_tokens,
+            least_lacking=self.least_lacking,
             unused=self.account.unused,
             free=self.ledger.free_tokens if self.ledger else 0,
             remaining=self.remaining_tokens,
--- a/packages/bambooglade/bambooglade/budgets/messages.py
+++ b/packages/bambooglade/bambooglade/budgets/messages.py
@@ -156,12 +156,14 @@
 
     Attributes:
         availability_zone: The zone that needs them.
-        wanted_tokens: How much it lacks.
+        wanted_tokens: How much it lacks for all requests that wait there.
+        least_tokens: How much it lacks for the smallest of them.
     """
 
     budget_id: identifiers.BudgetId
     availability_zone: identifiers.AvailabilityZone
     wanted_tokens: int
+    least_tokens: int
 
 
 class RecallAnswered(effects.Message, frozen=True, kw_only=True):
@@ -173,6 +175,8 @@
         reserved_tokens: Reserved there by requests in progress; a part of it
             may come back when they are settled.
         held_tokens: Held there for an earlier epoch.
+        unused_tokens: Kept there for requests that wait there, or on their
+            way to another zone.
     """
 
     budget_id: identifiers.BudgetId
@@ -180,3 +184,4 @@
     returned_tokens: int
     reserved_tokens: int
     held_tokens: int
+    unused_tokens: int
--- a/packages/bambooglade/bambooglade/budgets/recalls.py
+++ b/packages/bambooglade/bambooglade/budgets/recalls.py
@@ -8,6 +8,7 @@
 from bambooglade.budgets import messages
 from bambooglade.budgets import refill_policy
 from bambooglade.core import effects
+from bambooglade.core import hashing
 from bambooglade.core import identifiers
 from bambooglade.shards import assignments
 
@@ -25,12 +26,14 @@
         return
     for zone in state.zones_with_rights(place.availability_zone):
         recall = state.recall_by_zone.get(zone)
-        if recall and now_ms - recall.asked_at_ms < _pause_ms(recall):
+        if recall and not recall.may_ask_again(state.least_lacking, now_ms):
             continue
         primary = assignment_map.primary(
             assignments.Place(shard=place.shard, availability_zone=zone)
         )
-        state.recall_by_zone[zone] = account_state.Recall(asked_at_ms=now_ms)
+        state.recall_by_zone[zone] = account_state.Recall(
+            asked_at_ms=now_ms, least_tokens=state.least_lacking
+        )
         if primary is not None:
             yield effects.Send(
                 recipient=primary,
@@ -38,6 +41,7 @@
                     budget_id=state.account.budget_id,
                     availability_zone=place.availability_zone,
                     wanted_tokens=lacking - max(0, ledger.free_tokens),
+                    least_tokens=state.least_lacking,
                 ),
             )
 
@@ -46,6 +50,7 @@
     state: account_state.AccountState,
     message: messages.RecallRights,
     sender: identifiers.InstanceId,
+    own_zone: identifiers.AvailabilityZone,
 ) -> int:
     """Starts to return what the zone does not need.
 
@@ -54,10 +59,12 @@
     """
     if message.availability_zone in state.giving_by_zone:
         return state.giving_by_zone[message.availability_zone].tokens
-    spare = refill_policy.surplus(
-        state.account.unused, state.waiting_tokens, state.meter.tokens_per_s
+    tokens = refill_policy.surplus(
+        unused=max(0, state.account.unused),
+        waiting=state.waiting_tokens,
+        wanted=message.wanted_tokens,
+        goes_first=_goes_first(message, state, own_zone),
     )
-    tokens = min(message.wanted_tokens, max(0, spare))
     if tokens > 0:
         state.account.give_back(tokens)
         state.giving_by_zone[message.availability_zone] = account_state.Giving(
@@ -90,6 +97,9 @@
 ) -> effects.Send:
     """Returns the answer to a recall."""
     account = state.account
+    being_returned = sum(
+        giving.tokens for giving in state.giving_by_zone.values()
+    )
     return effects.Send(
         recipient=recipient,
         message=messages.RecallAnswered(
@@ -98,11 +108,18 @@
             returned_tokens=tokens,
             reserved_tokens=account.reserved + account.unreleased,
             held_tokens=account.held_tokens,
+            unused_tokens=max(0, account.unused) + being_returned,
         ),
     )
 
 
-def _pause_ms(recall: account_state.Recall) -> int:
-    if recall.answer is None:
-        return account_state.RECALL_TIMEOUT_MS
-    return account_state.RECALL_PAUSE_MS
+def _goes_first(
+    message: messages.RecallRights,
+    state: account_state.AccountState,
+    own_zone: identifiers.AvailabilityZone,
+) -> bool:
+    """Returns whether the other zone lacks less; the order breaks ties."""
+    if message.least_tokens != state.least_lacking:
+        return message.least_tokens < state.least_lacking
+    zones = (message.availability_zone, own_zone)
+    return hashing.rendezvous(message.budget_id, zones)[0] != own_zone
--- a/packages/bambooglade/bambooglade/budgets/refill_policy.py
+++ b/packages/bambooglade/bambooglade/budgets/refill_policy.py
@@ -17,9 +17,6 @@
 TRANCHE_S = 2
 """Demand for which rights are opened at once, in seconds."""
 
-KEEP_S = 1
-"""Demand for which a zone keeps rights when another one asks, in seconds."""
-
 BOUNDS_PER_TRANCHE = 2
 """A tranche covers at least this many of the latest bounds."""
 
@@ -72,6 +69,7 @@
     Attributes:
         waiting: Bounds of the requests that wait here.
         unused: Rights in the zone that nothing uses.
+        least_lacking: What the smallest waiting request lacks.
         free: Rights that are granted to no zone.
         remaining: Prepaid, less what all zones reported as spent.
         tokens_per_s: Recent demand of the zone.
@@ -87,6 +85,7 @@
     tokens_per_s: float
     reserve_share: float
     zone_count: int
+    least_lacking: int = 0
 
 
 def target_unused(situation: Situation) -> int:
@@ -113,7 +112,8 @@
     """Returns how many rights to move to the zone now.
 
     What the waiting requests lack comes first. What is asked beyond it leaves
-    the other zones their part of the free rights.
+    the other zones their part of the free rights. Rights that do not suffice
+    for any waiting request stay free, where every zone can add to them.
 
     Examples:
         >>> grant(Situation(waiting=30, unused=0, free=100, remaining=100,
@@ -122,6 +122,8 @@
     """
     if not is_low(situation):
         return 0
+    if situation.least_lacking > situation.free:
+        return 0
     lacking = max(0, situation.waiting - situation.unused)
     needed = min(lacking, situation.free)
     left = situation.free - needed
@@ -135,15 +137,30 @@
     return int(max(tokens_per_s * TRANCHE_S, last_bound * BOUNDS_PER_TRANCHE))
 
 
-def surplus(unused: int, waiting: int, tokens_per_s: float) -> int:
+def surplus(*, unused: int, waiting: int, wanted: int, goes_first: bool) -> int:
     """Returns how many rights a zone gives up when another one lacks some.
 
+    A request that waits elsewhere comes before requests that may come here.
+    Where both zones lack rights, all go to the one whose smallest request
+    lacks less, so that two zones never wait for each other's part.
+
+    Args:
+        unused: Rights in the zone that nothing uses.
+        waiting: Bounds of the requests that wait here.
+        wanted: What the other zone lacks.
+        goes_first: Whether the other zone lacks less than this one.
+
     Examples:
-        >>> surplus(unused=100, waiting=10, tokens_per_s=20.0)
-        70
+        >>> surplus(unused=100, waiting=10, wanted=200, goes_first=False)
+        90
+        >>> surplus(unused=100, waiting=150, wanted=60, goes_first=True)
+        60
+        >>> surplus(unused=100, waiting=150, wanted=60, goes_first=False)
+        0
     """
-    left = max(0, unused - waiting)
-    return left - min(left // 2, int(tokens_per_s * KEEP_S))
+    if waiting <= unused:
+        return min(wanted, unused - waiting)
+    return min(wanted, unused) if goes_first else 0
 
 
 def _share_of(left: int, zone_count: int) -> int:
--- a/packages/bambooglade/bambooglade/budgets/refusals.py
+++ b/packages/bambooglade/bambooglade/budgets/refusals.py
@@ -11,7 +11,7 @@
 RETRY_AFTER_MS = 2_000
 """When to ask again for rights that could not be reached."""
 
-SERVICE_FAILURES = 2
+SERVICE_FAILURES = 3
 """Failed requests to the service after which it is not waited for."""
 
 
@@ -78,7 +78,7 @@
     if bound > _ever_possible(state):
         return False
     coming = state.ledger.free_tokens if service_answers else 0
-    coming += _reported_elsewhere(state)
+    coming += _reported_elsewhere(state, around.own_zone)
     pending = any(
         recall.is_pending(now_ms) for recall in state.recall_by_zone.values()
     )
@@ -98,11 +98,19 @@
     return max(state.remaining_tokens, state.account.rights)
 
 
-def _reported_elsewhere(state: account_state.AccountState) -> int:
+def _reported_elsewhere(
+    state: account_state.AccountState, own_zone: identifiers.AvailabilityZone
+) -> int:
+    recalls = (
+        state.recall_by_zone.get(zone)
+        for zone in state.zones_with_rights(own_zone)
+    )
     return sum(
-        recall.answer.returned_tokens + recall.answer.reserved_tokens
-        for recall in state.recall_by_zone.values()
-        if recall.answer is not None
+        recall.answer.returned_tokens
+        + recall.answer.reserved_tokens
+        + recall.answer.unused_tokens
+        for recall in recalls
+        if recall is not None and recall.answer is not None
     )
 
 
@@ -141,7 +149,9 @@
             f"in {around.own_zone}; " + "; ".join(reasons) + ".",
             RETRY_AFTER_MS,
         )
-    reserved = state.account.reserved + _reported_elsewhere(state)
+    reserved = state.account.reserved + _reported_elsewhere(
+        state, around.own_zone
+    )
     return Refusal(
         messages.RefusalReason.EXHAUSTED,
         f"{bound} tokens are asked for; {state.remaining_tokens} are left, of "
--- /dev/null
+++ b/packages/bambooglade/bambooglade/budgets/tests/test_refill_policy.py
@@ -0,0 +1,61 @@
+"""Who gets the last rights of a budget, when several zones lack some."""
+
+from __future__ import annotations
+
+import pytest
+
+from bambooglade.budgets import refill_policy
+
+
+def _situation(**changes):
+    values = {
+        "waiting": 0,
+        "unused": 0,
+        "free": 0,
+        "remaining": 0,
+        "tokens_per_s": 0.0,
+        "reserve_share": 0.0,
+        "zone_count": 4,
+    }
+    return refill_policy.Situation(**(values | changes))
+
+
+@pytest.mark.parametrize(
+    ("waiting", "unused", "least_lacking", "free", "granted"),
+    [
+        (1_500, 0, 1_500, 1_600, 1_500),
+        (1_500, 0, 1_500, 1_499, 0),
+        (1_500, 900, 600, 600, 600),
+        (1_505, 0, 5, 600, 600),
+    ],
+)
+def test_rights_that_serve_nobody_stay_free(
+    waiting, unused, least_lacking, free, granted
+):
+    situation = _situation(
+        waiting=waiting, unused=unused, least_lacking=least_lacking, free=free
+    )
+    assert refill_policy.grant(situation) == granted
+
+
+@pytest.mark.parametrize("unused_here", [100, 900])
+@pytest.mark.parametrize("unused_there", [100, 900, 1_400])
+def test_two_zones_that_lack_rights_never_give_to_each_other(
+    unused_here, unused_there
+):
+    bound = 1_500
+    least_here, least_there = bound - unused_here, bound - unused_there
+    there_first = (least_there, "there") < (least_here, "here")
+    given = refill_policy.surplus(
+        unused=unused_here,
+        waiting=bound,
+        wanted=least_there,
+        goes_first=there_first,
+    )
+    taken = refill_policy.surplus(
+        unused=unused_there,
+        waiting=bound,
+        wanted=least_here,
+        goes_first=not there_first,
+    )
+    assert (given > 0) != (taken > 0)
