--- /dev/null
+++ b/packages/bambooglade-ctl/bambooglade_ctl/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' binary, one module a group."""
--- a/packages/bambooglade/bambooglade/router/settings_reader.py
+++ b/packages/bambooglade/bambooglade/router/settings_reader.py
@@ -137,6 +137,7 @@
         self._file = file
 
     def mistakes(self, document: Mapping[str, object]) -> Iterator[Mistake]:
+        """Yields the mistakes of all sections."""
         sections = msgspec.structs.fields(settings.Settings)
         yield from self._unknown("", document, [s.name for s in sections])
         for section in sections:
