Grant claims only from a primary that is sure of itself

A lone primary granted nothing at all, so that one lost instance in a zone of two refused a quarter of the keys. Change: what two primaries must never both do waits, when the primary has no named backup or notices that it was paused, for an answer of the service to a request made later; a group shares one read. What a stream that is not named yet holds back waits for its acknowledgement as well. Ruled out: leases on clocks, which would stop a zone that is cut off.

--- a/packages/bambooglade/bambooglade/operations/claim_book.py
+++ b/packages/bambooglade/bambooglade/operations/claim_book.py
@@ -188,14 +188,27 @@
     def promoted(
         self, assignment: assignments.Assignment, now_ms: int
     ) -> Iterator[effects.Effects]:
-        """Takes over, and learns when the records were last lost."""
-        del now_ms
-        self._history_lost_at_ms = assignment.history_lost_at_ms
+        """Takes over, and learns when the records were last lost.
+
+        A primary without a copy notes the time at which it learned of its
+        promotion, in a record of its own: the write that promoted it may have
+        taken long, and the former primary may have granted claims meanwhile.
+        """
+        lost_at_ms = assignment.history_lost_at_ms
+        noted = self._by_key.get(claim_record.HISTORY_RECORD)
+        if noted is not None:
+            lost_at_ms = max(lost_at_ms or 0, noted.changed_at_ms)
+        elif lost_at_ms is not None and assignment.inherited_epoch is None:
+            lost_at_ms = max(lost_at_ms, now_ms)
+            self._by_key[claim_record.HISTORY_RECORD] = (
+                claim_record.history_record(lost_at_ms)
+            )
+            yield book.RecordChanged(record_id=claim_record.HISTORY_RECORD)
+        self._history_lost_at_ms = lost_at_ms
         self._due = [
             (self._due_ms(record), key) for key, record in self._by_key.items()
         ]
         heapq.heapify(self._due)
-        yield from ()
 
     def _claim(
         self,
--- a/packages/bambooglade/bambooglade/operations/claim_record.py
+++ b/packages/bambooglade/bambooglade/operations/claim_record.py
@@ -11,6 +11,11 @@
 from bambooglade.operations import messages
 from bambooglade.shards import book
 
+HISTORY_RECORD = ""
+"""Id of the record that tells when the other records were last lost."""
+
+_NEVER_MS = 1 << 62
+
 
 class RecordState(enum.StrEnum):
     """What is known of a key.
@@ -133,3 +138,14 @@
             target_id=report.end.target_id,
             answer=report.end.answer,
         )
+
+
+def history_record(lost_at_ms: int) -> ClaimRecord:
+    """Returns the record of a loss of all records."""
+    return ClaimRecord(
+        record_id=HISTORY_RECORD,
+        version=1,
+        repeatable=False,
+        changed_at_ms=lost_at_ms,
+        evict_at_ms=_NEVER_MS,
+    )
--- a/packages/bambooglade/bambooglade/operations/claim_replies.py
+++ b/packages/bambooglade/bambooglade/operations/claim_replies.py
@@ -47,7 +47,7 @@
                 claim,
                 recipient,
                 messages.ClaimRefusal.NO_BACKUP,
-                "The arbiter of the key has no backup to record the claim.",
+                "The arbiter of the key has no backup, and is not confirmed.",
             ),
         ),
     )
--- a/packages/bambooglade/bambooglade/operations/operation.py
+++ b/packages/bambooglade/bambooglade/operations/operation.py
@@ -26,8 +26,8 @@
 CLAIM_TIMEOUT_MS = 5_000
 """How long a call waits for its arbiter; longer than a promotion."""
 
-NO_BACKUP_TIMEOUT_MS = 1_000
-"""How long a call waits for an arbiter that has no backup."""
+NO_BACKUP_TIMEOUT_MS = 3_000
+"""How long a call waits for a lone arbiter that is not confirmed."""
 
 BACKGROUND_CLAIM_WAIT_MS = 100
 """How long a repeatable call waits for news of an earlier call."""
--- a/packages/bambooglade/bambooglade/operations/tests/test_claim_book.py
+++ b/packages/bambooglade/bambooglade/operations/tests/test_claim_book.py
@@ -11,6 +11,7 @@
 from bambooglade.operations import messages
 from bambooglade.operations import retention
 from bambooglade.operations.tests import harness
+from bambooglade.shards import assignments
 
 ENTRY_A = harness.ENTRY_A
 ENTRY_B = harness.ENTRY_B
@@ -86,6 +87,24 @@
     assert bench.names() == [told]
 
 
+def test_loss_counts_from_the_moment_that_the_new_primary_knew():
+    """The write that promoted it took a minute; a copy of it knows, too."""
+    books = [claim_book.ClaimBook(retention=RETENTION) for _ in range(2)]
+    assignment = assignments.Assignment(
+        epoch=2, primary="p", backup=None, history_lost_at_ms=START_MS
+    )
+    list(books[0].promoted(assignment, START_MS + 60_000))
+    for record in books[0].records():
+        books[1].install(record)
+    list(books[1].promoted(assignment, START_MS + 70_000))
+    call = harness.make_call(harness.make_key(START_MS + 50_000))
+    for book in books:
+        (refused,) = book.handle(
+            _claim(call, entry=ENTRY_A), ENTRY_A, START_MS + 90_000
+        )
+        assert refused.message.reason is messages.ClaimRefusal.HISTORY_LOST
+
+
 @pytest.mark.parametrize("repeatable", [True, False])
 def test_finished_key_survives_the_primary(repeatable):
     bench = harness.Harness()
--- a/packages/bambooglade/bambooglade/shards/book.py
+++ b/packages/bambooglade/bambooglade/shards/book.py
@@ -45,12 +45,13 @@
     """Effects to release when all changes up to now are at the backup.
 
     Attributes:
-        then: Released once the backup acknowledged; at once when the document
-            names no backup, unless `needs_backup` is set.
-        needs_backup: Whether a lone primary must not release them: it can't
-            tell whether another one was named in its place meanwhile.
-        otherwise: Released at once instead, when a backup is needed and none
-            is named.
+        then: Released once the backup acknowledged; at once when there is
+            none, unless `needs_backup` is set.
+        needs_backup: Whether two primaries must never both release them. A
+            lone primary, or one that was paused, can't tell whether another
+            one was named in its place; it waits until a later answer of the
+            platform's service confirms it.
+        otherwise: Released instead when that confirmation does not come.
     """
 
     then: tuple[effects.Effects, ...]
--- a/packages/bambooglade/bambooglade/shards/document_session.py
+++ b/packages/bambooglade/bambooglade/shards/document_session.py
@@ -44,6 +44,14 @@
     Args:
         key: Key of the document.
         owner: The instance, to spread its retries from those of others.
+
+    Attributes:
+        document: The newest known document.
+        revision: Its revision.
+        read_at_ms: When the newest answered request was started.
+        requests_started: Number of requests so far.
+        answered_request: Number of the newest request whose answer told the
+            document.
     """
 
     __slots__ = (
@@ -56,8 +64,10 @@
         "_started_at_ms",
         "_write_due_ms",
         "_writes_in_doubt_at",
+        "answered_request",
         "document",
         "read_at_ms",
+        "requests_started",
         "revision",
     )
 
@@ -76,6 +86,8 @@
         self.document: documents.ShardDocument | None = None
         self.revision = 0
         self.read_at_ms = 0
+        self.requests_started = 0
+        self.answered_request = 0
 
     @property
     def is_in_doubt(self) -> bool:
@@ -160,10 +172,12 @@
     ) -> Iterator[effects.Effects]:
         self._in_progress = request
         self._started_at_ms = now_ms
+        self.requests_started += 1
         yield request
 
     def _seen(self, answer: effects.DocumentRead, now_ms: int) -> Progress:
-        if isinstance(self._in_progress, effects.ReadDocument):
+        was_asked = isinstance(self._in_progress, effects.ReadDocument)
+        if was_asked:
             self._in_progress = None
             self._read_due = False
             self._failures = 0
@@ -172,6 +186,8 @@
             return Progress.STALE
         self.document = documents.decode(answer.value)
         self.revision = answer.revision
+        if was_asked:
+            self.answered_request = self.requests_started
         return Progress.SEEN
 
     def _applied(self, answer: effects.WriteApplied, now_ms: int) -> Progress:
@@ -185,6 +201,7 @@
             return Progress.STALE
         self.document = documents.decode(request.value)
         self.revision = answer.revision
+        self.answered_request = self.requests_started
         return Progress.SEEN
 
     def _conflicted(self, now_ms: int) -> Progress:
--- a/packages/bambooglade/bambooglade/shards/host.py
+++ b/packages/bambooglade/bambooglade/shards/host.py
@@ -16,6 +16,12 @@
 from bambooglade.shards import messages
 from bambooglade.shards import replica
 
+PAUSE_MS = 1_000
+"""A gap between ticks after which a pair may have been displaced.
+
+It is well below the time after which others take over.
+"""
+
 
 class ShardHost:
     """Routes messages to the shards of this instance's availability zone.
@@ -45,6 +51,7 @@
         "_instance_id",
         "_replica_by_shard",
         "_shard_count",
+        "_ticked_at_ms",
         "document_prefixes",
         "message_types",
     )
@@ -74,6 +81,7 @@
             identifiers.ShardId, replica.ShardReplica
         ] = {}
         self._draining = False
+        self._ticked_at_ms: int | None = None
         self.document_prefixes = (documents.KEY_PREFIX,)
         self.message_types = (
             *self._factory_by_message_type,
@@ -106,6 +114,7 @@
         now_ms: int,
     ) -> Iterator[effects.Effects]:
         """Decides on a message from an instance, possibly this one."""
+        self._notice_pause(now_ms)
         factory = self._factory_by_message_type.get(type(message))
         if factory is not None:
             key = factory.shard_key(message)
@@ -192,14 +201,25 @@
         self, answer: effects.DocumentAnswer, now_ms: int
     ) -> Iterator[effects.Effects]:
         """Goes on after an answer of the platform's service."""
+        self._notice_pause(now_ms)
         hosted = self.replica(documents.shard_of_key(answer.key))
         yield from hosted.document_answered(answer, now_ms)
 
     def tick(self, now_ms: int) -> Iterator[effects.Effects]:
         """Does what is due in every shard."""
+        self._notice_pause(now_ms)
+        self._ticked_at_ms = now_ms
         for hosted in list(self._replica_by_shard.values()):
             yield from hosted.tick(now_ms)
 
+    def _notice_pause(self, now_ms: int) -> None:
+        """Notes when the process did not run for some time."""
+        paused = now_ms - (self._ticked_at_ms or now_ms) >= PAUSE_MS
+        if paused:
+            self._ticked_at_ms = now_ms
+            for hosted in self._replica_by_shard.values():
+                hosted.resumed()
+
     def replica(self, shard: identifiers.ShardId) -> replica.ShardReplica:
         """Returns this instance's replica of a shard; creates it when new."""
         hosted = self._replica_by_shard.get(shard)
--- a/packages/bambooglade/bambooglade/shards/pairing.py
+++ b/packages/bambooglade/bambooglade/shards/pairing.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from bambooglade.core import effects
 from bambooglade.core import identifiers
 from bambooglade.fleet import view
 from bambooglade.shards import assignments
@@ -66,6 +65,11 @@
             return None
         return self.stream.recipient if self.stream.has_full_copy else None
 
+    @property
+    def has_named_backup(self) -> bool:
+        """Whether the document names the backup that gets the copies."""
+        return self.stream is not None and self.stream.named
+
     @property
     def differs_from_document(self) -> bool:
         """Whether the document names another backup than is wanted."""
@@ -73,11 +77,11 @@
 
     def release_or_wait(
         self, name: str, effect: books.AfterReplication
-    ) -> tuple[effects.Effects, ...]:
-        """Returns the effects that need not wait for a backup."""
+    ) -> bool:
+        """Returns whether an effect need not wait for a copy."""
         if self.stream is not None:
             return self.stream.release_or_wait(name, effect)
-        return effect.otherwise if effect.needs_backup else effect.then
+        return True
 
     def follow(self, backup: identifiers.InstanceId | None) -> Released:
         """Learns the backup that the document names.
--- a/packages/bambooglade/bambooglade/shards/replica.py
+++ b/packages/bambooglade/bambooglade/shards/replica.py
@@ -23,6 +23,7 @@
 from bambooglade.shards import assignments
 from bambooglade.shards import book as books
 from bambooglade.shards import book_set
+from bambooglade.shards import confirmations
 from bambooglade.shards import demands
 from bambooglade.shards import document as documents
 from bambooglade.shards import document_session
@@ -51,6 +52,7 @@
     __slots__ = (
         "_assignments",
         "_books",
+        "_confirmations",
         "_copy",
         "_demands",
         "_draining",
@@ -91,6 +93,7 @@
         self._retired_epoch = identifiers.Epoch(0)
         self._suspected_since_ms: int | None = None
         self._draining = False
+        self._confirmations = confirmations.Confirmations(self._session)
         self.edits = edits.PendingEdits()
 
     @property
@@ -116,6 +119,15 @@
         """Hands the place over to another instance as soon as possible."""
         self._draining = True
 
+    def resumed(self) -> None:
+        """Learns that the process was paused until now.
+
+        Its pair may have been displaced meanwhile without knowing.
+        """
+        self._confirmations.resumed()
+        if self.is_primary:
+            self._session.want_read()
+
     def want_document(self, *, write: bool, now_ms: int) -> None:
         """Asks for the document to be read again, or to be edited."""
         if write:
@@ -163,6 +175,8 @@
             for name, book in self._books.items():
                 yield from self._process(name, book.tick(now_ms), now_ms)
             yield from self._tend_pair(now_ms)
+            for name, waiting in self._confirmations.take_expired(now_ms):
+                yield from self._process(name, waiting.otherwise, now_ms)
         else:
             self._watch_pair(now_ms)
             yield from self._answer_demands(now_ms)
@@ -213,7 +227,7 @@
         if stream is None or ack.stream_id != stream.stream_id:
             return
         for name, waiting in list(stream.acknowledged(ack.sequence)):
-            yield from self._process(name, waiting.then, now_ms)
+            yield from self._release(name, waiting, now_ms)
         if stream.has_full_copy and not stream.named:
             self._session.want_write(now_ms)
         yield from self._flush(now_ms)
@@ -274,6 +288,8 @@
         yield from self.edits.settled(document)
         yield from self._follow(now_ms)
         if self.is_primary:
+            for name, waiting in self._confirmations.take_confirmed():
+                yield from self._process(name, waiting.then, now_ms)
             for name, book in self._books.items():
                 seen = book.document_seen(document, now_ms)
                 yield from self._process(name, seen, now_ms)
@@ -330,6 +346,7 @@
         epoch, self._epoch = self._epoch, None
         self._retired_epoch = epoch
         self._pairing.abandon()
+        self._confirmations.clear()
         self._reports.add(epoch, self._books.final_copies(), now_ms)
         for _, book in self._books.items():
             yield from book.stepped_down(current.primary, now_ms)
@@ -373,8 +390,18 @@
         now_ms: int,
     ) -> Iterator[effects.Effects]:
         for name, waiting in released:
-            ready = waiting.otherwise if waiting.needs_backup else waiting.then
-            yield from self._process(name, ready, now_ms)
+            yield from self._release(name, waiting, now_ms)
+
+    def _release(
+        self, name: str, effect: books.AfterReplication, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Carries out what was copied, once the primary is sure of itself."""
+        if effect.needs_backup and (
+            self._confirmations.is_due or not self._pairing.has_named_backup
+        ):
+            self._confirmations.add(name, effect, now_ms)
+        else:
+            yield from self._process(name, effect.then, now_ms)
 
     def _process(
         self,
@@ -390,8 +417,8 @@
                         record = replication.RecordName(name, effect.record_id)
                         stream.changed((record,))
                 case books.AfterReplication():
-                    ready = self._pairing.release_or_wait(name, effect)
-                    yield from self._process(name, ready, now_ms)
+                    if self._pairing.release_or_wait(name, effect):
+                        yield from self._release(name, effect, now_ms)
                 case books.ReplicationNotice():
                     noticed = self._books.by_name[name].replicated(
                         effect, now_ms
--- a/packages/bambooglade/bambooglade/shards/replication.py
+++ b/packages/bambooglade/bambooglade/shards/replication.py
@@ -105,16 +105,17 @@
 
     def release_or_wait(
         self, book: str, effect: books.AfterReplication
-    ) -> tuple[effects.Effects, ...]:
-        """Returns the effects to carry out now; keeps the others back."""
-        if effect.needs_backup and not self.named:
-            return effect.otherwise
+    ) -> bool:
+        """Returns whether the backup has all changes; keeps the effect if not.
+
+        What is kept comes back from `acknowledged` or `close`.
+        """
         if self.is_idle and self._sequence:
-            return effect.then
+            return True
         pending = bool(self._changed) or not self._sequence
         sequence = self._sequence + pending
         self._waiting.append(_Waiting(sequence, book, effect))
-        return ()
+        return False
 
     def flush(
         self,
