Keep instances from herding to the target that reports the least load

All instances saw the same report and all sent to the same target until the next one; equal targets always went to the first name; and a spill cost of 2 requests overloaded the zones with one engine. Ruled out: the breaker and the latency tracker, which the calm case does not touch.

Change: what a report says of one target relative to the others fades with its age and is divided by the estimated number of instances that share it; equal targets take turns; the own zone goes first among equals and spills at one request's difference.

Also mended, found by the new tests: the admission shed requests whose deadline was nearer than the least retry-after, although their slot was near.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -13,9 +13,11 @@
 from absl import logging
 
 from benchmarks import budget_policy
+from benchmarks import routing_policy
 
 EXPERIMENT_BY_NAME: dict[str, Callable[[], Iterator[str]]] = {
     "budget_policy": budget_policy.lines,
+    "routing_policy": routing_policy.lines,
 }
 
 
--- a/packages/bambooglade-standins/bambooglade_standins/engine/app.py
+++ b/packages/bambooglade-standins/bambooglade_standins/engine/app.py
@@ -10,6 +10,7 @@
 from werkzeug import wrappers
 
 from bambooglade.core import clock as clocks
+from bambooglade.targets import affinity
 from bambooglade.transport import request_handler
 from bambooglade.transport import sse
 from bambooglade_standins import faults as faults_lib
@@ -132,7 +133,7 @@
     ) -> Iterator[messages.Chunk]:
         prompt = "\n".join(message.content for message in chat.messages)
         cached = self.cache.use(prompt, self._clock.now_ms())
-        blocks = len(prefix_cache.blocks_of(prompt))
+        blocks = len(affinity.blocks_of(prompt))
         prefill_ms = (blocks - cached) * self.options.prefill_ms_per_block
         _sleep(faults.delay_ms + prefill_ms, gone)
         if faults.die_after_run:
@@ -241,7 +242,7 @@
 
 def _usage(prompt: str, completion: int, cached_blocks: int) -> messages.Usage:
     prompt_tokens = generation.prompt_tokens(prompt)
-    cached = cached_blocks * prefix_cache.BLOCK_CHARS // 4
+    cached = cached_blocks * affinity.BLOCK_CHARS // 4
     return messages.Usage(
         prompt_tokens=prompt_tokens,
         completion_tokens=completion,
--- a/packages/bambooglade-standins/bambooglade_standins/engine/prefix_cache.py
+++ b/packages/bambooglade-standins/bambooglade_standins/engine/prefix_cache.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Sequence
+import itertools
 import random
 import threading
 
 import msgspec
 
-from bambooglade.core import hashing
-
-BLOCK_CHARS = 64
-"""Length of the blocks that prefixes are cached by, in characters."""
+from bambooglade.targets import affinity
 
 
 class CacheEvent(msgspec.Struct, frozen=True, kw_only=True):
@@ -30,23 +29,6 @@
     next_after: int
 
 
-def blocks_of(prompt: str) -> list[str]:
-    """Returns the chained hashes of the whole blocks of a prompt.
-
-    Examples:
-        >>> a, b = blocks_of("x" * 128), blocks_of("x" * 128 + "tail")
-        >>> a == b
-        True
-    """
-    chain = ""
-    blocks = []
-    for end in range(BLOCK_CHARS, len(prompt) + 1, BLOCK_CHARS):
-        block = prompt[end - BLOCK_CHARS : end]
-        chain = f"{hashing.stable_hash(chain + block):016x}"
-        blocks.append(chain)
-    return blocks
-
-
 class PrefixCache:
     """Least recently used blocks, and the events about them.
 
@@ -91,7 +73,10 @@
 
     def use(self, prompt: str, now_ms: int) -> int:
         """Stores a prompt's blocks; returns how many were there in a row."""
-        blocks = blocks_of(prompt)
+        return self.use_blocks(affinity.blocks_of(prompt), now_ms)
+
+    def use_blocks(self, blocks: Sequence[str], now_ms: int) -> int:
+        """Stores the blocks; returns how many were there in a row."""
         with self._lock:
             hits = self._leading_hits(blocks)
             for block in blocks:
@@ -107,15 +92,15 @@
     def events(self, *, after: int, now_ms: int) -> CacheEvents:
         """Returns the events that are visible by now."""
         with self._lock:
-            visible = tuple(
-                event
-                for event in self._events
-                if event.seq > after and event.visible_at_ms <= now_ms
+            newer = itertools.takewhile(
+                lambda event: event.seq > after, reversed(self._events)
             )
+            visible = [e for e in newer if e.visible_at_ms <= now_ms]
+        visible.reverse()
         last = visible[-1].seq if visible else after
-        return CacheEvents(events=visible, next_after=last)
+        return CacheEvents(events=tuple(visible), next_after=last)
 
-    def _leading_hits(self, blocks: list[str]) -> int:
+    def _leading_hits(self, blocks: Sequence[str]) -> int:
         hits = 0
         for block in blocks:
             if block not in self._blocks:
--- a/packages/bambooglade/bambooglade/router/target_directory.py
+++ b/packages/bambooglade/bambooglade/router/target_directory.py
@@ -10,9 +10,11 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import itertools
 import threading
 
 from bambooglade.core import clock as clocks
+from bambooglade.core import hashing
 from bambooglade.core import identifiers
 from bambooglade.table import rows
 from bambooglade.table import view
@@ -21,7 +23,7 @@
 from bambooglade.targets import chooser
 from bambooglade.targets import latency
 from bambooglade.targets import leaving
-from bambooglade.targets import load
+from bambooglade.targets import load as load_lib
 from bambooglade.targets import retry_budget
 from bambooglade.targets import target as target_lib
 from bambooglade.targets import weights
@@ -57,6 +59,7 @@
         "_lock",
         "_prefixes",
         "_table",
+        "_turns",
         "_weights",
     )
 
@@ -73,7 +76,8 @@
         self._table = table
         self._clock = clock
         self._lock = threading.Lock()
-        self._load = load.LoadTracker()
+        self._turns = itertools.count(hashing.stable_hash(instance_id) % 997)
+        self._load = load_lib.LoadTracker()
         self._latency = latency.LatencyTracker()
         self._prefixes = affinity.PrefixIndex()
         self._breakers = breaker.CircuitBreakers()
@@ -96,7 +100,9 @@
             tried: Targets that failed for this request.
         """
         candidates = self.candidates(service, blocks=blocks, tried=tried)
-        return chooser.choose(candidates, self._availability_zone)
+        return chooser.choose(
+            candidates, self._availability_zone, turn=next(self._turns)
+        )
 
     def candidates(
         self,
@@ -109,14 +115,15 @@
         now_ms = self._clock.now_ms()
         targets = list(target_lib.of_service(self._table, service))
         with self._lock:
-            shut_out = self._breakers.shut_out(
-                [target.target_id for target in targets], now_ms
-            )
+            target_ids = [target.target_id for target in targets]
+            shut_out = self._breakers.shut_out(target_ids, now_ms)
+            load_by_target = self._load.estimates(target_ids, now_ms)
             return [
                 self._candidate(
                     target,
                     blocks,
                     now_ms,
+                    load=load_by_target[target.target_id],
                     excluded=self._exclusion(target, tried, shut_out, now_ms),
                 )
                 for target in targets
@@ -178,7 +185,7 @@
             return self._budget.take()
 
     def reported(
-        self, target: target_lib.Target, report: load.LoadReport
+        self, target: target_lib.Target, report: load_lib.LoadReport
     ) -> None:
         """Takes a target's load report."""
         now_ms = self._clock.now_ms()
@@ -242,6 +249,7 @@
         blocks: Sequence[str],
         now_ms: int,
         *,
+        load: float,
         excluded: str,
     ) -> chooser.Candidate:
         target_id = target.target_id
@@ -249,7 +257,7 @@
         return chooser.Candidate(
             target=target,
             weight=self._weights.weight(target_id, default=target.weight),
-            load=self._load.estimate(target_id, now_ms),
+            load=load,
             slowness=self._latency.slowness(target_id, now_ms),
             cached_share=cached / len(blocks) if blocks else 0.0,
             excluded=excluded,
--- a/packages/bambooglade/bambooglade/router/tests/caller_bench.py
+++ b/packages/bambooglade/bambooglade/router/tests/caller_bench.py
@@ -27,6 +27,7 @@
 from bambooglade.transport import server as server_lib
 
 ZONE = identifiers.AvailabilityZone("scot-a")
+OTHER_ZONE = identifiers.AvailabilityZone("scot-b")
 MODEL = "model-1"
 TILL = "till"
 TIMEOUT_S = 10
@@ -186,16 +187,16 @@
     service: str,
     **kind_options,
 ) -> Iterator[CallerBench]:
-    """Runs a bench over targets that are running, by their names."""
+    """Runs a bench over running targets; the first is of the own zone."""
     bench = CallerBench(
         [
             rows.TargetRow(
                 target_id=target_id,
                 service=service,
-                availability_zone=ZONE,
+                availability_zone=OTHER_ZONE if number else ZONE,
                 url=server.url,
             )
-            for target_id, server in started.items()
+            for number, (target_id, server) in enumerate(started.items())
         ],
         **kind_options,
     )
--- a/packages/bambooglade/bambooglade/targets/admission.py
+++ b/packages/bambooglade/bambooglade/targets/admission.py
@@ -146,7 +146,7 @@
             self._kind_by_ticket.pop(ticket.ticket_id, None)
             yield Shed(
                 ticket_id=ticket.ticket_id,
-                failure=queue.too_late(now_ms),
+                failure=queue.too_late(),
             )
         for ticket in queue.pop_admissible(now_ms):
             yield Admitted(ticket_id=ticket.ticket_id)
@@ -190,12 +190,12 @@
         if len(self.waiting) >= self.slots * MAX_WAITING_PER_SLOT:
             return failures.Overloaded(
                 detail=f"{len(self.waiting)} requests wait already.",
-                retry_after_ms=self._wait_ms(len(self.waiting)),
+                retry_after_ms=self._retry_after_ms(),
             )
         ahead = sum(w.ticket.priority >= ticket.priority for w in self.waiting)
         needed_ms = self._wait_ms(ahead) + self.service_ms * DEADLINE_MARGIN
         if self.service_ms and now_ms + needed_ms > ticket.deadline_ms:
-            return self.too_late(now_ms)
+            return self.too_late()
         return None
 
     def push(self, ticket: Ticket) -> None:
@@ -234,21 +234,20 @@
         gain = SERVICE_TIME_GAIN if self.service_ms else 1.0
         self.service_ms += gain * (took_ms - self.service_ms)
 
-    def too_late(self, now_ms: int) -> failures.Failure:
-        del now_ms
+    def too_late(self) -> failures.Failure:
         return failures.DeadlineTooClose(
             detail=f"{len(self.waiting)} requests are ahead.",
-            retry_after_ms=self._wait_ms(len(self.waiting)),
+            retry_after_ms=self._retry_after_ms(),
         )
 
     def _has_free_slot(self) -> bool:
         return len(self.started_ms_by_ticket) < self.slots
 
     def _wait_ms(self, ahead: int) -> int:
-        return max(
-            MIN_RETRY_AFTER_MS,
-            int((ahead + 1) * self.service_ms / self.slots),
-        )
+        return int((ahead + 1) * self.service_ms / self.slots)
+
+    def _retry_after_ms(self) -> int:
+        return max(MIN_RETRY_AFTER_MS, self._wait_ms(len(self.waiting)))
 
     def _forget_idle_teams(self) -> None:
         for team_id, finish in list(self._finish_by_team.items()):
--- a/packages/bambooglade/bambooglade/targets/chooser.py
+++ b/packages/bambooglade/bambooglade/targets/chooser.py
@@ -16,18 +16,17 @@
 from bambooglade.core import identifiers
 from bambooglade.targets import target as target_lib
 
-SPILL_COST = 2.0
-SPILL_SHARE = 0.25
+SPILL_COST = 0.5
 """Load by which the own zone may exceed another before requests spill.
 
-The first part is constant; the second is a share of the lightest load, so that
-busy zones do not exchange requests over small differences.
+Below 1, so that a target of another zone takes the next request as soon as it
+has one less; among equals the own zone goes first.
 """
 
 PREFIX_GAIN = 2.0
 """Load that a wholly cached prompt makes up for."""
 
-MAX_LOAD_RATIO = 1.25
+MAX_LOAD_RATIO = 1.5
 """A target above this multiple of the mean load gets no gain by its cache."""
 
 
@@ -45,7 +44,7 @@
 
     target: target_lib.Target
     weight: float = 1.0
-    load: int = 0
+    load: float = 0.0
     slowness: float = 1.0
     cached_share: float = 0.0
     excluded: str = ""
@@ -73,19 +72,22 @@
 def choose(
     candidates: Sequence[Candidate],
     availability_zone: identifiers.AvailabilityZone,
+    *,
+    turn: int = 0,
 ) -> Choice:
     """Chooses the candidate with the lowest score.
 
     Args:
         candidates: All targets of the service.
         availability_zone: The own zone.
+        turn: Number of the choice; equal scores take turns.
 
     Examples:
         >>> def candidate(name, zone, load):
         ...     return Candidate(load=load, target=target_lib.Target(
         ...         target_id=name, service="s", availability_zone=zone,
         ...         url="http://127.0.0.1"))
-        >>> choose([candidate("e1", "z1", 2), candidate("e2", "z2", 1)],
+        >>> choose([candidate("e1", "z1", 1), candidate("e2", "z2", 1)],
         ...     "z1").target.target_id
         'e1'
         >>> choose([candidate("e1", "z1", 9), candidate("e2", "z2", 1)],
@@ -94,13 +96,10 @@
     """
     usable = [c for c in candidates if not c.excluded and c.weight > 0]
     mean = _mean_load(usable)
-    lightest = min((_load(c) for c in usable), default=0.0)
-    spill = SPILL_COST + SPILL_SHARE * lightest
-    scored = [
-        (_score(c, _spill(c, availability_zone, spill), mean), c)
-        for c in usable
-    ]
-    scored.sort(key=lambda pair: (pair[0].score, pair[0].target_id))
+    scored = [(_score(c, availability_zone, mean), c) for c in usable]
+    first = turn % len(scored) if scored else 0
+    scored = scored[first:] + scored[:first]
+    scored.sort(key=lambda pair: pair[0].score)
     scores = tuple(score for score, _ in scored)
     return Choice(
         target=scored[0][1].target if scored else None,
@@ -117,16 +116,13 @@
     return (candidate.load + 1) * candidate.slowness / candidate.weight
 
 
-def _spill(
+def _score(
     candidate: Candidate,
     availability_zone: identifiers.AvailabilityZone,
-    spill: float,
-) -> float:
+    mean: float,
+) -> Score:
     is_local = candidate.target.availability_zone == availability_zone
-    return 0.0 if is_local else spill
-
-
-def _score(candidate: Candidate, spill: float, mean: float) -> Score:
+    spill = 0.0 if is_local else SPILL_COST
     load = _load(candidate)
     is_within_bound = load <= MAX_LOAD_RATIO * max(1.0, mean)
     gain = PREFIX_GAIN * candidate.cached_share if is_within_bound else 0.0
--- a/packages/bambooglade/bambooglade/targets/load.py
+++ b/packages/bambooglade/bambooglade/targets/load.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Mapping
+from collections.abc import Sequence
+import math
 
 import msgspec
 
@@ -11,6 +14,11 @@
 REPORT_EXPIRY_MS = 10_000
 """Age from which a report is ignored and only own dispatches count."""
 
+INITIAL_SERVICE_MS = 2_000.0
+AVERAGE_GAIN = 0.1
+"""Weight of a new observation in a running mean."""
+
+MAX_SHARERS = 64.0
 _HISTORY_LENGTH = 1_024
 
 
@@ -33,6 +41,12 @@
 class LoadTracker:
     """Estimates how many requests each target has.
 
+    The own requests are known exactly. Those of the other instances are known
+    from reports only: what a report says of one target relative to the others
+    fades with the age of the report, and it is divided by the number of
+    instances that see the same report and will all react to it. Without that,
+    they send their requests to the same target until the next report.
+
     Args:
         expiry_ms: Age from which a report is ignored.
 
@@ -40,14 +54,16 @@
         >>> tracker = LoadTracker()
         >>> tracker.reported("e1", LoadReport(running=5, age_ms=400), 1_000)
         >>> tracker.started("e1", "a", 700)
-        >>> tracker.estimate("e1", 1_000)
-        6
+        >>> tracker.estimates(["e1"], 1_000)
+        {'e1': 6.0}
     """
 
-    __slots__ = ("_by_target", "_expiry_ms")
+    __slots__ = ("_by_target", "_expiry_ms", "_service_ms", "_sharers")
 
     def __init__(self, *, expiry_ms: int = REPORT_EXPIRY_MS) -> None:
         self._expiry_ms = expiry_ms
+        self._service_ms = INITIAL_SERVICE_MS
+        self._sharers = 1.0
         self._by_target: dict[identifiers.TargetId, _TargetLoad] = (
             collections.defaultdict(_TargetLoad)
         )
@@ -63,7 +79,10 @@
         as_of_ms = now_ms - report.age_ms
         if as_of_ms >= load.as_of_ms:
             load.as_of_ms = as_of_ms
-            load.reported = report.running + report.waiting
+            load.others = max(
+                0, report.running + report.waiting - load.own_at(as_of_ms)
+            )
+            self._count_sharers()
 
     def started(
         self, target_id: identifiers.TargetId, attempt_id: str, now_ms: int
@@ -78,22 +97,52 @@
     ) -> None:
         """Notes the end of a dispatch; doing so again has no effect."""
         load = self._by_target[target_id]
-        if load.started_ms_by_attempt.pop(attempt_id, None) is not None:
-            load.ends_ms.append(now_ms)
+        started_ms = load.started_ms_by_attempt.pop(attempt_id, None)
+        if started_ms is None:
+            return
+        load.ends_ms.append(now_ms)
+        took_ms = now_ms - started_ms
+        self._service_ms += AVERAGE_GAIN * (took_ms - self._service_ms)
 
     def own(self, target_id: identifiers.TargetId) -> int:
         """Returns how many requests of this instance the target has."""
         return len(self._by_target[target_id].started_ms_by_attempt)
 
-    def estimate(self, target_id: identifiers.TargetId, now_ms: int) -> int:
-        """Returns about how many requests the target has now."""
+    def estimates(
+        self, target_ids: Sequence[identifiers.TargetId], now_ms: int
+    ) -> Mapping[identifiers.TargetId, float]:
+        """Returns about how many requests each target of a service has."""
+        known = [
+            load.others
+            for load in map(self._by_target.__getitem__, target_ids)
+            if now_ms - load.as_of_ms <= self._expiry_ms
+        ]
+        mean = sum(known) / len(known) if known else 0.0
+        return {
+            target_id: self._estimate(target_id, mean, now_ms)
+            for target_id in target_ids
+        }
+
+    def _estimate(
+        self, target_id: identifiers.TargetId, mean: float, now_ms: int
+    ) -> float:
         load = self._by_target[target_id]
         own = len(load.started_ms_by_attempt)
-        if now_ms - load.as_of_ms > self._expiry_ms:
-            return own
-        since = _after(load.starts_ms, load.as_of_ms)
-        until = _after(load.ends_ms, load.as_of_ms)
-        return max(own, load.reported + since - until)
+        age_ms = max(0, now_ms - load.as_of_ms)
+        if age_ms > self._expiry_ms:
+            return own + mean
+        trust = math.exp(-age_ms / max(1.0, self._service_ms))
+        return own + mean + (load.others - mean) * trust / self._sharers
+
+    def _count_sharers(self) -> None:
+        """Estimates how many instances send requests, by their loads."""
+        own = sum(
+            len(t.started_ms_by_attempt) for t in self._by_target.values()
+        )
+        others = sum(load.others for load in self._by_target.values())
+        if own:
+            count = min(1.0 + others / own, MAX_SHARERS)
+            self._sharers += AVERAGE_GAIN * (count - self._sharers)
 
     def __repr__(self) -> str:
         return f"LoadTracker(targets={len(self._by_target)})"
@@ -105,18 +154,24 @@
     __slots__ = (
         "as_of_ms",
         "ends_ms",
-        "reported",
+        "others",
         "started_ms_by_attempt",
         "starts_ms",
     )
 
     def __init__(self) -> None:
         self.as_of_ms = -REPORT_EXPIRY_MS
-        self.reported = 0
+        self.others = 0
         self.started_ms_by_attempt: dict[str, int] = {}
         self.starts_ms = collections.deque(maxlen=_HISTORY_LENGTH)
         self.ends_ms = collections.deque(maxlen=_HISTORY_LENGTH)
 
+    def own_at(self, time_ms: int) -> int:
+        """Returns how many own requests the target had at a time."""
+        started_since = _after(self.starts_ms, time_ms)
+        ended_since = _after(self.ends_ms, time_ms)
+        return len(self.started_ms_by_attempt) - started_since + ended_since
+
 
 def _after(times_ms: collections.deque[int], as_of_ms: int) -> int:
     count = 0
--- /dev/null
+++ b/packages/bambooglade/bambooglade/targets/tests/test_policy.py
@@ -0,0 +1,269 @@
+"""Tests of load, affinity, breakers, leaving and choice."""
+
+from __future__ import annotations
+
+import collections
+
+import pytest
+
+from bambooglade.core import identifiers
+from bambooglade.fleet import view
+from bambooglade.targets import affinity
+from bambooglade.targets import breaker
+from bambooglade.targets import chooser
+from bambooglade.targets import latency
+from bambooglade.targets import leaving
+from bambooglade.targets import leaving_gossip
+from bambooglade.targets import load
+from bambooglade.targets import target as target_lib
+from bambooglade.targets import weights
+
+
+def candidate(name, zone="z1", **options):
+    target = target_lib.Target(
+        target_id=name,
+        service="s",
+        availability_zone=zone,
+        url=f"http://127.0.0.1/{name}",
+    )
+    return chooser.Candidate(target=target, **options)
+
+
+CHOICES = {
+    "own_zone_first": ([("e1", "z2", {}), ("e2", "z1", {})], "e2"),
+    "spill_by_load": (
+        [("e1", "z2", {}), ("e2", "z1", {"load": 1.0})],
+        "e1",
+    ),
+    "weight": (
+        [
+            ("e1", "z1", {"load": 2.0}),
+            ("e2", "z1", {"load": 3.0, "weight": 2.0}),
+        ],
+        "e2",
+    ),
+    "weight_0": ([("e1", "z1", {"weight": 0.0}), ("e2", "z2", {})], "e2"),
+    "slow": ([("e1", "z1", {"slowness": 4.0}), ("e2", "z2", {})], "e2"),
+    "cache": (
+        [
+            ("e1", "z1", {"load": 3.0}),
+            ("e2", "z1", {"load": 4.0, "cached_share": 1.0}),
+        ],
+        "e2",
+    ),
+    "cache_within_bound": (
+        [
+            ("e1", "z1", {"load": 1.0}),
+            ("e2", "z1", {"load": 20.0, "cached_share": 1.0}),
+        ],
+        "e1",
+    ),
+    "excluded": ([("e1", "z1", {"excluded": "leaving"})], None),
+    "nothing": ([], None),
+}
+
+
+@pytest.mark.parametrize("name", CHOICES)
+def test_choice(name):
+    entries, expected = CHOICES[name]
+    choice = chooser.choose(
+        [candidate(n, zone, **options) for n, zone, options in entries], "z1"
+    )
+    assert (choice.target and choice.target.target_id) == expected
+    assert len(choice.scores) == len(entries)
+
+
+def test_equal_targets_take_turns():
+    candidates = [candidate(f"e{n}") for n in range(3)]
+    chosen = [
+        chooser.choose(candidates, "z1", turn=turn).target.target_id
+        for turn in range(6)
+    ]
+    assert collections.Counter(chosen) == {"e0": 2, "e1": 2, "e2": 2}
+
+
+def test_stale_report_does_not_draw_all_requests_to_one_target():
+    """Nine instances share a report; without sharing they overshoot."""
+    targets = ["e1", "e2"]
+    trackers = [load.LoadTracker() for _ in range(9)]
+    sent = collections.Counter()
+    for number, tracker in enumerate(trackers):
+        for start in range(8):  # so that each knows that others send as well
+            tracker.started(targets[start % 2], f"old-{start}", 0)
+        for _ in range(40):
+            tracker.reported("e1", load.LoadReport(running=48), 100)
+            tracker.reported("e2", load.LoadReport(running=30), 100)
+        for attempt in range(6):
+            estimates = tracker.estimates(targets, 500)
+            choice = min(targets, key=estimates.__getitem__)
+            tracker.started(choice, f"{number}-{attempt}", 500)
+            sent[choice] += 1
+    assert 30 + sent["e2"] - 4 <= 48 + sent["e1"] + 4
+    assert sent["e2"] > sent["e1"]
+
+
+def test_own_dispatches_count_at_once_and_ends_too():
+    tracker = load.LoadTracker()
+    tracker.reported("e1", load.LoadReport(running=0), 0)
+    tracker.started("e1", "a", 10)
+    tracker.started("e1", "b", 11)
+    tracker.ended("e1", "a", 12)
+    tracker.ended("e1", "a", 13)
+    assert tracker.estimates(["e1"], 20) == {"e1": 1.0}
+
+
+def test_old_report_neither_replaces_a_newer_one_nor_lasts():
+    tracker = load.LoadTracker()
+    tracker.reported("e1", load.LoadReport(running=8, age_ms=0), 1_000)
+    tracker.reported("e1", load.LoadReport(running=90, age_ms=900), 1_000)
+    assert tracker.estimates(["e1"], 1_000) == {"e1": 8.0}
+    after_ms = 1_000 + load.REPORT_EXPIRY_MS + 1
+    assert tracker.estimates(["e1"], after_ms) == {"e1": 0.0}
+
+
+def test_slowness_fades_without_requests():
+    tracker = latency.LatencyTracker()
+    for name, time_ms in (("e1", 10), ("e2", 10), ("e3", 80)):
+        tracker.observed(name, time_ms, 0)
+    assert tracker.slowness("e3", 0) == pytest.approx(8.0)
+    later = tracker.slowness("e3", 10 * latency.HALF_LIFE_MS)
+    assert later == pytest.approx(1.0, abs=0.1)
+
+
+def event(seq, block, *, stored=True):
+    return affinity.CacheEvent(seq=seq, stored=stored, block=block)
+
+
+AFFINITY = {
+    "own_dispatch_before_events": ([], 2),
+    "gap": ([[event(9, "b3")]], 3),
+    "evicted": ([[event(1, "b2", stored=False)]], 1),
+    "seen_twice": ([[event(1, "b2", stored=False)], [event(1, "b2")]], 1),
+    "restarted": ([[event(9, "b3")], [event(1, "b1")]], 1),
+}
+
+
+@pytest.mark.parametrize("name", AFFINITY)
+def test_prefix_index(name):
+    batches, expected = AFFINITY[name]
+    index = affinity.PrefixIndex()
+    index.dispatched("e1", ["b1", "b2"], 0)
+    for batch in batches:
+        index.seen("e1", batch, 10)
+    assert index.cached_blocks("e1", ["b1", "b2", "b3"], 20) == expected
+    assert index.cached_blocks("e2", ["b1"], 20) == 0
+
+
+def test_prefix_index_is_bounded_and_forgets():
+    index = affinity.PrefixIndex(max_blocks=3, lifetime_ms=100)
+    index.dispatched("e1", ["b1", "b2", "b3", "b4"], 0)
+    assert index.cached_blocks("e1", ["b1"], 0) == 0
+    assert index.cached_blocks("e1", ["b4"], 100) == 1
+    assert index.cached_blocks("e1", ["b4"], 101) == 0
+
+
+@pytest.mark.parametrize(
+    ("failing", "shut_out"), [(0, 0), (1, 1), (2, 2), (4, 2), (6, 2)]
+)
+def test_breaker_cap(failing, shut_out):
+    breakers = breaker.CircuitBreakers()
+    names = [f"e{n}" for n in range(6)]
+    for name in names[:failing]:
+        for _ in range(breaker.FAILURES_TO_OPEN):
+            breakers.failed(name, 0)
+    assert len(breakers.shut_out(names, 1)) == shut_out
+
+
+def test_breaker_lets_one_probe_through_and_closes_on_success():
+    breakers = breaker.CircuitBreakers()
+    names = ["e1", "e2", "e3"]
+    for _ in range(breaker.FAILURES_TO_OPEN):
+        breakers.failed("e1", 0)
+    due_ms = breaker.OPEN_MS
+    assert not breakers.shut_out(names, due_ms)
+    breakers.probing("e1", due_ms)
+    assert breakers.shut_out(names, due_ms) == {"e1"}
+    breakers.failed("e1", due_ms + 10)
+    assert breakers.shut_out(names, 2 * due_ms) == {"e1"}
+    breakers.succeeded("e1")
+    assert not breakers.shut_out(names, due_ms + 20)
+
+
+def test_stale_weights_are_kept_while_the_store_refuses():
+    cache = weights.WeightCache(instance_id="i1", read_period_ms=1_000)
+    cache.read({"e1": 3.0, "bad": -1.0}, 0)
+    reads = 0
+    for now_ms in range(0, 60_000, 100):
+        if cache.is_due(now_ms):
+            reads += 1
+            cache.refused(now_ms)
+    assert cache.weight("e1", default=1.0) == 3.0
+    assert cache.weight("bad", default=1.0) == 1.0
+    assert reads <= 6
+
+
+SOURCES = list(leaving.Source)
+
+
+@pytest.mark.parametrize("first", SOURCES)
+@pytest.mark.parametrize("second", SOURCES)
+def test_earliest_sign_of_leaving_counts(first, second):
+    registry = leaving.LeavingTargets()
+    sign = leaving.LeavingSign(target_id="e1", url="u")
+    assert not registry.is_leaving("e1", "u", 0)
+    assert registry.signed(sign, first, 0)
+    assert not registry.signed(sign, second, 50)
+    assert registry.is_leaving("e1", "u", 60)
+
+
+def test_gossip_alone_does_not_keep_a_sign_alive_for_ever():
+    registries = [leaving.LeavingTargets() for _ in range(2)]
+    sign = leaving.LeavingSign(target_id="e1", url="u")
+    registries[0].signed(sign, leaving.Source.TARGET, 0)
+    for now_ms in range(0, 3 * leaving.RETENTION_MS, 1_000):
+        for one, other in (registries, registries[::-1]):
+            for passed in list(one.signs(now_ms)):
+                other.signed(passed, leaving.Source.GOSSIP, now_ms)
+    end_ms = 3 * leaving.RETENTION_MS
+    assert not any(r.is_leaving("e1", "u", end_ms) for r in registries)
+
+
+@pytest.mark.parametrize("count", [2, 9, 60])
+def test_gossip_reaches_the_zone_within_3_s(count):
+    zone = identifiers.AvailabilityZone("z1")
+    names = [identifiers.InstanceId(f"i{n}") for n in range(count)]
+    fleet = view.FixedFleet(dict.fromkeys(names, zone))
+    registry_by_name = {name: leaving.LeavingTargets() for name in names}
+    gossip_by_name = {
+        name: leaving_gossip.LeavingGossip(
+            instance_id=name,
+            availability_zones=(zone,),
+            fleet=fleet,
+            registry=registry_by_name[name],
+            seed=number,
+        )
+        for number, name in enumerate(names)
+    }
+    sign = leaving.LeavingSign(target_id="e1", url="u")
+    registry_by_name["i0"].signed(sign, leaving.Source.TARGET, 0)
+    sent = 0
+    for now_ms in range(0, 3_000, 50):
+        sends = [
+            (name, send)
+            for name in names
+            for send in gossip_by_name[name].tick(now_ms)
+        ]
+        sent += len(sends)
+        for name, send in sends:
+            list(
+                gossip_by_name[send.recipient].handle(
+                    send.message, name, now_ms
+                )
+            )
+    assert all(
+        registry.is_leaving("e1", "u", 3_000)
+        for registry in registry_by_name.values()
+    )
+    assert sent <= count * leaving_gossip.FANOUT * (
+        3_000 // leaving_gossip.PERIOD_MS
+    )
