--- a/packages/bambooglade-standins/bambooglade_standins/key_value/server.py
+++ b/packages/bambooglade-standins/bambooglade_standins/key_value/server.py
@@ -16,6 +16,7 @@
 from bambooglade_standins.key_value import store as stores
 
 _WATCH_POLL_S = 0.5
+_WRITE_PATH = "/v3/kv/txn"
 _MS_PER_S = 1_000
 
 
@@ -50,7 +51,7 @@
         self._snapshot = store.snapshot()
         self._answer_by_path = {
             "/v3/kv/range": self._range,
-            "/v3/kv/txn": self._transaction,
+            _WRITE_PATH: self._transaction,
             "/v3/lease/grant": self._grant,
             "/v3/lease/keepalive": self._keep_alive,
             "/v3/lease/revoke": self._revoke,
@@ -80,10 +81,16 @@
             response = answer(request.get_data())
         except msgspec.DecodeError as error:
             return _error(exceptions.BadRequest(str(error)))
-        if self.store.answering is stores.Answering.LOSE_ANSWERS:
+        if self._loses_answer(request.path):
             return _error(exceptions.GatewayTimeout())
         return response
 
+    def _loses_answer(self, path: str) -> bool:
+        answering = self.store.answering
+        if answering is stores.Answering.LOSE_WRITE_ANSWERS:
+            return path == _WRITE_PATH
+        return answering is stores.Answering.LOSE_ANSWERS
+
     def _range(self, body: bytes) -> wrappers.Response:
         request = msgspec.json.decode(body, type=gateway.RangeRequest)
         with self._changed:
--- a/packages/bambooglade-standins/bambooglade_standins/key_value/store.py
+++ b/packages/bambooglade-standins/bambooglade_standins/key_value/store.py
@@ -21,6 +21,10 @@
     NORMAL = "normal"
     DOWN = "down"
     LOSE_ANSWERS = "lose_answers"
+    LOSE_WRITE_ANSWERS = "lose_write_answers"
+
+
+_LOSES_WRITE_ANSWERS = (Answering.LOSE_ANSWERS, Answering.LOSE_WRITE_ANSWERS)
 
 
 class Entry(msgspec.Struct, frozen=True, kw_only=True):
@@ -236,7 +240,7 @@
             request.value,
             expected_revision=request.expected_revision,
         )
-        if self.answering is Answering.LOSE_ANSWERS:
+        if self.answering in _LOSES_WRITE_ANSWERS:
             return effects.WriteUncertain(key=request.key)
         if revision is None:
             return effects.WriteConflicted(key=request.key)
--- a/packages/bambooglade/bambooglade/router/decision_loop.py
+++ b/packages/bambooglade/bambooglade/router/decision_loop.py
@@ -34,6 +34,7 @@
 
     __slots__ = (
         "_clock",
+        "_halted",
         "_instance_id",
         "_lock",
         "_machine",
@@ -59,6 +60,7 @@
         self._lock = threading.RLock()
         self._pending: collections.deque[Decide] = collections.deque()
         self._running = False
+        self._halted = False
         self._replying_to: identifiers.InstanceId | None = None
         self._replies: list[effects.Message] = []
 
@@ -69,6 +71,8 @@
         effects of the current one are carried out.
         """
         with self._lock:
+            if self._halted:
+                return
             self._pending.append(decide)
             if self._running:
                 return
@@ -107,6 +111,11 @@
         """Lets every component do what is due."""
         self.run(self._machine.tick)
 
+    def halt(self) -> None:
+        """Ends all decisions from now on, as the end of the process does."""
+        with self._lock:
+            self._halted = True
+
     def _run_pending(self) -> None:
         while self._pending:
             decide = self._pending.popleft()
--- a/packages/bambooglade/bambooglade/router/process.py
+++ b/packages/bambooglade/bambooglade/router/process.py
@@ -35,6 +35,7 @@
 from bambooglade.router import ticker
 from bambooglade.router import trace
 from bambooglade.table import credentials
+from bambooglade.table import view
 from bambooglade.transport import client as client_lib
 from bambooglade.transport import codec as codecs
 from bambooglade.transport import peers as transport_peers
@@ -88,6 +89,15 @@
         """Returns the base URL of the instance."""
         return self._server.url
 
+    @property
+    def table(self) -> view.TableView:
+        """Returns the rows in force at this instance."""
+        return self._networked.table
+
+    def peers(self) -> tuple[identifiers.InstanceId, ...]:
+        """Returns the other instances that are not believed dead."""
+        return self._networked.membership.peers()
+
     def start(self) -> None:
         """Starts all threads and serves."""
         self._runtime.start(self._peers)
@@ -121,6 +131,7 @@
     def kill(self) -> None:
         """Ends at once as a crash would, for tests."""
         self._ready = False
+        self._runtime.halt()
         self._server.kill()
         self._close()
 
@@ -129,7 +140,9 @@
         membership = self._networked.membership
         bound_ms = self._settings.limits.drain_bound_ms
         return drains.Drain(
-            steps=drain_steps.steps_of(parts, membership, bound_ms=bound_ms),
+            steps=tuple(
+                drain_steps.steps_of(parts, membership, bound_ms=bound_ms)
+            ),
             bound_ms=bound_ms,
         )
 
--- a/packages/bambooglade/bambooglade/router/runtime.py
+++ b/packages/bambooglade/bambooglade/router/runtime.py
@@ -83,6 +83,10 @@
         self._ticker.stop(timeout_ms=STOP_TIMEOUT_MS)
         self.documents.close()
 
+    def halt(self) -> None:
+        """Ends all decisions at once; nothing more is sent."""
+        self._loop.halt()
+
     def begin(
         self, call: calls.Call
     ) -> futures.Future[calls.Permit | calls.Refuse | calls.Replay]:
--- a/packages/bambooglade/bambooglade/transport/connection_loop.py
+++ b/packages/bambooglade/bambooglade/transport/connection_loop.py
@@ -207,6 +207,8 @@
     def _take_back(self) -> None:
         while self._returned:
             connection = self._returned.popleft()
+            if connection.sock.fileno() < 0:
+                continue
             connection.sock.setblocking(False)
             connection.deadline_ms = (
                 self._clock.now_ms() + self._limits.idle_timeout_ms
--- a/packages/bambooglade/bambooglade/transport/server.py
+++ b/packages/bambooglade/bambooglade/transport/server.py
@@ -129,6 +129,8 @@
         """Closes all connections at once, as a crash would; for tests."""
         self._server.draining = True
         self._loop.stop()
+        if self._thread.is_alive():
+            self._thread.join(_JOIN_S)
         self._loop.close_all()
         self._pool.shutdown(wait=False, cancel_futures=True)
 
