Give orders to engines, and compare a target's speed within its service

Cause: the orders of the table reached no engine; and the time per unit of work of a target was compared with the targets of all services, so that a model engine, which is slower than a till, looked slow.

Change: an order worker on each instance carries out the steps of the order keeper for the targets whose shard it is primary of, with its epoch as fencing number. The watcher polls on two tickers, asks plain services for no cache events, and the stand-in engine reports the age of its load by its own clock.

--- a/packages/bambooglade-standins/bambooglade_standins/engine/app.py
+++ b/packages/bambooglade-standins/bambooglade_standins/engine/app.py
@@ -75,6 +75,7 @@
         self.cancelled_streams = 0
         self._clock = clock or clocks.Clock()
         self._report = self._load_now()
+        self._reported_ms = self._clock.now_ms()
 
     def endpoints(self) -> Iterator[standin_app.Endpoint]:
         """Yields the end points of an engine."""
@@ -172,11 +173,16 @@
 
     def _load(self, request: wrappers.Request) -> wrappers.Response:
         del request
-        age_ms = self._clock.now_ms() - self._report.as_of_ms
-        if age_ms >= self.options.load_lag_ms:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._reported_ms >= self.options.load_lag_ms:
             self._report = self._load_now()
+            self._reported_ms = now_ms
         return standin_app.json_response(
-            msgspec.structs.replace(self._report, leaving=self.leaving)
+            msgspec.structs.replace(
+                self._report,
+                age_ms=now_ms - self._reported_ms,
+                leaving=self.leaving,
+            )
         )
 
     def _load_now(self) -> messages.LoadReport:
@@ -184,8 +190,6 @@
             running=self.batch.running,
             waiting=self.batch.waiting,
             slots=self.options.slots,
-            as_of_ms=self._clock.now_ms(),
-            leaving=self.leaving,
         )
 
     def _cache_events(self, request: wrappers.Request) -> wrappers.Response:
--- a/packages/bambooglade-standins/bambooglade_standins/engine/messages.py
+++ b/packages/bambooglade-standins/bambooglade_standins/engine/messages.py
@@ -66,5 +66,5 @@
     running: int
     waiting: int
     slots: int
-    as_of_ms: int
-    leaving: bool
+    age_ms: int = 0
+    leaving: bool = False
--- a/packages/bambooglade/bambooglade/router/process.py
+++ b/packages/bambooglade/bambooglade/router/process.py
@@ -26,6 +26,7 @@
 from bambooglade.router import operator_api
 from bambooglade.router import operator_credentials
 from bambooglade.router import operator_service
+from bambooglade.router import order_worker
 from bambooglade.router import peer_api
 from bambooglade.router import runtime as runtimes
 from bambooglade.router import settings as settings_lib
@@ -104,6 +105,7 @@
         self._watch.start()
         self._listing.start()
         self._target_watcher.start()
+        self._orders.start()
         self._server.start()
         self._ready = True
         logging.info(
@@ -227,6 +229,7 @@
                 else None
             ),
         )
+        self._orders = self._build_orders(client)
         return dispatch.Courier(
             directory=directory,
             client=client,
@@ -235,6 +238,21 @@
             instance_id=self.instance_id,
         )
 
+    def _build_orders(self, client: client_lib.HttpClient) -> ticker.Ticker:
+        worker = order_worker.OrderWorker(
+            instance_id=self.instance_id,
+            table=self._networked.table,
+            assignment_map=self._networked.parts.assignment_map,
+            shard_count=self._settings.instance.shard_count,
+            client=client,
+            clock=self._clock,
+        )
+        return ticker.Ticker(
+            action=worker.run_once,
+            pause_ms=order_worker.PERIOD_MS,
+            name="orders",
+        )
+
     def _instance_list(self) -> listing.HttpInstanceList | None:
         url = self._settings.platform.instance_list_url
         return listing.HttpInstanceList(url=url) if url else None
@@ -298,6 +316,7 @@
 
     def _close(self) -> None:
         self._target_watcher.stop()
+        self._orders.stop(timeout_ms=construction.STOP_TIMEOUT_MS)
         self._listing.stop(timeout_ms=construction.STOP_TIMEOUT_MS)
         self._store.close()
         self._watch.close()
--- a/packages/bambooglade/bambooglade/router/target_directory.py
+++ b/packages/bambooglade/bambooglade/router/target_directory.py
@@ -124,6 +124,9 @@
                     blocks,
                     now_ms,
                     load=load_by_target[target.target_id],
+                    slowness=self._latency.slowness(
+                        target.target_id, among=target_ids, now_ms=now_ms
+                    ),
                     excluded=self._exclusion(target, tried, shut_out, now_ms),
                 )
                 for target in targets
@@ -235,6 +238,14 @@
             else:
                 self._weights.read(weight_by_target, now_ms)
 
+    def has_prefix_cache(self, target: target_lib.Target) -> bool:
+        """Returns whether the target is a model engine."""
+        row = self._table.get(f"service/{target.service}")
+        return not (
+            isinstance(row, rows.ServiceRow)
+            and row.form is rows.ServiceForm.PLAIN
+        )
+
     def all_targets(self) -> list[target_lib.Target]:
         """Returns the targets of all services."""
         return [
@@ -250,6 +261,7 @@
         now_ms: int,
         *,
         load: float,
+        slowness: float,
         excluded: str,
     ) -> chooser.Candidate:
         target_id = target.target_id
@@ -258,7 +270,7 @@
             target=target,
             weight=self._weights.weight(target_id, default=target.weight),
             load=load,
-            slowness=self._latency.slowness(target_id, now_ms),
+            slowness=slowness,
             cached_share=cached / len(blocks) if blocks else 0.0,
             excluded=excluded,
         )
--- a/packages/bambooglade/bambooglade/router/target_watcher.py
+++ b/packages/bambooglade/bambooglade/router/target_watcher.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import collections
 from concurrent import futures
-import itertools
 import threading
 
 from absl import logging
@@ -13,6 +13,7 @@
 from bambooglade.core import identifiers
 from bambooglade.platform import ports
 from bambooglade.router import target_directory
+from bambooglade.router import ticker
 from bambooglade.targets import affinity
 from bambooglade.targets import leaving
 from bambooglade.targets import load
@@ -28,9 +29,10 @@
 """
 
 MAX_POLLS_IN_FLIGHT = 8
-LIST_PERIOD_S = 1.0
+LIST_PERIOD_MS = 1_000
 _POLL_TIMEOUT_MS = 500
-_STOP_TIMEOUT_S = 2.0
+_STOP_TIMEOUT_MS = 2_000
+_MS_PER_S = 1_000
 
 
 class CacheEvents(msgspec.Struct, frozen=True, kw_only=True):
@@ -63,30 +65,35 @@
         self._client = client
         self._instance_list = instance_list
         self._weight_store = weight_store
-        self._pause_s = 1.0 / polls_per_s
-        self._stopped = threading.Event()
         self._in_flight = threading.Semaphore(MAX_POLLS_IN_FLIGHT)
+        self._next_targets: collections.deque[target_lib.Target] = (
+            collections.deque()
+        )
         self._pool = futures.ThreadPoolExecutor(
             MAX_POLLS_IN_FLIGHT, thread_name_prefix="targets"
         )
-        self._threads = [
-            threading.Thread(target=loop, name=name, daemon=True)
-            for name, loop in (
-                ("targets-poll", self._poll_targets),
-                ("targets-list", self._poll_platform),
-            )
-        ]
+        self._tickers = (
+            ticker.Ticker(
+                action=self._poll_next,
+                pause_ms=_MS_PER_S // polls_per_s,
+                name="targets-poll",
+            ),
+            ticker.Ticker(
+                action=self.poll_platform,
+                pause_ms=LIST_PERIOD_MS,
+                name="targets-list",
+            ),
+        )
 
     def start(self) -> None:
         """Starts to poll."""
-        for thread in self._threads:
-            thread.start()
+        for each in self._tickers:
+            each.start()
 
     def stop(self) -> None:
         """Stops polling."""
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join(_STOP_TIMEOUT_S)
+        for each in self._tickers:
+            each.stop(timeout_ms=_STOP_TIMEOUT_MS)
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def poll(self, target: target_lib.Target) -> None:
@@ -94,6 +101,8 @@
         report = self._get(f"{target.url}/load", load.LoadReport)
         if report is not None:
             self._directory.reported(target, report)
+        if not self._directory.has_prefix_cache(target):
+            return
         last_seq = self._directory.last_cache_seq(target.target_id)
         events = self._get(
             f"{target.url}/cache/events?after={last_seq}", CacheEvents
@@ -114,14 +123,13 @@
         if self._weight_store is not None:
             self._directory.refresh_weights(self._weight_store.weights)
 
-    def _poll_targets(self) -> None:
-        while not self._stopped.wait(self._pause_s):
-            for target in self._directory.all_targets():
-                if self._stopped.is_set():
-                    return
-                self._in_flight.acquire()
-                self._pool.submit(self._poll_and_release, target)
-                self._stopped.wait(self._pause_s)
+    def _poll_next(self) -> None:
+        """Polls the next target in turn, unless too many are unanswered."""
+        if not self._next_targets:
+            self._next_targets.extend(self._directory.all_targets())
+        if self._next_targets and self._in_flight.acquire(blocking=False):
+            target = self._next_targets.popleft()
+            self._pool.submit(self._poll_and_release, target)
 
     def _poll_and_release(self, target: target_lib.Target) -> None:
         try:
@@ -129,12 +137,6 @@
         finally:
             self._in_flight.release()
 
-    def _poll_platform(self) -> None:
-        for _ in itertools.count():
-            self.poll_platform()
-            if self._stopped.wait(LIST_PERIOD_S):
-                return
-
     def _get(self, url, answer_type):
         request = messages.Request(
             method="GET",
--- a/packages/bambooglade/bambooglade/targets/latency.py
+++ b/packages/bambooglade/bambooglade/targets/latency.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 import math
 import statistics
 
@@ -24,7 +25,7 @@
         >>> tracker = LatencyTracker()
         >>> for target_id, time_ms in (("e1", 10), ("e2", 10), ("e3", 100)):
         ...     tracker.observed(target_id, time_ms, now_ms=0)
-        >>> round(tracker.slowness("e3", now_ms=0))
+        >>> round(tracker.slowness("e3", among=("e1", "e2", "e3"), now_ms=0))
         10
     """
 
@@ -40,24 +41,35 @@
         mean = self._by_target.setdefault(target_id, _Mean(now_ms))
         mean.add(time_ms, now_ms)
 
-    def slowness(self, target_id: identifiers.TargetId, now_ms: int) -> float:
-        """Returns the target's time relative to the median of all; 1 or more.
+    def slowness(
+        self,
+        target_id: identifiers.TargetId,
+        *,
+        among: Sequence[identifiers.TargetId],
+        now_ms: int,
+    ) -> float:
+        """Returns the target's time relative to the median; 1 or more.
 
         A target without recent observations counts as usual.
+
+        Args:
+            target_id: The target.
+            among: The targets of its service.
+            now_ms: The time.
         """
         mean = self._by_target.get(target_id)
-        if mean is None or len(self._by_target) < 2:
+        known = [
+            self._by_target[other].value_ms
+            for other in among
+            if other in self._by_target
+        ]
+        if mean is None or len(known) < 2:
             return 1.0
-        median = statistics.median(m.value_ms for m in self._by_target.values())
+        median = statistics.median(known)
         ratio = mean.value_ms / median if median > 0 else 1.0
         excess = (ratio - 1.0) * mean.confidence(now_ms)
         return min(max(1.0, 1.0 + excess), SLOWEST_FACTOR)
 
-    def typical_ms(self, target_id: identifiers.TargetId) -> float | None:
-        """Returns the mean time per unit of work, or None when unknown."""
-        mean = self._by_target.get(target_id)
-        return mean.value_ms if mean else None
-
     def __repr__(self) -> str:
         return f"LatencyTracker(targets={len(self._by_target)})"
 
