Note what accounts and arbiters told an entry

Cause: an explanation had rows, targets and the bill, but neither the accounts drawn nor the claim. Change: a recorder around the state machine notes the answers of accounts and arbiters in the ring; reservations' answers carry the bound. Figures: the new test of a whole process finds all six kinds of notes. Conclusion: the aggregates stay free of tracing.

--- a/packages/bambooglade/bambooglade/budgets/account_book.py
+++ b/packages/bambooglade/bambooglade/budgets/account_book.py
@@ -330,6 +330,7 @@
                 refused = messages.ReserveRefused(
                     reservation_id=waiter.request.reservation_id,
                     budget_id=waiter.request.budget_id,
+                    bound_tokens=waiter.request.bound_tokens,
                     reason=messages.RefusalReason.NOT_PRIMARY,
                     detail="Another instance is the primary now.",
                     primary=primary,
@@ -509,6 +510,7 @@
             refused = messages.ReserveRefused(
                 reservation_id=waiter.request.reservation_id,
                 budget_id=waiter.request.budget_id,
+                bound_tokens=waiter.request.bound_tokens,
                 reason=refusal.reason,
                 detail=refusal.detail,
                 retry_after_ms=refusal.retry_after_ms,
@@ -551,6 +553,7 @@
         reserved = messages.Reserved(
             reservation_id=request.reservation_id,
             budget_id=request.budget_id,
+            bound_tokens=request.bound_tokens,
             availability_zone=self._place.availability_zone,
             epoch=number.epoch,
             sequence=number.sequence,
--- a/packages/bambooglade/bambooglade/budgets/account_book_factory.py
+++ b/packages/bambooglade/bambooglade/budgets/account_book_factory.py
@@ -66,6 +66,7 @@
             return messages.ReserveRefused(
                 reservation_id=message.reservation_id,
                 budget_id=message.budget_id,
+                bound_tokens=message.bound_tokens,
                 reason=messages.RefusalReason.NOT_PRIMARY,
                 detail="This instance does not serve the account.",
                 primary=primary,
--- a/packages/bambooglade/bambooglade/budgets/messages.py
+++ b/packages/bambooglade/bambooglade/budgets/messages.py
@@ -74,6 +74,7 @@
 
     reservation_id: ReservationId
     budget_id: identifiers.BudgetId
+    bound_tokens: int = 0
     availability_zone: identifiers.AvailabilityZone
     epoch: identifiers.Epoch
     sequence: int
@@ -91,6 +92,7 @@
 
     reservation_id: ReservationId
     budget_id: identifiers.BudgetId
+    bound_tokens: int = 0
     reason: RefusalReason
     detail: str
     primary: identifiers.InstanceId | None = None
--- a/packages/bambooglade/bambooglade/router/process.py
+++ b/packages/bambooglade/bambooglade/router/process.py
@@ -17,6 +17,7 @@
 from bambooglade.router import caller_api
 from bambooglade.router import caller_request
 from bambooglade.router import construction
+from bambooglade.router import decision_recorder
 from bambooglade.router import dispatch
 from bambooglade.router import drain_steps
 from bambooglade.router import effect_waiters
@@ -151,8 +152,15 @@
     def _build(self) -> None:
         waiters = effect_waiters.EffectWaiters()
         random_source = random.Random()
+        ring = trace.TraceRing(capacity=self._settings.limits.trace_capacity)
         self._runtime = runtimes.Runtime(
             parts=self._networked.parts,
+            machine=decision_recorder.DecisionRecorder(
+                self._networked.parts.machine,
+                ring=ring,
+                instance_id=self.instance_id,
+                fleet=self._networked.membership,
+            ),
             clock=self._clock,
             store=self._store,
             budget=construction.budget(
@@ -165,7 +173,6 @@
             self._store, self._runtime, random_source
         )
         self._listing = self._build_listing()
-        ring = trace.TraceRing(capacity=self._settings.limits.trace_capacity)
         courier = self._build_courier(ring)
         self._operators = operator_service.OperatorService(
             networked=self._networked,
--- a/packages/bambooglade/bambooglade/router/runtime.py
+++ b/packages/bambooglade/bambooglade/router/runtime.py
@@ -23,6 +23,7 @@
 from bambooglade.router import decision_loop
 from bambooglade.router import effect_waiters
 from bambooglade.router import pending_calls
+from bambooglade.router import state_machine
 from bambooglade.router import ticker
 from bambooglade.transport import peers as transport_peers
 
@@ -35,6 +36,7 @@
 
     Args:
         parts: The decisions.
+        machine: Their state machine, possibly with a recorder around it.
         clock: Tells the time.
         store: The platform's key-value service.
         budget: Calls that the instance may make to it.
@@ -48,6 +50,7 @@
         self,
         *,
         parts: assembly.Parts,
+        machine: state_machine.InstanceStateMachine,
         clock: clocks.Clock,
         store: ports.KeyValueStore,
         budget: call_budget.CallBudget,
@@ -59,7 +62,7 @@
         self._peers: transport_peers.Peers | None = None
         self._loop = decision_loop.DecisionLoop(
             instance_id=parts.instance_id,
-            machine=parts.machine,
+            machine=machine,
             clock=clock,
             perform=self._perform,
         )
--- a/packages/bambooglade/bambooglade/router/tests/test_process.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_process.py
@@ -9,9 +9,12 @@
 import threading
 import time
 
+import msgspec
 import pytest
 
 from bambooglade.core import identifiers
+from bambooglade.router import operator_messages
+from bambooglade.router import trace
 from bambooglade_standins import faults
 from bambooglade_standins import local_caller
 from bambooglade_standins import local_fleet
@@ -93,6 +96,25 @@
     assert deployed.spent() == local_fleet.DEDUCTION_TOKENS
 
 
+def test_explanation_tells_rows_accounts_claim_target_and_bill(start):
+    deployed = start()
+    key = identifiers.new_request_key()
+    deployed.caller.deduct(deployed.first.url, key=key)
+    explained = msgspec.json.decode(
+        deployed.fleet.operate("GET", f"/requests/{key}"),
+        type=operator_messages.Explanation,
+    )
+    told = {type(decision) for decision in explained.decisions}
+    assert told == {
+        trace.RowsMatched,
+        trace.AccountDrawn,
+        trace.KeyClaimed,
+        trace.TargetChosen,
+        trace.TargetAnswered,
+        trace.RequestBilled,
+    }
+
+
 def test_deductions_of_one_key_at_the_same_time_run_once(start):
     deployed = start()
     key = identifiers.new_request_key()
