Trust the fleet's certificates between instances

Cause: with TLS set, messages between instances were checked against the system's certificates, so that two instances never heard each other. Change: the peers' client takes the authority of the settings. Conclusion: callers and instances speak TLS with the same settings.

--- a/packages/bambooglade-standins/bambooglade_standins/local_caller.py
+++ b/packages/bambooglade-standins/bambooglade_standins/local_caller.py
@@ -40,11 +40,12 @@
 
     Args:
         team_key: API key of the team.
+        ca_file: Certificates to trust for TLS; None for plain TCP.
     """
 
-    def __init__(self, team_key: str) -> None:
+    def __init__(self, team_key: str, *, ca_file: str | None = None) -> None:
         self._team_key = team_key
-        self._client = client_lib.HttpClient()
+        self._client = client_lib.HttpClient(ca_file=ca_file)
 
     def chat(
         self,
--- a/packages/bambooglade-standins/bambooglade_standins/local_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/local_fleet.py
@@ -39,6 +39,14 @@
     """The deployment did not become ready in time."""
 
 
+class TlsSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Paths of PEM files, as in the settings of an instance."""
+
+    certificate_file: str | None = None
+    key_file: str | None = None
+    ca_file: str | None = None
+
+
 class LocalFleet:
     """Starts and stops the parts; a context manager.
 
@@ -47,6 +55,7 @@
         shard_count: Number of shards.
         token_ms: Time per generated token of the engines.
         drain_bound_ms: How long a planned stop of an instance may take.
+        tls: Certificates for callers and instances; None for plain TCP.
     """
 
     def __init__(
@@ -56,11 +65,13 @@
         shard_count: int = 4,
         token_ms: float = 1.0,
         drain_bound_ms: int = 10_000,
+        tls: TlsSettings | None = None,
     ) -> None:
+        self._tls = tls or TlsSettings()
         self.zones = zones
         self._shard_count = shard_count
         self._drain_bound_ms = drain_bound_ms
-        self._client = client_lib.HttpClient()
+        self._client = client_lib.HttpClient(ca_file=self._tls.ca_file)
         self._operator = credentials.new_key(
             operator_credentials.BOOTSTRAP_OPERATOR
         )
@@ -211,7 +222,7 @@
                 host="127.0.0.1",
                 port=0,
                 seeds=tuple(
-                    each.url.removeprefix("http://") for each in self.instances
+                    each.url.partition("://")[2] for each in self.instances
                 ),
                 arbiter_zones=self.zones,
                 shard_count=self._shard_count,
@@ -223,6 +234,9 @@
             security=settings_lib.SecuritySettings(
                 shared_key=settings_lib.Secret(SHARED_KEY),
                 bootstrap_operator_key_hash=self._operator.key_hash,
+                certificate_file=self._tls.certificate_file,
+                key_file=self._tls.key_file,
+                ca_file=self._tls.ca_file,
             ),
             limits=settings_lib.LimitSettings(
                 drain_bound_ms=self._drain_bound_ms
--- a/packages/bambooglade/bambooglade/router/process.py
+++ b/packages/bambooglade/bambooglade/router/process.py
@@ -211,6 +211,7 @@
             clock=self._clock,
             url_of=self._networked.membership.url,
             receive=self._runtime.receive,
+            client=client_lib.HttpClient(ca_file=security.ca_file),
         )
 
     def _build_courier(self, ring: trace.TraceRing) -> dispatch.Courier:
