Divide the reserve of a budget by what each zone spent

Cause: an outage of the service froze the rights where they lay, in four equal parts, while the demand of a team is not equal; and a request could be refused by a document seen up to a second earlier, although rights had become free. Change: 30% of the reserve is divided equally and 70% by what the zones settled so far; a refusal needs a document seen at most 200 ms before the request. The experiment's keys of calls that may not be repeated name the caller's zone as arbiter, as callers are advised to do.

--- a/benchmarks/budget_policy.py
+++ b/benchmarks/budget_policy.py
@@ -28,6 +28,7 @@
 
     Attributes:
         cutoff_reserve_share: Column of the teams' rows, for `escrow`.
+        names_arbiter: Whether callers name their zone in the key.
         demand_factors: Prepaid amounts as multiples of the teams' demand.
     """
 
@@ -38,6 +39,7 @@
     requests_per_s: float = REQUESTS_PER_S
     seed: int = SEED
     cutoff_reserve_share: float = 0.5
+    names_arbiter: bool = True
     demand_factors: tuple[float, ...] = workloads.DEMAND_FACTORS
 
 
@@ -79,6 +81,7 @@
         duration_ms=setting.duration_ms,
         requests_per_s=setting.requests_per_s,
         epoch_ms=virtual_fleet.START_MS,
+        names_arbiter=setting.names_arbiter,
     )
     prepaid = workloads.prepaid_by_budget(arrivals, setting.demand_factors)
     truth = truth_module.Truth(prepaid)
--- a/benchmarks/workloads.py
+++ b/benchmarks/workloads.py
@@ -174,6 +174,7 @@
     duration_ms: int,
     requests_per_s: float,
     epoch_ms: int,
+    names_arbiter: bool = True,
 ) -> list[Arrival]:
     """Returns the arrivals of one run, in the order of their times.
 
@@ -183,10 +184,12 @@
         duration_ms: How long requests arrive.
         requests_per_s: Mean rate of a Poisson process.
         epoch_ms: Start of the run, for the time in the keys.
+        names_arbiter: Whether the keys of calls that may not be repeated name
+            the caller's zone as their arbiter, as callers are advised to do.
     """
     rng = random.Random(seed)
     return [
-        _arrival(deployment, rng, at_ms, epoch_ms)
+        _arrival(deployment, rng, at_ms, epoch_ms, names_arbiter=names_arbiter)
         for at_ms in _times(rng, duration_ms, requests_per_s)
     ]
 
@@ -217,7 +220,12 @@
 
 
 def _arrival(
-    deployment: Deployment, rng: random.Random, at_ms: int, epoch_ms: int
+    deployment: Deployment,
+    rng: random.Random,
+    at_ms: int,
+    epoch_ms: int,
+    *,
+    names_arbiter: bool,
 ) -> Arrival:
     team = rng.choices(range(len(TEAM_SHARES)), TEAM_SHARES)[0]
     kind = rng.choices(
@@ -227,8 +235,11 @@
     zone = zones[team % len(zones)]
     if rng.random() >= HOME_ZONE_SHARE:
         zone = rng.choice(zones)
+    key = _key(rng, epoch_ms + at_ms)
+    if names_arbiter and not kind.repeatable:
+        key = identifiers.RequestKey(f"{zone}:{key}")
     return Arrival(
-        key=_key(rng, epoch_ms + at_ms),
+        key=key,
         at_ms=at_ms,
         zone=zone,
         team_id=_team(team),
--- a/packages/bambooglade/bambooglade/budgets/account_state.py
+++ b/packages/bambooglade/bambooglade/budgets/account_state.py
@@ -17,7 +17,7 @@
 RECALL_PAUSE_MS = 400
 """Pause before the same zone is asked again."""
 
-FRESH_MS = 1_000
+FRESH_MS = 200
 """A ledger seen this long before a request is new enough to refuse it."""
 
 
@@ -136,6 +136,7 @@
         return refill_policy.Situation(
             waiting=self.waiting_tokens,
             least_lacking=self.least_lacking,
+            demand_share=self._demand_share(),
             unused=self.account.unused,
             free=self.ledger.free_tokens if self.ledger else 0,
             remaining=self.remaining_tokens,
@@ -144,6 +145,16 @@
             zone_count=zone_count,
         )
 
+    def _demand_share(self) -> float | None:
+        if self.ledger is None:
+            return None
+        spent = sum(
+            counters.settled
+            for counters in self.ledger.counters_by_availability_zone.values()
+        )
+        own = min(self.account.settled, spent)
+        return own / spent if spent > 0 else None
+
     def zones_with_rights(
         self, own_zone: identifiers.AvailabilityZone
     ) -> Iterator[identifiers.AvailabilityZone]:
--- a/packages/bambooglade/bambooglade/budgets/refill_policy.py
+++ b/packages/bambooglade/bambooglade/budgets/refill_policy.py
@@ -20,6 +20,9 @@
 BOUNDS_PER_TRANCHE = 2
 """A tranche covers at least this many of the latest bounds."""
 
+EQUAL_PART = 0.3
+"""Part of the reserve that is divided equally among the zones."""
+
 _SMOOTHING = 0.3
 _WINDOW_MS = 1_000
 
@@ -76,6 +79,8 @@
         reserve_share: Share of the remaining budget that is to lie in the
             zones in advance, from 0 to 1.
         zone_count: Number of zones; 1 or more.
+        demand_share: Share of the zone in what was spent so far, from 0 to 1;
+            None before anything was.
     """
 
     waiting: int
@@ -86,16 +91,28 @@
     reserve_share: float
     zone_count: int
     least_lacking: int = 0
+    demand_share: float | None = None
 
 
 def target_unused(situation: Situation) -> int:
     """Returns how many unused rights the zone is to have after a refill."""
-    reserve = (
-        situation.reserve_share * situation.remaining / situation.zone_count
-    )
+    reserve = situation.reserve_share * situation.remaining
+    reserve *= _zone_weight(situation)
     return int(max(situation.tokens_per_s * HORIZON_S, reserve))
 
 
+def _zone_weight(situation: Situation) -> float:
+    """Returns the zone's part of the reserve, from 0 to 1.
+
+    It follows what the zones spent so far, and leaves each zone something:
+    demand may move.
+    """
+    equal = 1 / situation.zone_count
+    if situation.demand_share is None:
+        return equal
+    return EQUAL_PART * equal + (1 - EQUAL_PART) * situation.demand_share
+
+
 def is_low(situation: Situation) -> bool:
     """Returns whether the zone should ask for a refill."""
     if situation.free <= 0:
--- a/packages/bambooglade/bambooglade/budgets/tests/test_refill_policy.py
+++ b/packages/bambooglade/bambooglade/budgets/tests/test_refill_policy.py
@@ -59,3 +59,14 @@
         goes_first=not there_first,
     )
     assert (given > 0) != (taken > 0)
+
+
+@pytest.mark.parametrize(
+    ("demand_share", "target"),
+    [(None, 250), (0.25, 250), (0.0, 75), (1.0, 775)],
+)
+def test_reserve_follows_what_the_zones_spent(demand_share, target):
+    situation = _situation(
+        remaining=1_000, reserve_share=1.0, demand_share=demand_share
+    )
+    assert refill_policy.target_unused(situation) == target
