Open less, and close what is no longer needed

Cause: when a primary died, its backup held everything between the opened mark and what it knew to be used: two bounds at least, 60% of a small budget, and whatever settled requests had freed below a mark that never went down again. A lowered mark also voided a raise on its way, and nothing raised it again, so that rights stayed closed for good (test_lowered_mark). Change: a tranche is at most 5% of the zone's unused rights; the mark goes down when more than two tranches are open and unused; the acknowledgement of a lowered mark stands for the voided raise. The target is rounded, which the test of the reserve found wrong by one token.

--- a/packages/bambooglade/bambooglade/budgets/account.py
+++ b/packages/bambooglade/bambooglade/budgets/account.py
@@ -186,10 +186,15 @@
         self.generation += 1
         self.version += 1
 
-    def close_acknowledged(self, generation: int) -> None:
-        """Takes the backup's acknowledgement of a lowered mark."""
+    def close_acknowledged(self, mark: int, generation: int) -> None:
+        """Takes the backup's acknowledgement of a lowered mark.
+
+        It stands for the acknowledgement of a raised one, too, that was on its
+        way when the mark was lowered.
+        """
         if generation == self.generation:
             self.ceiling = self.opened
+            self.acknowledged = max(self.acknowledged, mark)
 
     def require_backup(self, *, required: bool) -> None:
         """Starts or ends to depend on a backup's acknowledgements."""
--- a/packages/bambooglade/bambooglade/budgets/account_book.py
+++ b/packages/bambooglade/bambooglade/budgets/account_book.py
@@ -198,7 +198,10 @@
             return
         yield from self._account_changed(state.account)
         notice = book_notices.MarkLowered(
-            budget_id=message.budget_id, generation=state.account.generation
+            budget_id=message.budget_id,
+            mark=state.account.opened,
+            generation=state.account.generation,
+            writes_document=True,
         )
         yield books.AfterReplication(then=(notice,))
 
@@ -226,7 +229,10 @@
         """Takes back a notice after the changes before it were copied."""
         state = self._state_of(notice.budget_id)
         book_notices.apply(notice, state.account)
-        if isinstance(notice, book_notices.MarkLowered):
+        if (
+            isinstance(notice, book_notices.MarkLowered)
+            and notice.writes_document
+        ):
             yield books.DocumentWanted()
         yield from self._work(state, now_ms)
 
@@ -461,13 +467,16 @@
         self, state: account_state.AccountState
     ) -> Iterator[effects.Effects]:
         account = state.account
-        if not account.needs_backup or account.opened >= account.rights:
+        if not account.needs_backup:
             return
         tranche = refill_policy.tranche(
-            state.meter.tokens_per_s, state.meter.last
+            state.meter.tokens_per_s, state.meter.last, account.unused
         )
         wanted = state.waiting_tokens + tranche // 2
-        if account.opened - account.used >= wanted:
+        opened = account.opened - account.used
+        if opened > state.waiting_tokens + 2 * tranche:
+            yield from self._close_some(state, tranche)
+        if opened >= wanted or account.opened >= account.rights:
             return
         account.open_up_to(account.used + state.waiting_tokens + tranche)
         notice = book_notices.MarkRaised(
@@ -478,6 +487,21 @@
         yield from self._account_changed(account)
         yield books.AfterReplication(then=(notice,))
 
+    def _close_some(
+        self, state: account_state.AccountState, tranche: int
+    ) -> Iterator[effects.Effects]:
+        """Lowers the mark, so that little is held if this primary dies."""
+        account = state.account
+        account.close_down_to(account.used + state.waiting_tokens + tranche)
+        notice = book_notices.MarkLowered(
+            budget_id=account.budget_id,
+            mark=account.opened,
+            generation=account.generation,
+            writes_document=False,
+        )
+        yield from self._account_changed(account)
+        yield books.AfterReplication(then=(notice,))
+
     def _obtain(
         self, state: account_state.AccountState, now_ms: int
     ) -> Iterator[effects.Effects]:
--- a/packages/bambooglade/bambooglade/budgets/book_notices.py
+++ b/packages/bambooglade/bambooglade/budgets/book_notices.py
@@ -24,9 +24,15 @@
 
 
 class MarkLowered(AccountNotice, frozen=True, kw_only=True):
-    """The backup knows of a lowered opened mark."""
+    """The backup knows of a lowered opened mark.
 
+    Attributes:
+        writes_document: Whether rights below it are to be returned.
+    """
+
+    mark: int
     generation: int
+    writes_document: bool
 
 
 class RightsFreed(AccountNotice, frozen=True, kw_only=True):
@@ -50,7 +56,7 @@
 
 @apply.register
 def _(notice: MarkLowered, account: accounts.ZoneAccount) -> None:
-    account.close_acknowledged(notice.generation)
+    account.close_acknowledged(notice.mark, notice.generation)
 
 
 @apply.register
--- a/packages/bambooglade/bambooglade/budgets/refill_policy.py
+++ b/packages/bambooglade/bambooglade/budgets/refill_policy.py
@@ -20,6 +20,9 @@
 BOUNDS_PER_TRANCHE = 2
 """A tranche covers at least this many of the latest bounds."""
 
+TRANCHE_SHARE = 0.05
+"""A tranche is at most this share of the zone's unused rights."""
+
 EQUAL_PART = 0.3
 """Part of the reserve that is divided equally among the zones."""
 
@@ -98,7 +101,7 @@
     """Returns how many unused rights the zone is to have after a refill."""
     reserve = situation.reserve_share * situation.remaining
     reserve *= _zone_weight(situation)
-    return int(max(situation.tokens_per_s * HORIZON_S, reserve))
+    return round(max(situation.tokens_per_s * HORIZON_S, reserve))
 
 
 def _zone_weight(situation: Situation) -> float:
@@ -149,9 +152,20 @@
     return needed + min(extra, _share_of(left, situation.zone_count))
 
 
-def tranche(tokens_per_s: float, last_bound: int) -> int:
-    """Returns how many rights to open beyond those that are asked for."""
-    return int(max(tokens_per_s * TRANCHE_S, last_bound * BOUNDS_PER_TRANCHE))
+def tranche(tokens_per_s: float, last_bound: int, unused: int) -> int:
+    """Returns how many rights to open beyond those that are asked for.
+
+    What is open when a primary dies is held, so that a small budget opens
+    little and waits for its backup more often.
+
+    Examples:
+        >>> tranche(tokens_per_s=500.0, last_bound=100, unused=100_000)
+        1000
+        >>> tranche(tokens_per_s=500.0, last_bound=100, unused=2_000)
+        100
+    """
+    wanted = max(tokens_per_s * TRANCHE_S, last_bound * BOUNDS_PER_TRANCHE)
+    return int(min(wanted, max(0, unused) * TRANCHE_SHARE))
 
 
 def surplus(*, unused: int, waiting: int, wanted: int, goes_first: bool) -> int:
--- a/packages/bambooglade/bambooglade/budgets/tests/test_refill_policy.py
+++ b/packages/bambooglade/bambooglade/budgets/tests/test_refill_policy.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bambooglade.budgets import account as accounts
 from bambooglade.budgets import refill_policy
 
 
@@ -70,3 +71,17 @@
         remaining=1_000, reserve_share=1.0, demand_share=demand_share
     )
     assert refill_policy.target_unused(situation) == target
+
+
+def test_lowered_mark_replaces_a_raise_on_its_way():
+    """Rights above the acknowledged mark must not stay closed for good."""
+    account = accounts.ZoneAccount(budget_id="team/t1", epoch=1)
+    account.granted = 1_000
+    account.require_backup(required=True)
+    account.open_up_to(800)
+    generation_of_raise = account.generation
+    account.close_down_to(300)
+    account.open_acknowledged(800, generation_of_raise)
+    assert account.limit == 0
+    account.close_acknowledged(account.opened, account.generation)
+    assert (account.limit, account.ceiling) == (300, 300)
