--- a/packages/bambooglade-standins/bambooglade_standins/engine/__main__.py
+++ b/packages/bambooglade-standins/bambooglade_standins/engine/__main__.py
@@ -4,7 +4,6 @@
 
 import threading
 
-from absl import logging
 import fire
 
 from bambooglade_standins.engine import app
@@ -46,7 +45,7 @@
         host=host,
         port=port,
     )
-    logging.info("event=engine_started target=%s url=%s", target_id, http.url)
+    print(f"event=engine_started target={target_id} url={http.url}", flush=True)
     threading.Event().wait()
 
 
--- a/packages/bambooglade-standins/bambooglade_standins/plain_service/__main__.py
+++ b/packages/bambooglade-standins/bambooglade_standins/plain_service/__main__.py
@@ -4,7 +4,6 @@
 
 import threading
 
-from absl import logging
 import fire
 
 from bambooglade_standins.plain_service import server
@@ -21,7 +20,9 @@
         target_id: Name of the target.
     """
     http, _ = server.start(target_id, host=host, port=port)
-    logging.info("event=service_started target=%s url=%s", target_id, http.url)
+    print(
+        f"event=service_started target={target_id} url={http.url}", flush=True
+    )
     threading.Event().wait()
 
 
