--- a/packages/bambooglade-standins/bambooglade_standins/virtual/control.py
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/control.py
@@ -17,6 +17,8 @@
 from bambooglade_standins.virtual import fleet as virtual_fleet
 from bambooglade_standins.virtual import instances
 
+PAGE_COUNT = 4
+
 
 class ControlParts:
     """Membership and table of one instance."""
@@ -78,7 +80,7 @@
         *,
         seed: int,
         seeds: tuple[str, ...],
-        page_count: int = 4,
+        page_count: int = PAGE_COUNT,
         watches: bool = True,
         on_effect: Callable[[identifiers.InstanceId, effects.Effect, int], None]
         | None = None,
--- a/packages/bambooglade/bambooglade/fleet/beliefs.py
+++ b/packages/bambooglade/bambooglade/fleet/beliefs.py
@@ -13,7 +13,7 @@
 from bambooglade.fleet import state_digest
 from bambooglade.shards import assignments
 
-MAX_MEMBERS_PER_MESSAGE = 6
+MAX_MEMBERS_PER_MESSAGE = 4
 MAX_PLACES_PER_MESSAGE = 4
 MAX_ITEMS_PER_PART = 300
 
--- a/packages/bambooglade/bambooglade/platform/call_budget.py
+++ b/packages/bambooglade/bambooglade/platform/call_budget.py
@@ -16,8 +16,8 @@
 
 READS_PER_S = 2_000
 WRITES_PER_S = 300
-SHARED_PART = 0.5
-BURST_MS = 1_000
+SHARED_PART = 0.8
+BURST_MS = 250
 """A share that was not used may be used within this time."""
 FIRST_PAUSE_MS = 500
 MAX_PAUSE_MS = 5_000
@@ -36,7 +36,7 @@
 
     Examples:
         >>> share_of(10)
-        Share(reads_per_s=100.0, writes_per_s=15.0)
+        Share(reads_per_s=160.0, writes_per_s=24.0)
     """
     size = max(1, fleet_size)
     return Share(
@@ -46,13 +46,13 @@
 
 
 class TokenBucket:
-    """Lets through a rate, with bursts up to a second's worth or one call.
+    """Lets through a rate, with bursts up to `BURST_MS` of it or one call.
 
     Examples:
-        >>> bucket = TokenBucket(rate_per_s=2, now_ms=0)
+        >>> bucket = TokenBucket(rate_per_s=8, now_ms=0)
         >>> [bucket.take(now_ms=0) for _ in range(3)]
         [True, True, False]
-        >>> bucket.take(now_ms=500)
+        >>> bucket.take(now_ms=125)
         True
     """
 
--- a/packages/bambooglade/bambooglade/platform/call_queue.py
+++ b/packages/bambooglade/bambooglade/platform/call_queue.py
@@ -46,7 +46,7 @@
     ) -> Iterator[effects.DocumentAnswer]:
         """Queues a request; yields its answer if the queue is full."""
         if len(self) >= MAX_QUEUED:
-            yield _no_answer(request)
+            yield no_answer(request)
             return
         waiting = _Waiting(request=request, since_ms=now_ms)
         if isinstance(request, effects.ReadDocument):
@@ -88,7 +88,7 @@
         for key, waiting in list(self._reads.items()):
             if now_ms - waiting.since_ms >= QUEUE_TIMEOUT_MS:
                 del self._reads[key]
-                yield _no_answer(waiting.request)
+                yield no_answer(waiting.request)
         for key in list(self._writes):
             yield from self._expired_writes(key, now_ms)
 
@@ -115,7 +115,7 @@
         queued = self._writes.pop(key)
         for waiting in queued:
             if now_ms - waiting.since_ms >= QUEUE_TIMEOUT_MS:
-                yield _no_answer(waiting.request)
+                yield no_answer(waiting.request)
             else:
                 self._writes.setdefault(key, []).append(waiting)
 
@@ -126,7 +126,8 @@
         return f"CallQueue(waiting={len(self)}, writing={len(self._in_flight)})"
 
 
-def _no_answer(request: Request) -> effects.DocumentAnswer:
+def no_answer(request: Request) -> effects.DocumentAnswer:
+    """Returns the answer to a request that the service did not answer."""
     if isinstance(request, effects.ReadDocument):
         return effects.ReadFailed(key=request.key)
     return effects.WriteUncertain(key=request.key)
