Suspect an instance at once whose connections are refused

Cause: after a crash the others probed until they suspected it, about 2 s, and the backup was promoted after 5 s; a deduction that its shard decides on was answered 'unknown' after 5 s. The key retention of the settings had no effect. Change: a refused connection, unlike a slow one, is reported to the membership as a suspicion, which spreads and can be refuted; the retention is passed on. Conclusion: a suspicion suffices for the backup, since the document arbitrates.

--- a/packages/bambooglade/bambooglade/fleet/gossip.py
+++ b/packages/bambooglade/bambooglade/fleet/gossip.py
@@ -242,9 +242,10 @@
             for helper in helpers:
                 yield effects.Send(recipient=helper, message=request)
         for probe in self._probes.failed(now_ms):
-            self._suspect(probe.subject, now_ms)
+            self.suspect(probe.subject, now_ms)
 
-    def _suspect(self, subject: identifiers.InstanceId, now_ms: int) -> None:
+    def suspect(self, subject: identifiers.InstanceId, now_ms: int) -> None:
+        """Suspects a member that is believed alive."""
         member = self.members.get(subject)
         if member and member.update.status is messages.Status.ALIVE:
             self.learn(
--- a/packages/bambooglade/bambooglade/fleet/membership.py
+++ b/packages/bambooglade/bambooglade/fleet/membership.py
@@ -155,6 +155,16 @@
                 msgspec.structs.replace(update, leaving=True), now_ms
             )
 
+    def connection_refused(
+        self, instance_id: identifiers.InstanceId, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Suspects an instance at whose address nobody listens any more.
+
+        The suspicion spreads, and is refuted if the instance lives after all.
+        """
+        self._gossip.suspect(instance_id, now_ms)
+        yield from ()
+
     def start_leaving(self, now_ms: int) -> Iterator[effects.Effects]:
         """Announces that this instance takes on no more work."""
         yield from self._gossip.announce(now_ms, messages.Status.ALIVE)
--- a/packages/bambooglade/bambooglade/fleet/tests/test_membership.py
+++ b/packages/bambooglade/bambooglade/fleet/tests/test_membership.py
@@ -62,6 +62,17 @@
         assert view.zone_of("zone-b-2") == "zone-b"
 
 
+def test_a_refused_connection_is_a_suspicion_that_can_be_refuted(fleet):
+    view = fleet.membership("zone-a-1")
+    fleet.fleet.perform(
+        "zone-a-1",
+        lambda now_ms: view.connection_refused("zone-b-2", now_ms),
+    )
+    assert view.is_suspected("zone-b-2")
+    fleet.fleet.run_for(DETECT_MS)
+    assert _statuses(fleet, "zone-b-2") == {messages.Status.ALIVE}
+
+
 def test_a_lossy_network_removes_nobody(fleet):
     fleet.fleet.network.faults.loss = 0.10
     for _ in range(60):
--- a/packages/bambooglade/bambooglade/router/assembly.py
+++ b/packages/bambooglade/bambooglade/router/assembly.py
@@ -24,6 +24,8 @@
 from bambooglade.targets import leaving
 from bambooglade.targets import leaving_gossip
 
+_RETENTION = retentions.Retention()
+
 
 class Identity(msgspec.Struct, frozen=True, kw_only=True):
     """Who an instance is, and what all instances agree on by their settings.
@@ -63,7 +65,7 @@
     assignment_map: assignments.AssignmentMap,
     fleet: fleet_view.FleetView,
     table: table_view.TableView,
-    retention: retentions.Retention | None = None,
+    retention: retentions.Retention = _RETENTION,
     others: tuple[component.Component, ...] = (),
 ) -> Parts:
     """Returns the decisions on budgets and calls, with further components.
@@ -76,7 +78,6 @@
         retention: How long records of keys are kept.
         others: Components that run in the same state machine.
     """
-    retention = retention or retentions.Retention()
     host = hosts.ShardHost(
         instance_id=identity.instance_id,
         availability_zone=identity.availability_zone,
@@ -127,6 +128,7 @@
     seeds: tuple[str, ...],
     page_count: int,
     granted_out: checks.GrantedOut,
+    retention: retentions.Retention,
 ) -> NetworkedParts:
     """Returns the decisions of a router process.
 
@@ -136,6 +138,7 @@
         seeds: Base URLs of instances to ask first.
         page_count: Number of pages of the table.
         granted_out: Looks up what is granted out of an account.
+        retention: How long records of keys are kept.
     """
     random_source = random.Random()
     assignment_map = assignments.AssignmentMap()
@@ -167,6 +170,7 @@
         assignment_map=assignment_map,
         fleet=membership,
         table=table,
+        retention=retention,
         others=(membership, table, gossip),
     )
     return NetworkedParts(
--- a/packages/bambooglade/bambooglade/router/construction.py
+++ b/packages/bambooglade/bambooglade/router/construction.py
@@ -9,6 +9,7 @@
 from bambooglade.core import clock as clocks
 from bambooglade.core import effects
 from bambooglade.core import identifiers
+from bambooglade.operations import retention as retentions
 from bambooglade.platform import call_budget
 from bambooglade.platform import key_value
 from bambooglade.platform import prefix_watch
@@ -95,6 +96,9 @@
         seeds=tuple(f"{scheme}://{seed}" for seed in instance.seeds),
         page_count=instance.table_page_count,
         granted_out=granted_out,
+        retention=retentions.Retention(
+            once_ms=settings.limits.key_retention_ms
+        ),
     )
 
 
--- a/packages/bambooglade/bambooglade/router/process.py
+++ b/packages/bambooglade/bambooglade/router/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import time
 
@@ -211,9 +212,17 @@
             clock=self._clock,
             url_of=self._networked.membership.url,
             receive=self._runtime.receive,
+            refused=self._connection_refused,
             client=client_lib.HttpClient(ca_file=security.ca_file),
         )
 
+    def _connection_refused(self, peer: identifiers.InstanceId) -> None:
+        self._runtime.decide(
+            functools.partial(
+                self._networked.membership.connection_refused, peer
+            )
+        )
+
     def _build_courier(self, ring: trace.TraceRing) -> dispatch.Courier:
         client = client_lib.HttpClient()
         directory = target_directory.TargetDirectory(
--- a/packages/bambooglade/bambooglade/transport/peers.py
+++ b/packages/bambooglade/bambooglade/transport/peers.py
@@ -36,6 +36,10 @@
 """Takes a sender's messages; returns messages to send back in the answer."""
 
 
+def _ignore(recipient: identifiers.InstanceId) -> None:
+    del recipient
+
+
 class Peers:
     """Queues messages per peer and posts them in batches.
 
@@ -47,6 +51,7 @@
         clock: Tells the time for pauses after failures.
         url_of: Returns the base URL of an instance, or None.
         receive: Takes the messages that come back in answers.
+        refused: Learns of an instance that refuses connections.
         client: Posts the batches; one that trusts the fleet's certificates
             where TLS is used.
         threads: How many batches may be on their way.
@@ -59,6 +64,7 @@
         clock: clocks.Clock,
         url_of: Callable[[identifiers.InstanceId], str | None],
         receive: Receive,
+        refused: Callable[[identifiers.InstanceId], None] = _ignore,
         client: http_client.HttpClient | None = None,
         threads: int = THREADS,
     ) -> None:
@@ -66,6 +72,7 @@
         self._clock = clock
         self._url_of = url_of
         self._receive = receive
+        self._refused = refused
         self._client = client or http_client.HttpClient()
         self._lock = threading.Lock()
         self._queues = peer_queue.PeerQueues()
@@ -138,6 +145,8 @@
             logging.log_every_n_seconds(
                 logging.WARNING, "event=peer_unreachable peer=%s", 1, recipient
             )
+            if _is_refused(answered):
+                self._refused(recipient)
             return False
         self._take_answer(answered.unwrap())
         return True
@@ -162,6 +171,18 @@
         return f"Peers({self._queues!r})"
 
 
+def _is_refused(
+    answered: result.Result[messages.Response, messages.TransferFailure],
+) -> bool:
+    """Returns whether the connection was refused, not merely slow."""
+    if answered.is_ok():
+        return False
+    failure = answered.unwrap_err()
+    return not failure.sent and not isinstance(
+        failure, messages.TransferTimeout
+    )
+
+
 def _request(url: str, sealed: sealing.Sealed) -> messages.Request:
     return messages.Request(
         method="POST",
--- a/packages/bambooglade/bambooglade/transport/tests/test_peers.py
+++ b/packages/bambooglade/bambooglade/transport/tests/test_peers.py
@@ -33,6 +33,7 @@
 
     def __init__(self, name, *, key=KEY, answers=()):
         self.received = []
+        self.refused = []
         self.arrived = threading.Semaphore(0)
         self.url_by_peer = {}
         self._answers = answers
@@ -48,6 +49,7 @@
             clock=clock,
             url_of=self.url_by_peer.get,
             receive=self._receive,
+            refused=self.refused.append,
             threads=2,
         )
         self.server = serving.make_server(
@@ -134,6 +136,7 @@
     assert [message for _, message in second.received] == [
         _message(number) for number in range(20)
     ]
+    assert set(first.refused) == {"gone"}
 
 
 def test_a_queue_is_bounded_and_drops_the_oldest():
