--- a/packages/bambooglade/bambooglade/router/assembly.py
+++ b/packages/bambooglade/bambooglade/router/assembly.py
@@ -20,6 +20,7 @@
 from bambooglade.shards import host as hosts
 from bambooglade.table import checks
 from bambooglade.table import replica as replicas
+from bambooglade.table import synchronization
 from bambooglade.table import view as table_view
 from bambooglade.targets import leaving
 from bambooglade.targets import leaving_gossip
@@ -154,8 +155,10 @@
         peers=membership.peers,
         random_source=random_source,
         page_count=page_count,
+        summary_period_ms=synchronization.CARRIED_SUMMARY_PERIOD_MS,
         check=lambda row, written: checker.check(row, written),
     )
+    membership.carry(table)
     checker = checks.Checker(table, granted_out=granted_out)
     leaving_targets = leaving.LeavingTargets()
     gossip = leaving_gossip.LeavingGossip(
--- a/packages/bambooglade/bambooglade/router/construction.py
+++ b/packages/bambooglade/bambooglade/router/construction.py
@@ -19,6 +19,7 @@
 from bambooglade.router import runtime as runtimes
 from bambooglade.router import settings as settings_lib
 from bambooglade.table import pages
+from bambooglade.table import replica as replicas
 from bambooglade.transport import limits
 from bambooglade.transport import server as server_lib
 
@@ -128,13 +129,13 @@
 def watch(
     store: key_value.HttpKeyValueStore,
     runtime: runtimes.Runtime,
+    table: replicas.TableReplica,
     random_source: random.Random,
 ) -> prefix_watch.PrefixWatch:
     """Returns the watch of the table's pages; it is not started."""
 
     def install_all(values: Sequence[effects.DocumentRead]) -> None:
-        for value in values:
-            runtime.document_answered(value)
+        runtime.decide(lambda now_ms: table.snapshot_read(values, now_ms))
 
     return prefix_watch.PrefixWatch(
         store=store,
--- a/packages/bambooglade/bambooglade/router/process.py
+++ b/packages/bambooglade/bambooglade/router/process.py
@@ -171,7 +171,7 @@
         )
         self._peers = self._build_peers()
         self._watch = construction.watch(
-            self._store, self._runtime, random_source
+            self._store, self._runtime, self._networked.table, random_source
         )
         self._listing = self._build_listing()
         courier = self._build_courier(ring)
