--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -13,10 +13,12 @@
 from absl import logging
 
 from benchmarks import budget_policy
+from benchmarks import cutoff_reserve
 from benchmarks import routing_policy
 
 EXPERIMENT_BY_NAME: dict[str, Callable[[], Iterator[str]]] = {
     "budget_policy": budget_policy.lines,
+    "cutoff_reserve": cutoff_reserve.lines,
     "routing_policy": routing_policy.lines,
 }
 
--- a/benchmarks/budget_policy.py
+++ b/benchmarks/budget_policy.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bambooglade.budgets import reserve_share
 from bambooglade.core import identifiers
 from bambooglade_standins.virtual import fleet as virtual_fleet
 from benchmarks import baselines
@@ -29,6 +30,7 @@
     Attributes:
         cutoff_reserve_share: Column of the teams' rows, for `escrow`.
         names_arbiter: Whether callers name their zone in the key.
+        home_zone_share: Share of a team's requests in its home zone.
         demand_factors: Prepaid amounts as multiples of the teams' demand.
     """
 
@@ -38,8 +40,9 @@
     duration_ms: int = DURATION_MS
     requests_per_s: float = REQUESTS_PER_S
     seed: int = SEED
-    cutoff_reserve_share: float = 0.5
+    cutoff_reserve_share: float = reserve_share.DEFAULT_SHARE
     names_arbiter: bool = True
+    home_zone_share: float = workloads.HOME_ZONE_SHARE
     demand_factors: tuple[float, ...] = workloads.DEMAND_FACTORS
 
 
@@ -82,6 +85,7 @@
         requests_per_s=setting.requests_per_s,
         epoch_ms=virtual_fleet.START_MS,
         names_arbiter=setting.names_arbiter,
+        home_zone_share=setting.home_zone_share,
     )
     prepaid = workloads.prepaid_by_budget(arrivals, setting.demand_factors)
     truth = truth_module.Truth(prepaid)
--- a/benchmarks/cases.py
+++ b/benchmarks/cases.py
@@ -101,3 +101,14 @@
     ),
     Case(name="down_and_paused", events=_DOWN + _PAUSE),
 )
+
+ZONE_LOST = Case(
+    name="zone_lost",
+    events=(
+        Event(at=0.30, action=Action.KILL, zone=1),
+        Event(at=0.30, action=Action.KILL, zone=1),
+        Event(at=0.35, action=Action.START, zone=1),
+        Event(at=0.35, action=Action.START, zone=1),
+    ),
+)
+"""All instances of a zone die at once: what lies there is held."""
--- a/benchmarks/escrow.py
+++ b/benchmarks/escrow.py
@@ -81,7 +81,7 @@
         prepaid_by_budget: Mapping[identifiers.BudgetId, int],
         truth: truth_module.Truth,
         seed: int,
-        cutoff_reserve_share: float = 0.5,
+        cutoff_reserve_share: float,
     ) -> None:
         self._deployment = deployment
         self._prepaid_by_budget = prepaid_by_budget
--- a/benchmarks/workloads.py
+++ b/benchmarks/workloads.py
@@ -175,6 +175,7 @@
     requests_per_s: float,
     epoch_ms: int,
     names_arbiter: bool = True,
+    home_zone_share: float = HOME_ZONE_SHARE,
 ) -> list[Arrival]:
     """Returns the arrivals of one run, in the order of their times.
 
@@ -186,10 +187,18 @@
         epoch_ms: Start of the run, for the time in the keys.
         names_arbiter: Whether the keys of calls that may not be repeated name
             the caller's zone as their arbiter, as callers are advised to do.
+        home_zone_share: Share of a team's requests in its home zone.
     """
     rng = random.Random(seed)
     return [
-        _arrival(deployment, rng, at_ms, epoch_ms, names_arbiter=names_arbiter)
+        _arrival(
+            deployment,
+            rng,
+            at_ms,
+            epoch_ms,
+            names_arbiter=names_arbiter,
+            home_zone_share=home_zone_share,
+        )
         for at_ms in _times(rng, duration_ms, requests_per_s)
     ]
 
@@ -226,6 +235,7 @@
     epoch_ms: int,
     *,
     names_arbiter: bool,
+    home_zone_share: float,
 ) -> Arrival:
     team = rng.choices(range(len(TEAM_SHARES)), TEAM_SHARES)[0]
     kind = rng.choices(
@@ -233,7 +243,7 @@
     )[0]
     zones = deployment.zones
     zone = zones[team % len(zones)]
-    if rng.random() >= HOME_ZONE_SHARE:
+    if rng.random() >= home_zone_share:
         zone = rng.choice(zones)
     key = _key(rng, epoch_ms + at_ms)
     if names_arbiter and not kind.repeatable:
--- a/packages/bambooglade/bambooglade/budgets/reserve_share.py
+++ b/packages/bambooglade/bambooglade/budgets/reserve_share.py
@@ -6,7 +6,7 @@
 from bambooglade.table import rows
 from bambooglade.table import view
 
-DEFAULT_SHARE = 0.5
+DEFAULT_SHARE = 0.75
 """Share for an account whose team has no row."""
 
 
--- a/packages/bambooglade/bambooglade/table/rows.py
+++ b/packages/bambooglade/bambooglade/table/rows.py
@@ -48,7 +48,7 @@
     key_hash: str
     previous_key_hash: str | None = None
     weight: float = 1.0
-    cutoff_reserve_share: float = 0.5
+    cutoff_reserve_share: float = 0.75
     enabled: bool = True
 
     @property
