Bound what an entry does for calls that wait for a zone

Cause: while a zone is cut off, every answered call whose bill or withdrawal is outstanding was looked at 20 times a second, and so was every settlement; a withdrawal was repeated for ever; long answers travelled with each report. Change: answered calls are looked after 200 at a time, settlements by a heap of due times; a withdrawal ends after 10 minutes (the key counts as unknown then); answers of repeatable calls over 4 KB are not kept at the arbiter. Conclusion: the work per tick is bounded; shown by test_withdrawals_are_bounded_in_time_and_per_tick.

--- a/packages/bambooglade/bambooglade/operations/claim_request.py
+++ b/packages/bambooglade/bambooglade/operations/claim_request.py
@@ -16,6 +16,9 @@
 HELD_POLL_MS = 250
 """Pause between two questions whether another entry's run has ended."""
 
+WITHDRAWAL_LIMIT_MS = 600_000
+"""How long a withdrawal is repeated; the key then counts as unknown."""
+
 UNDECIDED_POLL_MS = 5_000
 """Pause between two questions for a bill that can't be decided yet."""
 
@@ -137,7 +140,14 @@
 
     def tick(self, now_ms: int) -> Iterator[effects.Effects]:
         """Repeats the open question when it is due."""
-        if self._open is not None and self._timer.is_due(now_ms):
+        if self._open is None or not self._timer.is_due(now_ms):
+            return
+        if (
+            isinstance(self._open, messages.Withdraw)
+            and now_ms - self._begun_at_ms >= WITHDRAWAL_LIMIT_MS
+        ):
+            self._open = None
+        else:
             yield from self._send(now_ms)
 
     @functools.singledispatchmethod
--- a/packages/bambooglade/bambooglade/operations/closing.py
+++ b/packages/bambooglade/bambooglade/operations/closing.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterator
 
+import msgspec
+
 from bambooglade.core import effects
 from bambooglade.operations import calls
 from bambooglade.operations import claim_request
@@ -14,6 +16,9 @@
 FINISH_WAIT_MS = 500
 """How long an answer waits for its bill; the rest goes on behind it."""
 
+MAX_REPEATABLE_ANSWER_BYTES = 4_096
+"""Longer answers of repeatable calls are not kept at the arbiter."""
+
 _FINAL = (messages.Decision.BILLED, messages.Decision.VOIDED)
 
 
@@ -101,7 +106,7 @@
         if self._was_billed_before():
             yield from self._reservation.settle(0, now_ms)
             return
-        yield from self._claim.report(self.run_end, now_ms)
+        yield from self._claim.report(self._end_to_report(), now_ms)
         if self._call.repeatable:
             yield from self._reservation.reduce(self.run_end.spent_tokens)
         elif self.run_end.result is calls.RunResult.FINISHED:
@@ -137,6 +142,15 @@
             undecided=not self._reservation.is_settled,
         )
 
+    def _end_to_report(self) -> calls.RunEnd:
+        """Leaves a long answer out where a retry may run again instead."""
+        answer = self.run_end.answer
+        if not self._call.repeatable or answer is None:
+            return self.run_end
+        if len(answer.body) <= MAX_REPEATABLE_ANSWER_BYTES:
+            return self.run_end
+        return msgspec.structs.replace(self.run_end, answer=None)
+
     def _was_billed_before(self) -> bool:
         return self._claim.state is claim_request.ClaimState.FINISHED
 
--- a/packages/bambooglade/bambooglade/operations/coordinator.py
+++ b/packages/bambooglade/bambooglade/operations/coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterator
 import functools
 import itertools
@@ -21,6 +22,9 @@
 from bambooglade.operations import settlement_queue
 from bambooglade.shards import assignments
 
+MAX_ENDED_PER_TICK = 200
+"""Answered calls whose bills and claims are looked after in one tick."""
+
 _Phase = operation_module.Phase
 _BUDGET_MESSAGES = (
     budget_messages.Reserved,
@@ -90,6 +94,10 @@
         self._by_key: dict[
             identifiers.RequestKey, list[operation_module.Operation]
         ] = {}
+        self._open_by_number: dict[int, operation_module.Operation] = {}
+        self._ended: collections.deque[operation_module.Operation] = (
+            collections.deque()
+        )
         self._waiting_by_key: dict[
             identifiers.RequestKey, list[calls.Call]
         ] = {}
@@ -184,9 +192,10 @@
 
     def tick(self, now_ms: int) -> Iterator[effects.Effects]:
         """Repeats what is due and gives up what is too late."""
-        for operation in list(self._operations()):
+        for operation in list(self._open_by_number.values()):
             yield from operation.tick(now_ms)
             yield from self._clean_up(operation, now_ms)
+        yield from self._tick_ended(now_ms)
         yield from self._queue.tick(now_ms)
         yield from self._look_ups.tick(now_ms)
         yield from self._refuse_late_waiting(now_ms)
@@ -230,6 +239,19 @@
             now_ms,
         )
 
+    def _tick_ended(self, now_ms: int) -> Iterator[effects.Effects]:
+        """Goes on with answered calls, a bounded number at a time.
+
+        There may be many while a zone is cut off.
+        """
+        for _ in range(min(len(self._ended), MAX_ENDED_PER_TICK)):
+            operation = self._ended.popleft()
+            yield from operation.tick(now_ms)
+            if operation.is_pending:
+                self._ended.append(operation)
+            else:
+                self._forget(operation)
+
     def _operations(self) -> Iterator[operation_module.Operation]:
         return itertools.chain.from_iterable(self._by_key.values())
 
@@ -245,6 +267,7 @@
             queue=self._queue,
             ran_before=ran_before,
         )
+        self._open_by_number[operation.claim.attempt.number] = operation
         self._active_by_key[call.key] = operation
         self._by_key.setdefault(call.key, []).append(operation)
         yield from operation.start(now_ms)
@@ -276,6 +299,9 @@
         """Wakes calls that wait for an ended one, and forgets the latter."""
         if operation.phase is not _Phase.ENDED:
             return
+        number = operation.claim.attempt.number
+        if self._open_by_number.pop(number, None) and operation.is_pending:
+            self._ended.append(operation)
         key = operation.call.key
         if self._active_by_key.get(key) is operation:
             waiting = self._waiting_by_key.pop(key, [])
--- a/packages/bambooglade/bambooglade/operations/settlement_queue.py
+++ b/packages/bambooglade/bambooglade/operations/settlement_queue.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 import dataclasses
 import functools
-import itertools
+import heapq
 
 import msgspec
 
@@ -53,11 +53,12 @@
         SettlementQueue(pending=0)
     """
 
-    __slots__ = ("_by_id", "_count_by_reservation", "_directory")
+    __slots__ = ("_by_id", "_count_by_reservation", "_directory", "_due")
 
     def __init__(self, *, directory: directory_module.Directory) -> None:
         self._directory = directory
         self._by_id: dict[SettlementId, _Queued] = {}
+        self._due: list[tuple[int, SettlementId]] = []
         self._count_by_reservation: collections.Counter[
             messages.ReservationId
         ] = collections.Counter()
@@ -82,7 +83,7 @@
         )
         self._by_id[settlement_id] = queued
         self._count_by_reservation[settle.reservation_id] += 1
-        yield from self._send(queued, now_ms)
+        yield from self._send(settlement_id, queued, now_ms)
 
     def is_pending(self, reservation_id: messages.ReservationId) -> bool:
         """Returns whether a reservation has unacknowledged settlements."""
@@ -133,16 +134,21 @@
 
     def tick(self, now_ms: int) -> Iterator[effects.Effects]:
         """Repeats what is due, a bounded number at a time."""
-        due = (
-            queued
-            for queued in self._by_id.values()
-            if queued.timer.is_due(now_ms)
-        )
-        for queued in list(itertools.islice(due, MAX_SENT_PER_TICK)):
-            yield from self._send(queued, now_ms)
-
-    def _send(self, queued: _Queued, now_ms: int) -> Iterator[effects.Effects]:
+        sent = 0
+        while self._due and self._due[0][0] <= now_ms:
+            if sent == MAX_SENT_PER_TICK:
+                return
+            next_ms, settlement_id = heapq.heappop(self._due)
+            queued = self._by_id.get(settlement_id)
+            if queued is not None and queued.timer.next_ms == next_ms:
+                yield from self._send(settlement_id, queued, now_ms)
+                sent += 1
+
+    def _send(
+        self, settlement_id: SettlementId, queued: _Queued, now_ms: int
+    ) -> Iterator[effects.Effects]:
         queued.timer.sent(now_ms)
+        heapq.heappush(self._due, (queued.timer.next_ms, settlement_id))
         recipient = self._directory.recipient(queued.place)
         if recipient is not None:
             yield effects.Send(recipient=recipient, message=queued.settle)
--- a/packages/bambooglade/bambooglade/operations/tests/test_coordinator.py
+++ b/packages/bambooglade/bambooglade/operations/tests/test_coordinator.py
@@ -7,6 +7,7 @@
 from bambooglade.budgets import messages as budget_messages
 from bambooglade.operations import calls
 from bambooglade.operations import claim_request
+from bambooglade.operations import closing
 from bambooglade.operations import coordinator
 from bambooglade.operations import messages
 from bambooglade.operations import operation
@@ -279,3 +280,33 @@
 def test_message_types_name_every_answer():
     types = coordinator.Coordinator.message_types
     assert set(messages.TO_ENTRY) < set(types)
+
+
+def test_withdrawals_are_bounded_in_time_and_per_tick():
+    bench = harness.Harness()
+    bench.lose = _loses(messages.Claim, messages.Withdraw)
+    count = coordinator.MAX_ENDED_PER_TICK + 50
+    for tail in range(count):
+        bench.begin(ENTRY_A, harness.make_call(harness.make_key(tail=tail)))
+    bench.pass_time(6_000)
+    part = bench.entry_by_id[ENTRY_A]
+    assert len(bench.ends) == part.pending_settlements() == count
+    before = len(bench.sent)
+    bench.pass_time(50)
+    assert len(bench.sent) - before <= coordinator.MAX_ENDED_PER_TICK
+    bench.now_ms += claim_request.WITHDRAWAL_LIMIT_MS
+    bench.pass_time(10_000)
+    assert part.pending_settlements() == 0
+
+
+def test_long_answer_of_a_repeatable_call_is_not_kept():
+    bench = harness.Harness()
+    body = b"x" * (closing.MAX_REPEATABLE_ANSWER_BYTES + 1)
+    answer = calls.KeptAnswer(http_status=200, content_type="", body=body)
+    for repeatable, told in ((True, "Permit"), (False, "Replay")):
+        key = harness.make_key(tail=int(repeatable) + 1)
+        call = harness.make_call(key, repeatable=repeatable)
+        bench.begin(ENTRY_A, call)
+        bench.finish(ENTRY_A, key, answer=answer)
+        bench.begin(ENTRY_B, call)
+        assert bench.names()[-1] == told
