Refuse a repeatable call as not run only on its first attempt

Cause: found by the fuzzing of the shards: a retry of a repeatable call was told 'not run' by the arbiter's word while another entry ran it before its claim arrived. Change: the arbiter's word suffices only for calls that may not be repeated. The rows of test_refusal that said otherwise are replaced: a repeatable retry now has to be told 'unknown', and the rows for 'not run' are first attempts.

--- a/packages/bambooglade/bambooglade/operations/operation.py
+++ b/packages/bambooglade/bambooglade/operations/operation.py
@@ -292,7 +292,7 @@
         state = self.claim.state
         key_never_ran = not self._ran_before and (
             self.call.first_attempt
-            or self.claim.never_ran
+            or self._arbiter_excludes_runs()
             or state is _State.REFUSED
         )
         self.phase = Phase.ENDED
@@ -307,6 +307,13 @@
         if state not in (_State.FINISHED, _State.REFUSED):
             yield from self.claim.withdraw(now_ms)
 
+    def _arbiter_excludes_runs(self) -> bool:
+        """Whether the arbiter's word suffices to say that nothing ran.
+
+        A repeatable call may run at another entry before it is claimed.
+        """
+        return self.claim.never_ran and not self.call.repeatable
+
     def _replay(
         self,
         answer: calls.KeptAnswer,
--- a/packages/bambooglade/bambooglade/operations/tests/test_coordinator.py
+++ b/packages/bambooglade/bambooglade/operations/tests/test_coordinator.py
@@ -54,8 +54,10 @@
     [
         ("exhausted", False, False, "budget_exhausted", "no"),
         ("exhausted", True, True, "budget_exhausted", "no"),
-        ("unreachable", False, True, "rights_unreachable", "no"),
-        ("unknown_budget", False, True, "budget_exhausted", "no"),
+        ("exhausted", False, True, "outcome_unknown", "unknown"),
+        ("unreachable", False, False, "rights_unreachable", "no"),
+        ("unreachable", True, True, "rights_unreachable", "no"),
+        ("unknown_budget", True, True, "budget_exhausted", "no"),
     ],
 )
 def test_refusal_by_an_account_releases_all(
