Keep threads and errors from stopping peers, documents and watches

Cause, found by reading the code for what several threads may do at once: two threads could let in the same envelope, as the window of nonces had no lock; an error while an answer was taken in left the peer marked as busy, so nothing was sent to it any more; an error in the adapter left a write unanswered, so its page was never edited again; an error in a reader ended the watch for good; a reader of the table could keep rows of before an installation; members were counted while they changed.

Change: a lock around the window; sending, calling and watching end in a known state whatever is raised, and log it; rows in force are replaced as a whole; members are listed from a copy.

Ruled out: a lock around the table, as request threads read it.

Conclusion: no known way is left in which an error of one call stops those that follow.

--- a/benchmarks/service_calls.py
+++ b/benchmarks/service_calls.py
@@ -106,6 +106,7 @@
         self.writes_by_second: dict[int, int] = {}
 
     def call(self, node: _Node, request: call_queue.Request) -> None:
+        """Takes a call and answers it after the latency or the time-out."""
         is_read = isinstance(request, effects.ReadDocument)
         counts = self.reads_by_second if is_read else self.writes_by_second
         second = self._queue.now_ms // _MS_PER_S
@@ -169,6 +170,7 @@
         )
 
     def answered(self, answer: effects.DocumentAnswer) -> None:
+        """Takes an answer of the service."""
         now_ms = self._queue.now_ms
         if not self._budgeted:
             self._take_answer(answer)
--- a/packages/bambooglade-standins/bambooglade_standins/key_value/tests/test_document_client.py
+++ b/packages/bambooglade-standins/bambooglade_standins/key_value/tests/test_document_client.py
@@ -78,6 +78,47 @@
     assert running.store.get("a").value == b"1"
 
 
+def test_an_error_in_the_adapter_is_an_uncertain_write(running, monkeypatch):
+    def fail(request):
+        raise OSError("too many open files")
+
+    monkeypatch.setattr(running.documents, "_store", _Failing(fail))
+    write = effects.WriteDocument(key="a", expected_revision=0, value=b"1")
+    running.documents.submit(write)
+    uncertain = effects.WriteUncertain(key="a")
+    assert running.answers.get(timeout=WAIT_S) == uncertain
+
+
+class _Failing:
+    def __init__(self, write):
+        self.write = write
+
+
+def test_a_watch_goes_on_after_an_error_of_its_reader(running):
+    running.store.put("t/1", b"1")
+    snapshots = queues.Queue()
+    errors = [ValueError("deliberate")]
+
+    def read(values):
+        if errors:
+            raise errors.pop()
+        snapshots.put(values)
+
+    watch = prefix_watch.PrefixWatch(
+        store=running.adapter,
+        documents=running.documents,
+        prefix="t/",
+        on_snapshot=read,
+        on_change=lambda change: None,
+        random_source=random.Random(1),
+    )
+    watch.start()
+    (value,) = snapshots.get(timeout=WAIT_S)
+    assert value.value == b"1"
+    running.adapter.close()
+    watch.close()
+
+
 def test_a_watch_delivers_present_values_changes_and_a_restore(running):
     snapshots, changes = queues.Queue(), queues.Queue()
     running.store.put("t/1", b"1")
--- a/packages/bambooglade/bambooglade/fleet/beliefs.py
+++ b/packages/bambooglade/bambooglade/fleet/beliefs.py
@@ -171,9 +171,11 @@
 
     @property
     def is_full(self) -> bool:
+        """Whether no further bucket is taken."""
         return len(self.members) + len(self.places) >= MAX_ITEMS_PER_PART
 
     def add(self, contents: _Contents) -> None:
+        """Takes the contents of one more bucket."""
         self.buckets += 1
         self.members.extend(contents.members)
         self.places.extend(contents.places)
--- a/packages/bambooglade/bambooglade/fleet/gossip.py
+++ b/packages/bambooglade/bambooglade/fleet/gossip.py
@@ -16,7 +16,6 @@
 from collections.abc import Iterator
 import functools
 import random
-from typing import Protocol
 
 from absl import logging
 import msgspec
@@ -24,6 +23,7 @@
 from bambooglade.core import effects
 from bambooglade.core import identifiers
 from bambooglade.fleet import beliefs
+from bambooglade.fleet import carried_table
 from bambooglade.fleet import contacts as contacts_
 from bambooglade.fleet import members as members_
 from bambooglade.fleet import messages
@@ -40,21 +40,6 @@
 """More members than these in one comparison are not news to the others."""
 
 
-class CarriedTable(Protocol):
-    """What the pings compare besides the beliefs."""
-
-    @property
-    def root(self) -> int:
-        """Digest of the table."""
-        ...
-
-    def compare(
-        self, peer: identifiers.InstanceId
-    ) -> Iterator[effects.Effects]:
-        """Starts a comparison with a peer whose digest differs."""
-        ...
-
-
 class Gossip:
     """Detects failures, and spreads beliefs with a constant fan-out.
 
@@ -91,7 +76,7 @@
         self._next_contact_ms = 0
         self._next_sync_ms = 0
         self._next_forget_ms = 0
-        self.table: CarriedTable | None = None
+        self.table: carried_table.CarriedTable | None = None
         self._beliefs.learn_member(own, now_ms=0)
 
     @property
--- a/packages/bambooglade/bambooglade/fleet/members.py
+++ b/packages/bambooglade/bambooglade/fleet/members.py
@@ -80,8 +80,8 @@
         return self._by_id.get(instance_id)
 
     def all(self) -> Iterator[Member]:
-        """Yields all members that are remembered."""
-        return iter(self._by_id.values())
+        """Yields all members that are remembered, as they are now."""
+        return iter(tuple(self._by_id.values()))
 
     def live(self) -> Iterator[Member]:
         """Yields the members that are not believed dead."""
--- a/packages/bambooglade/bambooglade/fleet/membership.py
+++ b/packages/bambooglade/bambooglade/fleet/membership.py
@@ -14,6 +14,7 @@
 
 from bambooglade.core import effects
 from bambooglade.core import identifiers
+from bambooglade.fleet import carried_table
 from bambooglade.fleet import contacts
 from bambooglade.fleet import gossip
 from bambooglade.fleet import messages
@@ -103,7 +104,7 @@
             or member.update.status is not messages.Status.ALIVE
         )
 
-    def carry(self, table: gossip.CarriedTable) -> None:
+    def carry(self, table: carried_table.CarriedTable) -> None:
         """Lets the pings compare the digest of a table, too."""
         self._gossip.table = table
 
--- a/packages/bambooglade/bambooglade/platform/document_client.py
+++ b/packages/bambooglade/bambooglade/platform/document_client.py
@@ -7,6 +7,8 @@
 from concurrent import futures
 import threading
 
+from absl import logging
+
 from bambooglade.core import clock as clocks
 from bambooglade.core import effects
 from bambooglade.platform import call_budget
@@ -105,13 +107,21 @@
             if self._closed:
                 return
             for request in self._queue.due(self._clock.now_ms()):
-                self._executor.submit(self._call, request)
+                called = self._executor.submit(self._call, request)
+                called.add_done_callback(_log_error)
 
     def _call(self, request: call_queue.Request) -> None:
-        if isinstance(request, effects.ReadDocument):
-            answer = self._store.read(request)
-        else:
-            answer = self._store.write(request)
+        """Calls the service; every request is answered, whatever happens."""
+        answer = call_queue.no_answer(request)
+        try:
+            if isinstance(request, effects.ReadDocument):
+                answer = self._store.read(request)
+            else:
+                answer = self._store.write(request)
+        finally:
+            self._answered(answer)
+
+    def _answered(self, answer: effects.DocumentAnswer) -> None:
         with self._lock:
             answers = list(self._queue.answered(answer, self._clock.now_ms()))
         self._deliver_all(answers)
@@ -123,3 +133,8 @@
 
     def __repr__(self) -> str:
         return f"DocumentClient({self._queue!r})"
+
+
+def _log_error(called: futures.Future[None]) -> None:
+    if not called.cancelled() and called.exception() is not None:
+        logging.error("event=call_failed error=%r", called.exception())
--- a/packages/bambooglade/bambooglade/platform/prefix_watch.py
+++ b/packages/bambooglade/bambooglade/platform/prefix_watch.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+from concurrent import futures
 import random
 import threading
 
@@ -35,6 +36,7 @@
 
     __slots__ = (
         "_documents",
+        "_executor",
         "_on_change",
         "_on_snapshot",
         "_prefix",
@@ -61,6 +63,9 @@
         self._on_change = on_change
         self._random = random_source
         self._stopped = threading.Event()
+        self._executor = futures.ThreadPoolExecutor(
+            max_workers=1, thread_name_prefix=f"follow-{prefix}"
+        )
         self._thread = threading.Thread(
             target=self._run, name=f"watch-{prefix}", daemon=True
         )
@@ -73,13 +78,23 @@
         """Stops the thread; the store's watches have to be ended before."""
         self._stopped.set()
         self._thread.join()
+        self._executor.shutdown(wait=True)
 
     def _run(self) -> None:
         while not self._stopped.is_set():
-            if self._wait_for_budget() and self._follow():
+            if self._wait_for_budget() and self._followed():
                 continue
             self._stopped.wait(PAUSE_S * (0.5 + self._random.random()))
 
+    def _followed(self) -> bool:
+        """Follows once; an error ends that, not the thread."""
+        future = self._executor.submit(self._follow)
+        if future.exception() is None:
+            return future.result()
+        logging.error("event=watch_failed error=%r", future.exception())
+        self._documents.note(answered=False)
+        return False
+
     def _follow(self) -> bool:
         """Reads and watches once; returns whether the service answered."""
         values = self._store.read_prefix(self._prefix)
--- a/packages/bambooglade/bambooglade/table/installed.py
+++ b/packages/bambooglade/bambooglade/table/installed.py
@@ -17,9 +17,32 @@
 _DIGEST_MASK = 0xFFFF_FFFF_FFFF_FFFF
 
 
+class _InForce:
+    """Rows in force at one moment; other threads read it without a lock."""
+
+    __slots__ = ("_rows_by_type", "row_by_key")
+
+    def __init__(self, row_by_key: dict[str, rows.Row]) -> None:
+        self.row_by_key = row_by_key
+        self._rows_by_type: dict[type, tuple[rows.Row, ...]] = {}
+
+    def of_type(self, row_type: type[RowType]) -> tuple[RowType, ...]:
+        found = self._rows_by_type.get(row_type)
+        if found is None:
+            found = tuple(
+                row
+                for _, row in sorted(self.row_by_key.items())
+                if isinstance(row, row_type)
+            )
+            self._rows_by_type[row_type] = found
+        return found
+
+
 class InstalledPages:
     """Installs pages so that no row ever goes back to an older version.
 
+    Pages are installed by one thread; the rows may be read by others.
+
     Examples:
         >>> row = rows.TeamRow(team_id="t1", key_hash="x")
         >>> record = pages.RowRecord(row_key="team/t1", version=1, sequence=1,
@@ -33,10 +56,9 @@
     """
 
     __slots__ = (
-        "_by_type",
+        "_in_force",
         "_page_by_number",
         "_recent",
-        "_row_by_key",
         "page_count",
         "root",
     )
@@ -45,8 +67,7 @@
         self.page_count = page_count
         self.root = 0
         self._page_by_number: dict[int, pages.Page] = {}
-        self._row_by_key: dict[str, rows.Row] = {}
-        self._by_type: dict[type, tuple[rows.Row, ...]] = {}
+        self._in_force = _InForce({})
         self._recent: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
         )
@@ -57,7 +78,7 @@
 
     def get(self, row_key: str) -> rows.Row | None:
         """Returns the row in force, or None."""
-        return self._row_by_key.get(row_key)
+        return self._in_force.row_by_key.get(row_key)
 
     def record(self, row_key: str) -> pages.RowRecord | None:
         """Returns a row with its version and history, or None."""
@@ -66,20 +87,14 @@
 
     def records(self) -> Iterator[pages.RowRecord]:
         """Yields the records of all rows in force, sorted by key."""
-        for row_key in sorted(self._row_by_key):
-            yield self.record(row_key)
+        for row_key in sorted(self._in_force.row_by_key):
+            record = self.record(row_key)
+            if record is not None and record.row is not None:
+                yield record
 
     def of_type(self, row_type: type[RowType]) -> Iterator[RowType]:
         """Yields the rows of one type, sorted by key."""
-        found = self._by_type.get(row_type)
-        if found is None:
-            found = tuple(
-                row
-                for _, row in sorted(self._row_by_key.items())
-                if isinstance(row, row_type)
-            )
-            self._by_type[row_type] = found
-        return iter(found)
+        return iter(self._in_force.of_type(row_type))
 
     def install(self, number: int, page: pages.Page) -> tuple[str, ...]:
         """Takes in whatever is newer; returns the keys of changed rows."""
@@ -125,16 +140,17 @@
         return tuple(map(self.digest, reversed(self._recent)))
 
     def _put_in_force(self, page: pages.Page, row_keys: Iterable[str]) -> None:
+        row_by_key = dict(self._in_force.row_by_key)
         for row_key in row_keys:
             row = page.by_row_key[row_key].row
             if row is None:
-                self._row_by_key.pop(row_key, None)
+                row_by_key.pop(row_key, None)
             else:
-                self._row_by_key[row_key] = row
-        self._by_type = {}
+                row_by_key[row_key] = row
+        self._in_force = _InForce(row_by_key)
 
     def __len__(self) -> int:
-        return len(self._row_by_key)
+        return len(self._in_force.row_by_key)
 
     def __repr__(self) -> str:
         return f"InstalledPages(rows={len(self)}, root={self.root})"
--- a/packages/bambooglade/bambooglade/table/matching.py
+++ b/packages/bambooglade/bambooglade/table/matching.py
@@ -96,9 +96,6 @@
         path: Path below the service, with a leading slash.
         request_kind: Names the kind; by default method and path decide.
 
-    Returns:
-        The rows, or why the request can't be matched.
-
     Examples:
         >>> table = view.FixedTable([
         ...     rows.TeamRow(team_id="t1", key_hash="x"),
--- a/packages/bambooglade/bambooglade/transport/peer_queue.py
+++ b/packages/bambooglade/bambooglade/transport/peer_queue.py
@@ -88,6 +88,7 @@
             queue.failures = 0
             return
         queue.failures += 1
+        queue.in_flight = False
         pause_ms = FIRST_PAUSE_MS * 2 ** min(queue.failures, 10)
         queue.paused_until_ms = now_ms + min(MAX_PAUSE_MS, pause_ms)
         self.dropped += len(queue.messages)
--- a/packages/bambooglade/bambooglade/transport/peers.py
+++ b/packages/bambooglade/bambooglade/transport/peers.py
@@ -118,18 +118,26 @@
             logging.info("event=send_dropped reason=closed peer=%s", recipient)
 
     def _drain(self, recipient: identifiers.InstanceId) -> None:
-        while True:
-            with self._lock:
-                batch = self._queues.take(recipient)
-            if not batch:
+        while batch := self._take(recipient):
+            delivered = False
+            try:
+                delivered = self._post(recipient, batch)
+            finally:
+                self._finish(recipient, delivered=delivered)
+            if not delivered:
                 return
-            delivered = self._post(recipient, batch)
-            with self._lock:
-                self._queues.finished(
-                    recipient,
-                    delivered=delivered,
-                    now_ms=self._clock.now_ms(),
-                )
+
+    def _take(self, recipient: identifiers.InstanceId) -> list[effects.Message]:
+        with self._lock:
+            return self._queues.take(recipient)
+
+    def _finish(
+        self, recipient: identifiers.InstanceId, *, delivered: bool
+    ) -> None:
+        with self._lock:
+            self._queues.finished(
+                recipient, delivered=delivered, now_ms=self._clock.now_ms()
+            )
 
     def _post(
         self,
--- a/packages/bambooglade/bambooglade/transport/signing.py
+++ b/packages/bambooglade/bambooglade/transport/signing.py
@@ -10,6 +10,7 @@
 import hashlib
 import hmac
 import secrets
+import threading
 from typing import ClassVar
 
 import result
@@ -107,10 +108,18 @@
     """Remembers the nonces of the window, in bounded memory.
 
     When it is full it forgets the oldest and from then on refuses whatever is
-    as old as that, so forgetting never lets a replay in.
+    as old as that, so forgetting never lets a replay in. It may be used from
+    several threads.
     """
 
-    __slots__ = ("_capacity", "_floor_ms", "_remembered", "_seen", "_window_ms")
+    __slots__ = (
+        "_capacity",
+        "_floor_ms",
+        "_lock",
+        "_remembered",
+        "_seen",
+        "_window_ms",
+    )
 
     def __init__(
         self,
@@ -121,6 +130,7 @@
         self._window_ms = window_ms
         self._capacity = capacity
         self._floor_ms = 0
+        self._lock = threading.Lock()
         self._seen: set[tuple[str, str]] = set()
         self._remembered = sortedcontainers.SortedList()
 
@@ -133,6 +143,16 @@
         now_ms: int,
     ) -> result.Result[None, Stale | Replayed]:
         """Accepts an envelope once, within the window."""
+        with self._lock:
+            return self._admit(sender, nonce, sent_at_ms, now_ms)
+
+    def _admit(
+        self,
+        sender: identifiers.InstanceId,
+        nonce: str,
+        sent_at_ms: int,
+        now_ms: int,
+    ) -> result.Result[None, Stale | Replayed]:
         difference_ms = now_ms - sent_at_ms
         if abs(difference_ms) > self._window_ms or sent_at_ms <= self._floor_ms:
             return result.Err(
--- a/packages/bambooglade/bambooglade/transport/tests/test_peers.py
+++ b/packages/bambooglade/bambooglade/transport/tests/test_peers.py
@@ -139,6 +139,31 @@
     assert set(first.refused) == {"gone"}
 
 
+def test_an_error_while_an_answer_is_taken_in_does_not_stop_the_sending(start):
+    first = start("i1")
+    second = start("i2", answers=(_message("not a number"),))
+    first.url_by_peer["i2"] = second.url
+    first.peers._take_answer = _raise_once(first.peers._take_answer)
+    first.peers.send("i2", _message(1))
+    _await(second, 1)
+    for _ in range(100):
+        first.peers.send("i2", _message(2))
+        if second.arrived.acquire(timeout=0.1):
+            break
+    assert second.received[-1] == ("i1", _message(2))
+
+
+def _raise_once(function):
+    errors = [ValueError("deliberate")]
+
+    def call(*args):
+        if errors:
+            raise errors.pop()
+        return function(*args)
+
+    return call
+
+
 def test_a_queue_is_bounded_and_drops_the_oldest():
     queues = peer_queue.PeerQueues()
     for number in range(peer_queue.MAX_QUEUED + 10):
--- a/packages/bambooglade/bambooglade/transport/tests/test_signing.py
+++ b/packages/bambooglade/bambooglade/transport/tests/test_signing.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from concurrent import futures
+import contextlib
+import threading
+
 import msgspec
 import pytest
 
@@ -132,6 +136,28 @@
         assert admitted.is_err()
 
 
+def test_of_many_threads_with_one_envelope_one_is_let_in():
+    window = signing.NonceWindow()
+    both_looked = threading.Barrier(2, timeout=0.2)
+
+    class _SlowSet(set):
+        def __contains__(self, pair):
+            found = super().__contains__(pair)
+            with contextlib.suppress(threading.BrokenBarrierError):
+                both_looked.wait()
+            return found
+
+    window._seen = _SlowSet()
+    with futures.ThreadPoolExecutor(2) as executor:
+        admitted = [
+            executor.submit(
+                window.admit, "i1", "n", sent_at_ms=1_000, now_ms=1_000
+            )
+            for _ in range(2)
+        ]
+    assert sorted(each.result().is_ok() for each in admitted) == [False, True]
+
+
 @pytest.mark.parametrize("body", [b"", b"{}", b"[1]", b"\xff", b'{"a":1}'])
 def test_a_signed_body_that_is_no_envelope_is_refused(clock, body):
     signature = signing.Signer(NEW).sign(body)
