Show where a budget's rights lie now, and let operators release held ones

Cause: operators saw only what zones had last written to the document, and 'budgets release' was refused as not available; rights of dead instances stayed stuck for good. Change: primaries describe an account (reserved, held, and what is for requests of dead instances) and release held rights once per edit id, with the backup's acknowledgement. A settlement that comes in for released rights is not billed. Conclusion: spend stays within the prepaid amount, at the price of a bill lost when an operator releases rights of an instance that was still alive.

--- a/packages/bambooglade/bambooglade/budgets/account.py
+++ b/packages/bambooglade/bambooglade/budgets/account.py
@@ -36,6 +36,7 @@
         unreleased: Freed, but not yet known to the backup.
         reserved: Sum of the bounds of this epoch's open reservations.
         held: Rights held for earlier epochs, by the last of them.
+        releases: The last releases of held rights.
         open_by_number: Open reservations that are known, of all epochs.
         settling_by_number: Settled ones that the backup does not know yet.
     """
@@ -53,6 +54,7 @@
         "number_by_id",
         "open_by_number",
         "opened",
+        "releases",
         "reserved",
         "returned",
         "settled",
@@ -78,6 +80,7 @@
         self.reserved = 0
         self.next_sequence = 1
         self.version = 0
+        self.releases: tuple[records.Release, ...] = ()
         self.held: dict[identifiers.Epoch, records.HeldRights] = {}
         self.open_by_number: dict[
             records.ReservationNumber, records.ReservationRecord
@@ -246,6 +249,7 @@
         self.settled = record.settled
         self.next_sequence = record.next_sequence
         self.held = {held.epoch: held for held in record.held}
+        self.releases = record.releases
 
     def record(self) -> records.AccountRecord:
         """Returns the record to be copied."""
@@ -257,6 +261,7 @@
             settled=self.settled,
             next_sequence=self.next_sequence,
             held=tuple(self.held.values()),
+            releases=self.releases,
         )
 
     def __repr__(self) -> str:
--- a/packages/bambooglade/bambooglade/budgets/account_book.py
+++ b/packages/bambooglade/bambooglade/budgets/account_book.py
@@ -10,11 +10,13 @@
 from bambooglade.budgets import account_state
 from bambooglade.budgets import book_notices
 from bambooglade.budgets import ended_reservations
+from bambooglade.budgets import inspection
 from bambooglade.budgets import messages
 from bambooglade.budgets import recalls
 from bambooglade.budgets import records
 from bambooglade.budgets import refill_policy
 from bambooglade.budgets import refusals
+from bambooglade.budgets import release as releases
 from bambooglade.budgets import reserve_share
 from bambooglade.budgets import settlement
 from bambooglade.budgets import spend_limits
@@ -221,6 +223,45 @@
             yield books.DocumentWanted(fresh=True)
         yield from self._work(state, now_ms)
 
+    @_handle.register
+    def _(
+        self,
+        message: inspection.DescribeAccount,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        described = inspection.describe(
+            self._state_of(message.budget_id).account,
+            message,
+            self._place.availability_zone,
+        )
+        yield effects.Send(recipient=sender, message=described)
+
+    @_handle.register
+    def _(
+        self,
+        message: inspection.ReleaseHeld,
+        sender: identifiers.InstanceId,
+        now_ms: int,
+    ) -> Iterator[effects.Effects]:
+        state = self._state_of(message.budget_id)
+        made, released = releases.release_once(state.account, message)
+        if released is not None:
+            for record in released.evicted:
+                yield books.RecordChanged(record_id=record.record_id)
+            yield from self._account_changed(state.account)
+            notice = book_notices.RightsFreed(
+                budget_id=message.budget_id, tokens=released.tokens
+            )
+            yield books.AfterReplication(then=(notice,))
+        answer = inspection.HeldReleased(
+            question_id=message.question_id,
+            budget_id=message.budget_id,
+            released_tokens=made.tokens,
+        )
+        sent = effects.Send(recipient=sender, message=answer)
+        yield books.AfterReplication(then=(sent,))
+
     # Replication.
 
     def replicated(
--- a/packages/bambooglade/bambooglade/budgets/account_book_factory.py
+++ b/packages/bambooglade/bambooglade/budgets/account_book_factory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bambooglade.budgets import account_book
+from bambooglade.budgets import inspection
 from bambooglade.budgets import messages
 from bambooglade.budgets import records
 from bambooglade.core import effects
@@ -29,6 +30,8 @@
         messages.Settle,
         messages.RecallRights,
         messages.RecallAnswered,
+        inspection.DescribeAccount,
+        inspection.ReleaseHeld,
     )
     record_type = records.AccountRecord | records.ReservationRecord
 
@@ -71,6 +74,12 @@
                 detail="This instance does not serve the account.",
                 primary=primary,
             )
+        if isinstance(
+            message, inspection.DescribeAccount | inspection.ReleaseHeld
+        ):
+            return inspection.InquiryMisdirected(
+                question_id=message.question_id, primary=primary
+            )
         if isinstance(message, messages.Settle):
             return messages.SettleMisdirected(
                 reservation_id=message.reservation_id,
--- a/packages/bambooglade/bambooglade/budgets/records.py
+++ b/packages/bambooglade/bambooglade/budgets/records.py
@@ -38,6 +38,13 @@
     settled: tuple[ReservationNumber, ...] = ()
 
 
+class Release(msgspec.Struct, frozen=True, kw_only=True):
+    """A release of held rights, remembered by its edit id."""
+
+    edit_id: str
+    tokens: int
+
+
 class AccountRecord(books.Record, frozen=True, kw_only=True):
     """One account of the zone.
 
@@ -46,6 +53,7 @@
         settled: Spent by settled requests, cumulative over all epochs.
         next_sequence: Number of the next reservation of the epoch.
         held: Rights held for earlier epochs.
+        releases: Releases of held rights that were made, the newest last.
     """
 
     budget_id: identifiers.BudgetId
@@ -53,6 +61,7 @@
     settled: int
     next_sequence: int
     held: tuple[HeldRights, ...]
+    releases: tuple[Release, ...] = ()
 
 
 class ReservationRecord(books.Record, frozen=True, kw_only=True):
--- a/packages/bambooglade/bambooglade/budgets/settlement.py
+++ b/packages/bambooglade/bambooglade/budgets/settlement.py
@@ -203,6 +203,14 @@
     if held.is_exact and number.sequence < held.next_sequence:
         return None
     taken = message.bound_tokens if held.is_exact else message.spent_tokens
+    if held.tokens < taken and account.releases:
+        logging.warning(
+            "event=settlement_after_release budget=%s number=%s spent=%s",
+            account.budget_id,
+            number,
+            message.spent_tokens,
+        )
+        return None
     _shrink_held(account, number, taken)
     record = records.ReservationRecord(
         record_id=records.reservation_record_id(account.budget_id, number),
--- a/packages/bambooglade/bambooglade/router/assembly.py
+++ b/packages/bambooglade/bambooglade/router/assembly.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bambooglade.budgets import account_book_factory
+from bambooglade.budgets import inquiries
 from bambooglade.core import component
 from bambooglade.core import identifiers
 from bambooglade.fleet import membership as memberships
@@ -52,6 +53,7 @@
     machine: state_machine.InstanceStateMachine
     coordinator: coordinators.Coordinator
     host: hosts.ShardHost
+    inquiries: inquiries.Inquiries
     assignment_map: assignments.AssignmentMap
 
     @property
@@ -102,12 +104,18 @@
         assignment_map=assignment_map,
         fleet=fleet,
     )
-    machine = state_machine.InstanceStateMachine((host, coordinator, *others))
+    questions = inquiries.Inquiries(
+        shard_count=identity.shard_count, assignment_map=assignment_map
+    )
+    machine = state_machine.InstanceStateMachine(
+        (host, coordinator, questions, *others)
+    )
     return Parts(
         identity=identity,
         machine=machine,
         coordinator=coordinator,
         host=host,
+        inquiries=questions,
         assignment_map=assignment_map,
     )
 
--- a/packages/bambooglade/bambooglade/router/effect_waiters.py
+++ b/packages/bambooglade/bambooglade/router/effect_waiters.py
@@ -6,6 +6,7 @@
 import functools
 import threading
 
+from bambooglade.budgets import inquiries
 from bambooglade.core import effects
 from bambooglade.operations import look_ups
 from bambooglade.shards import edits
@@ -78,6 +79,16 @@
     return effect.edit_id
 
 
+@reference_of.register
+def _(effect: inquiries.InquiryAnswered) -> str | None:
+    return effect.question_id
+
+
+@reference_of.register
+def _(effect: inquiries.InquiryFailed) -> str | None:
+    return effect.question_id
+
+
 @reference_of.register
 def _(effect: look_ups.OutcomeFound) -> str | None:
     return effect.look_up_id
--- a/packages/bambooglade/bambooglade/router/operator_messages.py
+++ b/packages/bambooglade/bambooglade/router/operator_messages.py
@@ -155,6 +155,11 @@
         held_tokens: Rights that a lost instance may have spent.
         held_since_ms: When the oldest of them was held; None for none.
         primary: Instance that serves the budget in the zone.
+        reserved_tokens: Upper bounds of the requests in progress.
+        orphaned_tokens: Part of the held and reserved ones that is for
+            requests of instances believed dead; a release frees them.
+        is_current: Whether the primary answered; if not, the amounts are those
+            that it last wrote to the document.
     """
 
     availability_zone: str
@@ -164,6 +169,9 @@
     held_tokens: int = 0
     held_since_ms: int | None = None
     primary: str | None = None
+    reserved_tokens: int = 0
+    orphaned_tokens: int = 0
+    is_current: bool = False
 
 
 class BudgetDescription(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/bambooglade/bambooglade/router/operator_service.py
+++ b/packages/bambooglade/bambooglade/router/operator_service.py
@@ -12,18 +12,16 @@
 from bambooglade.core import clock as clocks
 from bambooglade.core import effects
 from bambooglade.core import failures
-from bambooglade.core import hashing
 from bambooglade.core import identifiers
 from bambooglade.fleet import messages as fleet_messages
-from bambooglade.platform import ports
 from bambooglade.router import assembly
+from bambooglade.router import budget_inspector
 from bambooglade.router import effect_waiters
 from bambooglade.router import granted_out as granted_out_lib
 from bambooglade.router import operator_api
 from bambooglade.router import operator_messages as messages
 from bambooglade.router import runtime as runtimes
 from bambooglade.router import trace
-from bambooglade.shards import document as documents
 from bambooglade.shards import edits
 from bambooglade.table import messages as table_messages
 from bambooglade.table import pages
@@ -43,7 +41,7 @@
         networked: The decisions of the instance.
         runtime: Runs them.
         waiters: Connects their answers with the threads that asked.
-        store: The platform's key-value service, for questions about budgets.
+        inspector: Answers questions about budgets.
         ring: The decisions that the instance remembers.
         targets: Lists the targets as this instance sees them.
         granted_out: Is refreshed before spend limits are checked.
@@ -56,7 +54,7 @@
         networked: assembly.NetworkedParts,
         runtime: runtimes.Runtime,
         waiters: effect_waiters.EffectWaiters,
-        store: ports.KeyValueStore,
+        inspector: budget_inspector.BudgetInspector,
         ring: trace.TraceRing,
         targets: Callable[[], tuple[messages.TargetDescription, ...]],
         granted_out: granted_out_lib.GrantedOut,
@@ -67,7 +65,7 @@
         self._parts = networked.parts
         self._runtime = runtime
         self._waiters = waiters
-        self._store = store
+        self._inspector = inspector
         self._ring = ring
         self._targets = targets
         self._clock = clock
@@ -124,19 +122,14 @@
         self, budget_id: identifiers.BudgetId
     ) -> operator_api.Eventual[messages.BudgetDescription]:
         """Tells where a budget's rights lie."""
-        return self._executor.submit(self._describe_budget, budget_id)
+        return self._executor.submit(self._inspector.describe, budget_id)
 
     def release_held(
         self, request: messages.ReleaseHeld, operator: messages.Operator
     ) -> operator_api.Eventual[messages.HeldReleased]:
         """Gives held rights back to a budget, once per edit id."""
         del operator
-        return _failed(
-            failures.Unavailable(
-                detail=f"Releasing held rights of {request.budget_id} is not "
-                "available in this version."
-            )
-        )
+        return self._executor.submit(self._inspector.release, request)
 
     def fleet(self) -> operator_api.Eventual[messages.FleetDescription]:
         """Lists the instances."""
@@ -232,29 +225,6 @@
             current=_versioned(record) if record else None,
         )
 
-    def _describe_budget(
-        self, budget_id: identifiers.BudgetId
-    ) -> result.Result[messages.BudgetDescription, failures.Failure]:
-        shard = hashing.shard_of(
-            budget_id, shard_count=self._parts.identity.shard_count
-        )
-        answer = self._store.read(
-            effects.ReadDocument(key=documents.document_key(shard))
-        )
-        if isinstance(answer, effects.ReadFailed):
-            return result.Err(
-                failures.Unavailable(
-                    detail="The platform's key-value service did not answer."
-                )
-            )
-        document = documents.decode(answer.value)
-        account = document.account_by_budget_id.get(budget_id)
-        if account is None:
-            return result.Err(
-                failures.NotFound(detail=f"{budget_id} has no account.")
-            )
-        return result.Ok(_budget(budget_id, account, document))
-
     def __repr__(self) -> str:
         return f"OperatorService(instance_id={self._parts.instance_id!r})"
 
@@ -277,12 +247,6 @@
     return future
 
 
-def _failed(failure: failures.Failure) -> operator_api.Eventual[Taken]:
-    future: operator_api.Eventual[Taken] = futures.Future()
-    future.set_result(result.Err(failure))
-    return future
-
-
 def _change(edit: messages.RowEdit) -> table_messages.RowChange:
     return table_messages.RowChange(
         row_key=edit.row_key,
@@ -344,35 +308,3 @@
     if member.status is fleet_messages.Status.SUSPECT:
         return messages.InstanceState.SUSPECTED
     return messages.InstanceState.ALIVE
-
-
-def _budget(
-    budget_id: identifiers.BudgetId,
-    account: documents.Account,
-    document: documents.ShardDocument,
-) -> messages.BudgetDescription:
-    return messages.BudgetDescription(
-        budget_id=budget_id,
-        prepaid_tokens=account.prepaid_tokens,
-        zones=tuple(
-            _zone_rights(zone, counters, document)
-            for zone, counters in sorted(
-                account.counters_by_availability_zone.items()
-            )
-        ),
-    )
-
-
-def _zone_rights(
-    zone: identifiers.AvailabilityZone,
-    counters: documents.ZoneCounters,
-    document: documents.ShardDocument,
-) -> messages.ZoneRights:
-    assignment = document.assignment(zone)
-    return messages.ZoneRights(
-        availability_zone=zone,
-        granted_tokens=counters.granted,
-        returned_tokens=counters.returned,
-        settled_tokens=counters.settled,
-        primary=assignment.primary if assignment else None,
-    )
--- a/packages/bambooglade/bambooglade/router/process.py
+++ b/packages/bambooglade/bambooglade/router/process.py
@@ -14,6 +14,7 @@
 from bambooglade.platform import listing
 from bambooglade.router import admission_gate
 from bambooglade.router import application
+from bambooglade.router import budget_inspector
 from bambooglade.router import call_session
 from bambooglade.router import caller_api
 from bambooglade.router import caller_request
@@ -179,7 +180,12 @@
             networked=self._networked,
             runtime=self._runtime,
             waiters=waiters,
-            store=self._store,
+            inspector=budget_inspector.BudgetInspector(
+                networked=self._networked,
+                runtime=self._runtime,
+                waiters=waiters,
+                store=self._store,
+            ),
             ring=ring,
             targets=lambda: tuple(
                 target_descriptions.describe(courier.directory)
