Keep status checks and slow callers apart from long streams

- A flood of 150 critiques took all 64 request threads of an instance, and a status check got no answer in 10 s (python -m benchmarks status_flood).
There are now as many threads as connections; a slot of the kind of request limits the work instead.
- Threads that waited for a slot woke each other at each decision.
Each now waits for its own future.
- The pause of a caller that reads slowly counted as a stall of the engine, and made the engine look slow.
- The mean service time, by which reports fade, mixed the calls of plain services with chats.
- A closed connection made the look for a gone client raise ValueError.
- Each event of a stream asked for a look at the caller's socket; the look is now taken at most every 20 ms.
- An answer to HEAD counted as cut.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -14,12 +14,16 @@
 
 from benchmarks import budget_policy
 from benchmarks import cutoff_reserve
+from benchmarks import router_cost
 from benchmarks import routing_policy
+from benchmarks import status_flood
 
 EXPERIMENT_BY_NAME: dict[str, Callable[[], Iterator[str]]] = {
     "budget_policy": budget_policy.lines,
     "cutoff_reserve": cutoff_reserve.lines,
     "routing_policy": routing_policy.lines,
+    "router_cost": router_cost.lines,
+    "status_flood": status_flood.lines,
 }
 
 
--- a/packages/bambooglade-standins/bambooglade_standins/local_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/local_fleet.py
@@ -128,6 +128,10 @@
         self.instances.remove(instance)
         instance.stop()
 
+    def engine_url(self, zone: str) -> str:
+        """Returns the base URL of a zone's engine."""
+        return self._engine_http_by_zone[zone].url
+
     def stop_engine(self, zone: str) -> None:
         """Ends a zone's engine as a crash would."""
         self._engine_http_by_zone[zone].kill()
--- a/packages/bambooglade/bambooglade/router/admission_gate.py
+++ b/packages/bambooglade/bambooglade/router/admission_gate.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from concurrent import futures
 import threading
 
 import result
@@ -12,7 +13,9 @@
 from bambooglade.core import failures
 from bambooglade.targets import admission
 
-_POLL_S = 0.05
+_POLL_S = 0.1
+
+_Future = futures.Future[admission.Admitted | admission.Shed]
 
 
 class CallerGoneFailure(failures.Failure, frozen=True, kw_only=True):
@@ -39,15 +42,13 @@
         >>> gate.leave(ticket)
     """
 
-    __slots__ = ("_admission", "_changed", "_clock", "_decision_by_ticket")
+    __slots__ = ("_admission", "_clock", "_future_by_ticket", "_lock")
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._admission = admission.Admission()
-        self._changed = threading.Condition()
-        self._decision_by_ticket: dict[
-            str, admission.Admitted | admission.Shed
-        ] = {}
+        self._lock = threading.Lock()
+        self._future_by_ticket: dict[str, _Future] = {}
 
     def enter(
         self, ticket: admission.Ticket, *, gone: Callable[[], bool]
@@ -58,21 +59,25 @@
             ticket: What is asked for.
             gone: Tells whether the caller went away.
         """
-        with self._changed:
+        future: _Future = futures.Future()
+        with self._lock:
+            self._future_by_ticket[ticket.ticket_id] = future
             self._note(self._admission.offer(ticket, self._clock.now_ms()))
-            while ticket.ticket_id not in self._decision_by_ticket:
-                self._changed.wait(_POLL_S)
+        while True:
+            try:
+                decision = future.result(_POLL_S)
+                break
+            except futures.TimeoutError:
                 if gone():
                     return self._give_up(ticket)
-                self._note(self._admission.tick(self._clock.now_ms()))
-            decision = self._decision_by_ticket.pop(ticket.ticket_id)
+                self._expire(ticket)
         if isinstance(decision, admission.Shed):
             return result.Err(decision.failure)
         return result.Ok(None)
 
     def leave(self, ticket: admission.Ticket) -> None:
         """Gives the slot back."""
-        with self._changed:
+        with self._lock:
             self._note(
                 self._admission.finish(ticket.ticket_id, self._clock.now_ms())
             )
@@ -80,18 +85,26 @@
     def _give_up(
         self, ticket: admission.Ticket
     ) -> result.Err[failures.Failure]:
-        self._decision_by_ticket.pop(ticket.ticket_id, None)
-        self._note(
-            self._admission.give_up(ticket.ticket_id, self._clock.now_ms())
-        )
+        with self._lock:
+            self._future_by_ticket.pop(ticket.ticket_id, None)
+            self._note(
+                self._admission.give_up(ticket.ticket_id, self._clock.now_ms())
+            )
         return result.Err(CallerGoneFailure(detail="The caller went away."))
 
+    def _expire(self, ticket: admission.Ticket) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms >= ticket.deadline_ms:
+            with self._lock:
+                self._note(self._admission.tick(now_ms))
+
     def _note(
         self, decisions: Iterable[admission.Admitted | admission.Shed]
     ) -> None:
         for decision in decisions:
-            self._decision_by_ticket[decision.ticket_id] = decision
-            self._changed.notify_all()
+            future = self._future_by_ticket.pop(decision.ticket_id, None)
+            if future is not None:
+                future.set_result(decision)
 
     def __repr__(self) -> str:
         return f"AdmissionGate({self._admission!r})"
--- a/packages/bambooglade/bambooglade/router/dispatch_chat.py
+++ b/packages/bambooglade/bambooglade/router/dispatch_chat.py
@@ -166,7 +166,6 @@
     ) -> Generator[engine_stream.Token, None, engine_stream.AttemptEnd]:
         courier = self._courier
         attempt_id = courier.new_attempt_id()
-        started_ms = courier.clock.now_ms()
         tokens_before = len(self.parts)
         end = engine_stream.AttemptEnd(outcome="caller gone", is_own_doing=True)
         courier.directory.started(target.target_id, attempt_id, self._blocks)
@@ -177,12 +176,11 @@
             self._sent = sent_before or end.sent
         finally:
             count = len(self.parts) - tokens_before
-            took_ms = courier.clock.now_ms() - started_ms
             courier.directory.ended(
                 target.target_id,
                 attempt_id,
                 is_whole=None if end.is_own_doing else end.has_all_tokens,
-                unit_ms=took_ms / count if count else None,
+                unit_ms=end.waited_ms / count if count else None,
             )
             courier.answered(
                 self._job, target, outcome=end.outcome, tokens=count
--- a/packages/bambooglade/bambooglade/router/dispatch_plain.py
+++ b/packages/bambooglade/bambooglade/router/dispatch_plain.py
@@ -141,7 +141,9 @@
                 self._message(job, request, target, attempt_id, left_ms),
                 cancelled=job.gone,
             )
-            attempt = self._judge(answer, target, attempt_id)
+            attempt = self._judge(
+                answer, target, attempt_id, method=request.method
+            )
             is_whole = attempt.answer is not None
             if isinstance(
                 answer.err(), messages.TransferCancelled
@@ -186,6 +188,8 @@
         answer: result.Result[messages.Response, messages.TransferFailure],
         target: target_lib.Target,
         attempt_id: str,
+        *,
+        method: str,
     ) -> _Attempt:
         if isinstance(answer, result.Err):
             failure = answer.err_value
@@ -194,13 +198,15 @@
             )
         response = answer.ok_value
         self._courier.look_at_head(target, response.head)
-        outcome = _fault_of(response, attempt_id)
+        outcome = _fault_of(response, attempt_id, has_body=method != "HEAD")
         if outcome:
             return _Attempt(outcome=outcome)
         return _Attempt(answer=response)
 
 
-def _fault_of(response: messages.Response, attempt_id: str) -> str:
+def _fault_of(
+    response: messages.Response, attempt_id: str, *, has_body: bool
+) -> str:
     """Returns what is wrong with an answer; empty if nothing."""
     head = response.head
     echoed = head.header(dispatch.ATTEMPT_HEADER.lower())
@@ -208,7 +214,7 @@
         return "crossed answer"
     if head.status >= _FIRST_SERVER_ERROR or head.status == _TOO_MANY_REQUESTS:
         return f"status {head.status}"
-    if head.status in _BODILESS_STATUSES:
+    if not has_body or head.status in _BODILESS_STATUSES:
         return ""
     length = head.header("content-length")
     is_chunked = "chunked" in head.header("transfer-encoding")
--- a/packages/bambooglade/bambooglade/router/engine_stream.py
+++ b/packages/bambooglade/bambooglade/router/engine_stream.py
@@ -43,6 +43,7 @@
         outcome: `whole`, or what was wrong.
         sent: Whether a byte of the request may have reached the engine.
         is_own_doing: Whether the router or the caller ended it.
+        waited_ms: Time that was spent waiting for the engine.
     """
 
     usage: stream_check.Usage | None = None
@@ -50,6 +51,7 @@
     outcome: str = "whole"
     sent: bool = True
     is_own_doing: bool = False
+    waited_ms: int = 0
 
 
 class EngineStream:
@@ -77,6 +79,7 @@
         "_status",
         "_tainted",
         "_usage",
+        "_waited_ms",
     )
 
     def __init__(
@@ -100,6 +103,7 @@
         self._status = 0
         self._tainted = False
         self._usage: stream_check.Usage | None = None
+        self._waited_ms = 0
         self._ended: result.Result[None, messages.TransferFailure] | None = None
 
     def run(
@@ -113,13 +117,15 @@
         finally:
             # Closes the connection unless the exchange ended whole.
             transfer.close()
-        return self._end(fault)
+        return msgspec.structs.replace(
+            self._end(fault), waited_ms=self._waited_ms
+        )
 
     def _tokens(self, transfer: Generator) -> Generator[Token, None, str]:
         """Yields tokens; returns the fault that was found, or nothing."""
         try:
             for data in sse.parse(self._chunks(transfer)):
-                self._last_ms = self._clock.now_ms()
+                self._note_event()
                 if data == sse.DONE:
                     continue
                 event = msgspec.json.decode(data, type=stream_check.EngineEvent)
@@ -129,6 +135,8 @@
                     token = _token_of(event)
                     self._finished = token.finish_reason is not None
                     yield token
+                    # A slow caller's pause is not the engine's.
+                    self._last_ms = self._clock.now_ms()
                 elif verdict is stream_check.Verdict.LAST:
                     self._usage = event.usage
                     if self._tainted:
@@ -156,6 +164,11 @@
             if part.status != _OK:
                 return
 
+    def _note_event(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._waited_ms += now_ms - self._last_ms
+        self._last_ms = now_ms
+
     def _is_cancelled(self) -> bool:
         if self._usage is None and self._given_up():
             return True
--- a/packages/bambooglade/bambooglade/router/settings.py
+++ b/packages/bambooglade/bambooglade/router/settings.py
@@ -157,7 +157,9 @@
         max_header_bytes: Size of all headers of a request.
         max_body_bytes: Size of the body of a request.
         max_connections: Connections open at once.
-        request_threads: Requests in progress at once.
+        request_threads: Requests in progress at once, with those that wait
+            for a slot of their kind; as many as connections by default, so
+            that no kind of request takes the threads of another.
         slow_client_timeout_ms: How long a caller may take to send a request,
             or to take the next part of an answer.
         default_deadline_ms: Deadline of requests that name none.
@@ -170,7 +172,7 @@
     max_header_bytes: Count = 16_384
     max_body_bytes: Count = 1_048_576
     max_connections: Count = 512
-    request_threads: Count = 64
+    request_threads: Count = 512
     slow_client_timeout_ms: PositiveMs = 10_000
     default_deadline_ms: PositiveMs = 30_000
     max_deadline_ms: PositiveMs = 600_000
--- a/packages/bambooglade/bambooglade/router/tests/caller_bench.py
+++ b/packages/bambooglade/bambooglade/router/tests/caller_bench.py
@@ -107,7 +107,6 @@
                     service=TILL,
                     request_kind="status",
                     path_prefix="/status",
-                    method="GET",
                     cost_tokens=1,
                 ),
                 rows.KindRow(
--- a/packages/bambooglade/bambooglade/router/tests/test_dispatch_plain.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_dispatch_plain.py
@@ -80,6 +80,13 @@
     assert run_end.spent_tokens == 1
 
 
+def test_answer_to_head_has_no_body():
+    server, _ = till_server.start("till-1")
+    with caller_bench.running({"till-1": server}, caller_bench.TILL) as bench:
+        response = bench.send("HEAD", "/services/till/status")
+    assert (response.head.status, response.body) == (200, b"")
+
+
 def test_unreached_target_is_passed_over_for_a_call_that_runs_once():
     tills, apps = start_pair(None)
     tills["till-1"].stop()
--- a/packages/bambooglade/bambooglade/targets/load.py
+++ b/packages/bambooglade/bambooglade/targets/load.py
@@ -58,11 +58,10 @@
         {'e1': 6.0}
     """
 
-    __slots__ = ("_by_target", "_expiry_ms", "_service_ms", "_sharers")
+    __slots__ = ("_by_target", "_expiry_ms", "_sharers")
 
     def __init__(self, *, expiry_ms: int = REPORT_EXPIRY_MS) -> None:
         self._expiry_ms = expiry_ms
-        self._service_ms = INITIAL_SERVICE_MS
         self._sharers = 1.0
         self._by_target: dict[identifiers.TargetId, _TargetLoad] = (
             collections.defaultdict(_TargetLoad)
@@ -102,7 +101,7 @@
             return
         load.ends_ms.append(now_ms)
         took_ms = now_ms - started_ms
-        self._service_ms += AVERAGE_GAIN * (took_ms - self._service_ms)
+        load.service_ms += AVERAGE_GAIN * (took_ms - load.service_ms)
 
     def own(self, target_id: identifiers.TargetId) -> int:
         """Returns how many requests of this instance the target has."""
@@ -131,7 +130,7 @@
         age_ms = max(0, now_ms - load.as_of_ms)
         if age_ms > self._expiry_ms:
             return own + mean
-        trust = math.exp(-age_ms / max(1.0, self._service_ms))
+        trust = math.exp(-age_ms / max(1.0, load.service_ms))
         return own + mean + (load.others - mean) * trust / self._sharers
 
     def _count_sharers(self) -> None:
@@ -155,6 +154,7 @@
         "as_of_ms",
         "ends_ms",
         "others",
+        "service_ms",
         "started_ms_by_attempt",
         "starts_ms",
     )
@@ -162,6 +162,7 @@
     def __init__(self) -> None:
         self.as_of_ms = -REPORT_EXPIRY_MS
         self.others = 0
+        self.service_ms = INITIAL_SERVICE_MS
         self.started_ms_by_attempt: dict[str, int] = {}
         self.starts_ms = collections.deque(maxlen=_HISTORY_LENGTH)
         self.ends_ms = collections.deque(maxlen=_HISTORY_LENGTH)
--- a/packages/bambooglade/bambooglade/transport/connections.py
+++ b/packages/bambooglade/bambooglade/transport/connections.py
@@ -99,7 +99,7 @@
             if isinstance(self.sock, ssl.SSLSocket):
                 return self._tls_is_gone()
             return not self.sock.recv(1, socket.MSG_PEEK)
-        except OSError:
+        except (OSError, ValueError):  # ValueError: closed by this side
             return True
 
     def close(self) -> None:
--- a/packages/bambooglade/bambooglade/transport/exchange.py
+++ b/packages/bambooglade/bambooglade/transport/exchange.py
@@ -18,6 +18,9 @@
 POLL_MS = 100
 """Longest wait between two looks at the time-outs and at `cancelled`."""
 
+CHECK_PERIOD_MS = 20
+"""Shortest pause between two looks; events come far more often."""
+
 _MS_PER_S = 1_000
 _PROTOCOLS = pycurl.PROTO_HTTP | pycurl.PROTO_HTTPS
 _ENDED_ON_AN_OPEN_CONNECTION = frozenset(
@@ -74,6 +77,7 @@
         self._answer = _AnswerCollector(request.max_answer_bytes)
         self._prepare(request)
         started_ms = self._clock.now_ms()
+        check_ms = 0
         self._multi.add_handle(self._curl)
         self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
         try:
@@ -83,9 +87,11 @@
                 if ended is not None:
                     return ended
                 elapsed_ms = self._clock.now_ms() - started_ms
-                stopped = self._stopped(request, elapsed_ms, cancelled)
-                if stopped is not None:
-                    return stopped
+                if elapsed_ms >= check_ms:
+                    check_ms = elapsed_ms + CHECK_PERIOD_MS
+                    stopped = self._stopped(request, elapsed_ms, cancelled)
+                    if stopped is not None:
+                        return stopped
                 self._wait(request, elapsed_ms)
         finally:
             self._multi.remove_handle(self._curl)
--- a/packages/bambooglade/bambooglade/transport/limits.py
+++ b/packages/bambooglade/bambooglade/transport/limits.py
@@ -12,7 +12,8 @@
         max_head_bytes: Size of the request line and the headers together.
         max_body_bytes: Size of a request's body.
         max_connections: Open connections; further ones are answered 503.
-        max_threads: Requests that are served at the same time.
+        max_threads: Requests that are served at the same time; fewer than
+            connections would let slow requests hold up quick ones.
         head_timeout_ms: Time from the first byte of a request, or from the
             start of the connection, to the end of its headers.
         body_timeout_ms: Time to receive a whole body.
@@ -24,7 +25,7 @@
     max_head_bytes: int = 16_384
     max_body_bytes: int = 1_048_576
     max_connections: int = 1_024
-    max_threads: int = 128
+    max_threads: int = 1_024
     head_timeout_ms: int = 5_000
     body_timeout_ms: int = 20_000
     write_timeout_ms: int = 20_000
