--- a/packages/bambooglade/bambooglade/transport/exchange.py
+++ b/packages/bambooglade/bambooglade/transport/exchange.py
@@ -21,7 +21,7 @@
 CHECK_PERIOD_MS = 20
 """Shortest pause between two looks; events come far more often."""
 
-_MS_PER_S = 1_000
+_USER_AGENT = "bambooglade"
 _PROTOCOLS = pycurl.PROTO_HTTP | pycurl.PROTO_HTTPS
 _ENDED_ON_AN_OPEN_CONNECTION = frozenset(
     {pycurl.E_SEND_ERROR, pycurl.E_RECV_ERROR, pycurl.E_GOT_NOTHING}
@@ -106,6 +106,7 @@
         curl.reset()
         curl.setopt(pycurl.URL, request.url)
         curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+        curl.setopt(pycurl.USERAGENT, _USER_AGENT)
         curl.setopt(pycurl.PROTOCOLS, _PROTOCOLS)
         curl.setopt(pycurl.PROXY, "")
         curl.setopt(pycurl.NOSIGNAL, True)
