--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -14,8 +14,11 @@
 
 from benchmarks import budget_policy
 from benchmarks import cutoff_reserve
+from benchmarks import edit_propagation
+from benchmarks import gossip_cost
 from benchmarks import router_cost
 from benchmarks import routing_policy
+from benchmarks import service_calls
 from benchmarks import status_flood
 
 EXPERIMENT_BY_NAME: dict[str, Callable[[], Iterator[str]]] = {
@@ -24,6 +27,9 @@
     "routing_policy": routing_policy.lines,
     "router_cost": router_cost.lines,
     "status_flood": status_flood.lines,
+    "edit_propagation": edit_propagation.lines,
+    "gossip_cost": gossip_cost.lines,
+    "service_calls": service_calls.lines,
 }
 
 
--- a/packages/bambooglade/bambooglade/table/installed.py
+++ b/packages/bambooglade/bambooglade/table/installed.py
@@ -27,6 +27,7 @@
         self._rows_by_type: dict[type, tuple[rows.Row, ...]] = {}
 
     def of_type(self, row_type: type[RowType]) -> tuple[RowType, ...]:
+        """Returns the rows of one type, sorted by key."""
         found = self._rows_by_type.get(row_type)
         if found is None:
             found = tuple(
