Give long chats time without letting them wait as long for rights

Cause: a chat that named no deadline had that of a plain call, 30 s, so a long critique was cut although its engine went on; a longer deadline alone would let a call wait for rights just as long. And a call that was refused after its permit told its caller so only when the credit was acknowledged.

Change: chats have 300 s by default; `Call.open_by_ms` bounds the wait for rights and the claim at 30 s apart from the deadline of the run, which claims go on to expire by. A refusal of a call that did not run is told at once.

--- a/packages/bambooglade/bambooglade/operations/calls.py
+++ b/packages/bambooglade/bambooglade/operations/calls.py
@@ -40,6 +40,8 @@
         repeatable: Whether running it twice does no harm.
         draws: Accounts to draw on; all or nothing.
         deadline_ms: When the caller gives up; milliseconds since the epoch.
+        open_by_ms: Until when the call may wait for rights and its claim; the
+            deadline when it is None.
         call_id: Tells calls of the same key at one instance apart; the effects
             that answer a call carry it.
         first_attempt: Whether no call with this key can have been made before:
@@ -55,9 +57,17 @@
     repeatable: bool
     draws: tuple[Draw, ...]
     deadline_ms: int
+    open_by_ms: int | None = None
     call_id: str = ""
     first_attempt: bool = False
 
+    @property
+    def opening_deadline_ms(self) -> int:
+        """Returns when the call has to be permitted or refused."""
+        if self.open_by_ms is None:
+            return self.deadline_ms
+        return min(self.open_by_ms, self.deadline_ms)
+
 
 class KeptAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """A finished answer that is kept for retries of the same key."""
--- a/packages/bambooglade/bambooglade/operations/coordinator.py
+++ b/packages/bambooglade/bambooglade/operations/coordinator.py
@@ -338,7 +338,8 @@
             late = [
                 call
                 for call in waiting
-                if now_ms >= call.deadline_ms - operation_module.REPLY_MARGIN_MS
+                if now_ms
+                >= call.opening_deadline_ms - operation_module.REPLY_MARGIN_MS
             ]
             for call in late:
                 waiting.remove(call)
--- a/packages/bambooglade/bambooglade/router/call_session.py
+++ b/packages/bambooglade/bambooglade/router/call_session.py
@@ -150,6 +150,8 @@
         if self._ticket is not None:
             self._desk.gate.leave(self._ticket)
         future = self._desk.port.finish(self.call.key, run_end)
+        if run_end.result is calls.RunResult.NOT_RUN:
+            return None  # a refusal is told at once
         try:
             billed = future.result(BILL_WAIT_MS / _MS_PER_S)
         except futures.TimeoutError:
@@ -201,7 +203,7 @@
         future: futures.Future[calls.Permit | calls.Refuse | calls.Replay],
     ) -> calls.Permit | calls.Refuse | calls.Replay:
         """Waits for the decisions; a caller that goes away gives up."""
-        last_ms = self.call.deadline_ms + ANSWER_GRACE_MS
+        last_ms = self.call.opening_deadline_ms + ANSWER_GRACE_MS
         is_cancelled = False
         while True:
             try:
--- a/packages/bambooglade/bambooglade/router/caller_api.py
+++ b/packages/bambooglade/bambooglade/router/caller_api.py
@@ -142,7 +142,7 @@
         team = self._authenticate(request)
         if isinstance(team, result.Err):
             return team
-        headers = self._headers(request)
+        headers = self._headers(request, self._deadlines.default_chat_ms)
         if isinstance(headers, result.Err):
             return headers
         body = request.get_data()
@@ -192,7 +192,7 @@
         team = self._authenticate(request)
         if isinstance(team, result.Err):
             return team
-        headers = self._headers(request)
+        headers = self._headers(request, self._deadlines.default_ms)
         if isinstance(headers, result.Err):
             return headers
         if ".." in path.split("/") or "\\" in path:
@@ -320,10 +320,13 @@
         )
 
     def _headers(
-        self, request: wrappers.Request
+        self, request: wrappers.Request, default_ms: int
     ) -> result.Result[caller_request.CallerHeaders, failures.Failure]:
         return caller_request.read_headers(
-            request, limits=self._deadlines, now_ms=self._desk.clock.now_ms()
+            request,
+            limits=self._deadlines,
+            default_ms=default_ms,
+            now_ms=self._desk.clock.now_ms(),
         )
 
     def _session(
@@ -350,6 +353,7 @@
             if bound_tokens
             else (),
             deadline_ms=headers.deadline_ms,
+            open_by_ms=self._desk.clock.now_ms() + self._deadlines.default_ms,
             call_id=self._desk.new_call_id(),
             first_attempt=headers.is_new_key,
         )
--- a/packages/bambooglade/bambooglade/router/caller_request.py
+++ b/packages/bambooglade/bambooglade/router/caller_request.py
@@ -18,9 +18,17 @@
 
 
 class DeadlineLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """Deadlines that requests may have, in milliseconds from their arrival."""
+    """Deadlines that requests may have, in milliseconds from their arrival.
+
+    Attributes:
+        default_ms: Of a call of a plain service that names none; also the
+            longest wait of any call for rights and its claim.
+        default_chat_ms: Of a chat that names none; long answers take minutes.
+        maximum_ms: The latest that may be named.
+    """
 
     default_ms: int = 30_000
+    default_chat_ms: int = 300_000
     maximum_ms: int = 600_000
 
 
@@ -41,13 +49,18 @@
 
 
 def read_headers(
-    request: wrappers.Request, *, limits: DeadlineLimits, now_ms: int
+    request: wrappers.Request,
+    *,
+    limits: DeadlineLimits,
+    default_ms: int,
+    now_ms: int,
 ) -> result.Result[CallerHeaders, failures.Failure]:
     """Checks the headers of a request.
 
     Args:
         request: The request.
         limits: Deadlines that are accepted.
+        default_ms: Time until the deadline when the caller names none.
         now_ms: The time.
     """
     key = request.headers.get(dispatch.KEY_HEADER)
@@ -56,7 +69,7 @@
             f"{dispatch.KEY_HEADER} has to be 1 to {MAX_KEY_LENGTH} letters,"
             " digits or any of ._:-"
         )
-    wait_ms = _wait_ms(request, limits)
+    wait_ms = _wait_ms(request, limits, default_ms)
     if wait_ms is None:
         return _bad(
             f"{dispatch.DEADLINE_HEADER} has to be a number of milliseconds"
@@ -96,10 +109,12 @@
     return len(key) <= MAX_KEY_LENGTH and bool(_KEY_PATTERN.fullmatch(key))
 
 
-def _wait_ms(request: wrappers.Request, limits: DeadlineLimits) -> int | None:
+def _wait_ms(
+    request: wrappers.Request, limits: DeadlineLimits, default_ms: int
+) -> int | None:
     text = request.headers.get(dispatch.DEADLINE_HEADER)
     if text is None:
-        return limits.default_ms
+        return min(default_ms, limits.maximum_ms)
     if not (text.isascii() and text.isdigit() and len(text) < 12):
         return None
     return int(text) if 1 <= int(text) <= limits.maximum_ms else None
