--- a/packages/bambooglade-standins/bambooglade_standins/virtual/failure_detector.py
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/failure_detector.py
@@ -45,6 +45,7 @@
                 for instance in self._fleet.instance_by_id.values()
                 if instance.availability_zone == availability_zone
                 and not self.is_suspected(instance.instance_id)
+                and not instance.stopping
             )
         )
 
@@ -62,6 +63,8 @@
             return True
         if instance is self._viewer:
             return False
+        if instance.stopping and self._reaches(instance):
+            return True
         moments_ms = (
             instance.stopped_since_ms,
             self._fleet.network.cut_since_ms(
@@ -74,5 +77,10 @@
             for since_ms in moments_ms
         )
 
+    def _reaches(self, instance: instances.VirtualInstance) -> bool:
+        return self._fleet.network.connected(
+            self._viewer.availability_zone, instance.availability_zone
+        )
+
     def __repr__(self) -> str:
         return f"DetectedFleet(viewer={self._viewer.instance_id})"
--- a/packages/bambooglade-standins/bambooglade_standins/virtual/fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/fleet.py
@@ -207,6 +207,7 @@
         )
 
     def _begin_stop(self, instance: instances.VirtualInstance) -> None:
+        instance.stopping = True
         if instance.parts.begin_stop is None:
             self.kill(instance.instance_id)
             return
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/fuzz_machine.py
@@ -0,0 +1,253 @@
+"""Stateful fuzzing of a virtual fleet against the oracle, with hypothesis."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from bambooglade.operations import calls
+from bambooglade_standins.virtual import fuzz_world
+from bambooglade_standins.virtual import network
+from bambooglade_standins.virtual import oracle as oracles
+
+_zones = strategies.sampled_from(fuzz_world.ZONES)
+_places = strategies.sampled_from((*fuzz_world.ZONES, network.PLATFORM))
+_budgets = strategies.sampled_from(fuzz_world.BUDGETS)
+_numbers = strategies.integers(0, 7)
+_bounds = strategies.sampled_from((5, 20, 45))
+_shares = strategies.sampled_from((0.0, 0.4, 1.0))
+_durations_ms = strategies.sampled_from((5, 60, 400, 2_000, 6_000, 12_000))
+_run_durations_ms = strategies.sampled_from((10, 700, 4_000))
+_results = strategies.sampled_from(
+    (
+        calls.RunResult.FINISHED,
+        calls.RunResult.FINISHED,
+        calls.RunResult.FINISHED,
+        calls.RunResult.NOT_RUN,
+        calls.RunResult.UNKNOWN,
+    )
+)
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    """Requests, edits, faults and repairs in any order."""
+
+    @stateful.initialize(
+        seed=strategies.integers(0, 1 << 16),
+        watched=strategies.booleans(),
+        first=strategies.integers(0, 200),
+        second=strategies.integers(0, 200),
+    )
+    def start(self, seed, watched, first, second):
+        """Starts the fleet with two prepaid budgets."""
+        self.world = fuzz_world.World(seed=seed, watched=watched)
+        for budget_id, tokens in zip(
+            fuzz_world.BUDGETS, (first, second), strict=True
+        ):
+            instance = self.world.pick(fuzz_world.ZONES[0], 0)
+            self.world.top_up(instance, budget_id, tokens)
+        self.world.pass_time(200)
+
+    @stateful.rule(
+        zone=_zones,
+        number=_numbers,
+        budget_id=_budgets,
+        bound=_bounds,
+        share=_shares,
+        both=strategies.booleans(),
+        repeatable=strategies.booleans(),
+        result=_results,
+        duration_ms=_run_durations_ms,
+    )
+    def request(
+        self,
+        zone,
+        number,
+        budget_id,
+        bound,
+        share,
+        both,
+        repeatable,
+        result,
+        duration_ms,
+    ):
+        """A new request arrives."""
+        instance = self.world.pick(zone, number)
+        if instance is None:
+            return
+        budget_ids = fuzz_world.BUDGETS if both else (budget_id,)
+        self.world.request(
+            instance,
+            draws=tuple(
+                calls.Draw(budget_id=drawn, bound_tokens=bound)
+                for drawn in budget_ids
+            ),
+            repeatable=repeatable,
+            script=oracles.Script(result, int(bound * share), duration_ms),
+        )
+        self.world.pass_time(1)
+
+    @stateful.rule(
+        zone=_zones,
+        budget_id=_budgets,
+        bound=_bounds,
+        count=strategies.integers(2, 8),
+    )
+    def burst(self, zone, budget_id, bound, count):
+        """Several requests arrive at once."""
+        for number in range(count):
+            instance = self.world.pick(zone, number)
+            if instance is None:
+                return
+            self.world.request(
+                instance,
+                draws=(calls.Draw(budget_id=budget_id, bound_tokens=bound),),
+                repeatable=True,
+                script=oracles.Script(calls.RunResult.FINISHED, bound, 300),
+            )
+        self.world.pass_time(1)
+
+    @stateful.precondition(lambda self: self.world.call_by_key)
+    @stateful.rule(zone=_zones, number=_numbers, back=strategies.integers(0, 4))
+    def retry(self, zone, number, back):
+        """A caller asks again with the same key, perhaps elsewhere."""
+        keys = list(self.world.call_by_key)
+        instance = self.world.pick(zone, number)
+        if instance is not None:
+            self.world.retry(instance, keys[-1 - back % len(keys)])
+        self.world.pass_time(1)
+
+    @stateful.rule(
+        zone=_zones,
+        number=_numbers,
+        budget_id=_budgets,
+        tokens=strategies.sampled_from((30, 100, -20, -60)),
+    )
+    def top_up(self, zone, number, budget_id, tokens):
+        """An operator edits the prepaid amount."""
+        instance = self.world.pick(zone, number)
+        if instance is not None:
+            self.world.top_up(instance, budget_id, tokens)
+        self.world.pass_time(1)
+
+    @stateful.rule(zone=_zones, number=_numbers, back=strategies.integers(0, 3))
+    def repeat_top_up(self, zone, number, back):
+        """An operator repeats an edit, perhaps elsewhere."""
+        top_ups = self.world.top_ups
+        instance = self.world.pick(zone, number)
+        if instance is not None:
+            top_up = top_ups[-1 - back % len(top_ups)]
+            self.world.repeat_top_up(instance, top_up)
+        self.world.pass_time(1)
+
+    @stateful.rule(duration_ms=_durations_ms)
+    def pass_time(self, duration_ms):
+        """Time passes."""
+        self.world.pass_time(duration_ms)
+
+    @stateful.rule(one=_places, other=_places)
+    def cut(self, one, other):
+        """Two zones, or a zone and the platform, lose each other."""
+        if one != other:
+            fleet = self.world.fleet
+            fleet.network.cut(one, other, now_ms=fleet.now_ms)
+
+    @stateful.rule()
+    def heal_network(self):
+        """All cuts end."""
+        self.world.fleet.network.heal()
+
+    @stateful.rule(
+        loss=strategies.sampled_from((0.0, 0.1, 0.5)),
+        duplication=strategies.sampled_from((0.0, 0.3)),
+        extra_delay_ms=strategies.sampled_from((0, 20, 800)),
+    )
+    def disturb_messages(self, loss, duplication, extra_delay_ms):
+        """Messages get lost, doubled, delayed and reordered from now on."""
+        self.world.fleet.network.faults = network.MessageFaults(
+            loss=loss, duplication=duplication, extra_delay_ms=extra_delay_ms
+        )
+
+    @stateful.rule(
+        down=strategies.booleans(),
+        lost_answers=strategies.sampled_from((0.0, 0.3, 0.8)),
+        latency_ms=strategies.sampled_from((2, 2, 600)),
+    )
+    def disturb_service(self, down, lost_answers, latency_ms):
+        """The service is down, slow or loses answers from now on."""
+        faults = self.world.fleet.service.faults
+        faults.down = down
+        faults.lost_answers = lost_answers
+        faults.latency_ms = latency_ms
+
+    @stateful.rule(zone=_zones, number=_numbers)
+    def pause(self, zone, number):
+        """An instance stops running, and does not know it."""
+        instance = self.world.pick(zone, number)
+        if instance is not None:
+            self.world.fleet.pause(instance.instance_id)
+
+    @stateful.rule()
+    def wake_all(self):
+        """All paused instances go on."""
+        for instance in list(self.world.fleet.instance_by_id.values()):
+            if instance.paused:
+                self.world.fleet.wake(instance.instance_id)
+        self.world.pass_time(1)
+
+    @stateful.rule(zone=_zones, number=_numbers)
+    def kill(self, zone, number):
+        """An instance ends at once."""
+        instance = self.world.pick(zone, number)
+        if instance is not None:
+            self.world.fleet.kill(instance.instance_id)
+
+    @stateful.rule(zone=_zones, number=_numbers)
+    def begin_stop(self, zone, number):
+        """An instance is stopped as planned."""
+        instance = self.world.pick(zone, number)
+        if instance is not None:
+            self.world.fleet.begin_stop(instance.instance_id)
+        self.world.pass_time(1)
+
+    @stateful.rule(zone=_zones)
+    def start_instance(self, zone):
+        """The platform starts another instance."""
+        living = [
+            instance
+            for instance in self.world.fleet.instance_by_id.values()
+            if instance.availability_zone == zone and instance.alive
+        ]
+        if len(living) <= fuzz_world.INSTANCES_PER_ZONE:
+            self.world.fleet.start(zone)
+
+    def teardown(self):
+        """Ends all faults and checks that the fleet repaired itself."""
+        if hasattr(self, "world"):
+            self.world.check_healed()
+
+
+def run(*, seed: int, examples: int, steps: int, shrink: bool = True) -> None:
+    """Runs the fuzzing; raises `oracle.BrokenError` with the shortest failure.
+
+    Args:
+        seed: Seed of the examples.
+        examples: Number of examples.
+        steps: Most rules in one example.
+        shrink: Whether to look for a shorter failure, which takes minutes.
+    """
+    phases = {hypothesis.Phase.generate}
+    if shrink:
+        phases.add(hypothesis.Phase.shrink)
+    settings = hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        phases=phases,
+        print_blob=False,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    machine = hypothesis.seed(seed)(FleetMachine)
+    stateful.run_state_machine_as_test(machine, settings=settings)
--- a/packages/bambooglade-standins/bambooglade_standins/virtual/instances.py
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/instances.py
@@ -115,6 +115,7 @@
 
     Attributes:
         call_by_reference: Calls in progress.
+        stopping: Whether a planned stop has begun, which the others learn.
         deferred: What arrived while the instance was paused.
     """
 
@@ -123,6 +124,7 @@
     parts: Parts | None = None
     alive: bool = True
     paused: bool = False
+    stopping: bool = False
     stopped_since_ms: int | None = None
     call_by_reference: dict[CallReference, calls.Call] = dataclasses.field(
         default_factory=dict
--- a/packages/bambooglade/bambooglade/shards/edits.py
+++ b/packages/bambooglade/bambooglade/shards/edits.py
@@ -96,10 +96,12 @@
                 del self._by_edit_id[edit_id]
                 yield _overdrawn(top_up, document)
 
-    def expired(
-        self, now_ms: int, *, in_doubt: bool
-    ) -> Iterator[effects.Effects]:
-        """Yields the outcomes of the edits that could not be completed."""
+    def expired(self, now_ms: int) -> Iterator[effects.Effects]:
+        """Yields the outcomes of the edits that could not be confirmed.
+
+        An edit may have been applied before, or may yet be, by a write whose
+        answer was lost, so its outcome is not known.
+        """
         for edit_id, pending in list(self._by_edit_id.items()):
             if now_ms - pending.since_ms < EDIT_TIMEOUT_MS:
                 continue
@@ -107,9 +109,7 @@
             yield TopUpEnded(
                 edit_id=edit_id,
                 budget_id=pending.top_up.budget_id,
-                outcome=(
-                    EditOutcome.UNKNOWN if in_doubt else EditOutcome.REFUSED
-                ),
+                outcome=EditOutcome.UNKNOWN,
                 detail=(
                     "The platform's service gave no answer within "
                     f"{EDIT_TIMEOUT_MS} ms. Repeat the edit with the same "
--- a/packages/bambooglade/bambooglade/shards/host.py
+++ b/packages/bambooglade/bambooglade/shards/host.py
@@ -96,7 +96,7 @@
     @property
     def is_drained(self) -> bool:
         """Whether every shard was handed over, after `begin_drain`."""
-        return all(
+        return self._draining and all(
             hosted.is_drained for hosted in self._replica_by_shard.values()
         )
 
--- a/packages/bambooglade/bambooglade/shards/replica.py
+++ b/packages/bambooglade/bambooglade/shards/replica.py
@@ -168,9 +168,7 @@
 
     def tick(self, now_ms: int) -> Iterator[effects.Effects]:
         """Does what is due."""
-        yield from self.edits.expired(
-            now_ms, in_doubt=self._session.is_in_doubt
-        )
+        yield from self.edits.expired(now_ms)
         if self.is_primary:
             for name, book in self._books.items():
                 yield from self._process(name, book.tick(now_ms), now_ms)
