--- a/packages/bambooglade-standins/bambooglade_standins/virtual/fuzz_machine.py
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/fuzz_machine.py
@@ -100,12 +100,7 @@
             instance = self.world.pick(zone, number)
             if instance is None:
                 return
-            self.world.request(
-                instance,
-                draws=(calls.Draw(budget_id=budget_id, bound_tokens=bound),),
-                repeatable=True,
-                script=oracles.Script(calls.RunResult.FINISHED, bound, 300),
-            )
+            self._spend(instance, budget_id, bound)
         self.world.pass_time(1)
 
     @stateful.precondition(lambda self: self.world.call_by_key)
@@ -196,6 +191,59 @@
                 self.world.fleet.wake(instance.instance_id)
         self.world.pass_time(1)
 
+    @stateful.rule(
+        zone=_zones,
+        shard=strategies.integers(0, fuzz_world.SHARD_COUNT - 1),
+        bound=_bounds,
+        away_ms=strategies.sampled_from((4_000, 10_000, 14_000)),
+        entries=strategies.integers(1, 6),
+    )
+    def pause_primary(self, zone, shard, bound, away_ms, entries):
+        """A primary sleeps while its successor spends; then it is asked."""
+        primary = self.world.primary(zone, shard)
+        if primary is None:
+            return
+        self.world.fleet.pause(primary.instance_id)
+        self.world.pass_time(away_ms)
+        budget_id = self.world.budget_of(shard)
+        for number in range(entries):
+            self._spend(self.world.pick(zone, number), budget_id, bound)
+            self.world.pass_time(60)
+        self.world.fleet.wake(primary.instance_id)
+        for _ in range(entries):
+            self._spend(primary, budget_id, bound)
+        self.world.pass_time(400)
+
+    def _spend(self, instance, budget_id, bound):
+        if instance is not None:
+            self.world.request(
+                instance,
+                draws=(calls.Draw(budget_id=budget_id, bound_tokens=bound),),
+                repeatable=True,
+                script=oracles.Script(calls.RunResult.FINISHED, bound, 300),
+            )
+
+    @stateful.rule(
+        zone=_zones,
+        shard=strategies.integers(0, fuzz_world.SHARD_COUNT - 1),
+        bound=_bounds,
+        entries=strategies.integers(1, 6),
+    )
+    def lose_pair(self, zone, shard, bound, entries):
+        """Both copies of a shard go right after requests were served."""
+        budget_id = self.world.budget_of(shard)
+        for number in range(entries):
+            self._spend(self.world.pick(zone, number), budget_id, bound)
+        self.world.pass_time(900)
+        for instance in self.world.pair(zone, shard):
+            self.world.fleet.kill(instance.instance_id)
+        self.world.fleet.start(zone)
+        self.world.fleet.start(zone)
+        self.world.pass_time(12_000)
+        for number in range(entries):
+            self._spend(self.world.pick(zone, number), budget_id, bound)
+        self.world.pass_time(1)
+
     @stateful.rule(zone=_zones, number=_numbers)
     def kill(self, zone, number):
         """An instance ends at once."""
--- a/packages/bambooglade/bambooglade/budgets/account_book.py
+++ b/packages/bambooglade/bambooglade/budgets/account_book.py
@@ -394,9 +394,8 @@
         self._service_failures = 0
         zone = self._place.availability_zone
         for budget_id, ledger in document.account_by_budget_id.items():
-            if budget_id in self._state_by_budget_id or (
-                ledger.counters(zone).granted
-            ):
+            share = reserve_share.reserve_share(self._table, budget_id)
+            if ledger.counters(zone).granted or share > 0:
                 self._state_of(budget_id)
         for state in list(self.states()):
             yield from self._ledger_seen(state, document, now_ms)
--- a/packages/bambooglade/bambooglade/shards/host.py
+++ b/packages/bambooglade/bambooglade/shards/host.py
@@ -22,6 +22,9 @@
 It is well below the time after which others take over.
 """
 
+SCAN_PAUSE_MS = 1_000
+"""Pause between two looks at a document that nothing else asked for."""
+
 
 class ShardHost:
     """Routes messages to the shards of this instance's availability zone.
@@ -49,7 +52,9 @@
         "_factory_by_message_type",
         "_fleet",
         "_instance_id",
+        "_next_scan_ms",
         "_replica_by_shard",
+        "_scanned",
         "_shard_count",
         "_ticked_at_ms",
         "document_prefixes",
@@ -82,6 +87,8 @@
         ] = {}
         self._draining = False
         self._ticked_at_ms: int | None = None
+        self._scanned = 0
+        self._next_scan_ms = 0
         self.document_prefixes = (documents.KEY_PREFIX,)
         self.message_types = (
             *self._factory_by_message_type,
@@ -209,6 +216,7 @@
         """Does what is due in every shard."""
         self._notice_pause(now_ms)
         self._ticked_at_ms = now_ms
+        self._scan(now_ms)
         for hosted in list(self._replica_by_shard.values()):
             yield from hosted.tick(now_ms)
 
@@ -232,6 +240,38 @@
         """Returns the replicas that exist at this instance."""
         return list(self._replica_by_shard.values())
 
+    def _scan(self, now_ms: int) -> None:
+        """Looks at one of the shards that this instance looks after.
+
+        So a pair that was lost is noticed before a request needs it, rights
+        reach zones that have not asked yet, and top-ups reach primaries that
+        no watch tells of them. The first round is fast.
+        """
+        if self._draining or now_ms < self._next_scan_ms:
+            return
+        if self._scanned >= self._shard_count:
+            self._next_scan_ms = now_ms + SCAN_PAUSE_MS
+        live = self._fleet.live_in_zone(self._availability_zone)
+        for _ in range(self._shard_count):
+            shard = identifiers.ShardId(self._scanned % self._shard_count)
+            self._scanned += 1
+            if self._looks_after(shard, live):
+                self.replica(shard).want_document(write=False, now_ms=now_ms)
+                return
+
+    def _looks_after(
+        self,
+        shard: identifiers.ShardId,
+        live: tuple[identifiers.InstanceId, ...],
+    ) -> bool:
+        hosted = self._replica_by_shard.get(shard)
+        if hosted is not None and hosted.is_primary:
+            return True
+        place = assignments.Place(
+            shard=shard, availability_zone=self._availability_zone
+        )
+        return place.ranked(live)[:1] == [self._instance_id]
+
     def _created(self, shard: identifiers.ShardId) -> replica.ShardReplica:
         hosted = replica.ShardReplica(
             instance_id=self._instance_id,
--- a/packages/bambooglade/bambooglade/shards/replica.py
+++ b/packages/bambooglade/bambooglade/shards/replica.py
@@ -529,7 +529,9 @@
 
     def _watch_pair(self, now_ms: int) -> None:
         current = self._assignments.get(self._place)
-        if current is None or self._is_alive(current):
+        if current is None and not self._has_accounts():
+            return
+        if current is not None and self._is_alive(current):
             self._suspected_since_ms = None
             return
         if self._suspected_since_ms is None:
@@ -540,6 +542,10 @@
             self._session.want_read()
         self._session.want_write(now_ms)
 
+    def _has_accounts(self) -> bool:
+        document = self._session.document
+        return document is not None and bool(document.account_by_budget_id)
+
     def _is_alive(self, current: assignments.Assignment) -> bool:
         return not self._fleet.is_suspected(current.primary)
 
