--- /dev/null
+++ b/packages/bambooglade/bambooglade/budgets/tests/test_fuzz_fleet.py
@@ -0,0 +1,15 @@
+"""Stateful fuzzing of a whole virtual fleet, with fixed seeds.
+
+Longer: `make fuzz SEED=7 EXAMPLES=2000 STEPS=80`.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from bambooglade_standins.virtual import fuzz_machine
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_nothing_breaks_under_combined_faults(seed):
+    fuzz_machine.run(seed=seed, examples=20, steps=25, shrink=False)
