Bill nothing of an answer of which the caller got nothing

Change: such a run ends as unknown with nothing spent, so a retry of the key may run anew. A caller that goes away still pays for what was generated for it.

--- a/packages/bambooglade/bambooglade/router/caller_chat.py
+++ b/packages/bambooglade/bambooglade/router/caller_chat.py
@@ -161,7 +161,10 @@
         failure = self._run.failure or failures.OutcomeUnknown(
             detail="The run ended without an answer."
         )
-        self._session.finish(self._run.run_end())
+        is_delivered = self._chat.stream or self._session.gone()
+        self._session.finish(
+            self._run.run_end() if is_delivered else self._run.undelivered_end()
+        )
         self._session.refuse(failure, target_id=self._run.target_id or "")
         return failure
 
--- a/packages/bambooglade/bambooglade/router/dispatch_chat.py
+++ b/packages/bambooglade/bambooglade/router/dispatch_chat.py
@@ -118,6 +118,16 @@
             answer=answer,
         )
 
+    def undelivered_end(self) -> calls.RunEnd:
+        """Returns how a run ended of which the caller got nothing."""
+        return calls.RunEnd(
+            result=calls.RunResult.UNKNOWN
+            if self._sent
+            else calls.RunResult.NOT_RUN,
+            spent_tokens=0,
+            target_id=self.target_id,
+        )
+
     def _run_result(self) -> calls.RunResult:
         if self.is_whole or self.parts:
             return calls.RunResult.FINISHED
--- a/packages/bambooglade/bambooglade/router/tests/test_dispatch_chat.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_dispatch_chat.py
@@ -166,6 +166,20 @@
     assert run_end.spent_tokens == generation.prompt_tokens(PROMPT) + 3
 
 
+def test_answer_that_was_never_delivered_is_not_billed():
+    server, _ = start(faults=faults_lib.Faults(die_at_token=3))
+    with caller_bench.running({"e1": server}, caller_bench.MODEL) as bench:
+        response = bench.send(
+            "POST",
+            "/v1/chat/completions",
+            body=chat(stream=False),
+            Idempotency_Key="k1",
+        )
+        run_end = bench.port.wait_for_end("k1")
+    assert (response.head.status, run_end.spent_tokens) == (504, 0)
+    assert run_end.result is calls.RunResult.UNKNOWN
+
+
 @pytest.mark.parametrize("stream", [True, False])
 def test_caller_that_goes_away_cancels_and_pays_for_what_was_generated(stream):
     server, app = start(token_ms=20)
