Split the caller interface into one module a job

Change: what a plain call sends, bills and answers is in caller_plain.py, beside caller_chat.py; the answer about a key is in key_status.py. No change of behaviour; the tests of dispatch and of whole processes pass as before.

--- a/packages/bambooglade/bambooglade/router/caller_api.py
+++ b/packages/bambooglade/bambooglade/router/caller_api.py
@@ -4,9 +4,7 @@
 
 from collections.abc import Callable
 from concurrent import futures
-from urllib import parse
 
-import msgspec
 import result
 from werkzeug import exceptions
 from werkzeug import routing
@@ -17,27 +15,23 @@
 from bambooglade.operations import calls
 from bambooglade.router import call_session
 from bambooglade.router import caller_chat
+from bambooglade.router import caller_plain
 from bambooglade.router import caller_request
 from bambooglade.router import calls_port
 from bambooglade.router import chat_request
 from bambooglade.router import dispatch
 from bambooglade.router import dispatch_chat
 from bambooglade.router import dispatch_plain
-from bambooglade.router import trace
+from bambooglade.router import key_status
 from bambooglade.table import credentials
 from bambooglade.table import matching
 from bambooglade.table import rows
 from bambooglade.table import view
-from bambooglade.transport import messages
 from bambooglade.transport import problems
 from bambooglade.transport import request_handler
 
 LOOKUP_WAIT_S = 5.0
 CHAT_PATH = "/v1/chat/completions"
-_JSON = "application/json"
-_FIRST_ERROR_STATUS = 400
-_PATH_SAFE = "/!$&'()*+,;=:@~-._"
-_QUERY_SAFE = _PATH_SAFE + "?%"
 
 _Answer = result.Result[wrappers.Response, failures.Failure]
 
@@ -51,28 +45,6 @@
     )
 
 
-class KeyStatus(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """Body of the answer to what became of a request.
-
-    Attributes:
-        key: The request's key.
-        state: `absent`, `in_progress`, `finished`, `not_run` or `unknown`.
-        spent_tokens: What was billed; None when that is not settled.
-        voided: Whether another run of the key is billed instead.
-        answer: The kept answer, as text; None when it is not kept.
-        explanation: One decision a line.
-        decisions: The decisions that this instance remembers.
-    """
-
-    key: str
-    state: str
-    spent_tokens: int | None = None
-    voided: bool = False
-    answer: str | None = None
-    explanation: tuple[str, ...] = ()
-    decisions: tuple[trace.Decision, ...] = ()
-
-
 class CallerApi:
     """Serves callers.
 
@@ -213,7 +185,7 @@
             has_age = caller_request.check_key_has_age(headers.ok_value)
             if isinstance(has_age, result.Err):
                 return has_age
-        plain = _plain_request(request, path)
+        plain = caller_plain.request_of(request, path)
         session = self._session(
             request,
             headers.ok_value,
@@ -244,13 +216,15 @@
         try:
             end = self._plain.run(_job(session), plain)
         finally:
-            bill = session.finish(_plain_run_end(session, end))
+            bill = session.finish(caller_plain.run_end_of(session, end))
         target_id = end.target_id or ""
         if isinstance(end.outcome, result.Err):
             session.refuse(end.outcome.err_value, target_id=target_id)
             return _refused(session, end.outcome.err_value)
         session.succeed(bill, target_id)
-        return result.Ok(_plain_response(session, end.outcome.ok_value, bill))
+        return result.Ok(
+            caller_plain.response_of(session, end.outcome.ok_value, bill)
+        )
 
     def _key(self, request: wrappers.Request, key: str) -> _Answer:
         team = self._authenticate(request)
@@ -272,24 +246,11 @@
             return result.Err(
                 failures.NotFound(detail=f"Nothing is known of key {key!r}.")
             )
-        return result.Ok(self._status_response(status))
-
-    def _status_response(
-        self, status: calls_port.CallStatus
-    ) -> wrappers.Response:
-        bill = status.bill
-        body = KeyStatus(
-            key=status.key,
-            state=status.state.value,
-            spent_tokens=bill.spent_tokens if bill else None,
-            voided=bool(bill and bill.voided),
-            answer=status.answer.body.decode("utf-8", "replace")
-            if status.answer
-            else None,
-            explanation=status.explanation,
-            decisions=self._desk.ring.decisions(status.key),
+        return result.Ok(
+            key_status.response_of(
+                status, self._desk.ring.decisions(status.key)
+            )
         )
-        return wrappers.Response(msgspec.json.encode(body), content_type=_JSON)
 
     def _health(self, request: wrappers.Request) -> _Answer:
         del request
@@ -404,71 +365,6 @@
     )
 
 
-def _plain_request(
-    request: wrappers.Request, path: str
-) -> dispatch_plain.PlainRequest:
-    target = f"/{parse.quote(path, safe=_PATH_SAFE)}"
-    query = request.query_string.decode("latin-1")
-    if query:
-        target += f"?{parse.quote(query, safe=_QUERY_SAFE)}"
-    return dispatch_plain.PlainRequest(
-        method=request.method,
-        path=target,
-        content_type=request.headers.get("Content-Type", ""),
-        body=request.get_data(),
-    )
-
-
-def _plain_run_end(
-    session: call_session.CallSession, end: dispatch_plain.PlainEnd
-) -> calls.RunEnd:
-    bound = max((d.bound_tokens for d in session.call.draws), default=0)
-    if isinstance(end.outcome, result.Err):
-        is_open = (
-            end.run_result is calls.RunResult.UNKNOWN
-            and not session.call.repeatable
-        )
-        return calls.RunEnd(
-            result=end.run_result,
-            spent_tokens=bound if is_open else 0,
-            target_id=end.target_id,
-        )
-    answer = end.outcome.ok_value
-    is_done = answer.head.status < _FIRST_ERROR_STATUS
-    return calls.RunEnd(
-        result=end.run_result,
-        spent_tokens=bound if is_done else 0,
-        target_id=end.target_id,
-        answer=_kept(answer),
-    )
-
-
-def _kept(answer: messages.Response) -> calls.KeptAnswer | None:
-    if len(answer.body) > caller_chat.MAX_KEPT_ANSWER_BYTES:
-        return None
-    return calls.KeptAnswer(
-        http_status=answer.head.status,
-        content_type=answer.head.header("content-type"),
-        body=answer.body,
-    )
-
-
-def _plain_response(
-    session: call_session.CallSession,
-    answer: messages.Response,
-    bill: calls.Bill | None,
-) -> wrappers.Response:
-    response = wrappers.Response(
-        answer.body,
-        status=answer.head.status,
-        content_type=answer.head.header("content-type") or None,
-    )
-    response.headers[dispatch.KEY_HEADER] = session.call.key
-    if bill is not None:
-        response.headers[caller_chat.BILLED_HEADER] = str(bill.spent_tokens)
-    return response
-
-
 def _refused(
     session: call_session.CallSession, failure: failures.Failure
 ) -> _Answer:
