Split the assembly of a networked instance from that of the decisions

Change: one module for the decisions on budgets and calls, one for an instance that finds the others; the test waits for what it is about. Conclusion: no behaviour is changed.

--- a/packages/bambooglade/bambooglade/router/budget_inspector.py
+++ b/packages/bambooglade/bambooglade/router/budget_inspector.py
@@ -18,8 +18,8 @@
 from bambooglade.core import identifiers
 from bambooglade.fleet import messages as fleet_messages
 from bambooglade.platform import ports
-from bambooglade.router import assembly
 from bambooglade.router import effect_waiters
+from bambooglade.router import networked_assembly
 from bambooglade.router import operator_messages as messages
 from bambooglade.router import runtime as runtimes
 from bambooglade.shards import document as documents
@@ -44,7 +44,7 @@
     def __init__(
         self,
         *,
-        networked: assembly.NetworkedParts,
+        networked: networked_assembly.NetworkedParts,
         runtime: runtimes.Runtime,
         waiters: effect_waiters.EffectWaiters,
         store: ports.KeyValueStore,
--- a/packages/bambooglade/bambooglade/router/construction.py
+++ b/packages/bambooglade/bambooglade/router/construction.py
@@ -16,6 +16,7 @@
 from bambooglade.router import application
 from bambooglade.router import assembly
 from bambooglade.router import granted_out as granted_out_lib
+from bambooglade.router import networked_assembly
 from bambooglade.router import runtime as runtimes
 from bambooglade.router import settings as settings_lib
 from bambooglade.table import pages
@@ -77,7 +78,7 @@
     *,
     settings: settings_lib.Settings,
     granted_out: granted_out_lib.GrantedOut,
-) -> assembly.NetworkedParts:
+) -> networked_assembly.NetworkedParts:
     """Returns the decisions of the instance that the settings describe."""
     instance = settings.instance
     scheme = "https" if settings.security.uses_tls else "http"
@@ -91,7 +92,7 @@
         ),
         shard_count=instance.shard_count,
     )
-    return assembly.assemble_networked(
+    return networked_assembly.assemble(
         identity,
         url=url,
         seeds=tuple(f"{scheme}://{seed}" for seed in instance.seeds),
--- a/packages/bambooglade/bambooglade/router/operator_service.py
+++ b/packages/bambooglade/bambooglade/router/operator_service.py
@@ -14,10 +14,10 @@
 from bambooglade.core import failures
 from bambooglade.core import identifiers
 from bambooglade.fleet import messages as fleet_messages
-from bambooglade.router import assembly
 from bambooglade.router import budget_inspector
 from bambooglade.router import effect_waiters
 from bambooglade.router import granted_out as granted_out_lib
+from bambooglade.router import networked_assembly
 from bambooglade.router import operator_api
 from bambooglade.router import operator_messages as messages
 from bambooglade.router import runtime as runtimes
@@ -51,7 +51,7 @@
     def __init__(
         self,
         *,
-        networked: assembly.NetworkedParts,
+        networked: networked_assembly.NetworkedParts,
         runtime: runtimes.Runtime,
         waiters: effect_waiters.EffectWaiters,
         inspector: budget_inspector.BudgetInspector,
--- a/packages/bambooglade/bambooglade/router/tests/test_process.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_process.py
@@ -221,7 +221,7 @@
     fleet.kill(entry)
     b"".join(pieces)
     deployed.caller.status(deployed.first.url)
-    _wait_until(lambda: _stuck(fleet) > 0)
+    _wait_until(lambda: _is_gone(fleet, entry) and _stuck(fleet) > 0)
     stuck = _stuck(fleet)
     request = operator_messages.ReleaseHeld(
         edit_id="release-1",
@@ -239,6 +239,17 @@
     assert _stuck(fleet) == 0
 
 
+def _is_gone(fleet, instance):
+    """Returns whether the first instance believes another one dead."""
+    described = msgspec.json.decode(
+        fleet.operate("GET", "/fleet"),
+        type=operator_messages.FleetDescription,
+    )
+    state_by_id = {each.instance_id: each.state for each in described.instances}
+    gone = operator_messages.InstanceState.GONE
+    return state_by_id[instance.instance_id] is gone
+
+
 def _stuck(fleet):
     """Returns the rights that nobody alive will settle, in tokens."""
     return sum(
