Spread the tests evenly over eight workers

Cause: tests were dealt out in chunks, so that one worker ran several long fuzz tests while the others were idle. Change: eight workers that take tests from each other. Conclusion: no test is changed.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	$(BIN)/ruff format -q .
 
 unit: env ## Run the tests and the doctests.
-	$(BIN)/python -m pytest -n 4
+	$(BIN)/python -m pytest -n 8 --dist worksteal
 
 test: check unit ## Run all checks and tests.
 
