Do not wait for rights that instances which are gone reserved

Cause: when an entry died with streams open, its reservations stay, and requests waited until their deadline (30 s) for rights that nobody will settle. Change: an account does not count the reservations of entries that are believed to be gone as rights that may come back; the refusal names them and says when to ask again. They stay reserved: the entry may only be cut off.

--- a/benchmarks/escrow.py
+++ b/benchmarks/escrow.py
@@ -243,6 +243,7 @@
                     assignment_map=assignment_map,
                     table=self._table(),
                     zone_count=len(self._deployment.zones),
+                    fleet=fleet,
                 ),
                 claim_book_factory.ClaimBookFactory(
                     retention=retention.Retention()
--- a/packages/bambooglade/bambooglade/budgets/account_book.py
+++ b/packages/bambooglade/bambooglade/budgets/account_book.py
@@ -22,6 +22,7 @@
 from bambooglade.budgets import spend_limits
 from bambooglade.core import effects
 from bambooglade.core import identifiers
+from bambooglade.fleet import view as fleet_view
 from bambooglade.shards import assignments
 from bambooglade.shards import book as books
 from bambooglade.shards import document as documents
@@ -42,6 +43,7 @@
         assignment_map: Finds the primaries of the other zones.
         table: Rows with the share to hold in reserve, and spend limits.
         zone_count: Number of availability zones of the deployment.
+        fleet: Tells which entries are gone; None to wait for all of them.
 
     See Also:
         bambooglade.budgets.account: how one account counts.
@@ -53,6 +55,7 @@
         "_document",
         "_ended",
         "_epoch",
+        "_fleet",
         "_lost_epoch",
         "_needs_backup",
         "_place",
@@ -69,11 +72,13 @@
         assignment_map: assignments.AssignmentMap,
         table: view.TableView,
         zone_count: int,
+        fleet: fleet_view.FleetView | None = None,
     ) -> None:
         self._place = place
         self._assignments = assignment_map
         self._table = table
         self._zone_count = zone_count
+        self._fleet = fleet
         self._epoch = identifiers.Epoch(0)
         self._lost_epoch: identifiers.Epoch | None = None
         self._needs_backup = False
@@ -653,6 +658,8 @@
             )
             account.require_backup(required=self._needs_backup)
             state = account_state.AccountState(account=account)
+            if self._fleet is not None:
+                state.is_gone = self._fleet.is_suspected
             self._state_by_budget_id[budget_id] = state
         return state
 
--- a/packages/bambooglade/bambooglade/budgets/account_book_factory.py
+++ b/packages/bambooglade/bambooglade/budgets/account_book_factory.py
@@ -8,6 +8,7 @@
 from bambooglade.budgets import records
 from bambooglade.core import effects
 from bambooglade.core import identifiers
+from bambooglade.fleet import view as fleet_view
 from bambooglade.shards import assignments
 from bambooglade.table import view
 
@@ -19,9 +20,10 @@
         assignment_map: Finds the primaries of the other zones.
         table: The operators' rows.
         zone_count: Number of availability zones of the deployment.
+        fleet: Tells which entries are gone; None to wait for all of them.
     """
 
-    __slots__ = ("_assignments", "_table", "_zone_count")
+    __slots__ = ("_assignments", "_fleet", "_table", "_zone_count")
 
     name = "accounts"
     message_types = (
@@ -41,10 +43,12 @@
         assignment_map: assignments.AssignmentMap,
         table: view.TableView,
         zone_count: int,
+        fleet: fleet_view.FleetView | None = None,
     ) -> None:
         self._assignments = assignment_map
         self._table = table
         self._zone_count = zone_count
+        self._fleet = fleet
 
     def shard_key(self, message: effects.Message) -> str:
         """Returns the budget id of a message."""
@@ -57,6 +61,7 @@
             assignment_map=self._assignments,
             table=self._table,
             zone_count=self._zone_count,
+            fleet=self._fleet,
         )
 
     def misdirected(
--- a/packages/bambooglade/bambooglade/budgets/account_state.py
+++ b/packages/bambooglade/bambooglade/budgets/account_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 
@@ -74,6 +75,10 @@
     returned_target: int
 
 
+def _never_gone(instance_id: identifiers.InstanceId) -> bool:
+    return False
+
+
 @dataclasses.dataclass(slots=True)
 class AccountState:
     """One account at its zone's primary.
@@ -86,6 +91,8 @@
         recall_by_zone: What the other zones were asked for.
         giving_by_zone: What other zones asked of this one.
         meter: Recent demand.
+        is_gone: Whether an entry instance is believed to be gone, so that its
+            reservations are not waited for.
     """
 
     account: accounts.ZoneAccount
@@ -102,6 +109,24 @@
         default_factory=refill_policy.DemandMeter
     )
 
+    is_gone: Callable[[identifiers.InstanceId], bool] = _never_gone
+
+    @property
+    def abandoned_tokens(self) -> int:
+        """Bounds of this epoch that instances which are gone reserved."""
+        return sum(
+            record.bound_tokens
+            for number, record in self.account.open_by_number.items()
+            if number.epoch == self.account.epoch
+            and self.is_gone(record.reservation_id.entry)
+        )
+
+    @property
+    def coming_back_tokens(self) -> int:
+        """Reserved or freed rights that may become unused here."""
+        account = self.account
+        return account.reserved - self.abandoned_tokens + account.unreleased
+
     def is_fresh(self, since_ms: int) -> bool:
         """Returns whether the ledger is new enough for a request."""
         return self.ledger_seen_ms + FRESH_MS >= since_ms
--- a/packages/bambooglade/bambooglade/budgets/messages.py
+++ b/packages/bambooglade/bambooglade/budgets/messages.py
@@ -176,7 +176,8 @@
         returned_tokens: Returned in the document for this recall.
         reserved_tokens: Reserved there by requests in progress; a part of it
             may come back when they are settled.
-        held_tokens: Held there for an earlier epoch.
+        held_tokens: Held there for an earlier epoch, or reserved by instances
+            that are gone.
         unused_tokens: Kept there for requests that wait there, or on their
             way to another zone.
     """
--- a/packages/bambooglade/bambooglade/budgets/recalls.py
+++ b/packages/bambooglade/bambooglade/budgets/recalls.py
@@ -106,8 +106,8 @@
             budget_id=account.budget_id,
             availability_zone=own_zone,
             returned_tokens=tokens,
-            reserved_tokens=account.reserved + account.unreleased,
-            held_tokens=account.held_tokens,
+            reserved_tokens=state.coming_back_tokens,
+            held_tokens=account.held_tokens + state.abandoned_tokens,
             unused_tokens=max(0, account.unused) + being_returned,
         ),
     )
--- a/packages/bambooglade/bambooglade/budgets/refusals.py
+++ b/packages/bambooglade/bambooglade/budgets/refusals.py
@@ -72,7 +72,7 @@
         return False
     bound = waiter.request.bound_tokens
     account = state.account
-    own = account.unused + account.reserved + account.unreleased
+    own = account.unused + state.coming_back_tokens
     if own + _open_held(state) >= bound:
         return True
     if bound > _ever_possible(state):
@@ -91,6 +91,7 @@
         record.bound_tokens
         for number, record in account.open_by_number.items()
         if number.epoch != account.epoch
+        and not state.is_gone(record.reservation_id.entry)
     )
 
 
@@ -149,7 +150,7 @@
             f"in {around.own_zone}; " + "; ".join(reasons) + ".",
             RETRY_AFTER_MS,
         )
-    reserved = state.account.reserved + _reported_elsewhere(
+    reserved = state.coming_back_tokens + _reported_elsewhere(
         state, around.own_zone
     )
     return Refusal(
@@ -166,6 +167,9 @@
     reasons = []
     if around.service_failures >= SERVICE_FAILURES:
         reasons.append("the platform's service does not answer")
+    abandoned = state.abandoned_tokens
+    if abandoned > 0:
+        reasons.append(f"{abandoned} are reserved by instances that are gone")
     held = state.account.held_tokens
     if held > 0:
         reasons.append(f"{held} are held here for an earlier primary")
--- /dev/null
+++ b/packages/bambooglade/bambooglade/budgets/tests/test_refusals.py
@@ -0,0 +1,52 @@
+"""Whether a request waits for rights that others reserved."""
+
+from __future__ import annotations
+
+import pytest
+
+from bambooglade.budgets import account as accounts
+from bambooglade.budgets import account_state
+from bambooglade.budgets import messages
+from bambooglade.budgets import refusals
+from bambooglade.shards import document as documents
+
+NOW_MS = 10_000
+
+
+def _reservation_id(entry):
+    return messages.ReservationId(key=f"key of {entry}", entry=entry)
+
+
+@pytest.mark.parametrize(
+    ("entry", "reason"),
+    [("alive", None), ("gone", messages.RefusalReason.UNREACHABLE)],
+)
+def test_rights_of_an_entry_that_is_gone_are_not_waited_for(entry, reason):
+    account = accounts.ZoneAccount(budget_id="team/t1", epoch=1)
+    account.granted = 100
+    account.reserve(_reservation_id(entry), 80)
+    ledger = documents.Account(
+        prepaid_tokens=100,
+        counters_by_availability_zone={
+            "scot-a": documents.ZoneCounters(granted=100)
+        },
+    )
+    state = account_state.AccountState(
+        account=account,
+        ledger=ledger,
+        ledger_seen_ms=NOW_MS,
+        is_gone=lambda instance_id: instance_id == "gone",
+    )
+    request = messages.Reserve(
+        reservation_id=_reservation_id("other"),
+        budget_id="team/t1",
+        bound_tokens=50,
+        deadline_ms=NOW_MS + 30_000,
+    )
+    refusal = refusals.refusal(
+        state,
+        account_state.Waiter(request, "other", NOW_MS),
+        refusals.Surroundings("scot-a", 0),
+        NOW_MS,
+    )
+    assert (refusal and refusal.reason) == reason
--- a/packages/bambooglade/bambooglade/router/assembly.py
+++ b/packages/bambooglade/bambooglade/router/assembly.py
@@ -78,6 +78,7 @@
         assignment_map=assignment_map,
         table=table,
         zone_count=len(identity.arbiter_zones),
+        fleet=fleet,
     )
     claims = claim_book_factory.ClaimBookFactory(retention=retention)
     host = hosts.ShardHost(
