Verify operators' keys the way teams' keys are

Operators' and teams' keys were checked by two pieces of code with different limits; the operators' one did not bound how many wrong keys are hashed at once. Both use one verifier now, and the binary makes keys with the same function. The binary tells a stale edit, an unknown outcome and an unreachable service apart by the kinds of the table's failures.

--- a/packages/bambooglade-ctl/bambooglade_ctl/commands/operators.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/commands/operators.py
@@ -5,9 +5,9 @@
 import result
 
 from bambooglade.router import operator_messages as messages
+from bambooglade.table import credentials
 from bambooglade.table import rows
 from bambooglade_ctl import client
-from bambooglade_ctl import credentials
 from bambooglade_ctl import deferred
 from bambooglade_ctl import keys
 from bambooglade_ctl import outcomes
--- a/packages/bambooglade-ctl/bambooglade_ctl/commands/teams.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/commands/teams.py
@@ -6,9 +6,9 @@
 import result
 
 from bambooglade.router import operator_messages as messages
+from bambooglade.table import credentials
 from bambooglade.table import rows
 from bambooglade_ctl import client
-from bambooglade_ctl import credentials
 from bambooglade_ctl import deferred
 from bambooglade_ctl import editing
 from bambooglade_ctl import keys
--- a/packages/bambooglade-ctl/bambooglade_ctl/editing.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/editing.py
@@ -6,12 +6,19 @@
 import result
 
 from bambooglade.router import operator_messages as messages
+from bambooglade.table import changes
 from bambooglade.table import rows
 from bambooglade_ctl import client
 from bambooglade_ctl import layout
 from bambooglade_ctl import outcomes
 from bambooglade_ctl import sheets
 
+_EXIT_CODE_BY_KIND = {
+    changes.StaleEdit.kind: outcomes.ExitCode.CONFLICT,
+    changes.EditUnknown.kind: outcomes.ExitCode.UNCERTAIN,
+    changes.ServiceUnavailable.kind: outcomes.ExitCode.UNREACHABLE,
+}
+
 
 def find(
     ctl: client.OperatorClient, row_key: str
@@ -69,12 +76,9 @@
     edit_id: str,
 ) -> outcomes.CommandFailed:
     refusal = outcome.refusal
-    is_conflict = outcome.current is not None
-    code = (
-        outcomes.ExitCode.CONFLICT if is_conflict else outcomes.ExitCode.REFUSED
-    )
+    code = _EXIT_CODE_BY_KIND.get(refusal.kind, outcomes.ExitCode.REFUSED)
     found = [refusal.detail]
-    if is_conflict:
+    if code is outcomes.ExitCode.CONFLICT and outcome.current is not None:
         found.append(difference(base, outcome.current))
     return outcomes.CommandFailed(
         exit_code=code,
--- a/packages/bambooglade-ctl/bambooglade_ctl/tests/memory_instance.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/tests/memory_instance.py
@@ -17,6 +17,7 @@
 from bambooglade.router import operator_credentials
 from bambooglade.router import operator_messages as messages
 from bambooglade.router import trace
+from bambooglade.table import changes
 from bambooglade.table import view
 
 BOOTSTRAP_KEY = "bg_bootstrap_s3cr3t"
@@ -78,7 +79,9 @@
                 version=version,
                 current=current,
                 refusal=messages.Refusal(
-                    kind="edit_stale", detail="Stale.", remedy="Read it again."
+                    kind=changes.StaleEdit.kind,
+                    detail="Stale.",
+                    remedy="Read it again.",
                 ),
             )
         self.edit_ids.add((edit.row_key, edit_id))
--- a/packages/bambooglade/bambooglade/router/operator_api.py
+++ b/packages/bambooglade/bambooglade/router/operator_api.py
@@ -113,9 +113,9 @@
     """Recognises operators by their keys."""
 
     def authenticate(
-        self, key: str
-    ) -> result.Result[messages.Operator, failures.NotAuthorized]:
-        """Returns the operator with this key."""
+        self, authorization: str
+    ) -> result.Result[messages.Operator, failures.Failure]:
+        """Returns the operator whose key is in the Authorization header."""
         ...
 
 
@@ -188,7 +188,8 @@
     def _answer(
         self, request: wrappers.Request
     ) -> result.Result[object, failures.Failure]:
-        known = self._operator(request)
+        authorization = request.headers.get("Authorization", "")
+        known = self._authenticator.authenticate(authorization)
         if isinstance(known, result.Err):
             return known
         try:
@@ -203,16 +204,6 @@
             return _role_missing(operator, route.role)
         return self._dispatch(request, route, operator, arguments)
 
-    def _operator(
-        self, request: wrappers.Request
-    ) -> result.Result[messages.Operator, failures.NotAuthorized]:
-        credentials = request.authorization
-        if credentials is None or credentials.type != "bearer":
-            return result.Err(
-                failures.NotAuthorized(detail="No bearer key was sent.")
-            )
-        return self._authenticator.authenticate(credentials.token or "")
-
     def _dispatch(
         self,
         request: wrappers.Request,
--- a/packages/bambooglade/bambooglade/router/tests/test_operator_api.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_operator_api.py
@@ -156,7 +156,7 @@
 ) -> None:
     answer = client.get("/operator/rows", headers=headers)
     assert answer.status_code == 401
-    assert answer.json["kind"] == "not_authorized"
+    assert answer.json["kind"] == "invalid_key"
     assert "s3cr3t" not in answer.text
     assert port.requests == []
 
--- a/packages/bambooglade/bambooglade/table/credentials.py
+++ b/packages/bambooglade/bambooglade/table/credentials.py
@@ -60,10 +60,15 @@
         return "NewKey(hidden)"
 
 
-class _ParsedKey(msgspec.Struct, frozen=True, kw_only=True):
+class ParsedKey(msgspec.Struct, frozen=True, kw_only=True):
+    """The parts of a key that was sent."""
+
     name: str
     secret: str
 
+    def __repr__(self) -> str:
+        return f"ParsedKey(name={self.name!r})"
+
 
 def new_key(name: str) -> NewKey:
     """Returns a new random key for a team or an operator.
@@ -157,7 +162,7 @@
         Args:
             authorization: Value of the Authorization header.
         """
-        parsed = _parse(authorization)
+        parsed = parse(authorization)
         if parsed is None:
             return _invalid("The header has no key of the form bg_<team>_...")
         team = self._table.get(f"team/{parsed.name}")
@@ -177,7 +182,15 @@
         return f"TeamAuthenticator({self._verifier!r})"
 
 
-def _parse(authorization: str) -> _ParsedKey | None:
+def parse(authorization: str) -> ParsedKey | None:
+    """Returns the parts of a bearer key; None when it has another form.
+
+    Examples:
+        >>> parse("Bearer bg_hall-3_0123").name
+        'hall-3'
+        >>> parse("Basic bg_hall-3_0123") is None
+        True
+    """
     scheme, _, key = authorization.partition(" ")
     key = key.strip()
     if scheme.lower() != "bearer" or not key.startswith(KEY_PREFIX):
@@ -185,7 +198,7 @@
     name, separator, secret = key.removeprefix(KEY_PREFIX).rpartition("_")
     if not (name and separator and 0 < len(secret) <= MAX_SECRET_LENGTH):
         return None
-    return _ParsedKey(name=name, secret=secret)
+    return ParsedKey(name=name, secret=secret)
 
 
 def _verify(key_hash: str, secret: str) -> bool:
