Add the report on service-level burn

Operators need to see which promise is being broken, how fast, and by what. Objectives are rows; counters of all instances are read into a history, and burn rates over 5 min, 30 min, 1 h and 6 h are worked out from it across restarts, gaps and changed objectives. Two alerts need a long and a short window each. Causes are named by target and zone; refusals that callers or their prepaid amount cause are no bad events.

--- /dev/null
+++ b/packages/bambooglade-ctl/bambooglade_ctl/burn/__init__.py
@@ -0,0 +1,1 @@
+"""The report on service-level burn."""
--- /dev/null
+++ b/packages/bambooglade-ctl/bambooglade_ctl/burn/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the report on service-level burn."""
--- a/packages/bambooglade-ctl/bambooglade_ctl/layout.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/layout.py
@@ -39,3 +39,23 @@
     at = datetime.datetime.fromtimestamp(at_ms / _MS_PER_S, tz=datetime.UTC)
     text = at.isoformat(timespec="milliseconds")
     return text.replace("+00:00", "Z")
+
+
+def minutes(count: int) -> str:
+    """Renders the length of a window.
+
+    Examples:
+        >>> minutes(30), minutes(360)
+        ('30 min', '6 h')
+    """
+    return f"{count} min" if count < 60 else f"{count // 60} h"
+
+
+def burn_rate(rate: float | None) -> str:
+    """Renders a burn rate; `-` when there were no events.
+
+    Examples:
+        >>> burn_rate(14.42), burn_rate(None)
+        ('14.4', '-')
+    """
+    return "-" if rate is None else f"{rate:.1f}"
--- a/packages/bambooglade-ctl/bambooglade_ctl/main.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/main.py
@@ -23,6 +23,7 @@
 from bambooglade_ctl import printing
 from bambooglade_ctl.commands import budgets
 from bambooglade_ctl.commands import operators
+from bambooglade_ctl.commands import report
 from bambooglade_ctl.commands import rows
 from bambooglade_ctl.commands import settings
 from bambooglade_ctl.commands import teams
@@ -50,6 +51,7 @@
         self._shared = shared
         self.budgets = budgets.Budgets(self._connect)
         self.operators = operators.Operators(self._connect)
+        self.report = report.Report(self._connect)
         self.rows = rows.Rows(self._connect)
         self.settings = settings.Settings()
         self.teams = teams.Teams(self._connect)
--- a/packages/bambooglade-ctl/bambooglade_ctl/printing.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/printing.py
@@ -12,6 +12,7 @@
 from bambooglade_ctl import keys
 from bambooglade_ctl import layout
 from bambooglade_ctl import sheets
+from bambooglade_ctl.burn import rates
 
 
 def as_json(answer: object) -> str:
@@ -195,6 +196,44 @@
     return f"{targets}\nSeen by {answer.seen_by}."
 
 
+@as_text.register
+def _(answer: rates.BurnReport) -> str:
+    overview = layout.table(
+        (
+            "OBJECTIVE",
+            "SHARE",
+            "WITHIN",
+            *(layout.minutes(one).upper() for one in rates.WINDOWS_MINUTES),
+            "ALERT",
+        ),
+        (
+            (
+                burn.objective.row_key,
+                f"{burn.objective.share:g}",
+                f"{burn.objective.threshold_ms} ms",
+                *(_burn_cell(window) for window in burn.windows),
+                burn.alert.value,
+            )
+            for burn in answer.objectives
+        ),
+    )
+    causes = [
+        f"{burn.objective.row_key}: {one.count} bad: {one.cause} "
+        f"target={one.target_id or '-'} zone={one.availability_zone}"
+        for burn in answer.objectives
+        for one in burn.causes
+    ]
+    read = f"Instances read: {answer.instances}"
+    if answer.unreachable:
+        read += f"; not reached: {', '.join(answer.unreachable)}"
+    return "\n".join([overview, *causes, f"{read}. * = history too short."])
+
+
+def _burn_cell(window: rates.WindowBurn) -> str:
+    mark = "" if window.is_covered else "*"
+    return f"{layout.burn_rate(window.burn_rate)}{mark}"
+
+
 @as_text.register
 def _(answer: messages.Explanation) -> str:
     if not answer.decisions:
--- a/packages/bambooglade-ctl/bambooglade_ctl/tests/memory_instance.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/tests/memory_instance.py
@@ -13,6 +13,7 @@
 from werkzeug import wrappers
 
 from bambooglade.core import failures
+from bambooglade.router import metrics
 from bambooglade.router import operator_api
 from bambooglade.router import operator_credentials
 from bambooglade.router import operator_messages as messages
@@ -41,6 +42,7 @@
         self.decisions: tuple[trace.Decision, ...] = ()
         self.instances: tuple[messages.InstanceDescription, ...] = ()
         self.lost_answers = 0
+        self.metrics = metrics.Metrics()
         self.instance_id = "i1"
 
     def rows(self, prefix: str) -> futures.Future:
@@ -218,6 +220,9 @@
 
     def __call__(self, environ: dict, start_response: object) -> object:
         request = wrappers.Request(environ)
+        if request.path == "/metrics":
+            rendered = self._port.metrics.render()
+            return wrappers.Response(rendered.body)(environ, start_response)
         response = self._api.respond(request)
         if request.method == "POST" and self._port.lost_answers > 0:
             self._port.lost_answers -= 1
