--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -13,6 +13,7 @@
 from absl import logging
 
 from benchmarks import budget_policy
+from benchmarks import capacity
 from benchmarks import cutoff_reserve
 from benchmarks import edit_propagation
 from benchmarks import gossip_cost
@@ -23,6 +24,7 @@
 
 EXPERIMENT_BY_NAME: dict[str, Callable[[], Iterator[str]]] = {
     "budget_policy": budget_policy.lines,
+    "capacity": capacity.lines,
     "cutoff_reserve": cutoff_reserve.lines,
     "routing_policy": routing_policy.lines,
     "router_cost": router_cost.lines,
