Test each way of being let in wrongly, and scan outputs for secrets

Nothing showed so far that the interfaces of a running instance refuse wrong keys, ended keys, disabled teams, keys of the other interface, missing roles and unsigned messages, nor that TLS is required where certificates are set. The tests do so over HTTP, look that another team does not learn the outcome of a key, and search refusals, metrics, explanations, logs and representations for keys, hashes and the shared key.

The capacity script also measures limits as rows, an exchange between two instances, choosing among targets, polling them, and reads and writes at the service apart.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -21,19 +21,16 @@
 from absl import logging
 import msgspec
 
-from bambooglade.budgets import messages as budget_messages
-from bambooglade.core import clock as clocks
 from bambooglade.core import identifiers
 from bambooglade.operations import claim_record
 from bambooglade.operations import messages as operation_messages
 from bambooglade.shards import document as documents
 from bambooglade.table import pages
 from bambooglade.table import rows
-from bambooglade.transport import codec as codecs
-from bambooglade.transport import sealing
-from bambooglade.transport import signing
 from bambooglade_standins import local_fleet
 from benchmarks import capacity_fleet
+from benchmarks import capacity_routing
+from benchmarks import capacity_transport
 
 _KEY_BYTES = 97
 _MS_PER_S = 1_000
@@ -97,29 +94,45 @@
 
 
 def table() -> Iterator[str]:
-    """Size of the rows of teams in the table, stored and in memory."""
-    for count in (100, 1_000, 4_700):
-        by_row_key = {
-            record.row_key: record for record in map(_row_record, range(count))
-        }
-        value = pages.encode(pages.Page(sequence=1, by_row_key=by_row_key))
-        size = _allocated(lambda value=value: pages.decode(value))
-        yield (
-            f"experiment=capacity part=table rows={count} "
-            f"bytes_per_row={len(value) / count:.0f} "
-            f"memory_bytes_per_row={size / count:.0f}"
-        )
+    """Size of rows in the table, stored and in memory."""
+    for row_of in (_team, _limit):
+        for count in (100, 1_000, 4_700):
+            yield _table_line(row_of, count)
+
+
+def _table_line(row_of: Callable[[int], rows.Row], count: int) -> str:
+    records = [_row_record(row_of(number)) for number in range(count)]
+    by_row_key = {record.row_key: record for record in records}
+    value = pages.encode(pages.Page(sequence=1, by_row_key=by_row_key))
+    size = _allocated(lambda: pages.decode(value))
+    return (
+        f"experiment=capacity part=table of={row_of.__name__[1:]} "
+        f"rows={count} bytes_per_row={len(value) / count:.0f} "
+        f"memory_bytes_per_row={size / count:.0f}"
+    )
 
 
-def _row_record(number: int) -> pages.RowRecord:
+def _team(number: int) -> rows.TeamRow:
     key_hash = "$argon2id$v=19$m=1024,t=2,p=1$" + "x" * (_KEY_BYTES - 30)
-    row = rows.TeamRow(team_id=f"team-{number:06d}", key_hash=key_hash)
+    return rows.TeamRow(team_id=f"team-{number:06d}", key_hash=key_hash)
+
+
+def _limit(number: int) -> rows.LimitRow:
+    return rows.LimitRow(
+        team_id=f"team-{number:06d}",
+        service="pantry-llm",
+        request_kind="plan",
+        spend_limit_tokens=1_000_000,
+    )
+
+
+def _row_record(row: rows.Row) -> pages.RowRecord:
     return pages.RowRecord(
         row_key=row.row_key,
         version=1,
         sequence=1,
         row=row,
-        edit_ids=(_edit_id(number),),
+        edit_ids=(_edit_id(1),),
         edited_by="operator",
         edited_at_ms=1_800_000_000_000,
     )
@@ -183,50 +196,6 @@
     return size
 
 
-def codec() -> Iterator[str]:
-    """Processor time to seal and open an envelope, by messages in it."""
-    for count in (1, 10, 100):
-        yield _codec_line(count)
-
-
-def _codec_line(count: int) -> str:
-    clock = clocks.ManualClock(now_ms=1_800_000_000_000)
-    sender, receiver = (
-        sealing.Sealer(
-            instance_id=identifiers.InstanceId(name),
-            signer=signing.Signer(b"k" * 32),
-            clock=clock,
-            codec=codecs.Codec(),
-        )
-        for name in ("i1", "i2")
-    )
-    sent = [_settle(number) for number in range(count)]
-    started_s = time.process_time()
-    for _ in range(_REPEATS):
-        sealed = sender.seal(identifiers.InstanceId("i2"), sent)
-        receiver.open(sealed).unwrap()
-    cpu_us = (time.process_time() - started_s) / _REPEATS * _US_PER_S
-    return (
-        f"experiment=capacity part=codec messages={count} "
-        f"bytes={len(sealed.body)} seal_and_open_us={cpu_us:.0f} "
-        f"us_per_message={cpu_us / count:.1f}"
-    )
-
-
-def _settle(number: int) -> budget_messages.Settle:
-    return budget_messages.Settle(
-        reservation_id=budget_messages.ReservationId(
-            key=identifiers.new_request_key(),
-            entry=identifiers.InstanceId("scot-a-1.018f0000"),
-        ),
-        budget_id=identifiers.BudgetId(f"team/team-{number:06d}"),
-        epoch=identifiers.Epoch(3),
-        bound_tokens=1_000,
-        sequence=1,
-        spent_tokens=600,
-    )
-
-
 def calls() -> Iterator[str]:
     """Messages, bytes and processor time of decisions for a request.
 
@@ -278,10 +247,10 @@
         f"bytes_per_request={busy.bytes / requests:.0f} "
         f"cpu_us_per_request="
         f"{(busy.cpu_s - idle.cpu_s) / requests * _US_PER_S:.0f} "
-        f"service_calls_per_s="
-        f"{busy.service_calls * _MS_PER_S / duration_ms:.1f} "
+        f"reads_per_s={busy.reads * _MS_PER_S / duration_ms:.1f} "
+        f"writes_per_s={busy.writes * _MS_PER_S / duration_ms:.1f} "
         f"service_calls_per_s_idle="
-        f"{idle.service_calls * _MS_PER_S / duration_ms:.1f}"
+        f"{(idle.reads + idle.writes) * _MS_PER_S / duration_ms:.1f}"
     )
 
 
@@ -309,7 +278,7 @@
             f"bytes_per_node_s={used.bytes / node_s:.0f} "
             f"cpu_percent_of_core={100 * used.cpu_s / node_s:.2f} "
             f"service_calls_per_s="
-            f"{used.service_calls * _MS_PER_S / duration_ms:.2f}"
+            f"{(used.reads + used.writes) * _MS_PER_S / duration_ms:.2f}"
         )
 
 
@@ -351,7 +320,8 @@
     "document": document,
     "table": table,
     "memory": memory,
-    "codec": codec,
+    "transport": capacity_transport.lines,
+    "routing": capacity_routing.lines,
     "calls": calls,
     "idle": idle,
 }
--- a/benchmarks/capacity_fleet.py
+++ b/benchmarks/capacity_fleet.py
@@ -49,7 +49,8 @@
 
     messages: int
     bytes: int
-    service_calls: int
+    reads: int
+    writes: int
     cpu_s: float
     billed: int
 
@@ -120,7 +121,7 @@
         """
         service = self._fleet.service
         before = (self._fleet.messages_sent, self._fleet.bytes_sent)
-        calls_before = service.reads + service.writes
+        reads_before, writes_before = service.reads, service.writes
         billed_before = self._billed
         started_s = time.process_time()
         for _ in range(requests):
@@ -131,7 +132,8 @@
         return Usage(
             messages=self._fleet.messages_sent - before[0],
             bytes=self._fleet.bytes_sent - before[1],
-            service_calls=service.reads + service.writes - calls_before,
+            reads=service.reads - reads_before,
+            writes=service.writes - writes_before,
             cpu_s=time.process_time() - started_s,
             billed=self._billed - billed_before,
         )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/tests/test_security.py
@@ -0,0 +1,260 @@
+"""Tests of each way of being let in wrongly, and that no secret shows.
+
+See Also:
+    bambooglade.transport.tests.test_signing: envelopes of other instances.
+"""
+
+from __future__ import annotations
+
+import socket
+
+from absl import logging
+import msgspec
+import pytest
+import trustme
+
+from bambooglade.core import identifiers
+from bambooglade.router import process
+from bambooglade.router import settings as settings_lib
+from bambooglade.table import credentials
+from bambooglade.table import rows
+from bambooglade.transport import client as client_lib
+from bambooglade.transport import messages
+from bambooglade.transport import peers
+from bambooglade.transport import sealing
+from bambooglade_standins import local_caller
+from bambooglade_standins import local_fleet
+
+_ZONE = "zone-a"
+_TIMEOUT_S = 5
+_ENDED = credentials.new_key("rotated")
+_PREVIOUS = credentials.new_key("rotated")
+_CURRENT = credentials.new_key("rotated")
+_CLOSED = credentials.new_key("closed")
+_VIEWER = credentials.new_key("vera")
+_TEAMS = (
+    rows.TeamRow(
+        team_id="rotated",
+        key_hash=_CURRENT.key_hash,
+        previous_key_hash=_PREVIOUS.key_hash,
+    ),
+    rows.TeamRow(team_id="closed", key_hash=_CLOSED.key_hash, enabled=False),
+    rows.OperatorRow(operator="vera", key_hash=_VIEWER.key_hash),
+)
+
+
+class _Deployment:
+    """One instance with a team that has a budget."""
+
+    def __init__(self, fleet: local_fleet.LocalFleet) -> None:
+        self.fleet = fleet
+        self.url = fleet.start_instance(_ZONE).url
+        fleet.wait_until_ready()
+        self.team_key = fleet.create_team("hall-3", tokens=1_000)
+        fleet.edit_rows(*_TEAMS)
+
+    def send(
+        self,
+        path: str,
+        authorization: str | None,
+        *,
+        body: bytes | None = None,
+        signature: str | None = None,
+    ) -> messages.Response:
+        """Sends a request; a POST when there is a body."""
+        given = {
+            "Authorization": authorization,
+            sealing.SIGNATURE_HEADER: signature,
+        }
+        headers = tuple(
+            messages.Header(name, text) for name, text in given.items() if text
+        )
+        request = messages.Request(
+            method="GET" if body is None else "POST",
+            url=self.url + path,
+            headers=headers,
+            body=body,
+        )
+        return client_lib.HttpClient().request(request).unwrap()
+
+
+@pytest.fixture(name="deployed", scope="module")
+def fixture_deployed():
+    with local_fleet.LocalFleet(zones=(_ZONE,)) as fleet:
+        yield _Deployment(fleet)
+
+
+def _bearer(key: credentials.NewKey) -> str:
+    return f"Bearer {key.key}"
+
+
+@pytest.mark.parametrize(
+    ("authorization", "status"),
+    [
+        (None, 401),
+        ("", 401),
+        ("Bearer", 401),
+        ("Bearer bg_hall-3_", 401),
+        ("Bearer bg_hall-3_0000", 401),
+        ("Bearer bg_nobody_0000", 401),
+        ("Basic aGFsbC0zOjAwMDA=", 401),
+        (f"Bearer bg_hall-3_{_CURRENT.key.rpartition('_')[2]}", 401),
+        (_bearer(_ENDED), 401),
+        (_bearer(_VIEWER), 401),
+        (_bearer(_CLOSED), 403),
+        (_bearer(_PREVIOUS), 200),
+        (_bearer(_CURRENT), 200),
+    ],
+)
+def test_callers_need_the_key_of_an_enabled_team(
+    deployed: _Deployment, authorization: str | None, status: int
+) -> None:
+    deployed.fleet.top_up("team/rotated", 10)
+    answer = deployed.send("/services/till/status", authorization)
+    assert answer.head.status == status, answer.body
+
+
+@pytest.mark.parametrize(
+    ("authorization", "path", "body", "status"),
+    [
+        (None, "/operator/rows", None, 401),
+        ("Bearer bg_bootstrap_0000", "/operator/rows", None, 401),
+        (_bearer(_CURRENT), "/operator/rows", None, 401),
+        (_bearer(_VIEWER), "/operator/rows", None, 200),
+        (_bearer(_VIEWER), "/operator/top-ups", b"{}", 403),
+        (_bearer(_VIEWER), "/operator/rows", b"{}", 403),
+        (_bearer(_VIEWER), "/operator/releases", b"{}", 403),
+    ],
+)
+def test_operators_need_their_own_key_and_the_role(
+    deployed: _Deployment,
+    authorization: str | None,
+    path: str,
+    body: bytes | None,
+    status: int,
+) -> None:
+    answer = deployed.send(path, authorization, body=body)
+    assert answer.head.status == status, answer.body
+
+
+@pytest.mark.parametrize(
+    ("body", "signature"),
+    [
+        (b"{}", None),
+        (b"{}", "0" * 64),
+        (b"", "0" * 64),
+        (b"\xff" * 100, "not hexadecimal"),
+    ],
+)
+def test_messages_of_instances_need_a_signature(
+    deployed: _Deployment, body: bytes, signature: str | None
+) -> None:
+    for authorization in (None, _bearer(_CURRENT)):
+        answer = deployed.send(
+            peers.PATH, authorization, body=body, signature=signature
+        )
+        assert answer.head.status == 401, answer.body
+
+
+def test_another_team_does_not_learn_what_became_of_a_key(
+    deployed: _Deployment,
+) -> None:
+    key = identifiers.new_request_key()
+    caller = local_caller.LocalCaller(deployed.team_key)
+    assert caller.deduct(deployed.url, key=key).status == 200
+    own = deployed.send(f"/v1/requests/{key}", f"Bearer {deployed.team_key}")
+    assert b"finished" in own.body
+    other = deployed.send(f"/v1/requests/{key}", _bearer(_CURRENT))
+    assert b"finished" not in other.body
+    assert b"target" not in other.body
+
+
+def _secrets(deployed: _Deployment) -> list[str]:
+    keys = [deployed.team_key, _CURRENT.key, _VIEWER.key, _ENDED.key]
+    hashes = [_CURRENT.key_hash, _VIEWER.key_hash]
+    texts = [key.rpartition("_")[2] for key in keys]
+    return [*texts, *hashes, local_fleet.SHARED_KEY]
+
+
+def test_no_secret_shows_anywhere(
+    deployed: _Deployment,
+    caplog: pytest.LogCaptureFixture,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(logging.get_absl_logger(), "propagate", True)
+    caplog.set_level("DEBUG")
+    shown = []
+    key = identifiers.new_request_key()
+    caller = local_caller.LocalCaller(deployed.team_key)
+    shown.append(caller.deduct(deployed.url, key=key).body)
+    shown += caller.chat(deployed.url, prompt="hello", max_tokens=3)
+    for path in (
+        "/metrics",
+        "/operator/rows",
+        "/operator/fleet",
+        "/operator/targets",
+        "/operator/shards",
+        f"/operator/requests/{key}",
+        "/operator/budgets/team/hall-3",
+        "/operator/none",
+        f"/v1/requests/{key}",
+    ):
+        for known in (_VIEWER, _CURRENT, _ENDED):
+            shown.append(deployed.send(path, _bearer(known)).body)
+    shown.append(deployed.send(peers.PATH, None, body=b"{}").body)
+    text = b"\n".join(shown).decode() + caplog.text
+    assert "bambooglade_requests_total" in text
+    assert "event=envelope_refused" in caplog.text
+    assert [one for one in _secrets(deployed) if one in text] == []
+    assert [
+        one
+        for one in _secrets(deployed)
+        if any(one in repr(each) for each in deployed.fleet.instances)
+    ] == []
+
+
+def test_tls_is_required_where_certificates_are_set(tmp_path) -> None:
+    authority = trustme.CA()
+    issued = authority.issue_cert("127.0.0.1")
+    authority.cert_pem.write_to_path(tmp_path / "ca.pem")
+    issued.cert_chain_pems[0].write_to_path(tmp_path / "cert.pem")
+    issued.private_key_pem.write_to_path(tmp_path / "key.pem")
+    settings = settings_lib.Settings(
+        instance=settings_lib.InstanceSettings(
+            name="tls",
+            availability_zone=_ZONE,
+            host="127.0.0.1",
+            port=0,
+            arbiter_zones=(_ZONE,),
+        ),
+        security=settings_lib.SecuritySettings(
+            shared_key=settings_lib.Secret(local_fleet.SHARED_KEY),
+            certificate_file=str(tmp_path / "cert.pem"),
+            key_file=str(tmp_path / "key.pem"),
+            ca_file=str(tmp_path / "ca.pem"),
+        ),
+    )
+    instance = process.RouterProcess(settings)
+    instance.start()
+    try:
+        request = messages.Request(method="GET", url=f"{instance.url}/healthz")
+        trusting = client_lib.HttpClient(ca_file=str(tmp_path / "ca.pem"))
+        assert trusting.request(request).unwrap().head.status == 200
+        assert client_lib.HttpClient().request(request).is_err()
+        plain = msgspec.structs.replace(
+            request, url=request.url.replace("https", "http")
+        )
+        assert client_lib.HttpClient().request(plain).is_err()
+        assert _answer_to_plain_text(instance.url) == b""
+    finally:
+        instance.kill()
+
+
+def _answer_to_plain_text(url: str) -> bytes:
+    port = int(url.rpartition(":")[2])
+    with socket.create_connection(("127.0.0.1", port), _TIMEOUT_S) as sock:
+        sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+        try:
+            return sock.recv(1_000)
+        except ConnectionResetError:
+            return b""
