Let the operators' binary use the transport's client

The binary had a second HTTP client on the same library, from before the transport's one existed; it told sent from not sent in the same way. The capacity script assembled an instance's decisions a second time. Both use the one that the router uses now; the tests share the description of an instance.

--- a/benchmarks/capacity_fleet.py
+++ b/benchmarks/capacity_fleet.py
@@ -9,19 +9,14 @@
 
 import msgspec
 
-from bambooglade.budgets import account_book_factory
 from bambooglade.core import effects
 from bambooglade.core import hashing
 from bambooglade.core import identifiers
 from bambooglade.fleet import view
 from bambooglade.operations import calls
-from bambooglade.operations import claim_book_factory
-from bambooglade.operations import coordinator
-from bambooglade.operations import retention
-from bambooglade.router import state_machine
+from bambooglade.router import assembly
 from bambooglade.shards import assignments
 from bambooglade.shards import document as documents
-from bambooglade.shards import host
 from bambooglade.table import rows
 from bambooglade.table import view as table_view
 from bambooglade_standins.virtual import fleet as virtual_fleet
@@ -214,35 +209,19 @@
         now_ms: int,
     ) -> instances.Parts:
         del now_ms
-        assignment_map = assignments.AssignmentMap()
-        shard_host = host.ShardHost(
-            instance_id=instance_id,
-            availability_zone=availability_zone,
-            shard_count=self._shard_count,
-            assignment_map=assignment_map,
-            fleet=fleet,
-            book_factories=(
-                account_book_factory.AccountBookFactory(
-                    assignment_map=assignment_map,
-                    table=self._table,
-                    zone_count=len(self._zones),
-                ),
-                claim_book_factory.ClaimBookFactory(
-                    retention=retention.Retention()
-                ),
+        parts = assembly.assemble(
+            assembly.Identity(
+                instance_id=instance_id,
+                availability_zone=availability_zone,
+                arbiter_zones=self._zones,
+                shard_count=self._shard_count,
             ),
-        )
-        entry = coordinator.Coordinator(
-            instance_id=instance_id,
-            availability_zone=availability_zone,
-            arbiter_zones=self._zones,
-            shard_count=self._shard_count,
-            assignment_map=assignment_map,
+            assignment_map=assignments.AssignmentMap(),
             fleet=fleet,
+            table=self._table,
         )
         return instances.Parts(
-            machine=state_machine.InstanceStateMachine((shard_host, entry)),
-            coordinator=entry,
+            machine=parts.machine, coordinator=parts.coordinator
         )
 
     def _write_documents(self) -> None:
--- a/packages/bambooglade-ctl/bambooglade_ctl/client.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/client.py
@@ -15,10 +15,12 @@
 import result
 
 from bambooglade.router import operator_messages as messages
+from bambooglade.transport import client as client_lib
+from bambooglade.transport import messages as transport_messages
 from bambooglade_ctl import access
-from bambooglade_ctl import http
 from bambooglade_ctl import outcomes
 
+CONNECT_TIMEOUT_MS = 2_000
 REQUEST_TIMEOUT_MS = 12_000
 ATTEMPTS = 3
 
@@ -44,10 +46,11 @@
         bambooglade.router.operator_api: the other end.
     """
 
-    __slots__ = ("_access",)
+    __slots__ = ("_access", "_http")
 
     def __init__(self, granted: access.Access) -> None:
         self._access = granted
+        self._http = client_lib.HttpClient(ca_file=granted.ca_file)
 
     def at(self, url: str) -> OperatorClient:
         """Returns a client of one instance, with the same key."""
@@ -135,17 +138,11 @@
 
     def _exchange(
         self, path: str, change: msgspec.Struct | None
-    ) -> result.Result[http.HttpAnswer, outcomes.CommandFailed]:
+    ) -> result.Result[transport_messages.Response, outcomes.CommandFailed]:
         body = None if change is None else msgspec.json.encode(change)
         attempts = []
         for url in self._urls():
-            exchanged = http.exchange(
-                url + path,
-                headers=self._headers(),
-                body=body,
-                ca_file=self._access.ca_file,
-                timeout_ms=REQUEST_TIMEOUT_MS,
-            )
+            exchanged = self._http.request(self._request(url + path, body))
             if isinstance(exchanged, result.Ok):
                 return exchanged
             attempts.append((url, exchanged.err_value))
@@ -155,11 +152,22 @@
         count = max(ATTEMPTS, len(self._access.urls))
         return itertools.islice(itertools.cycle(self._access.urls), count)
 
-    def _headers(self) -> tuple[str, ...]:
-        return (
-            f"Authorization: Bearer {self._access.key}",
-            "Content-Type: application/json",
-            "Expect:",
+    def _request(
+        self, url: str, body: bytes | None
+    ) -> transport_messages.Request:
+        return transport_messages.Request(
+            method="GET" if body is None else "POST",
+            url=url,
+            headers=(
+                transport_messages.Header(
+                    "Authorization", f"Bearer {self._access.key}"
+                ),
+                transport_messages.Header("Content-Type", "application/json"),
+            ),
+            body=body,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            first_byte_timeout_ms=REQUEST_TIMEOUT_MS,
+            total_timeout_ms=REQUEST_TIMEOUT_MS,
         )
 
     def __repr__(self) -> str:
@@ -167,9 +175,11 @@
 
 
 def _decode(
-    answer: http.HttpAnswer, answer_type: type[Answer], edit_id: str | None
+    answer: transport_messages.Response,
+    answer_type: type[Answer],
+    edit_id: str | None,
 ) -> result.Result[Answer, outcomes.CommandFailed]:
-    is_done = answer.status == 200
+    is_done = answer.head.status == 200
     wanted = answer_type if is_done else messages.Refusal
     try:
         decoded = msgspec.json.decode(answer.body, type=wanted)
@@ -177,7 +187,9 @@
         return result.Err(_not_understood(answer, error, edit_id))
     if is_done:
         return result.Ok(decoded)
-    code = _EXIT_CODE_BY_STATUS.get(answer.status, outcomes.ExitCode.REFUSED)
+    code = _EXIT_CODE_BY_STATUS.get(
+        answer.head.status, outcomes.ExitCode.REFUSED
+    )
     return result.Err(
         outcomes.CommandFailed(
             exit_code=code,
@@ -190,21 +202,21 @@
 
 
 def _not_understood(
-    answer: http.HttpAnswer, error: Exception, edit_id: str | None
+    answer: transport_messages.Response, error: Exception, edit_id: str | None
 ) -> outcomes.CommandFailed:
     return outcomes.CommandFailed(
         exit_code=(
             outcomes.ExitCode.UNCERTAIN if edit_id else outcomes.ExitCode.FAILED
         ),
         kind="answer_not_understood",
-        detail=f"Status {answer.status}: {error}.",
+        detail=f"Status {answer.head.status}: {error}.",
         remedy="Check that the URL is that of an instance.",
         edit_id=edit_id,
     )
 
 
 def _no_answer(
-    attempts: list[tuple[str, http.ExchangeFailed]],
+    attempts: list[tuple[str, transport_messages.TransferFailure]],
     change: msgspec.Struct | None,
 ) -> outcomes.CommandFailed:
     detail = "; ".join(f"{url}: {failed.detail}" for url, failed in attempts)
--- a/packages/bambooglade-ctl/bambooglade_ctl/commands/teams.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/commands/teams.py
@@ -54,24 +54,15 @@
         """
         edit_id = edit_id or group.new_edit_id()
 
-        def work(ctl: client.OperatorClient) -> deferred.Outcome:
-            found = editing.find(ctl, f"team/{team}")
-            if isinstance(found, result.Err):
-                return found
-            if end_previous:
-                return _end_previous(ctl, found.ok_value, edit_id=edit_id)
-            made = credentials.new_key(team)
-            row = msgspec.structs.replace(
-                found.ok_value.row,
-                key_hash=made.key_hash,
-                previous_key_hash=found.ok_value.row.key_hash,
-            )
-            version = found.ok_value.version
-            return keys.write_key(
-                ctl, row, made, version=version, edit_id=edit_id
+        return self._defer(
+            lambda ctl: editing.find(ctl, f"team/{team}").and_then(
+                lambda found: (
+                    _end_previous(ctl, found, edit_id=edit_id)
+                    if end_previous
+                    else _rotate(ctl, found, edit_id=edit_id)
+                )
             )
-
-        return self._defer(work)
+        )
 
 
 def _create(
@@ -100,6 +91,22 @@
     )
 
 
+def _rotate(
+    ctl: client.OperatorClient,
+    found: messages.VersionedRow,
+    *,
+    edit_id: str,
+) -> deferred.Outcome:
+    made = credentials.new_key(found.row.team_id)
+    return keys.write_key(
+        ctl,
+        credentials.rotated(found.row, made),
+        made,
+        version=found.version,
+        edit_id=edit_id,
+    )
+
+
 def _end_previous(
     ctl: client.OperatorClient,
     found: messages.VersionedRow,
--- a/packages/bambooglade-ctl/bambooglade_ctl/tests/memory_instance.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/tests/memory_instance.py
@@ -25,6 +25,16 @@
 NOW_MS = 1_700_000_000_000
 
 
+def alive(instance_id: str, url: str) -> messages.InstanceDescription:
+    """Returns the description of an instance that is well."""
+    return messages.InstanceDescription(
+        instance_id=instance_id,
+        availability_zone="scot-a",
+        url=url,
+        state=messages.InstanceState.ALIVE,
+    )
+
+
 def done(answer: result.Result) -> futures.Future:
     """Returns a future that is complete already."""
     future: futures.Future = futures.Future()
--- a/packages/bambooglade-ctl/bambooglade_ctl/tests/test_main.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/tests/test_main.py
@@ -286,12 +286,7 @@
     other.decisions = (claim,)
     with memory_instance.serve(other) as other_url:
         port.instances = tuple(
-            messages.InstanceDescription(
-                instance_id=name,
-                availability_zone="scot-a",
-                url=instance_url,
-                state=messages.InstanceState.ALIVE,
-            )
+            memory_instance.alive(name, instance_url)
             for name, instance_url in (
                 ("i1", url),
                 ("i2", other_url),
--- a/packages/bambooglade-ctl/bambooglade_ctl/tests/test_report.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/tests/test_report.py
@@ -8,7 +8,6 @@
 import pytest
 
 from bambooglade.router import metrics
-from bambooglade.router import operator_messages as messages
 from bambooglade_ctl import access
 from bambooglade_ctl import main
 from bambooglade_ctl import outcomes
@@ -42,12 +41,7 @@
         monkeypatch.setenv(access.URL_VARIABLE, url)
         monkeypatch.setenv(access.KEY_VARIABLE, memory_instance.BOOTSTRAP_KEY)
         port.instances = tuple(
-            messages.InstanceDescription(
-                instance_id=name,
-                availability_zone="scot-a",
-                url=instance_url,
-                state=messages.InstanceState.ALIVE,
-            )
+            memory_instance.alive(name, instance_url)
             for name, instance_url in (
                 ("i1", url),
                 ("i2", "http://127.0.0.1:1"),
