Feed the gauges and the calls to the platform; show orphaned rights

Gauges for held and unused rights, instances and shards, and the counter of calls to the platform, were declared but nothing set them. A decision that runs each second sets the gauges, so that nothing changes under it, and the store is wrapped to count calls and lost answers. Metrics that nothing feeds (messages between instances, table revision) are gone.

--- a/packages/bambooglade-ctl/bambooglade_ctl/printing.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/printing.py
@@ -128,16 +128,28 @@
         f"not granted to any zone {answer.ungranted_tokens} (tokens)."
     )
     zones = layout.table(
-        ("ZONE", "GRANTED", "RETURNED", "SPENT", "HELD", "SINCE", "PRIMARY"),
+        (
+            "ZONE",
+            "GRANTED",
+            "RETURNED",
+            "SPENT",
+            "RESERVED",
+            "HELD",
+            "ORPHANED",
+            "PRIMARY",
+            "AS OF",
+        ),
         (
             (
                 zone.availability_zone,
                 str(zone.granted_tokens),
                 str(zone.returned_tokens),
                 str(zone.settled_tokens),
+                str(zone.reserved_tokens),
                 str(zone.held_tokens),
-                layout.moment(zone.held_since_ms),
+                str(zone.orphaned_tokens),
                 zone.primary or "-",
+                "now" if zone.is_current else "last write",
             )
             for zone in answer.zones
         ),
--- a/packages/bambooglade-ctl/bambooglade_ctl/tests/memory_instance.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/tests/memory_instance.py
@@ -142,7 +142,8 @@
             returned_tokens=10,
             settled_tokens=7,
             held_tokens=3,
-            held_since_ms=NOW_MS,
+            orphaned_tokens=2,
+            is_current=True,
         )
         return done(
             result.Ok(
--- a/packages/bambooglade-ctl/bambooglade_ctl/tests/test_main.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/tests/test_main.py
@@ -180,6 +180,10 @@
         (("rows", "list"), "team/hall-3  4        ana"),
         (("rows", "get", "team/hall-3"), "weight=1.0"),
         (("budgets", "show", "hall-3"), "prepaid 90, spent 7"),
+        (
+            ("budgets", "show", "hall-3"),
+            "7      0         3     2         -        now",
+        ),
         (("budgets", "release", "hall-3", "scot-a", "3"), "3 tokens"),
         (("shards",), "scot-a  2      i1       -"),
         (("targets",), "e1      pantry-llm  scot-a  ready  1.5"),
--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/gauges.py
@@ -0,0 +1,66 @@
+"""Reads the gauges of an instance from its decisions."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from bambooglade.budgets import account_book_factory
+from bambooglade.core import effects
+from bambooglade.fleet import membership as memberships
+from bambooglade.fleet import messages as fleet_messages
+from bambooglade.router import assembly
+from bambooglade.router import metrics as metrics_lib
+
+_ACCOUNTS = account_book_factory.AccountBookFactory.name
+PAUSE_MS = 1_000
+
+
+class Gauges:
+    """Sets the gauges; to be run as a decision, which nothing else disturbs.
+
+    Args:
+        networked: The decisions of the instance.
+        metrics: Where the gauges are set.
+    """
+
+    __slots__ = ("_membership", "_metrics", "_parts")
+
+    def __init__(
+        self,
+        networked: assembly.NetworkedParts,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        self._parts = networked.parts
+        self._membership: memberships.Membership = networked.membership
+        self._metrics = metrics
+
+    def refresh(self, now_ms: int) -> Iterator[effects.Effects]:
+        """Sets all gauges; has no effects."""
+        del now_ms
+        served = [
+            replica
+            for replica in self._parts.host.replicas()
+            if replica.is_primary
+        ]
+        accounts = [
+            state.account
+            for replica in served
+            for state in replica.book(_ACCOUNTS).states()
+        ]
+        alive = [
+            member
+            for member in self._membership.members()
+            if member.status is fleet_messages.Status.ALIVE
+        ]
+        value_by_gauge = {
+            metrics_lib.INSTANCES: len(alive),
+            metrics_lib.SHARDS_SERVED: len(served),
+            metrics_lib.HELD_TOKENS: sum(one.held_tokens for one in accounts),
+            metrics_lib.UNUSED_TOKENS: sum(one.unused for one in accounts),
+        }
+        for gauge, value in value_by_gauge.items():
+            self._metrics.set_gauge(gauge, value)
+        return iter(())
+
+    def __repr__(self) -> str:
+        return f"Gauges({self._parts.instance_id!r})"
--- a/packages/bambooglade/bambooglade/router/metrics.py
+++ b/packages/bambooglade/bambooglade/router/metrics.py
@@ -21,14 +21,10 @@
 LATENCY_SECONDS = "bambooglade_request_seconds"
 SPENT_TOKENS_TOTAL = "bambooglade_spent_tokens_total"
 PLATFORM_CALLS_TOTAL = "bambooglade_platform_calls_total"
-PEER_MESSAGES_TOTAL = "bambooglade_peer_messages_total"
-PEER_BYTES_TOTAL = "bambooglade_peer_bytes_total"
 HELD_TOKENS = "bambooglade_held_tokens"
-OPEN_TOKENS = "bambooglade_open_tokens"
+UNUSED_TOKENS = "bambooglade_unused_tokens"
 INSTANCES = "bambooglade_instances"
 SHARDS_SERVED = "bambooglade_shards_served"
-TABLE_REVISION = "bambooglade_table_revision"
-PLATFORM_UP = "bambooglade_platform_up"
 
 LATENCY_BUCKETS_S = (
     0.005,
@@ -124,24 +120,12 @@
 
         Args:
             call: For instance `read`, `write` or `watch`.
-            outcome: For instance `answered`, `refused` or `lost`.
+            outcome: `answered` or `lost`.
         """
         labels = {"call": call, "outcome": outcome}
         with self._lock:
             self._by_name[PLATFORM_CALLS_TOTAL].inc(labels)
 
-    def peer_message_sent(self, *, message: str, size_bytes: int) -> None:
-        """Counts a message to another instance.
-
-        Args:
-            message: Type of the message.
-            size_bytes: Its size on the wire.
-        """
-        labels = {"message": message}
-        with self._lock:
-            self._by_name[PEER_MESSAGES_TOTAL].inc(labels)
-            self._by_name[PEER_BYTES_TOTAL].add(labels, size_bytes)
-
     def set_gauge(self, name: str, value: float) -> None:
         """Sets a gauge.
 
@@ -180,16 +164,12 @@
         REQUESTS_TOTAL: "Requests that ended.",
         SPENT_TOKENS_TOTAL: "Tokens that were billed.",
         PLATFORM_CALLS_TOTAL: "Calls to the platform's services.",
-        PEER_MESSAGES_TOTAL: "Messages sent to other instances.",
-        PEER_BYTES_TOTAL: "Bytes sent to other instances.",
     }
     gauges = {
         HELD_TOKENS: "Rights of lost instances, held at this primary.",
-        OPEN_TOKENS: "Rights that this primary may reserve.",
+        UNUSED_TOKENS: "Rights at this primary that nothing uses.",
         INSTANCES: "Instances that this one believes to be alive.",
         SHARDS_SERVED: "Shards that this instance is primary of.",
-        TABLE_REVISION: "Highest revision of a table page in force.",
-        PLATFORM_UP: "Whether the key-value service answered last.",
     }
     latency = aioprometheus.Histogram(
         LATENCY_SECONDS,
--- a/packages/bambooglade/bambooglade/router/process.py
+++ b/packages/bambooglade/bambooglade/router/process.py
@@ -19,11 +19,13 @@
 from bambooglade.router import caller_api
 from bambooglade.router import caller_request
 from bambooglade.router import construction
+from bambooglade.router import counted_store
 from bambooglade.router import decision_recorder
 from bambooglade.router import dispatch
 from bambooglade.router import drain_steps
 from bambooglade.router import effect_waiters
 from bambooglade.router import fleet_refresh
+from bambooglade.router import gauges
 from bambooglade.router import granted_out as granted_out_lib
 from bambooglade.router import metrics as metrics_lib
 from bambooglade.router import operator_api
@@ -75,7 +77,11 @@
             self._application, settings, self._clock
         )
         self.instance_id = construction.new_instance_id(settings.instance.name)
-        self._store = construction.store(settings)
+        self._metrics = metrics_lib.Metrics()
+        self._store_client = construction.store(settings)
+        self._store = counted_store.CountedStore(
+            self._store_client, self._metrics
+        )
         self._granted_out = granted_out_lib.GrantedOut(
             self._store, shard_count=settings.instance.shard_count
         )
@@ -106,6 +112,7 @@
         """Starts all threads and serves."""
         self._runtime.start(self._peers)
         self._watch.start()
+        self._gauges.start()
         self._listing.start()
         self._target_watcher.start()
         self._orders.start()
@@ -175,6 +182,7 @@
             self._store, self._runtime, self._networked.table, random_source
         )
         self._listing = self._build_listing()
+        self._gauges = self._build_gauges()
         courier = self._build_courier(ring)
         self._operators = operator_service.OperatorService(
             networked=self._networked,
@@ -293,6 +301,14 @@
             name="fleet",
         )
 
+    def _build_gauges(self) -> ticker.Ticker:
+        read = gauges.Gauges(self._networked, self._metrics)
+        return ticker.Ticker(
+            action=lambda: self._runtime.decide(read.refresh),
+            pause_ms=gauges.PAUSE_MS,
+            name="gauges",
+        )
+
     def _build_callers(
         self, courier: dispatch.Courier, ring: trace.TraceRing
     ) -> caller_api.CallerApi:
@@ -301,7 +317,7 @@
             gate=admission_gate.AdmissionGate(self._clock),
             clock=self._clock,
             ring=ring,
-            metrics=metrics_lib.Metrics(),
+            metrics=self._metrics,
             instance_id=self.instance_id,
             availability_zone=self._settings.instance.availability_zone,
         )
@@ -341,7 +357,8 @@
         self._target_watcher.stop()
         self._orders.stop(timeout_ms=construction.STOP_TIMEOUT_MS)
         self._listing.stop(timeout_ms=construction.STOP_TIMEOUT_MS)
-        self._store.close()
+        self._gauges.stop(timeout_ms=construction.STOP_TIMEOUT_MS)
+        self._store_client.close()
         self._watch.close()
         self._runtime.stop()
         self._peers.close()
--- /dev/null
+++ b/packages/bambooglade/bambooglade/router/tests/test_gauges.py
@@ -0,0 +1,66 @@
+"""Tests of the gauges of a running instance, and of counted calls."""
+
+from __future__ import annotations
+
+import time
+
+from bambooglade.core import effects
+from bambooglade.router import counted_store
+from bambooglade.router import metrics as metrics_lib
+from bambooglade.transport import client as client_lib
+from bambooglade.transport import messages
+from bambooglade_standins import local_caller
+from bambooglade_standins import local_fleet
+from bambooglade_standins.key_value import store as key_value_store
+
+_TIMEOUT_S = 10
+_POLL_S = 0.05
+
+
+def _values(text: str) -> dict[str, float]:
+    lines = (line for line in text.splitlines() if line[0] != "#")
+    pairs = (line.rsplit(" ", 1) for line in lines)
+    return {name: float(value) for name, value in pairs}
+
+
+def test_gauges_tell_of_fleet_shards_and_accounts() -> None:
+    with local_fleet.LocalFleet(zones=("zone-a",)) as fleet:
+        url = fleet.start_instance("zone-a").url
+        fleet.wait_until_ready()
+        caller = local_caller.LocalCaller(fleet.create_team("t", tokens=500))
+        for _ in caller.chat(url, max_tokens=3):
+            pass
+        request = messages.Request(method="GET", url=f"{url}/metrics")
+        seen: dict[str, float] = {}
+        end = time.monotonic() + _TIMEOUT_S
+        while not seen.get(metrics_lib.UNUSED_TOKENS):
+            assert time.monotonic() < end, seen
+            time.sleep(_POLL_S)
+            answer = client_lib.HttpClient().request(request).unwrap()
+            seen = _values(answer.body.decode())
+    assert seen[metrics_lib.INSTANCES] == 1
+    assert seen[metrics_lib.SHARDS_SERVED] >= 1
+    assert seen[metrics_lib.HELD_TOKENS] == 0
+    calls = f'{metrics_lib.PLATFORM_CALLS_TOTAL}{{call="write"'
+    assert any(name.startswith(calls) for name in seen)
+
+
+def test_calls_are_counted_by_kind_and_outcome() -> None:
+    metrics = metrics_lib.Metrics()
+    memory = key_value_store.MemoryStore()
+    store = counted_store.CountedStore(memory, metrics)
+    write = effects.WriteDocument(key="a", expected_revision=0, value=b"1")
+    assert isinstance(store.write(write), effects.WriteApplied)
+    memory.answering = key_value_store.Answering.DOWN
+    assert isinstance(
+        store.read(effects.ReadDocument(key="a")), effects.ReadFailed
+    )
+    assert store.read_prefix("a") is None
+    seen = _values(metrics.render().body.decode())
+    name = metrics_lib.PLATFORM_CALLS_TOTAL
+    assert seen == {
+        **seen,
+        f'{name}{{call="write",outcome="answered"}}': 1,
+        f'{name}{{call="read",outcome="lost"}}': 1,
+        f'{name}{{call="read_prefix",outcome="lost"}}': 1,
+    }
--- a/packages/bambooglade/bambooglade/router/tests/test_metrics.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_metrics.py
@@ -20,11 +20,11 @@
         )
     registry.set_gauge(metrics.HELD_TOKENS, 40)
     registry.platform_called(call="read", outcome="answered")
-    registry.peer_message_sent(message="Ping", size_bytes=80)
     text = registry.render().body.decode()
     assert 'cause="overloaded"' in text
     lines = dict(line.rsplit(" ", 1) for line in text.splitlines())
     assert lines["bambooglade_held_tokens"] == "40"
-    assert lines['bambooglade_peer_bytes_total{message="Ping"}'] == "80"
+    calls = 'bambooglade_platform_calls_total{call="read",outcome="answered"}'
+    assert lines[calls] == "1"
     fast = [line for line in lines if 'le="0.025"' in line]
     assert [float(lines[line]) for line in fast] == [1.0]
