Shorten the tests that wait for lost answers and for faults to be found

Cause: two tests waited out the 12 s of the operators' binary, and one fault was looked for in seven seeds that do not show it before the one that does. Change: a time-out of 1 s in the tests of the binary; the seed that finds the repeated settlement comes first. All seeds stay. Conclusion: the same checks in less time.

--- a/packages/bambooglade-ctl/bambooglade_ctl/tests/test_main.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/tests/test_main.py
@@ -13,6 +13,7 @@
 from bambooglade.router import trace
 from bambooglade.table import rows
 from bambooglade_ctl import access
+from bambooglade_ctl import client
 from bambooglade_ctl import main
 from bambooglade_ctl import outcomes
 from bambooglade_ctl.tests import memory_instance
@@ -54,6 +55,12 @@
     return _Run(capsys)
 
 
+@pytest.fixture(autouse=True)
+def _short_time_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Lets a lost answer cost a second of the tests instead of twelve."""
+    monkeypatch.setattr(client, "REQUEST_TIMEOUT_MS", 1_000)
+
+
 def test_team_is_created_and_topped_up_once(
     run: _Run, port: memory_instance.MemoryPort
 ) -> None:
--- a/packages/bambooglade/bambooglade/budgets/tests/test_fuzz_faults.py
+++ b/packages/bambooglade/bambooglade/budgets/tests/test_fuzz_faults.py
@@ -8,7 +8,7 @@
 from bambooglade_standins.virtual import fuzz_machine
 from bambooglade_standins.virtual import oracle
 
-SEEDS = (7, 0, 1, 2, 3, 4, 5, 6)
+SEEDS = (6, 7, 0, 1, 2, 3, 4, 5)
 
 # Fault, and what the oracle has to say of it.
 CASES = [
