Give rights back when the last instance of a zone stops

Cause: a planned stop handed shards to another instance of the zone; where there was none it waited out its bound and left all the zone's rights held, which a rolling restart of a zone with one instance does each time. Change: the last instance returns what nothing uses, writes what was spent, and is drained when the document has only settled rights of the zone. The fuzz runs the same assembly as the router. Conclusion: records of keys are lost in such a stop: keys from before it are answered 'unknown' there, never run again.

--- a/packages/bambooglade-standins/bambooglade_standins/virtual/fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/fleet.py
@@ -194,7 +194,7 @@
     def _tick(self, instance: instances.VirtualInstance) -> None:
         self._schedule_tick(instance)
         self._carry_out(instance, instance.parts.machine.tick(self.now_ms))
-        if instance.parts.is_drained and instance.parts.is_drained():
+        if instance.stopping and instance.parts.is_drained():
             self.kill(instance.instance_id)
 
     def _begin(
--- a/packages/bambooglade-standins/bambooglade_standins/virtual/fuzz_world.py
+++ b/packages/bambooglade-standins/bambooglade_standins/virtual/fuzz_world.py
@@ -5,15 +5,12 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from bambooglade.budgets import account_book_factory
 from bambooglade.core import effects
 from bambooglade.core import hashing
 from bambooglade.core import identifiers
 from bambooglade.operations import calls
-from bambooglade.operations import claim_book_factory
 from bambooglade.operations import coordinator as coordinators
-from bambooglade.operations import retention
-from bambooglade.router import state_machine
+from bambooglade.router import assembly
 from bambooglade.shards import assignments
 from bambooglade.shards import document as documents
 from bambooglade.shards import edits
@@ -325,38 +322,23 @@
         now_ms: int,
     ) -> instances.Parts:
         del now_ms
-        assignment_map = assignments.AssignmentMap()
-        host = hosts.ShardHost(
-            instance_id=instance_id,
-            availability_zone=availability_zone,
-            shard_count=SHARD_COUNT,
-            assignment_map=assignment_map,
-            fleet=fleet,
-            book_factories=(
-                account_book_factory.AccountBookFactory(
-                    assignment_map=assignment_map,
-                    table=_TABLE,
-                    zone_count=len(ZONES),
-                ),
-                claim_book_factory.ClaimBookFactory(
-                    retention=retention.Retention()
-                ),
+        parts = assembly.assemble(
+            assembly.Identity(
+                instance_id=instance_id,
+                availability_zone=availability_zone,
+                arbiter_zones=ZONES,
+                shard_count=SHARD_COUNT,
             ),
-        )
-        coordinator = coordinators.Coordinator(
-            instance_id=instance_id,
-            availability_zone=availability_zone,
-            arbiter_zones=ZONES,
-            shard_count=SHARD_COUNT,
-            assignment_map=assignment_map,
+            assignment_map=assignments.AssignmentMap(),
             fleet=fleet,
+            table=_TABLE,
         )
-        self._host_by_id[instance_id] = host
+        self._host_by_id[instance_id] = parts.host
         return instances.Parts(
-            machine=state_machine.InstanceStateMachine((host, coordinator)),
-            coordinator=coordinator,
-            begin_stop=lambda now_ms: list(host.begin_drain(now_ms)),
-            is_drained=lambda: _is_drained(host, coordinator),
+            machine=parts.machine,
+            coordinator=parts.coordinator,
+            begin_stop=lambda now_ms: list(parts.host.begin_drain(now_ms)),
+            is_drained=lambda: _is_drained(parts.host, parts.coordinator),
         )
 
     def __repr__(self) -> str:
--- a/packages/bambooglade/bambooglade/budgets/account_book.py
+++ b/packages/bambooglade/bambooglade/budgets/account_book.py
@@ -62,6 +62,7 @@
         "_service_failures",
         "_state_by_budget_id",
         "_table",
+        "_vacating",
         "_zone_count",
     )
 
@@ -82,6 +83,7 @@
         self._epoch = identifiers.Epoch(0)
         self._lost_epoch: identifiers.Epoch | None = None
         self._needs_backup = False
+        self._vacating = False
         self._service_failures = 0
         self._document: documents.ShardDocument | None = None
         self._ended = ended_reservations.EndedReservations()
@@ -434,6 +436,20 @@
                 )
         return document
 
+    def vacate(self, now_ms: int) -> Iterator[effects.Effects]:
+        """Gives back all rights that nothing uses, before the zone empties."""
+        del now_ms
+        self._vacating = True
+        for state in self.states():
+            account = state.account
+            if not account.needs_backup and account.unused > 0:
+                account.give_back(account.unused)
+        yield books.DocumentWanted()
+
+    def is_vacant(self) -> bool:
+        """Returns whether the document has only settled rights in the zone."""
+        return all(map(self._is_vacant, self.states()))
+
     def tick(self, now_ms: int) -> Iterator[effects.Effects]:
         """Does what is due for the accounts that something waits for."""
         self._ended.forget_old(now_ms)
@@ -444,6 +460,12 @@
 
     # Below: one account.
 
+    def _is_vacant(self, state: account_state.AccountState) -> bool:
+        if state.ledger is None:
+            return state.account.granted == 0
+        counters = state.ledger.counters(self._place.availability_zone)
+        return counters.outstanding == counters.settled
+
     def _ledger_seen(
         self,
         state: account_state.AccountState,
@@ -469,7 +491,7 @@
     ) -> documents.ZoneCounters:
         account = state.account
         granted = counters.granted
-        if not state.giving_by_zone:
+        if not state.giving_by_zone and not self._vacating:
             wanted = refill_policy.grant(self._situation(state))
             granted += min(wanted, max(0, ledger.free_tokens))
         returned = counters.returned
@@ -489,7 +511,9 @@
         if state.waiters:
             yield from self._obtain(state, now_ms)
             yield from self._refuse(state, now_ms)
-        elif refill_policy.is_low(self._situation(state)):
+        elif not self._vacating and refill_policy.is_low(
+            self._situation(state)
+        ):
             yield books.DocumentWanted(within_ms=REFILL_WRITE_MS)
 
     def _serve(
--- a/packages/bambooglade/bambooglade/router/tests/test_assembly.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_assembly.py
@@ -68,3 +68,18 @@
         if isinstance(effect, effects.Send)
         and isinstance(effect.message, messages.ClaimGranted)
     ]
+
+
+def test_last_instance_of_a_zone_gives_its_rights_back_before_it_stops():
+    prepaid = 20 * virtual_scene.COST
+    scene = virtual_scene.Scene(per_zone=1, prepaid=prepaid)
+    last, other = scene.ids
+    scene.deduct(last)
+    scene.fleet.begin_stop(last)
+    scene.fleet.run_for(5_000)
+    assert not scene.fleet.instance_by_id[last].alive
+    for _ in range(prepaid // virtual_scene.COST):
+        scene.deduct(other, arbiter=virtual_scene.ZONES[1])
+    spent = len(scene.observer.runs) * virtual_scene.COST
+    assert spent == prepaid
+    assert isinstance(scene.observer.answers[-1], calls.Refuse)
--- a/packages/bambooglade/bambooglade/router/tests/virtual_scene.py
+++ b/packages/bambooglade/bambooglade/router/tests/virtual_scene.py
@@ -63,7 +63,12 @@
         fleet=fleet,
         table=view.FixedTable([rows.TeamRow(team_id="t1", key_hash="x")]),
     )
-    return instances.Parts(machine=parts.machine, coordinator=parts.coordinator)
+    return instances.Parts(
+        machine=parts.machine,
+        coordinator=parts.coordinator,
+        begin_stop=lambda now_ms: list(parts.host.begin_drain(now_ms)),
+        is_drained=lambda: parts.host.is_drained,
+    )
 
 
 class Scene:
--- a/packages/bambooglade/bambooglade/shards/book.py
+++ b/packages/bambooglade/bambooglade/shards/book.py
@@ -146,6 +146,14 @@
         """Returns the document with what this book wants to write to it."""
         return document
 
+    def vacate(self, now_ms: int) -> Iterator[effects.Effects]:
+        """Gives back what it holds, since no instance of the zone is left."""
+        return iter(())
+
+    def is_vacant(self) -> bool:
+        """Returns whether nothing is lost if no instance takes over."""
+        return True
+
     def final_records(self) -> Iterator[Record]:
         """Yields what a stepped-down primary reports to its successor."""
         return iter(())
--- a/packages/bambooglade/bambooglade/shards/replica.py
+++ b/packages/bambooglade/bambooglade/shards/replica.py
@@ -103,8 +103,10 @@
 
     @property
     def is_drained(self) -> bool:
-        """Whether nothing is left to hand over."""
-        return not self.is_primary and self._reports.is_empty
+        """Whether nothing is left to hand over or to give back."""
+        if self.is_primary:
+            return self._is_last() and self._is_vacant()
+        return self._reports.is_empty
 
     @property
     def document(self) -> documents.ShardDocument | None:
@@ -173,6 +175,9 @@
             for name, book in self._books.items():
                 yield from self._process(name, book.tick(now_ms), now_ms)
             yield from self._tend_pair(now_ms)
+            if self._draining and self._is_last():
+                for name, book in self._books.items():
+                    yield from self._process(name, book.vacate(now_ms), now_ms)
             for name, waiting in self._confirmations.take_expired(now_ms):
                 yield from self._process(name, waiting.otherwise, now_ms)
         else:
@@ -263,6 +268,14 @@
         """Forgets a report that the successor took in."""
         self._reports.acknowledged(ack.epoch)
 
+    def _is_last(self) -> bool:
+        """Whether no other instance of the zone can take the place over."""
+        live = self._fleet.live_in_zone(self._place.availability_zone)
+        return set(live) <= {self._instance_id}
+
+    def _is_vacant(self) -> bool:
+        return all(book.is_vacant() for _, book in self._books.items())
+
     def _accepts(self, batch: messages.Replicate) -> bool:
         return not self.is_primary and self._copy.accepts(batch)
 
