Split the account book: marks, changes and answers are modules

Change: how far an account is opened, what follows from a change, and the answers to reservations are modules of functions; the book calls them.

--- a/packages/bambooglade/bambooglade/budgets/account_book.py
+++ b/packages/bambooglade/bambooglade/budgets/account_book.py
@@ -8,10 +8,13 @@
 
 from bambooglade.budgets import account as accounts
 from bambooglade.budgets import account_state
+from bambooglade.budgets import answers
 from bambooglade.budgets import book_notices
+from bambooglade.budgets import changes
 from bambooglade.budgets import ended_reservations
 from bambooglade.budgets import inspection
 from bambooglade.budgets import messages
+from bambooglade.budgets import opened_marks
 from bambooglade.budgets import recalls
 from bambooglade.budgets import records
 from bambooglade.budgets import refill_policy
@@ -131,7 +134,9 @@
         state = self._state_of(message.budget_id)
         number = state.account.number_by_id.get(message.reservation_id)
         if number is not None:
-            yield self._reserved(message, number, sender)
+            yield answers.reserved(
+                message, number, sender, self._place.availability_zone
+            )
             return
         if self._ended.contains(message.reservation_id, message.budget_id):
             return
@@ -166,7 +171,7 @@
             epoch=message.epoch,
             sequence=message.sequence,
         )
-        yield from self._freed(state, freed)
+        yield from changes.freed(state.account, freed)
         sent = effects.Send(recipient=sender, message=settled)
         yield books.AfterReplication(then=(sent,))
         yield books.DocumentWanted(within_ms=SETTLED_WRITE_MS)
@@ -186,7 +191,7 @@
             message.budget_id, freed.number
         )
         yield books.RecordChanged(record_id=record_id)
-        yield from self._account_changed(state.account)
+        yield from changes.account_changed(state.account)
         notice = book_notices.RightsFreed(
             budget_id=message.budget_id, tokens=freed.tokens
         )
@@ -205,7 +210,7 @@
         if tokens == 0:
             yield recalls.answer(state, zone, sender, 0)
             return
-        yield from self._account_changed(state.account)
+        yield from changes.account_changed(state.account)
         notice = book_notices.MarkLowered(
             budget_id=message.budget_id,
             mark=state.account.opened,
@@ -256,7 +261,7 @@
         if released is not None:
             for record in released.evicted:
                 yield books.RecordChanged(record_id=record.record_id)
-            yield from self._account_changed(state.account)
+            yield from changes.account_changed(state.account)
             notice = book_notices.RightsFreed(
                 budget_id=message.budget_id, tokens=released.tokens
             )
@@ -337,7 +342,7 @@
             settlement.hold_inherited(
                 state.account, inherited, assignment.epoch
             )
-            yield from self._account_changed(state.account)
+            yield from changes.account_changed(state.account)
 
     def final_records(self) -> Iterator[books.Record]:
         """Yields what a stepped-down primary reports to its successor."""
@@ -366,7 +371,7 @@
             freed = settlement.resolve(state.account, epoch, reported)
             for record in reported:
                 yield books.RecordChanged(record_id=record.record_id)
-            yield from self._account_changed(state.account)
+            yield from changes.account_changed(state.account)
             yield books.AfterReplication(
                 then=(
                     book_notices.RightsFreed(
@@ -381,15 +386,7 @@
         """Sends those that wait to the new primary."""
         for state in self.states():
             for waiter in state.waiters:
-                refused = messages.ReserveRefused(
-                    reservation_id=waiter.request.reservation_id,
-                    budget_id=waiter.request.budget_id,
-                    bound_tokens=waiter.request.bound_tokens,
-                    reason=messages.RefusalReason.NOT_PRIMARY,
-                    detail="Another instance is the primary now.",
-                    primary=primary,
-                )
-                yield effects.Send(recipient=waiter.sender, message=refused)
+                yield answers.redirected(waiter, primary)
 
     # The document.
 
@@ -507,7 +504,7 @@
         self, state: account_state.AccountState, now_ms: int
     ) -> Iterator[effects.Effects]:
         yield from self._serve(state)
-        yield from self._open_more(state)
+        yield from opened_marks.adjust(state)
         if state.waiters:
             yield from self._obtain(state, now_ms)
             yield from self._refuse(state, now_ms)
@@ -529,47 +526,13 @@
                 request.reservation_id, request.bound_tokens
             )
             yield books.RecordChanged(record_id=record.record_id)
-            yield from self._account_changed(account)
-            yield self._reserved(request, record.number, waiter.sender)
-
-    def _open_more(
-        self, state: account_state.AccountState
-    ) -> Iterator[effects.Effects]:
-        account = state.account
-        if not account.needs_backup:
-            return
-        tranche = refill_policy.tranche(
-            state.meter.tokens_per_s, state.meter.last, account.unused
-        )
-        wanted = state.waiting_tokens + tranche // 2
-        opened = account.opened - account.used
-        if opened > state.waiting_tokens + 2 * tranche:
-            yield from self._close_some(state, tranche)
-        if opened >= wanted or account.opened >= account.rights:
-            return
-        account.open_up_to(account.used + state.waiting_tokens + tranche)
-        notice = book_notices.MarkRaised(
-            budget_id=account.budget_id,
-            mark=account.opened,
-            generation=account.generation,
-        )
-        yield from self._account_changed(account)
-        yield books.AfterReplication(then=(notice,))
-
-    def _close_some(
-        self, state: account_state.AccountState, tranche: int
-    ) -> Iterator[effects.Effects]:
-        """Lowers the mark, so that little is held if this primary dies."""
-        account = state.account
-        account.close_down_to(account.used + state.waiting_tokens + tranche)
-        notice = book_notices.MarkLowered(
-            budget_id=account.budget_id,
-            mark=account.opened,
-            generation=account.generation,
-            writes_document=False,
-        )
-        yield from self._account_changed(account)
-        yield books.AfterReplication(then=(notice,))
+            yield from changes.account_changed(account)
+            yield answers.reserved(
+                request,
+                record.number,
+                waiter.sender,
+                self._place.availability_zone,
+            )
 
     def _obtain(
         self, state: account_state.AccountState, now_ms: int
@@ -600,58 +563,7 @@
             if refusal is None:
                 continue
             state.waiters.remove(waiter)
-            refused = messages.ReserveRefused(
-                reservation_id=waiter.request.reservation_id,
-                budget_id=waiter.request.budget_id,
-                bound_tokens=waiter.request.bound_tokens,
-                reason=refusal.reason,
-                detail=refusal.detail,
-                retry_after_ms=refusal.retry_after_ms,
-            )
-            yield effects.Send(recipient=waiter.sender, message=refused)
-
-    def _freed(
-        self,
-        state: account_state.AccountState,
-        freed: settlement.Freed | None,
-    ) -> Iterator[effects.Effects]:
-        if freed is None:
-            return
-        account = state.account
-        if freed.was_known:
-            record_id = records.reservation_record_id(
-                account.budget_id, freed.number
-            )
-            yield books.RecordChanged(record_id=record_id)
-        yield from self._account_changed(account)
-        notice = book_notices.RightsFreed(
-            budget_id=account.budget_id,
-            tokens=freed.tokens,
-            number=freed.number,
-        )
-        yield books.AfterReplication(then=(notice,))
-
-    def _account_changed(
-        self, account: accounts.ZoneAccount
-    ) -> Iterator[effects.Effects]:
-        record_id = records.account_record_id(account.budget_id)
-        yield books.RecordChanged(record_id=record_id)
-
-    def _reserved(
-        self,
-        request: messages.Reserve,
-        number: records.ReservationNumber,
-        sender: identifiers.InstanceId,
-    ) -> effects.Send:
-        reserved = messages.Reserved(
-            reservation_id=request.reservation_id,
-            budget_id=request.budget_id,
-            bound_tokens=request.bound_tokens,
-            availability_zone=self._place.availability_zone,
-            epoch=number.epoch,
-            sequence=number.sequence,
-        )
-        return effects.Send(recipient=sender, message=reserved)
+            yield answers.refused(waiter, refusal)
 
     def _situation(
         self, state: account_state.AccountState
