Send streamed chunks in the usual form, and document the last methods

Cause: each chunk carried a null 'message', which belongs to whole answers, and the chunk with the usage had no 'choices'; some public methods had no comment. Change: a field that does not belong to a chunk is left out, 'choices' is always there. Figures: the new test of a whole process failed before and passes now. Conclusion: clients that walk 'choices' read every chunk.

--- a/packages/bambooglade/bambooglade/router/caller_chat.py
+++ b/packages/bambooglade/bambooglade/router/caller_chat.py
@@ -33,7 +33,7 @@
     id: str
     object: str
     model: str
-    choices: tuple[ChatChoice, ...] = ()
+    choices: tuple[ChatChoice, ...]
     usage: dispatch_chat.UsageBody | None = None
 
 
@@ -41,8 +41,8 @@
     """The only choice of an answer, or its next piece."""
 
     index: int = 0
-    message: chat_request.ChatMessage | None = None
-    delta: stream_check.Message | None = None
+    message: chat_request.ChatMessage | msgspec.UnsetType = msgspec.UNSET
+    delta: stream_check.Message | msgspec.UnsetType = msgspec.UNSET
     finish_reason: str | None = None
 
 
--- a/packages/bambooglade/bambooglade/router/tests/test_process.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_process.py
@@ -82,6 +82,14 @@
     assert deployed.spent() == expected
 
 
+def test_chunks_have_no_fields_of_whole_answers(start):
+    deployed = start()
+    answer = b"".join(deployed.caller.chat(deployed.first.url, max_tokens=3))
+    assert b'"delta"' in answer
+    assert b'"message"' not in answer
+    assert b'"choices":[],"usage"' in answer
+
+
 def test_deduction_repeated_anywhere_runs_once(start):
     deployed = start()
     key = identifiers.new_request_key()
--- a/packages/bambooglade/bambooglade/targets/admission.py
+++ b/packages/bambooglade/bambooglade/targets/admission.py
@@ -199,6 +199,7 @@
         return None
 
     def push(self, ticket: Ticket) -> None:
+        """Adds a request that waits, ranked by its team's share."""
         start = max(
             self._virtual_time,
             self._finish_by_team.get(ticket.team_id, 0.0),
@@ -209,6 +210,7 @@
         self.waiting.append(_Waiting(rank=rank, ticket=ticket))
 
     def pop_admissible(self, now_ms: int) -> Iterator[Ticket]:
+        """Yields the requests that may start now, in their order."""
         while self.waiting and self._has_free_slot():
             first = min(self.waiting)
             self.waiting.remove(first)
@@ -218,12 +220,14 @@
             yield first.ticket
 
     def expired(self, now_ms: int) -> list[Ticket]:
+        """Removes and returns the requests whose deadline has passed."""
         late = [w for w in self.waiting if w.ticket.deadline_ms <= now_ms]
         for entry in late:
             self.waiting.remove(entry)
         return [entry.ticket for entry in late]
 
     def finish(self, ticket_id: str, now_ms: int) -> None:
+        """Notes that a request ended, or that it gave up waiting."""
         started_ms = self.started_ms_by_ticket.pop(ticket_id, None)
         if started_ms is None:
             self.waiting = [
@@ -235,6 +239,7 @@
         self.service_ms += gain * (took_ms - self.service_ms)
 
     def too_late(self) -> failures.Failure:
+        """Returns the refusal of a request that could not end in time."""
         return failures.DeadlineTooClose(
             detail=f"{len(self.waiting)} requests are ahead.",
             retry_after_ms=self._retry_after_ms(),
--- a/packages/bambooglade/bambooglade/targets/breaker.py
+++ b/packages/bambooglade/bambooglade/targets/breaker.py
@@ -88,6 +88,7 @@
         self._open_ms = OPEN_MS
 
     def failed(self, now_ms: int) -> None:
+        """Counts a failure; opens the circuit after some in a row."""
         self.failures += 1
         if self.failures < FAILURES_TO_OPEN:
             return
@@ -96,8 +97,10 @@
         self._until_ms = now_ms + self._open_ms
 
     def probing(self, now_ms: int) -> None:
+        """Notes that a trial request is sent, and waits for its outcome."""
         if self.failures >= FAILURES_TO_OPEN and now_ms >= self._until_ms:
             self._until_ms = now_ms + self._open_ms
 
     def is_open(self, now_ms: int) -> bool:
+        """Returns whether requests are to be kept away."""
         return self.failures >= FAILURES_TO_OPEN and now_ms < self._until_ms
--- a/packages/bambooglade/bambooglade/targets/latency.py
+++ b/packages/bambooglade/bambooglade/targets/latency.py
@@ -83,6 +83,7 @@
         self.value_ms = 0.0
 
     def add(self, time_ms: float, now_ms: int) -> None:
+        """Adds an observed time; older ones count for less."""
         self._weight *= self.confidence(now_ms)
         total = self.value_ms * self._weight + time_ms
         self._weight += 1.0
@@ -90,5 +91,6 @@
         self._last_ms = max(now_ms, self._last_ms)
 
     def confidence(self, now_ms: int) -> float:
+        """Returns the weight that the observations still have, 0 to 1."""
         age_ms = max(0, now_ms - self._last_ms)
         return math.exp2(-age_ms / HALF_LIFE_MS)
--- a/packages/bambooglade/bambooglade/transport/exchange.py
+++ b/packages/bambooglade/bambooglade/transport/exchange.py
@@ -220,6 +220,7 @@
         self.status = 0
 
     def take_header(self, raw: bytes) -> None:
+        """Takes one line of the head, as the library calls it."""
         line = raw.decode("latin-1").strip()
         if line:
             self._lines.append(line)
@@ -238,6 +239,7 @@
         )
 
     def take_body(self, data: bytes) -> int | None:
+        """Takes a piece of the body; 0 makes the library give up."""
         self._left_bytes -= len(data)
         if self._left_bytes < 0:
             return 0  # makes curl fail with a write error
@@ -245,6 +247,7 @@
         return None
 
     def take(self) -> Iterator[messages.ResponseHead | bytes]:
+        """Yields what has come since the last call."""
         while self._parts:
             yield self._parts.popleft()
 
--- a/packages/bambooglade/bambooglade/transport/request_handler.py
+++ b/packages/bambooglade/bambooglade/transport/request_handler.py
@@ -203,6 +203,7 @@
         return self.write
 
     def write(self, part: bytes) -> None:
+        """Sends a part of the body, after the head if that is due."""
         if not self.started:
             self._send_head()
         if not part or self._handler.command == "HEAD":
@@ -212,6 +213,7 @@
         self._handler.wfile.write(part)
 
     def end(self) -> None:
+        """Sends what marks the end of the body."""
         if not self.started:
             self._send_head()
         if self._chunked and self._handler.command != "HEAD":
@@ -250,9 +252,11 @@
         self._timeout_s = timeout_ms / _MS_PER_S
 
     def writable(self) -> bool:
+        """Returns True."""
         return True
 
     def write(self, data: bytes) -> int:
+        """Sends all of the data, or raises an error of the socket."""
         self._sock.settimeout(self._timeout_s)
         self._sock.sendall(data)
         return len(data)
