Let the test of a top-up wait as long as is promised

Cause: the test asked another zone at once after the accepted top-up and failed once in five runs. Trace: a refusal may go by a document that was read up to 200 ms before, which keeps a team without budget from reading it at each request; an edit is promised in force within 11 s, not at once. Change: every instance has to serve a deduction within 11 s, and the spend has to be exact; the test covers four instances where it covered one. Conclusion: the case is allowed by the promise; the bound is the promise's.

--- a/packages/bambooglade/bambooglade/router/tests/test_process.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_process.py
@@ -24,6 +24,9 @@
 PROMPT = "Review this portfolio."
 DONE = "[DONE]"
 WAIT_S = 40.0
+IN_FORCE_S = 11.0
+"""An accepted edit is in force everywhere within this time."""
+
 _POLL_S = 0.02
 
 
@@ -54,8 +57,8 @@
         return self.fleet.till.runs.by_key().get(key, 0)
 
 
-def _wait_until(condition):
-    end = time.monotonic() + WAIT_S
+def _wait_until(condition, *, within_s=WAIT_S):
+    end = time.monotonic() + within_s
     while not condition():
         assert time.monotonic() < end, "the condition was never met"
         time.sleep(_POLL_S)
@@ -156,16 +159,24 @@
     assert sum(deployed.fleet.till.runs.by_key().values()) == len(finished)
 
 
-def test_top_up_lets_the_next_request_through(start):
+def test_top_up_is_in_force_everywhere_within_the_promised_time(start):
     deployed = start(tokens=4)
     refused = deployed.caller.deduct(
         deployed.first.url, key=identifiers.new_request_key()
     )
-    deployed.fleet.top_up("team/hall-3", 6)
-    served = deployed.caller.deduct(
-        deployed.last.url, key=identifiers.new_request_key()
-    )
-    assert (refused.status, served.status) == (402, 200)
+    assert refused.status == 402
+    deployed.fleet.top_up("team/hall-3", 4 * local_fleet.DEDUCTION_TOKENS)
+    for instance in deployed.fleet.instances:
+        _wait_until(
+            lambda url=instance.url: (
+                deployed.caller.deduct(
+                    url, key=identifiers.new_request_key()
+                ).status
+                == 200
+            ),
+            within_s=IN_FORCE_S,
+        )
+    assert deployed.spent() == 4 * local_fleet.DEDUCTION_TOKENS
 
 
 def test_planned_stop_cuts_no_stream(start):
