Serve the shard of a target that is to be ordered

Cause: the owner of a target is the primary of its name's shard; where no budget and no key fell into that shard it had no primary, so that the order was never given. Found by an order to one engine with 64 shards: not given in 25 s. Change: the worker reports a place without a primary, and the instance that ranks first in the zone takes it on. Conclusion: a place is served when something wants it, not only a request.

--- a/packages/bambooglade/bambooglade/router/order_worker.py
+++ b/packages/bambooglade/bambooglade/router/order_worker.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 
 from absl import logging
@@ -40,6 +41,7 @@
         shard_count: Number of shards of the deployment.
         client: Sends the orders.
         clock: The clock.
+        unserved: Learns of a place that has no primary to own a target.
 
     See Also:
         bambooglade.router.ticker: calls it.
@@ -53,6 +55,7 @@
         "_keeper",
         "_shard_count",
         "_table",
+        "_unserved",
     )
 
     def __init__(
@@ -64,7 +67,9 @@
         shard_count: int,
         client: client_lib.HttpClient,
         clock: clocks.Clock,
+        unserved: Callable[[assignments.Place], None],
     ) -> None:
+        self._unserved = unserved
         self._instance_id = instance_id
         self._table = table
         self._assignment_map = assignment_map
@@ -104,6 +109,8 @@
             ),
         )
         assignment = self._assignment_map.get(place)
+        if assignment is None:
+            self._unserved(place)
         if assignment is None or assignment.primary != self._instance_id:
             return None
         return assignment.epoch
--- a/packages/bambooglade/bambooglade/router/process.py
+++ b/packages/bambooglade/bambooglade/router/process.py
@@ -40,6 +40,7 @@
 from bambooglade.router import target_watcher
 from bambooglade.router import ticker
 from bambooglade.router import trace
+from bambooglade.shards import assignments
 from bambooglade.table import credentials
 from bambooglade.table import view
 from bambooglade.transport import client as client_lib
@@ -230,6 +231,11 @@
             client=client_lib.HttpClient(ca_file=security.ca_file),
         )
 
+    def _look_after(self, place: assignments.Place) -> None:
+        self._runtime.decide(
+            functools.partial(self._networked.parts.host.look_after, place)
+        )
+
     def _connection_refused(self, peer: identifiers.InstanceId) -> None:
         self._runtime.decide(
             functools.partial(
@@ -277,6 +283,7 @@
             shard_count=self._settings.instance.shard_count,
             client=client,
             clock=self._clock,
+            unserved=self._look_after,
         )
         return ticker.Ticker(
             action=worker.run_once,
--- a/packages/bambooglade/bambooglade/router/tests/test_order_worker.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_order_worker.py
@@ -46,6 +46,7 @@
                 rows.OrderRow(target_id="e1", model=model),
             ]
         )
+        self.unserved = []
         self.worker = order_worker.OrderWorker(
             instance_id=self.name,
             table=table,
@@ -53,6 +54,7 @@
             shard_count=SHARDS,
             client=self.client,
             clock=clock,
+            unserved=self.unserved.append,
         )
 
     def learns(self, epoch: int, primary: str) -> None:
--- a/packages/bambooglade/bambooglade/router/tests/test_process.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_process.py
@@ -15,6 +15,7 @@
 from bambooglade.core import identifiers
 from bambooglade.router import operator_messages
 from bambooglade.router import trace
+from bambooglade.table import rows
 from bambooglade_standins import faults
 from bambooglade_standins import local_caller
 from bambooglade_standins import local_fleet
@@ -66,7 +67,7 @@
 
 @pytest.fixture
 def start():
-    with local_fleet.LocalFleet(token_ms=2.0) as fleet:
+    with local_fleet.LocalFleet(token_ms=2.0, shard_count=16) as fleet:
         yield lambda tokens=10_000: Deployment(fleet, tokens=tokens)
 
 
@@ -85,6 +86,17 @@
     assert deployed.spent() == expected
 
 
+def test_order_reaches_an_engine_whose_shard_nothing_else_uses(start):
+    deployed = start()
+    order = rows.OrderRow(
+        target_id="engine-zone-b", model="critique", adapter="a1", version="2"
+    )
+    deployed.fleet.edit_rows(order)
+    desk = deployed.fleet.engine_by_zone["zone-b"].desk
+    _wait_until(lambda: desk.current.adapter == "a1", within_s=IN_FORCE_S)
+    assert desk.current.epoch >= 1
+
+
 def test_chunks_have_no_fields_of_whole_answers(start):
     deployed = start()
     answer = b"".join(deployed.caller.chat(deployed.first.url, max_tokens=3))
--- a/packages/bambooglade/bambooglade/shards/host.py
+++ b/packages/bambooglade/bambooglade/shards/host.py
@@ -236,6 +236,15 @@
             self._replica_by_shard[shard] = hosted
         return hosted
 
+    def look_after(
+        self, place: assignments.Place, now_ms: int
+    ) -> Iterator[effects.Effects]:
+        """Lets a place of the own zone be served, also without requests."""
+        if place.availability_zone == self._availability_zone:
+            hosted = self.replica(place.shard)
+            hosted.is_wanted = True
+            yield from hosted.tick(now_ms)
+
     def replicas(self) -> list[replica.ShardReplica]:
         """Returns the replicas that exist at this instance."""
         return list(self._replica_by_shard.values())
--- a/packages/bambooglade/bambooglade/shards/replica.py
+++ b/packages/bambooglade/bambooglade/shards/replica.py
@@ -47,6 +47,10 @@
         factories: Create the books.
         assignment_map: Learns all assignments that are seen.
         fleet: Whom this instance believes to be alive.
+
+    Attributes:
+        edits: Top-ups that this instance was asked for.
+        is_wanted: Whether the place is to be served without a request for it.
     """
 
     __slots__ = (
@@ -66,6 +70,7 @@
         "_session",
         "_suspected_since_ms",
         "edits",
+        "is_wanted",
     )
 
     def __init__(
@@ -95,6 +100,7 @@
         self._draining = False
         self._confirmations = confirmations.Confirmations(self._session)
         self.edits = edits.PendingEdits()
+        self.is_wanted = False
 
     @property
     def is_primary(self) -> bool:
@@ -542,7 +548,7 @@
 
     def _watch_pair(self, now_ms: int) -> None:
         current = self._assignments.get(self._place)
-        if current is None and not self._has_accounts():
+        if current is None and not (self.is_wanted or self._has_accounts()):
             return
         if current is not None and self._is_alive(current):
             self._suspected_since_ms = None
