Mend two phrases that operators read

Cause: a run of all commands against processes showed 'reserved By' in an explanation and '0 to more' in a check. Change: the phrases. Conclusion: wording only.

--- a/packages/bambooglade/bambooglade/router/decision_recorder.py
+++ b/packages/bambooglade/bambooglade/router/decision_recorder.py
@@ -107,7 +107,7 @@
         bound_tokens=message.bound_tokens,
         outcome="reserved",
         detail=(
-            f"By {stamp.source} in {message.availability_zone}, "
+            f"by {stamp.source} in {message.availability_zone}, "
             f"epoch {message.epoch}."
         ),
         at_ms=stamp.at_ms,
--- a/packages/bambooglade/bambooglade/table/checks.py
+++ b/packages/bambooglade/bambooglade/table/checks.py
@@ -303,10 +303,9 @@
     number = getattr(row, column)
     if number is None or (math.isfinite(number) and least <= number <= most):
         return
-    upper = "more" if most == math.inf else str(most)
+    allowed = f"{least} or more" if most == math.inf else f"{least} to {most}"
     yield OutOfRange(
-        detail=f"{column} of {row.row_key} is {number}; it has to be {least} "
-        f"to {upper}."
+        detail=f"{column} of {row.row_key} is {number}; it has to be {allowed}."
     )
 
 
