Measure the policy on the router's own assembly

Cause: the policy experiment wired host, books and coordinator by hand, as the fuzz did before; a change of the assembly would not have been measured. Change: it calls the one assembly; the last public functions have a comment. Conclusion: router, fuzz and experiments run the same wiring.

--- a/benchmarks/capacity_transport.py
+++ b/benchmarks/capacity_transport.py
@@ -77,6 +77,7 @@
     arrived = threading.Semaphore(0)
 
     def receive(_, messages):
+        """Counts the messages, and answers nothing."""
         for _ in messages:
             arrived.release()
         return []
--- a/benchmarks/escrow.py
+++ b/benchmarks/escrow.py
@@ -10,7 +10,6 @@
 
 import msgspec
 
-from bambooglade.budgets import account_book_factory
 from bambooglade.budgets import messages as budget_messages
 from bambooglade.core import effects
 from bambooglade.core import failures
@@ -18,10 +17,7 @@
 from bambooglade.core import identifiers
 from bambooglade.fleet import view
 from bambooglade.operations import calls
-from bambooglade.operations import claim_book_factory
-from bambooglade.operations import coordinator
-from bambooglade.operations import retention
-from bambooglade.router import state_machine
+from bambooglade.router import assembly
 from bambooglade.shards import assignments
 from bambooglade.shards import document as documents
 from bambooglade.shards import edits
@@ -231,37 +227,21 @@
         fleet: view.FleetView,
         now_ms: int,
     ) -> instances.Parts:
-        assignment_map = assignments.AssignmentMap()
-        shard_host = host.ShardHost(
-            instance_id=instance_id,
-            availability_zone=availability_zone,
-            shard_count=SHARD_COUNT,
-            assignment_map=assignment_map,
-            fleet=fleet,
-            book_factories=(
-                account_book_factory.AccountBookFactory(
-                    assignment_map=assignment_map,
-                    table=self._table(),
-                    zone_count=len(self._deployment.zones),
-                    fleet=fleet,
-                ),
-                claim_book_factory.ClaimBookFactory(
-                    retention=retention.Retention()
-                ),
+        del now_ms
+        parts = assembly.assemble(
+            assembly.Identity(
+                instance_id=instance_id,
+                availability_zone=availability_zone,
+                arbiter_zones=self._deployment.zones,
+                shard_count=SHARD_COUNT,
             ),
-        )
-        entry = coordinator.Coordinator(
-            instance_id=instance_id,
-            availability_zone=availability_zone,
-            arbiter_zones=self._deployment.zones,
-            shard_count=SHARD_COUNT,
-            assignment_map=assignment_map,
+            assignment_map=assignments.AssignmentMap(),
             fleet=fleet,
+            table=self._table(),
         )
-        self._host_by_id[instance_id] = shard_host
+        self._host_by_id[instance_id] = parts.host
         return instances.Parts(
-            machine=state_machine.InstanceStateMachine((shard_host, entry)),
-            coordinator=entry,
+            machine=parts.machine, coordinator=parts.coordinator
         )
 
     def _table(self) -> table_view.FixedTable:
--- a/benchmarks/status_flood.py
+++ b/benchmarks/status_flood.py
@@ -55,12 +55,14 @@
         self._refused = 0
 
     def start(self) -> None:
+        """Sends the critiques, and waits until the engine runs some."""
         for _ in range(CRITIQUES_AT_ONCE):
             self._pool.submit(self._ask)
         while not self._engine.batch.running:
             time.sleep(PAUSE_S)
 
     def stop(self) -> tuple[int, int]:
+        """Ends the flood; returns how many ran and how many were refused."""
         running = self._engine.batch.running
         self._stopped.set()
         self._pool.shutdown()
--- a/packages/bambooglade/bambooglade/router/caller_api.py
+++ b/packages/bambooglade/bambooglade/router/caller_api.py
@@ -340,6 +340,7 @@
     def check(
         match: matching.Match,
     ) -> result.Result[matching.Match, failures.Failure]:
+        """Returns the match, or that its service has another form."""
         if match.service.form is form:
             return result.Ok(match)
         return result.Err(
--- a/packages/bambooglade/bambooglade/router/construction.py
+++ b/packages/bambooglade/bambooglade/router/construction.py
@@ -136,6 +136,7 @@
     """Returns the watch of the table's pages; it is not started."""
 
     def install_all(values: Sequence[effects.DocumentRead]) -> None:
+        """Gives a reading of all pages to the table."""
         runtime.decide(lambda now_ms: table.snapshot_read(values, now_ms))
 
     return prefix_watch.PrefixWatch(
