--- /dev/null
+++ b/deploy/gateway.py
@@ -0,0 +1,21 @@
+"""Puts the packages on the path and starts a gateway."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+def main() -> int:
+    """Starts a gateway; returns its exit status."""
+    sys.path.insert(0, str(ROOT / "packages" / "bambooglade"))
+    sys.path.insert(1, str(ROOT / "target" / "deps"))
+    from bambooglade.platform import gateway_main
+
+    return gateway_main.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/bambooglade/bambooglade/core/clock.py
+++ b/packages/bambooglade/bambooglade/core/clock.py
@@ -11,11 +11,16 @@
 _NS_PER_MS = 1_000_000
 
 
+def _uptime_ns() -> int:
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+
+
 class Clock:
     """Tells the time in whole milliseconds since the Unix epoch.
 
-    The system clock follows the monotonic clock from the moment of its
-    construction, so it never goes back within one process.
+    It follows the boot-time clock from the moment of its construction: it
+    never goes back within one process, does not follow steps of the time of
+    day, and goes on while the machine is suspended.
 
     See Also:
         ManualClock: the clock of tests and of the simulated fleet.
@@ -24,11 +29,11 @@
     __slots__ = ("_offset_ns",)
 
     def __init__(self) -> None:
-        self._offset_ns = time.time_ns() - time.monotonic_ns()
+        self._offset_ns = time.time_ns() - _uptime_ns()
 
     def now_ms(self) -> int:
         """Returns the time in milliseconds since the Unix epoch."""
-        return (time.monotonic_ns() + self._offset_ns) // _NS_PER_MS
+        return (_uptime_ns() + self._offset_ns) // _NS_PER_MS
 
     def __repr__(self) -> str:
         return f"Clock(now_ms={self.now_ms()})"
--- /dev/null
+++ b/packages/bambooglade/bambooglade/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""What an instance believes about the configuration, targets and peers."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/discovery/registration.py
@@ -0,0 +1,126 @@
+"""Registers this instance under a lease, and reads who else is registered."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import random
+
+import msgspec
+
+from bambooglade.discovery import peers as peers_lib
+from bambooglade.eventloop import loop as loop_lib
+from bambooglade.eventloop import tasks
+from bambooglade.store import contact as contact_lib
+from bambooglade.store import port
+
+PEER_PREFIX = "bambooglade/instances/"
+
+LEASE_TTL_MS = 15_000
+"""Time after which an instance that is gone is no longer registered."""
+
+RENEW_PAUSE_MS = 4_000
+"""Pause between renewals; two may be lost."""
+
+RETRY_PAUSE_MS = 700
+"""Mean pause after a failure of the store."""
+
+
+class Registration:
+    """Keeps this instance registered and the list of peers in step.
+
+    Args:
+        loop: The event loop.
+        store: The store.
+        own: This instance, as peers know it.
+        peers: Told of the registered instances.
+        contact: Tells whether the store answers.
+        random_source: Spreads the pauses of the instances.
+    """
+
+    __slots__ = (
+        "_contact",
+        "_is_stopped",
+        "_lease_id",
+        "_loop",
+        "_own",
+        "_peers",
+        "_random",
+        "_store",
+    )
+
+    def __init__(
+        self,
+        loop: loop_lib.EventLoop,
+        store: port.TransactionalStore,
+        *,
+        own: peers_lib.Peer,
+        peers: peers_lib.PeerList,
+        contact: contact_lib.Contact,
+        random_source: random.Random,
+    ) -> None:
+        self._loop = loop
+        self._store = store
+        self._own = own
+        self._peers = peers
+        self._contact = contact
+        self._random = random_source
+        self._lease_id = 0
+        self._is_stopped = False
+
+    def start(self) -> None:
+        """Starts to keep the registration."""
+        tasks.spawn(self._run())
+
+    def stop(self) -> None:
+        """Ends the registration."""
+        self._is_stopped = True
+        if self._lease_id:
+            self._store.end_lease(self._lease_id)
+
+    def _run(self) -> tasks.Task:
+        while not self._is_stopped:
+            is_registered = yield from self._register_or_renew()
+            if is_registered:
+                is_registered = yield from self._read_peers()
+            pause_ms = RENEW_PAUSE_MS if is_registered else RETRY_PAUSE_MS
+            yield tasks.sleep(
+                self._loop, pause_ms * (0.75 + self._random.random() / 2)
+            )
+
+    def _register_or_renew(self) -> tasks.Task:
+        if self._lease_id:
+            answer = yield self._store.renew_lease(self._lease_id)
+            if isinstance(answer, port.NotFound):
+                self._lease_id = 0
+            else:
+                return isinstance(answer, port.Committed)
+        answer = yield self._store.grant_lease(ttl_ms=LEASE_TTL_MS)
+        if not isinstance(answer, port.LeaseGranted):
+            return False
+        write = port.Write(
+            PEER_PREFIX + self._own.name,
+            msgspec.json.encode(self._own),
+            lease_id=answer.lease_id,
+        )
+        committed = yield self._store.commit([write], timeout_ms=1_000)
+        if isinstance(committed, port.Committed):
+            self._lease_id = answer.lease_id
+        return bool(self._lease_id)
+
+    def _read_peers(self) -> tasks.Task:
+        answer = yield self._store.read_prefix(PEER_PREFIX)
+        if not isinstance(answer, port.Items):
+            return False
+        self._peers.heard_of(_decoded(answer.items), now_ms=self._loop.now_ms())
+        return True
+
+    def __repr__(self) -> str:
+        return f"Registration(own={self._own.name!r})"
+
+
+def _decoded(items: list[port.Item]) -> Iterator[peers_lib.Peer]:
+    for item in items:
+        try:
+            yield msgspec.json.decode(item.value, type=peers_lib.Peer)
+        except msgspec.DecodeError:
+            continue
--- /dev/null
+++ b/packages/bambooglade/bambooglade/eventloop/__init__.py
@@ -0,0 +1,1 @@
+"""Single-threaded event loop: timers, non-blocking sockets, generator tasks."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/eventloop/http_client.py
@@ -0,0 +1,190 @@
+"""Short HTTP calls on the event loop, each sent at most once."""
+
+from __future__ import annotations
+
+import collections
+from concurrent import futures
+
+from bambooglade.eventloop import connection as connection_lib
+from bambooglade.eventloop import loop as loop_lib
+from bambooglade.eventloop import tasks
+from bambooglade.http1 import messages
+from bambooglade.http1 import response_parser
+
+MAX_IDLE_PER_ADDRESS = 4
+"""Connections kept open to one address: a watch, and calls that overlap."""
+
+Address = tuple[str, int]
+
+
+class Response:
+    """A whole response to a call."""
+
+    __slots__ = ("body", "status")
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self.status = status
+        self.body = body
+
+    def __repr__(self) -> str:
+        return f"Response(status={self.status}, bytes={len(self.body)})"
+
+
+class HttpClient:
+    """Calls services by IP number, over connections that it keeps.
+
+    A call without a whole response in time completes with None: it may have
+    been carried out or not. It is never repeated here.
+
+    Args:
+        loop: The event loop.
+    """
+
+    __slots__ = ("_idle_by_address", "_loop")
+
+    def __init__(self, loop: loop_lib.EventLoop) -> None:
+        self._loop = loop
+        self._idle_by_address: dict[Address, list[_ClientConnection]] = (
+            collections.defaultdict(list)
+        )
+
+    def call(
+        self,
+        address: Address,
+        *,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        timeout_ms: int,
+    ) -> futures.Future:
+        """Sends a request.
+
+        Args:
+            address: IP number and port.
+            method: HTTP method.
+            target: Path and query.
+            body: JSON document; empty for none.
+            timeout_ms: Time for the whole exchange.
+
+        Returns:
+            A future with a `Response`, or with None.
+        """
+        idle = self._idle_by_address[address]
+        connection = None
+        while idle and connection is None:
+            candidate = idle.pop()
+            connection = candidate if candidate.is_usable else None
+        if connection is None:
+            connection = _ClientConnection(self._loop, address, self._release)
+        fields = [(b"Host", b"%s:%d" % (address[0].encode(), address[1]))]
+        if body:
+            fields.append((b"Content-Type", b"application/json"))
+        request = messages.encode_request(
+            method=method.encode(),
+            target=target.encode(),
+            fields=fields,
+            body=body,
+            has_body=method != "GET",
+        )
+        return connection.exchange(request, timeout_ms)
+
+    def forget(self, address: Address) -> None:
+        """Closes the idle connections to an address that may be gone."""
+        for connection in self._idle_by_address.pop(address, []):
+            connection.close()
+
+    def _release(self, connection: _ClientConnection) -> None:
+        idle = self._idle_by_address[connection.address]
+        if len(idle) < MAX_IDLE_PER_ADDRESS:
+            idle.append(connection)
+        else:
+            connection.close()
+
+    def __repr__(self) -> str:
+        return f"HttpClient(addresses={len(self._idle_by_address)})"
+
+
+class _ClientConnection:
+    __slots__ = (
+        "_body",
+        "_connection",
+        "_future",
+        "_loop",
+        "_parser",
+        "_release",
+        "_timer",
+        "address",
+    )
+
+    def __init__(
+        self, loop: loop_lib.EventLoop, address: Address, release
+    ) -> None:
+        self._loop = loop
+        self.address = address
+        self._release = release
+        self._future: futures.Future | None = None
+        self._timer: loop_lib.Timer | None = None
+        self._parser = response_parser.ResponseParser()
+        self._body: list[bytes] = []
+        self._connection = connection_lib.connect(loop, address, self)
+
+    @property
+    def is_usable(self) -> bool:
+        return self._connection.is_open
+
+    def exchange(self, request: bytes, timeout_ms: int) -> futures.Future:
+        """Sends a request; the future completes in any case."""
+        self._future = futures.Future()
+        self._parser = response_parser.ResponseParser()
+        self._body = []
+        self._timer = self._loop.call_later(timeout_ms, self._timed_out)
+        self._connection.send(request)
+        return self._future
+
+    def close(self) -> None:
+        self._connection.close()
+
+    def connected(self) -> None:
+        """Nothing to do: the request waits in the buffer."""
+
+    def received(self, data: bytes) -> None:
+        if self._future is None:
+            self._connection.close()
+            return
+        self._body.append(self._parser.feed(data))
+        self._check_end()
+
+    def closed(self, *, is_clean: bool) -> None:
+        self._parser.ended(is_clean=is_clean)
+        self._check_end()
+
+    def _check_end(self) -> None:
+        state = self._parser.state
+        if state is response_parser.ResponseState.COMPLETE:
+            self._finish(
+                Response(self._parser.head.status, b"".join(self._body))
+            )
+        elif state is response_parser.ResponseState.MALFORMED:
+            self._connection.close()
+            self._finish(None)
+
+    def _timed_out(self) -> None:
+        self._connection.close()
+        self._finish(None)
+
+    def _finish(self, response: Response | None) -> None:
+        future, self._future = self._future, None
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._connection.is_open:
+            is_reusable = (
+                response is not None
+                and self._parser.head.is_persistent
+                and not self._parser.has_extra_bytes
+            )
+            if is_reusable:
+                self._release(self)
+            else:
+                self._connection.close()
+        if future is not None:
+            tasks.complete(future, response)
--- /dev/null
+++ b/packages/bambooglade/bambooglade/eventloop/http_server.py
@@ -0,0 +1,149 @@
+"""Small HTTP server on the event loop: readiness, metrics and peers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import socket
+
+from bambooglade.eventloop import connection as connection_lib
+from bambooglade.eventloop import loop as loop_lib
+from bambooglade.http1 import messages
+from bambooglade.http1 import request_parser
+
+MAX_HEADER_BYTES = 16_384
+MAX_BODY_BYTES = 4_194_304
+"""Longest request; a configuration with some hundred routes has 100 KB."""
+
+IDLE_TIMEOUT_MS = 60_000
+"""Idle time after which a connection is closed."""
+
+
+class Reply:
+    """A response: status, body and its type."""
+
+    __slots__ = ("body", "content_type", "status")
+
+    def __init__(
+        self,
+        status: int,
+        body: bytes = b"",
+        content_type: str = "application/json",
+    ) -> None:
+        self.status = status
+        self.body = body
+        self.content_type = content_type
+
+
+Handler = Callable[[messages.Request], Reply]
+
+
+class HttpServer:
+    """Answers short requests, each at once.
+
+    Args:
+        loop: The event loop.
+        address: Where to listen.
+        handler: Answers a request.
+    """
+
+    __slots__ = ("_connections", "_handler", "_listener", "_loop")
+
+    def __init__(
+        self,
+        loop: loop_lib.EventLoop,
+        address: tuple[str, int],
+        handler: Handler,
+    ) -> None:
+        self._loop = loop
+        self._handler = handler
+        self._connections: set[_ServerConnection] = set()
+        self._listener = connection_lib.Listener(loop, address, self._accepted)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP number and port that it listens on."""
+        return self._listener.address
+
+    def close(self) -> None:
+        """Stops to listen, and closes all connections."""
+        self._listener.close()
+        for connection in list(self._connections):
+            connection.close()
+
+    def _accepted(self, sock: socket.socket) -> None:
+        self._connections.add(
+            _ServerConnection(
+                self._loop, sock, self._handler, self._connections.discard
+            )
+        )
+
+    def __repr__(self) -> str:
+        return f"HttpServer(connections={len(self._connections)})"
+
+
+class _ServerConnection:
+    __slots__ = (
+        "_connection",
+        "_forget",
+        "_handler",
+        "_loop",
+        "_parser",
+        "_timer",
+    )
+
+    def __init__(
+        self, loop: loop_lib.EventLoop, sock: socket.socket, handler, forget
+    ) -> None:
+        self._loop = loop
+        self._handler = handler
+        self._forget = forget
+        self._parser = request_parser.RequestParser(
+            request_parser.RequestLimits(
+                max_header_bytes=MAX_HEADER_BYTES,
+                max_body_bytes=MAX_BODY_BYTES,
+            )
+        )
+        self._timer = loop.call_later(IDLE_TIMEOUT_MS, self.close)
+        self._connection = connection_lib.Connection(loop, sock, self)
+
+    def connected(self) -> None:
+        """Never called: the socket was accepted."""
+
+    def received(self, data: bytes) -> None:
+        self._timer.cancel()
+        self._timer = self._loop.call_later(IDLE_TIMEOUT_MS, self.close)
+        try:
+            for request in self._parser.feed(data, now_ms=self._loop.now_ms()):
+                self._answer(request)
+        except request_parser.RejectedRequestError as error:
+            self._connection.send(
+                messages.encode_response(
+                    status=error.status, fields=[(b"Connection", b"close")]
+                )
+            )
+            self._connection.close_when_sent()
+            self._forget(self)
+
+    def _answer(self, request: messages.Request) -> None:
+        reply = self._handler(request)
+        fields = [(b"Content-Type", reply.content_type.encode())]
+        if request.expects_close:
+            fields.append((b"Connection", b"close"))
+        self._connection.send(
+            messages.encode_response(
+                status=reply.status, fields=fields, body=reply.body
+            )
+        )
+        if request.expects_close:
+            self._connection.close_when_sent()
+            self._forget(self)
+
+    def closed(self, *, is_clean: bool) -> None:
+        del is_clean
+        self._timer.cancel()
+        self._forget(self)
+
+    def close(self) -> None:
+        self._timer.cancel()
+        self._connection.close()
+        self._forget(self)
--- /dev/null
+++ b/packages/bambooglade/bambooglade/eventloop/loop.py
@@ -0,0 +1,153 @@
+"""The event loop: readiness of sockets and timers, on one thread."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import heapq
+import itertools
+import selectors
+import socket
+
+from bambooglade.core import clock as clock_lib
+
+READ = selectors.EVENT_READ
+WRITE = selectors.EVENT_WRITE
+
+_MAX_WAIT_MS = 60_000
+_MS_PER_S = 1_000
+
+Callback = Callable[..., object]
+
+
+class Timer:
+    """A call that is due at a time; cancelling it twice does no harm."""
+
+    __slots__ = ("_arguments", "_callback", "due_ms")
+
+    def __init__(
+        self, due_ms: int, callback: Callback, arguments: tuple[object, ...]
+    ) -> None:
+        self.due_ms = due_ms
+        self._callback: Callback | None = callback
+        self._arguments = arguments
+
+    @property
+    def is_cancelled(self) -> bool:
+        """Whether it was cancelled or has run."""
+        return self._callback is None
+
+    def cancel(self) -> None:
+        """Keeps the call from being made."""
+        self._callback = None
+        self._arguments = ()
+
+    def run(self) -> None:
+        """Makes the call, once."""
+        callback, arguments = self._callback, self._arguments
+        self.cancel()
+        if callback is not None:
+            callback(*arguments)
+
+    def __repr__(self) -> str:
+        return f"Timer(due_ms={self.due_ms})"
+
+
+class EventLoop:
+    """Calls back when sockets are ready and when timers are due.
+
+    Args:
+        clock: The time; one that also counts while the machine is suspended.
+
+    Examples:
+        >>> loop = EventLoop(clock_lib.Clock())
+        >>> done = []
+        >>> _ = loop.call_later(1, done.append, "due")
+        >>> loop.run(until=lambda: bool(done))
+        >>> done
+        ['due']
+    """
+
+    __slots__ = ("_clock", "_order", "_selector", "_timers")
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        self._clock = clock
+        self._selector = selectors.DefaultSelector()
+        self._timers: list[tuple[int, int, Timer]] = []
+        self._order = itertools.count()
+
+    @property
+    def clock(self) -> clock_lib.Clock:
+        """The clock of the timers."""
+        return self._clock
+
+    def now_ms(self) -> int:
+        """Returns the time of the clock."""
+        return self._clock.now_ms()
+
+    def call_later(
+        self, delay_ms: float, callback: Callback, *arguments: object
+    ) -> Timer:
+        """Calls back after a delay.
+
+        Args:
+            delay_ms: Delay in milliseconds; 0 means soon, never at once.
+            callback: What to call.
+            *arguments: Passed to the callback.
+        """
+        due_ms = self.now_ms() + max(0, round(delay_ms))
+        timer = Timer(due_ms, callback, arguments)
+        heapq.heappush(self._timers, (due_ms, next(self._order), timer))
+        return timer
+
+    def watch(self, sock: socket.socket, events: int, callback: Callback):
+        """Calls back with the events for which the socket is ready.
+
+        Args:
+            sock: A non-blocking socket.
+            events: `READ`, `WRITE` or both; 0 stops watching.
+            callback: Called with the events that are ready.
+        """
+        is_known = sock in self._selector.get_map()
+        if not events:
+            if is_known:
+                self._selector.unregister(sock)
+        elif is_known:
+            self._selector.modify(sock, events, callback)
+        else:
+            self._selector.register(sock, events, callback)
+
+    def run(self, *, until: Callable[[], bool]) -> None:
+        """Runs until the condition holds; it is checked after each round."""
+        while not until():
+            self.run_once()
+
+    def run_once(self, max_wait_ms: int = _MAX_WAIT_MS) -> None:
+        """Waits for the next events or timer, and makes their calls."""
+        wait_ms = min(max_wait_ms, self._next_timer_in_ms())
+        for key, ready in self._selector.select(wait_ms / _MS_PER_S):
+            current = self._selector.get_map().get(key.fd)
+            if current is not None and current.data == key.data:
+                key.data(ready)
+        self._run_timers()
+
+    def _next_timer_in_ms(self) -> int:
+        while self._timers and self._timers[0][2].is_cancelled:
+            heapq.heappop(self._timers)
+        if not self._timers:
+            return _MAX_WAIT_MS
+        return max(0, self._timers[0][0] - self.now_ms())
+
+    def _run_timers(self) -> None:
+        now_ms = self.now_ms()
+        due: list[Timer] = []
+        while self._timers and self._timers[0][0] <= now_ms:
+            due.append(heapq.heappop(self._timers)[2])
+        for timer in due:
+            timer.run()
+
+    def close(self) -> None:
+        """Releases the selector."""
+        self._selector.close()
+
+    def __repr__(self) -> str:
+        return f"EventLoop(timers={len(self._timers)})"
--- /dev/null
+++ b/packages/bambooglade/bambooglade/eventloop/tasks.py
@@ -0,0 +1,59 @@
+"""Tasks: generators that wait for futures of the event loop."""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from concurrent import futures
+from typing import Any
+from typing import TypeAlias
+
+from bambooglade.eventloop import loop as loop_lib
+
+Task: TypeAlias = Generator[futures.Future, Any, Any]
+
+
+def spawn(task: Task) -> futures.Future:
+    """Runs a task up to its first wait, and on as its futures complete.
+
+    Returns:
+        A future with what the task returns, or with what it raised.
+
+    Examples:
+        >>> first = futures.Future()
+        >>> def add_one():
+        ...     value = yield first
+        ...     return value + 1
+        >>> done = spawn(add_one())
+        >>> first.set_result(1)
+        >>> done.result()
+        2
+    """
+    done: futures.Future = futures.Future()
+    _advance(task, done, None)
+    return done
+
+
+def sleep(loop: loop_lib.EventLoop, delay_ms: float) -> futures.Future:
+    """Returns a future that completes after a delay in milliseconds."""
+    future: futures.Future = futures.Future()
+    loop.call_later(delay_ms, complete, future, None)
+    return future
+
+
+def complete(future: futures.Future, value: object) -> bool:
+    """Sets the result, unless the future is done; returns whether it did."""
+    if future.done():
+        return False
+    future.set_result(value)
+    return True
+
+
+def _advance(task: Task, done: futures.Future, value: object) -> None:
+    try:
+        waited_for = task.send(value)
+    except StopIteration as stopped:
+        complete(done, stopped.value)
+        return
+    waited_for.add_done_callback(
+        lambda future: _advance(task, done, future.result())
+    )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' requests to targets, byte for byte."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/gateway/peer_api.py
@@ -0,0 +1,91 @@
+"""What an instance answers to its peers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from bambooglade.core import event_log
+from bambooglade.discovery import peer_view
+from bambooglade.discovery import peers as peers_lib
+from bambooglade.discovery import view as view_lib
+from bambooglade.eventloop import http_server
+from bambooglade.http1 import messages
+from bambooglade.rights import keeper as keeper_lib
+from bambooglade.rights import lending
+
+
+class PeerApi:
+    """Serves the view and loans of rights.
+
+    Args:
+        view: What this instance knows.
+        peers: The known peers.
+        own: This instance, as peers know it.
+        rights: Accounts that are lent from.
+        log: Told of loans.
+        now_ms: Returns the time.
+    """
+
+    __slots__ = ("_log", "_now_ms", "_own", "_peers", "_rights", "_view")
+
+    def __init__(
+        self,
+        *,
+        view: view_lib.FleetView,
+        peers: peers_lib.PeerList,
+        own: peers_lib.Peer,
+        rights: keeper_lib.RightsKeeper,
+        log: event_log.EventLog,
+        now_ms: Callable[[], int],
+    ) -> None:
+        self._view = view
+        self._peers = peers
+        self._own = own
+        self._rights = rights
+        self._log = log
+        self._now_ms = now_ms
+
+    def answer(self, request: messages.Request) -> http_server.Reply:
+        """Answers one request of a peer."""
+        handlers = {
+            peer_view.VIEW_PATH: self._view_answer,
+            lending.LOAN_PATH: self._loan_answer,
+        }
+        handler = handlers.get(request.path.decode("latin-1"))
+        if handler is None or request.method != b"POST":
+            return http_server.Reply(404)
+        try:
+            answered = handler(request.body)
+        except msgspec.DecodeError as error:
+            self._log.event("peer_request_malformed", error=error)
+            return http_server.Reply(400)
+        return http_server.Reply(200, msgspec.json.encode(answered))
+
+    def _view_answer(self, body: bytes) -> peer_view.ViewAnswer:
+        request = msgspec.json.decode(body, type=peer_view.ViewRequest)
+        now_ms = self._now_ms()
+        self._peers.heard_of([request.asker], now_ms=now_ms)
+        known = [*self._peers.all(now_ms=now_ms), self._own]
+        return peer_view.answer(request, self._view, known)
+
+    def _loan_answer(self, body: bytes) -> lending.LoanAnswer:
+        request = msgspec.json.decode(body, type=lending.LoanRequest)
+        self._peers.heard_of([request.borrower], now_ms=self._now_ms())
+        lent = self._rights.lend(request.team, request.tokens)
+        account = self._rights.account(request.team)
+        self._log.event(
+            "rights_lent",
+            team=request.team,
+            borrower=request.borrower.name,
+            wanted_tokens=request.tokens,
+            lent_tokens=lent,
+            available_tokens=account.available_tokens,
+        )
+        return lending.LoanAnswer(
+            tokens=lent, available_tokens=account.available_tokens
+        )
+
+    def __repr__(self) -> str:
+        return f"PeerApi(view={self._view!r})"
--- /dev/null
+++ b/packages/bambooglade/bambooglade/gateway/placement.py
@@ -0,0 +1,314 @@
+"""Chooses the target of a request, by predicted time to its first byte; pure.
+
+Answers two loads. Model engines: long prompts delay every request beside
+them, so a request goes where its prompt parts are cached unless the engine is
+busy for longer than reading them again takes. Plain services: few slots, so
+requests go where the fewest are in progress, the own zone first.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Sequence
+
+from bambooglade.core import hashing
+from bambooglade.discovery import targets as targets_lib
+from bambooglade.gateway import facts
+from bambooglade.targets import affinity
+from bambooglade.targets import breaker
+from bambooglade.targets import latency
+
+PREFILL_TOKENS_PER_MS = 57.0
+"""Prompt tokens that an engine reads in a millisecond, by its data sheet."""
+
+STEP_MS_PER_RUNNING = 0.5
+"""Delay of a first token by each request that runs on the engine, in ms."""
+
+WAITING_MS = 60.0
+"""Delay by each request that waits at the engine: the usual prompt, in ms."""
+
+OTHER_ZONE_MS = 4.0
+"""Cost of a target in another zone: the way there, and its bytes, in ms."""
+
+PLAIN_WORK_MS = 45.0
+"""Usual time of a request at a plain service, in ms, by its data sheet."""
+
+COLD_MS = 50.0
+"""Cost of a target that is still slow after its start, in ms."""
+
+REPORT_LIFETIME_MS = 2_000
+"""Age from which a reported load says nothing any more."""
+
+REFUSED_FAILURES = breaker.FAILURES_TO_OPEN
+"""A refused connection counts as many failures as shut a target out."""
+
+
+class Choice:
+    """The chosen target.
+
+    Attributes:
+        target: The target; None if there is none.
+        predicted_ms: Predicted time to the first byte.
+        cached_tokens: Prompt tokens that it should not have to read.
+        reason: What the choice was made from, for the log.
+    """
+
+    __slots__ = ("cached_tokens", "predicted_ms", "reason", "target")
+
+    def __init__(
+        self,
+        target: targets_lib.RegisteredTarget | None,
+        *,
+        predicted_ms: float = 0.0,
+        cached_tokens: int = 0,
+        reason: str = "",
+    ) -> None:
+        self.target = target
+        self.predicted_ms = predicted_ms
+        self.cached_tokens = cached_tokens
+        self.reason = reason
+
+
+class _TargetLoad:
+    __slots__ = (
+        "own_running",
+        "pending_ms_by_attempt",
+        "reported",
+        "reported_at_ms",
+        "started_since_report",
+    )
+
+    def __init__(self) -> None:
+        self.own_running = 0
+        self.pending_ms_by_attempt: dict[str, float] = {}
+        self.reported: facts.ReportedLoad | None = None
+        self.reported_at_ms = 0
+        self.started_since_report = 0
+
+
+class Placement:
+    """Load and health of targets, as far as this instance knows.
+
+    Args:
+        availability_zone: The own zone.
+    """
+
+    __slots__ = (
+        "_availability_zone",
+        "_breakers",
+        "_latency",
+        "_load_by_target",
+        "_prefixes",
+    )
+
+    def __init__(self, availability_zone: str) -> None:
+        self._availability_zone = availability_zone
+        self._breakers = breaker.CircuitBreakers()
+        self._latency = latency.LatencyTracker()
+        self._prefixes = affinity.PrefixIndex()
+        self._load_by_target: dict[str, _TargetLoad] = collections.defaultdict(
+            _TargetLoad
+        )
+
+    def choose(
+        self,
+        ready: Sequence[targets_lib.RegisteredTarget],
+        *,
+        prompt: facts.Prompt | None,
+        excluded: frozenset[str] | set[str],
+        now_ms: int,
+    ) -> Choice:
+        """Chooses among the ready targets of a service.
+
+        Args:
+            ready: Targets that take new requests.
+            prompt: Size and parts of the prompt; None for a plain service.
+            excluded: Targets that this request has tried.
+            now_ms: The time.
+        """
+        untried = [t for t in ready if t.target_id not in excluded]
+        ids = [target.target_id for target in untried]
+        shut_out = self._breakers.shut_out(
+            [target.target_id for target in ready], now_ms
+        )
+        usable = [t for t in untried if t.target_id not in shut_out] or untried
+        if not usable:
+            return Choice(None, reason=f"ready={len(ready)} untried=0")
+        preferred = _preferred(prompt, usable)
+        rated = [
+            self._rate(target, prompt, target is preferred, ids, now_ms)
+            for target in usable
+        ]
+        best = min(rated, key=lambda choice: choice.predicted_ms)
+        best.reason += f" usable={len(usable)} shut_out={len(shut_out)}"
+        return best
+
+    def _rate(
+        self,
+        target: targets_lib.RegisteredTarget,
+        prompt: facts.Prompt | None,
+        is_preferred: bool,
+        ids: list[str],
+        now_ms: int,
+    ) -> Choice:
+        load = self._load_by_target[target.target_id]
+        cached = self._cached_tokens(target, prompt, is_preferred, now_ms)
+        work_ms = (
+            PLAIN_WORK_MS
+            if prompt is None
+            else (prompt.input_tokens - cached) / PREFILL_TOKENS_PER_MS
+        )
+        ahead_ms = _ahead_ms(target, load, prompt is None, now_ms)
+        slowness = self._latency.slowness(
+            target.target_id, among=ids, now_ms=now_ms
+        )
+        is_local = target.availability_zone == self._availability_zone
+        total_ms = (work_ms + ahead_ms) * slowness
+        total_ms += 0 if is_local else OTHER_ZONE_MS
+        total_ms += COLD_MS if target.cold_remaining_ms else 0
+        return Choice(
+            target,
+            predicted_ms=total_ms,
+            cached_tokens=cached,
+            reason=(
+                f"work_ms={work_ms:.0f} ahead_ms={ahead_ms:.0f}"
+                f" slowness={slowness:.1f}"
+            ),
+        )
+
+    def _cached_tokens(
+        self,
+        target: targets_lib.RegisteredTarget,
+        prompt: facts.Prompt | None,
+        is_preferred: bool,
+        now_ms: int,
+    ) -> int:
+        if prompt is None:
+            return 0
+        parts = prompt.parts[:-1]
+        known = self._prefixes.cached_blocks(
+            target.target_id, [part.part_id for part in parts], now_ms
+        )
+        count = len(parts) if is_preferred else known
+        return sum(part.tokens for part in parts[:count])
+
+    def started(
+        self,
+        target_id: str,
+        attempt_id: str,
+        *,
+        choice: Choice,
+        prompt: facts.Prompt | None,
+        now_ms: int,
+    ) -> None:
+        """Notes a dispatch."""
+        load = self._load_by_target[target_id]
+        load.own_running += 1
+        load.started_since_report += 1
+        if prompt is not None:
+            uncached = prompt.input_tokens - choice.cached_tokens
+            load.pending_ms_by_attempt[attempt_id] = (
+                uncached / PREFILL_TOKENS_PER_MS
+            )
+            blocks = [part.part_id for part in prompt.parts[:-1]]
+            self._prefixes.dispatched(target_id, blocks, now_ms)
+        self._breakers.probing(target_id, now_ms)
+
+    def first_byte(
+        self,
+        target_id: str,
+        attempt_id: str,
+        *,
+        took_ms: int,
+        predicted_ms: float,
+        now_ms: int,
+    ) -> None:
+        """Notes the first byte of a response, and how well it was predicted."""
+        self._load_by_target[target_id].pending_ms_by_attempt.pop(
+            attempt_id, None
+        )
+        self._latency.observed(
+            target_id, took_ms / max(10.0, predicted_ms), now_ms
+        )
+
+    def reported(
+        self, target_id: str, reported: facts.ReportedLoad, *, now_ms: int
+    ) -> None:
+        """Notes the load that a target told with a response."""
+        load = self._load_by_target[target_id]
+        load.reported = reported
+        load.reported_at_ms = now_ms
+        load.started_since_report = 0
+
+    def ended(self, target_id: str, attempt_id: str) -> None:
+        """Notes the end of a dispatch."""
+        load = self._load_by_target[target_id]
+        load.own_running = max(0, load.own_running - 1)
+        load.pending_ms_by_attempt.pop(attempt_id, None)
+
+    def succeeded(self, target_id: str) -> None:
+        """Notes a whole response."""
+        self._breakers.succeeded(target_id)
+
+    def failed(self, target_id: str, *, now_ms: int, failures: int = 1) -> None:
+        """Notes a failure of the target.
+
+        Args:
+            target_id: The target.
+            now_ms: The time.
+            failures: How many failures it counts as.
+        """
+        for _ in range(failures):
+            self._breakers.failed(target_id, now_ms)
+
+    def own_running(self, target_id: str) -> int:
+        """Returns how many requests of this instance the target has."""
+        return self._load_by_target[target_id].own_running
+
+    def forget(self, known: set[str]) -> None:
+        """Drops what is known of targets that are gone and idle."""
+        for target_id in list(self._load_by_target):
+            load = self._load_by_target[target_id]
+            if target_id not in known and not load.own_running:
+                del self._load_by_target[target_id]
+                self._prefixes.forget(target_id)
+
+    def __repr__(self) -> str:
+        return f"Placement(targets={len(self._load_by_target)})"
+
+
+def _preferred(
+    prompt: facts.Prompt | None,
+    usable: Sequence[targets_lib.RegisteredTarget],
+) -> targets_lib.RegisteredTarget | None:
+    """Returns the target on which all instances place this prompt first."""
+    if prompt is None or len(prompt.parts) < 2:
+        return None
+    by_id = {target.target_id: target for target in usable}
+    return by_id[hashing.rendezvous(prompt.parts[-2].part_id, by_id)[0]]
+
+
+def _ahead_ms(
+    target: targets_lib.RegisteredTarget,
+    load: _TargetLoad,
+    is_plain: bool,
+    now_ms: int,
+) -> float:
+    """Returns how long the work ahead of a new request takes."""
+    reported = load.reported
+    if reported is None or now_ms - load.reported_at_ms > REPORT_LIFETIME_MS:
+        running, waiting = load.own_running, 0
+    else:
+        running = reported.running + load.started_since_report
+        waiting = reported.waiting
+        running = max(running, load.own_running)
+    if is_plain:
+        return PLAIN_WORK_MS * (running + waiting) / target.slots
+    pending_ms = sum(load.pending_ms_by_attempt.values())
+    full_ms = WAITING_MS * max(0, running - target.slots)
+    return (
+        pending_ms
+        + waiting * WAITING_MS
+        + running * STEP_MS_PER_RUNNING
+        + full_ms
+    )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -0,0 +1,352 @@
+"""One gateway process: wires all parts, starts and stops them."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+
+from bambooglade.core import clock as clock_lib
+from bambooglade.core import event_log
+from bambooglade.discovery import codec as item_codec_lib
+from bambooglade.discovery import follower as follower_lib
+from bambooglade.discovery import peer_view
+from bambooglade.discovery import peers as peers_lib
+from bambooglade.discovery import registration as registration_lib
+from bambooglade.discovery import view as view_lib
+from bambooglade.eventloop import http_client
+from bambooglade.eventloop import http_server
+from bambooglade.eventloop import loop as loop_lib
+from bambooglade.eventloop import tasks
+from bambooglade.gateway import codec as header_codec_lib
+from bambooglade.gateway import context as context_lib
+from bambooglade.gateway import frontend as frontend_lib
+from bambooglade.gateway import peer_api
+from bambooglade.gateway import placement as placement_lib
+from bambooglade.gateway import settings as settings_lib
+from bambooglade.gateway import target_pool
+from bambooglade.http1 import messages
+from bambooglade.rights import keeper as keeper_lib
+from bambooglade.rights import lending
+from bambooglade.router import metrics as metrics_lib
+from bambooglade.store import contact as contact_lib
+from bambooglade.store import port
+
+UPKEEP_PAUSE_MS = 500
+"""Pause between two rounds of closing idle connections and the like."""
+
+BALANCER_NOTICE_MS = 2_500
+"""Time until the balancer sends no new connections: two misses at 1 s."""
+
+STOP_RESERVE_MS = 900
+"""Part of the stop bound that is kept for giving rights back."""
+
+STOP_POLL_MS = 50
+"""Time between two looks at whether all requests have ended."""
+
+
+class GatewayProcess:
+    """A gateway that serves callers.
+
+    Args:
+        settings: Settings of the process.
+        store: The key-value service, made for the loop and client given.
+        loop: The event loop.
+        client: Calls of store and peers.
+        item_codec: Decodes configuration and targets.
+        header_codec: Decodes headers.
+        log: The log.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.GatewaySettings,
+        *,
+        store: port.TransactionalStore,
+        loop: loop_lib.EventLoop,
+        client: http_client.HttpClient,
+        item_codec: item_codec_lib.ItemCodec,
+        header_codec: header_codec_lib.HeaderCodec,
+        log: event_log.EventLog,
+    ) -> None:
+        self.settings = settings
+        self.loop = loop
+        self._log = log
+        self._random = random.Random(os.urandom(8))
+        self._incarnation = f"{self._random.getrandbits(48):012x}"
+        self._is_draining = False
+        self._is_stopped = False
+        self._prepaid_by_team: dict[str, int] = {}
+        self._contact = contact_lib.Contact("store", log=log)
+        self.view = view_lib.FleetView(item_codec, log=log)
+        self._peers = peers_lib.PeerList(settings.instance)
+        self._own = peers_lib.Peer(
+            name=settings.instance,
+            incarnation=self._incarnation,
+            host=settings.peer_address[0],
+            port=settings.peer_address[1],
+            availability_zone=settings.availability_zone,
+        )
+        self.rights = self._rights_keeper(store, client)
+        self._metrics = metrics_lib.Metrics()
+        self._context = self._new_context(header_codec)
+        self._followers = self._new_followers(store, client, item_codec)
+        self._frontend: frontend_lib.Frontend | None = None
+        self._servers: list[http_server.HttpServer] = []
+
+    def _rights_keeper(
+        self, store: port.TransactionalStore, client: http_client.HttpClient
+    ) -> keeper_lib.RightsKeeper:
+        lenders = lending.Lenders(
+            self.loop,
+            client,
+            peers=self._known_peers,
+            own=self._own,
+            random_source=self._random,
+        )
+        return keeper_lib.RightsKeeper(
+            self.loop,
+            store,
+            lenders,
+            holder=f"{self.settings.instance}/{self._incarnation}",
+            prepaid_of=self._prepaid_of,
+            fleet_size=self._fleet_size,
+            contact=self._contact,
+            log=self._log,
+        )
+
+    def _new_context(
+        self, header_codec: header_codec_lib.HeaderCodec
+    ) -> context_lib.GatewayContext:
+        return context_lib.GatewayContext(
+            loop=self.loop,
+            settings=self.settings,
+            view=self.view,
+            codec=header_codec,
+            placement=placement_lib.Placement(self.settings.availability_zone),
+            pool=target_pool.TargetPool(
+                self.loop,
+                idle_timeout_of=lambda head: (
+                    header_codec.response_facts(head).idle_timeout_ms
+                ),
+            ),
+            rights=self.rights,
+            metrics=self._metrics,
+            log=self._log,
+            fleet_size=self._fleet_size,
+            random_source=self._random,
+        )
+
+    def _new_followers(
+        self,
+        store: port.TransactionalStore,
+        client: http_client.HttpClient,
+        item_codec: item_codec_lib.ItemCodec,
+    ):
+        follower = follower_lib.StoreFollower(
+            self.loop,
+            store,
+            self.view,
+            codec=item_codec,
+            contact=self._contact,
+            random_source=self._random,
+        )
+        registration = registration_lib.Registration(
+            self.loop,
+            store,
+            own=self._own,
+            peers=self._peers,
+            contact=self._contact,
+            random_source=self._random,
+        )
+        puller = peer_view.PeerPuller(
+            self.loop,
+            client,
+            self.view,
+            peers=self._peers,
+            own=self._own,
+            seeds=self.settings.seed_addresses,
+            contact=self._contact,
+            log=self._log,
+            random_source=self._random,
+        )
+        return follower, registration, puller
+
+    def _known_peers(self) -> list[peers_lib.Peer]:
+        return self._peers.all(now_ms=self.loop.now_ms())
+
+    def _fleet_size(self) -> int:
+        return self._peers.fleet_size(self.loop.now_ms())
+
+    def _prepaid_of(self, team: str) -> int | None:
+        configuration = self.view.configuration
+        if configuration is None or team not in configuration.team_by_name:
+            return None
+        return configuration.team_by_name[team].prepaid_tokens
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections should come here."""
+        return self.view.is_ready and not self._is_draining
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether a planned stop is complete."""
+        return self._is_stopped
+
+    def start(self) -> None:
+        """Listens, and starts to follow the store."""
+        settings = self.settings
+        api = peer_api.PeerApi(
+            view=self.view,
+            peers=self._peers,
+            own=self._own,
+            rights=self.rights,
+            log=self._log,
+            now_ms=self.loop.now_ms,
+        )
+        handler_by_address = {
+            settings.peer_address: api.answer,
+            settings.readiness_address: self._readiness,
+            settings.metrics_address: self._metrics_page,
+        }
+        self._servers = [
+            http_server.HttpServer(self.loop, address, handler)
+            for address, handler in handler_by_address.items()
+        ]
+        self._frontend = frontend_lib.Frontend(
+            self._context, settings.caller_address
+        )
+        for follower in self._followers:
+            follower.start()
+        self.loop.call_later(UPKEEP_PAUSE_MS, self._upkeep)
+        self._log.event(
+            "started",
+            incarnation=self._incarnation,
+            zone=settings.availability_zone,
+            callers=settings_lib.format_address(settings.caller_address),
+            store=settings_lib.format_address(settings.store_address),
+        )
+
+    def _readiness(self, request: messages.Request) -> http_server.Reply:
+        del request
+        return http_server.Reply(200 if self.is_ready else 503)
+
+    def _metrics_page(self, request: messages.Request) -> http_server.Reply:
+        del request
+        self._metrics.set_gauge(metrics_lib.INSTANCES, self._fleet_size())
+        rendered = self._metrics.render()
+        return http_server.Reply(200, rendered.body, rendered.content_type)
+
+    def _upkeep(self) -> None:
+        now_ms = self.loop.now_ms()
+        self.view.expire_lapsed(now_ms)
+        self._context.pool.close_idle(now_ms=now_ms)
+        self._context.placement.forget(set(self.view.target_by_id))
+        self._fill_stocks()
+        if not self._is_stopped:
+            self.loop.call_later(UPKEEP_PAUSE_MS, self._upkeep)
+
+    def _fill_stocks(self) -> None:
+        """Draws rights for teams that are new or whose budget changed."""
+        configuration = self.view.configuration
+        if configuration is None or self._contact.is_lost or self._is_draining:
+            return
+        changed = [
+            team.name
+            for team in configuration.team_by_name.values()
+            if team.prepaid_tokens is not None
+            and self._prepaid_by_team.get(team.name) != team.prepaid_tokens
+        ]
+        for team in changed:
+            self._prepaid_by_team[team] = self._prepaid_of(team)
+        self.rights.fill_stocks(changed)
+
+    def reload(self, settings: settings_lib.GatewaySettings) -> None:
+        """Takes new settings; addresses stay as they are until a restart."""
+        self._context.settings = settings
+        self._log.event("settings_reloaded", store=settings.store_address[0])
+
+    def stop(self) -> None:
+        """Starts a planned stop; requests that are under way are finished."""
+        if self._is_draining:
+            return
+        self._is_draining = True
+        self._log.event("stopping", requests=self._frontend.active_requests)
+        self._frontend.drain()
+        tasks.spawn(self._stop())
+
+    def _stop(self) -> tasks.Task:
+        started_ms = self.loop.now_ms()
+        notice_ms = min(BALANCER_NOTICE_MS, self.settings.stop_bound_ms // 2)
+        bound_ms = self.settings.stop_bound_ms - STOP_RESERVE_MS
+        yield tasks.sleep(self.loop, notice_ms)
+        while self._frontend.active_requests:
+            if self.loop.now_ms() - started_ms >= bound_ms:
+                break
+            self._frontend.close_idle()
+            yield tasks.sleep(self.loop, STOP_POLL_MS)
+        left = self._frontend.active_requests
+        self._frontend.close()
+        yield self.rights.give_back()
+        for follower in self._followers:
+            follower.stop()
+        yield tasks.sleep(self.loop, STOP_POLL_MS)
+        self._log.event(
+            "stopped",
+            cut_requests=left,
+            took_ms=self.loop.now_ms() - started_ms,
+        )
+        self._is_stopped = True
+
+    def close(self) -> None:
+        """Closes what is left, without waiting."""
+        self._is_stopped = True
+        for follower in self._followers:
+            follower.stop()
+        self._frontend.close()
+        for server in self._servers:
+            server.close()
+
+    def __repr__(self) -> str:
+        return f"GatewayProcess({self.settings.instance!r})"
+
+
+class SignalWakeup:
+    """Runs callbacks on the event loop when signals arrive.
+
+    Args:
+        loop: The event loop.
+        callback_by_signal: What each signal calls.
+    """
+
+    __slots__ = ("_callback_by_signal", "_pipe")
+
+    def __init__(self, loop: loop_lib.EventLoop, callback_by_signal) -> None:
+        self._callback_by_signal = callback_by_signal
+        reader, writer = os.pipe()
+        os.set_blocking(reader, False)
+        os.set_blocking(writer, False)
+        self._pipe = reader, writer
+        for signal_number in callback_by_signal:
+            signal.signal(signal_number, lambda *_: None)
+        signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
+        loop.watch(reader, loop_lib.READ, self._arrived)
+
+    def _arrived(self, events: int) -> None:
+        del events
+        for signal_number in os.read(self._pipe[0], 64):
+            callback = self._callback_by_signal.get(signal_number)
+            if callback is not None:
+                callback()
+
+
+def new_log(
+    clock: clock_lib.Clock, settings: settings_lib.GatewaySettings
+) -> event_log.EventLog:
+    """Returns the log of a process, on standard output."""
+    return event_log.EventLog(
+        clock,
+        instance=settings.instance,
+        descriptor=event_log.STANDARD_OUTPUT,
+    )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 messages: strict parsing and encoding, without I/O."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/http1/response_parser.py
@@ -0,0 +1,172 @@
+"""Parses the response to one request, part by part."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import enum
+
+import httptools
+
+from bambooglade.http1 import messages
+
+_FIRST_FINAL_STATUS = 200
+_WITHOUT_BODY = (204, 304)
+
+
+class ResponseState(enum.Enum):
+    """How far a response has been read."""
+
+    HEAD = enum.auto()
+    BODY = enum.auto()
+    COMPLETE = enum.auto()
+    MALFORMED = enum.auto()
+
+
+class ResponseParser:
+    r"""Reads one response; interim and foreign responses are skipped.
+
+    Attributes:
+        state: How far the response has been read.
+        head: Status and fields; None until they were read.
+        has_extra_bytes: Whether bytes followed the end of the response; they
+            belong to no request.
+        skipped: Responses before this one that belonged to other requests.
+
+    Args:
+        is_bodiless: Whether the request has the method HEAD.
+        is_expected: Tells from the head whether the response belongs to the
+            request; a target may send a late one that does not.
+
+    Examples:
+        >>> parser = ResponseParser()
+        >>> parser.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        b'ok'
+        >>> parser.state
+        <ResponseState.COMPLETE: 3>
+    """
+
+    __slots__ = (
+        "_body",
+        "_fields",
+        "_is_bodiless",
+        "_is_expected",
+        "_is_skipping",
+        "_parser",
+        "has_extra_bytes",
+        "head",
+        "skipped",
+        "state",
+    )
+
+    def __init__(
+        self,
+        *,
+        is_bodiless: bool = False,
+        is_expected: Callable[[messages.Head], bool] | None = None,
+    ) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._is_bodiless = is_bodiless
+        self._is_expected = is_expected
+        self._is_skipping = False
+        self._fields: messages.HeaderFields = []
+        self._body: list[bytes] = []
+        self.head: messages.ResponseHead | None = None
+        self.state = ResponseState.HEAD
+        self.has_extra_bytes = False
+        self.skipped = 0
+
+    def feed(self, data: bytes) -> bytes:
+        """Takes the next bytes; returns those of the body."""
+        if self.state is ResponseState.COMPLETE:
+            self.has_extra_bytes = True
+            return b""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._failed()
+        body = b"".join(self._body)
+        self._body.clear()
+        return body
+
+    def _failed(self) -> None:
+        if self.state is ResponseState.COMPLETE:
+            self.has_extra_bytes = True
+        else:
+            self.state = ResponseState.MALFORMED
+
+    def ended(self, *, is_clean: bool) -> None:
+        """Takes the end of the connection.
+
+        A body without a length is complete only if the connection was closed
+        in order.
+        """
+        if self.state is ResponseState.COMPLETE:
+            return
+        is_whole = (
+            is_clean
+            and self.head is not None
+            and self.head.framing is messages.Framing.UNTIL_CLOSE
+        )
+        self.state = (
+            ResponseState.COMPLETE if is_whole else ResponseState.MALFORMED
+        )
+
+    def on_message_begin(self) -> None:
+        """Starts a response; a second one belongs to no request."""
+        if self.state is ResponseState.COMPLETE:
+            self.has_extra_bytes = True
+        self._fields = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a field; those after the body are dropped."""
+        if self.state is ResponseState.HEAD:
+            self._fields.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Takes the end of the head."""
+        status = self._parser.get_status_code()
+        if self.state is not ResponseState.HEAD or status < _FIRST_FINAL_STATUS:
+            return
+        if self._is_foreign():
+            self._is_skipping = True
+            return
+        self.head = messages.ResponseHead(
+            status=status,
+            fields=self._fields,
+            framing=self._framing(status),
+            is_persistent=self._parser.should_keep_alive(),
+        )
+        self.state = ResponseState.BODY
+        if self._is_bodiless:
+            self.state = ResponseState.COMPLETE
+
+    def _is_foreign(self) -> bool:
+        if self._is_expected is None:
+            return False
+        return not self._is_expected(messages.Head(self._fields))
+
+    def _framing(self, status: int) -> messages.Framing:
+        head = messages.Head(self._fields)
+        if self._is_bodiless or status in _WITHOUT_BODY:
+            return messages.Framing.NONE
+        if head.has(b"transfer-encoding"):
+            return messages.Framing.CHUNKED
+        if head.has(b"content-length"):
+            return messages.Framing.LENGTH
+        return messages.Framing.UNTIL_CLOSE
+
+    def on_body(self, data: bytes) -> None:
+        """Takes a part of the body."""
+        if self.state is ResponseState.BODY:
+            self._body.append(bytes(data))
+
+    def on_message_complete(self) -> None:
+        """Takes the end of the response."""
+        if self._is_skipping:
+            self._is_skipping = False
+            self.skipped += 1
+        elif self.state is ResponseState.BODY:
+            self.state = ResponseState.COMPLETE
+
+    def __repr__(self) -> str:
+        return f"ResponseParser(state={self.state.name})"
--- /dev/null
+++ b/packages/bambooglade/bambooglade/platform/gateway_main.py
@@ -0,0 +1,95 @@
+"""Starts a gateway on the users' platform."""
+
+from __future__ import annotations
+
+import signal
+import sys
+
+from bambooglade.core import clock as clock_lib
+from bambooglade.eventloop import http_client
+from bambooglade.eventloop import loop as loop_lib
+from bambooglade.gateway import process as process_lib
+from bambooglade.gateway import settings as settings_lib
+from bambooglade.platform import codec
+from bambooglade.platform import headers
+from bambooglade.platform import node_file
+from bambooglade.platform import store
+
+EXIT_SETTINGS_INVALID = 2
+
+SETTINGS_POLL_MS = 2_000
+"""Time between two looks at the settings file; it may change unannounced."""
+
+
+def main() -> int:
+    """Runs a gateway until it is told to stop; returns the exit status."""
+    path = node_file.path()
+    try:
+        text = path.read_bytes()
+        settings = node_file.decode(text)
+    except (OSError, settings_lib.InvalidSettingsError) as error:
+        print(f"{path}: {error}", file=sys.stderr)
+        return EXIT_SETTINGS_INVALID
+    loop = loop_lib.EventLoop(clock_lib.Clock())
+    log = process_lib.new_log(loop.clock, settings)
+    client = http_client.HttpClient(loop)
+    process = process_lib.GatewayProcess(
+        settings,
+        store=store.PlatformStore(
+            client=client, address=settings.store_address, log=log
+        ),
+        loop=loop,
+        client=client,
+        item_codec=codec.PlatformCodec(),
+        header_codec=headers,
+        log=log,
+    )
+    reloader = _Reloader(process, loop, log, text)
+    process_lib.SignalWakeup(
+        loop,
+        {
+            signal.SIGTERM: process.stop,
+            signal.SIGINT: process.stop,
+            signal.SIGHUP: reloader.reload,
+        },
+    )
+    process.start()
+    reloader.poll()
+    loop.run(until=lambda: process.is_stopped)
+    return 0
+
+
+class _Reloader:
+    """Takes the settings file anew when its contents have changed."""
+
+    __slots__ = ("_log", "_loop", "_process", "_text")
+
+    def __init__(self, process, loop, log, text: bytes) -> None:
+        self._process = process
+        self._loop = loop
+        self._log = log
+        self._text = text
+
+    def poll(self) -> None:
+        """Looks at the file now and then."""
+        self.reload()
+        self._loop.call_later(SETTINGS_POLL_MS, self.poll)
+
+    def reload(self) -> None:
+        """Takes the file if it has changed; a wrong one is logged."""
+        try:
+            text = node_file.path().read_bytes()
+            if text == self._text:
+                return
+            self._text = text
+            self._process.reload(node_file.decode(text))
+        except (OSError, settings_lib.InvalidSettingsError) as error:
+            self._log.event(
+                "settings_malformed",
+                error=error,
+                remedy="the last good settings stay in force",
+            )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/bambooglade/bambooglade/platform/node_file.py
@@ -0,0 +1,90 @@
+"""Decodes the settings file that the users' platform writes for a process."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+
+import msgspec
+
+from bambooglade.gateway import settings
+
+PATH_VARIABLE = "BAMBOOGLADE_NODE_FILE"
+DEFAULT_PATH = "/etc/bambooglade/node.toml"
+
+
+class _Listen(msgspec.Struct, rename="camel"):
+    frontend: str = ""
+    readiness: str = ""
+    # The instances' own API; nothing of the platform calls it.
+    control_plane: str = ""
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+    memory_mb: float = 300
+    max_fds: int = 1_024
+
+
+class _Bounds(msgspec.Struct, frozen=True, rename="camel"):
+    grace_s: float = 8
+    drain_ms: float = 2_000
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10
+    retry_budget_slack: float = 50
+
+
+class _Platform(msgspec.Struct, rename="camel"):
+    address: str
+    writes_per_s: float = 400
+    reads_per_s: float = 2_000
+
+
+class _NodeFile(msgspec.Struct, rename="camel"):
+    node_name: str
+    ip: str
+    zone: str
+    listen: _Listen
+    platform: _Platform
+    seeds: list[str] = []
+    internal_port_range: list[int] = []
+    limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
+    heartbeat_ms: float = 1_200
+
+
+def path() -> pathlib.Path:
+    """Returns where the settings file lies."""
+    return pathlib.Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
+
+
+def decode(text: bytes) -> settings.GatewaySettings:
+    """Returns the settings; fields that are not known are ignored.
+
+    Args:
+        text: Contents of the file, TOML.
+
+    Raises:
+        settings.InvalidSettingsError: A field is missing or of another type;
+            the message names it.
+    """
+    try:
+        wire = msgspec.toml.decode(text, type=_NodeFile, strict=False)
+    except msgspec.DecodeError as error:
+        raise settings.InvalidSettingsError(
+            f"{error}; correct the field in the settings file"
+        ) from error
+    return settings.GatewaySettings(
+        instance=wire.node_name,
+        availability_zone=wire.zone,
+        caller_address=settings.parse_address(wire.listen.frontend),
+        readiness_address=settings.parse_address(wire.listen.readiness),
+        peer_address=settings.parse_address(wire.listen.control_plane),
+        metrics_address=(wire.ip, (wire.internal_port_range or [0])[0]),
+        store_address=settings.parse_address(wire.platform.address),
+        seed_addresses=[settings.parse_address(seed) for seed in wire.seeds],
+        stop_bound_ms=round(wire.bounds.grace_s * 1_000),
+        retry_ratio=wire.bounds.retry_budget_ratio,
+        retry_window_ms=round(wire.bounds.budget_window_s * 1_000),
+        retry_slack=wire.bounds.retry_budget_slack,
+        max_descriptors=wire.limits.max_fds,
+    )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/platform/operator_configuration.py
@@ -0,0 +1,161 @@
+"""Decodes the operator's configuration from the users' store.
+
+See Also:
+    bambooglade.gateway.configuration: what it is decoded into.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from bambooglade.gateway import configuration
+
+CONFIGURATION_KEY = "op/config"
+
+_KIND_BY_WORD = {
+    "safe": configuration.RouteKind.SAFE,
+    "unsafe": configuration.RouteKind.UNSAFE,
+    "streaming": configuration.RouteKind.STREAM,
+}
+
+
+class MalformedConfigurationError(ValueError):
+    """The bytes are no configuration; the last good one stays in force."""
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    hostname: str
+    path_prefix: str
+    route_type: str
+    timeout_ms: float
+    target_latency_ms: float = 1_000.0
+    service: str = ""
+    traffic_split: list[_Split] = []
+    priority: int = 5
+    max_attempts: int = 1
+    public: bool = False
+    # Not stickiness of callers: the requests declare prompts.
+    session_affinity: bool = False
+    stream_resumption: bool = False
+    target_gap_ms: float | None = None
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+    # Most output tokens of one event, not a step of an index.
+    stride: int = 1
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    max_connections: int = 64
+    engine: _Engine | None = None
+
+
+class _Team(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    prepaid: int | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Configuration(msgspec.Struct, rename="camel"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service] = []
+    tenants: list[_Team] = []
+    limits: _Limits = _Limits()
+
+
+_DECODER = msgspec.json.Decoder(_Configuration, strict=False)
+
+
+def decode(value: bytes) -> configuration.Configuration:
+    """Returns the configuration.
+
+    Args:
+        value: What lies under `CONFIGURATION_KEY`.
+
+    Raises:
+        MalformedConfigurationError: The value is not a configuration.
+    """
+    try:
+        wire = _DECODER.decode(value)
+        return configuration.Configuration(
+            version=wire.version,
+            routes=[_route(route) for route in wire.routes],
+            services=[_service(service) for service in wire.services],
+            teams=[_team(team) for team in wire.tenants],
+            limits=_limits(wire.limits),
+        )
+    except (msgspec.DecodeError, KeyError, UnicodeError) as error:
+        raise MalformedConfigurationError(str(error)) from error
+
+
+def _route(wire: _Route) -> configuration.Route:
+    splits = wire.traffic_split or [_Split(wire.service)]
+    return configuration.Route(
+        name=wire.name,
+        host=wire.hostname.lower().encode(),
+        path_prefix=wire.path_prefix.encode(),
+        kind=_KIND_BY_WORD[wire.route_type],
+        services=[
+            configuration.WeightedService(split.service, split.weight)
+            for split in splits
+        ],
+        timeout_ms=round(wire.timeout_ms),
+        target_latency_ms=round(wire.target_latency_ms),
+        priority=wire.priority,
+        max_attempts=wire.max_attempts,
+        is_public=wire.public,
+        has_prompt=wire.session_affinity,
+        is_resumable=wire.stream_resumption,
+        max_gap_ms=(
+            None if wire.target_gap_ms is None else round(wire.target_gap_ms)
+        ),
+    )
+
+
+def _service(wire: _Service) -> configuration.Service:
+    engine = None
+    if wire.engine is not None:
+        engine = configuration.EngineCapacity(
+            slots=wire.engine.slots,
+            cache_tokens=wire.engine.kv_capacity_tokens,
+            tokens_per_event=wire.engine.stride,
+        )
+    return configuration.Service(
+        name=wire.name, max_connections=wire.max_connections, engine=engine
+    )
+
+
+def _team(wire: _Team) -> configuration.Team:
+    return configuration.Team(
+        name=wire.name,
+        keys=[key.encode() for key in wire.api_keys],
+        priority=wire.priority,
+        prepaid_tokens=wire.prepaid,
+    )
+
+
+def _limits(wire: _Limits) -> configuration.ClientLimits:
+    return configuration.ClientLimits(
+        max_header_bytes=wire.max_header_bytes,
+        max_body_bytes=wire.max_body_bytes,
+        header_timeout_ms=round(wire.header_timeout_ms),
+        idle_timeout_ms=round(wire.idle_timeout_ms),
+    )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/platform/store.py
@@ -0,0 +1,292 @@
+"""Adapter to the users' metadata store.
+
+It translates calls and answers and decides nothing: no retries, no pacing.
+
+See Also:
+    bambooglade.store.port: the port that this adapter implements.
+"""
+
+from __future__ import annotations
+
+import base64
+from concurrent import futures
+from typing import TypeVar
+from urllib import parse
+
+import msgspec
+
+from bambooglade.core import event_log
+from bambooglade.eventloop import http_client
+from bambooglade.eventloop import tasks
+from bambooglade.store import port
+
+CALL_TIMEOUT_MS = 1_000
+"""Limit on one call; the service answers in milliseconds unless disturbed."""
+
+WATCH_GRACE_MS = 700
+"""Time that a watch may take beyond the time it asked to wait."""
+
+_OK = 200
+_NOT_FOUND = 404
+_HISTORY_LOST = 410
+_CONFLICTED = 412
+_FIRST_SERVER_ERROR = 500
+
+Wire = TypeVar("Wire")
+
+
+class _WireItem(msgspec.Struct):
+    key: str
+    revision: int = 0
+    value: str | None = None
+    deleted: bool = False
+
+
+class _WirePage(msgspec.Struct, rename="camel"):
+    entries: list[_WireItem] = []
+    has_more: bool = False
+    at: int = 0
+
+
+class _WireEvents(msgspec.Struct):
+    events: list[_WireItem] = []
+    at: int = 0
+
+
+class _WireConflict(msgspec.Struct):
+    entries: list[_WireItem] = []
+
+
+class _WireCommit(msgspec.Struct):
+    revision: int = 0
+
+
+class _WireLease(msgspec.Struct, rename="camel"):
+    ttl_ms: int
+    lease: int = 0
+
+
+class _WireCondition(msgspec.Struct):
+    key: str
+    revision: int
+
+
+class _WirePut(msgspec.Struct):
+    key: str
+    value: str
+    lease: int = 0
+
+
+class _WireTransaction(msgspec.Struct):
+    precondition: list[_WireCondition]
+    puts: list[_WirePut]
+    remove: list[str]
+
+
+class PlatformStore:
+    """Speaks to the store over HTTP with JSON bodies.
+
+    Args:
+        client: Sends the calls.
+        address: IP number and port of the store.
+        log: Told of answers that can't be decoded.
+    """
+
+    __slots__ = ("_address", "_client", "_log")
+
+    def __init__(
+        self,
+        *,
+        client: http_client.HttpClient,
+        address: tuple[str, int],
+        log: event_log.EventLog,
+    ) -> None:
+        self._client = client
+        self._address = address
+        self._log = log
+
+    def read(self, key: str) -> futures.Future:
+        """Reads one key; an absent one has revision 0."""
+
+        def decoded(response: http_client.Response) -> port.Answer:
+            if response.status == _NOT_FOUND:
+                return port.Item(key, None, 0)
+            return _item(self._decode(response, _WireItem))
+
+        target = "/v1/kv-key?" + parse.urlencode({"key": key})
+        return self._call("GET", target, decoded, accepts=(_NOT_FOUND,))
+
+    def read_prefix(
+        self, prefix: str, *, after_key: str = ""
+    ) -> futures.Future:
+        """Reads a page of the keys below a prefix."""
+
+        def decoded(response: http_client.Response) -> port.Answer:
+            page = self._decode(response, _WirePage)
+            return port.Items(
+                [_item(entry) for entry in page.entries],
+                at_revision=page.at,
+                has_more=page.has_more,
+            )
+
+        query = {"pathPrefix": prefix}
+        if after_key:
+            query["after"] = after_key
+        return self._call(
+            "GET", "/v1/kv-range?" + parse.urlencode(query), decoded
+        )
+
+    def watch(
+        self, prefix: str, *, after_revision: int, wait_ms: int
+    ) -> futures.Future:
+        """Waits for changes below a prefix."""
+
+        def decoded(response: http_client.Response) -> port.Answer:
+            if response.status == _HISTORY_LOST:
+                return port.HistoryLost()
+            events = self._decode(response, _WireEvents)
+            return port.Items(
+                [_item(event) for event in events.events],
+                at_revision=events.at,
+            )
+
+        query = {
+            "pathPrefix": prefix,
+            "after": after_revision,
+            "waitMs": wait_ms,
+        }
+        return self._call(
+            "GET",
+            "/v1/kv-watch?" + parse.urlencode(query),
+            decoded,
+            accepts=(_HISTORY_LOST,),
+            timeout_ms=wait_ms + WATCH_GRACE_MS,
+        )
+
+    def commit(
+        self, writes: list[port.Write], *, timeout_ms: int = CALL_TIMEOUT_MS
+    ) -> futures.Future:
+        """Carries out all writes, or none."""
+
+        def decoded(response: http_client.Response) -> port.Answer:
+            if response.status == _CONFLICTED:
+                conflict = self._decode(response, _WireConflict)
+                return port.Conflicted([_item(e) for e in conflict.entries])
+            if response.status == _NOT_FOUND:
+                return port.NotFound()
+            return port.Committed(self._decode(response, _WireCommit).revision)
+
+        return self._call(
+            "POST",
+            "/v1/kv-txn",
+            decoded,
+            body=msgspec.json.encode(_transaction(writes)),
+            accepts=(_CONFLICTED, _NOT_FOUND),
+            timeout_ms=timeout_ms,
+        )
+
+    def grant_lease(self, *, ttl_ms: int) -> futures.Future:
+        """Starts a lease."""
+
+        def decoded(response: http_client.Response) -> port.Answer:
+            lease = self._decode(response, _WireLease)
+            return port.LeaseGranted(lease.lease, lease.ttl_ms)
+
+        body = msgspec.json.encode({"ttlMs": ttl_ms})
+        return self._call("POST", "/v1/kv-lease", decoded, body=body)
+
+    def renew_lease(self, lease_id: int) -> futures.Future:
+        """Renews a lease."""
+        return self._lease_call("POST", f"/v1/kv-keep/{lease_id}")
+
+    def end_lease(self, lease_id: int) -> futures.Future:
+        """Ends a lease; its keys are removed."""
+        return self._lease_call("DELETE", f"/v1/kv-lease-end/{lease_id}")
+
+    def _lease_call(self, method: str, target: str) -> futures.Future:
+        def decoded(response: http_client.Response) -> port.Answer:
+            if response.status == _NOT_FOUND:
+                return port.NotFound()
+            return port.Committed()
+
+        return self._call(method, target, decoded, accepts=(_NOT_FOUND,))
+
+    def _call(
+        self,
+        method: str,
+        target: str,
+        decoded,
+        *,
+        body: bytes = b"",
+        accepts: tuple[int, ...] = (),
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> futures.Future:
+        answer: futures.Future = futures.Future()
+
+        def finish(done: futures.Future) -> None:
+            tasks.complete(
+                answer, self._answer(done.result(), decoded, accepts)
+            )
+
+        self._client.call(
+            self._address,
+            method=method,
+            target=target,
+            body=body,
+            timeout_ms=timeout_ms,
+        ).add_done_callback(finish)
+        return answer
+
+    def _answer(
+        self,
+        response: http_client.Response | None,
+        decoded,
+        accepts: tuple[int, ...],
+    ) -> port.Answer:
+        if response is None:
+            return port.Unanswered()
+        if response.status != _OK and response.status not in accepts:
+            return port.Refused(response.status)
+        try:
+            return decoded(response)
+        except (msgspec.DecodeError, ValueError) as error:
+            self._log.event(
+                "store_answer_malformed",
+                status=response.status,
+                error=error,
+            )
+            return port.Unanswered()
+
+    def _decode(
+        self, response: http_client.Response, wire_type: type[Wire]
+    ) -> Wire:
+        return msgspec.json.decode(response.body, type=wire_type)
+
+    def __repr__(self) -> str:
+        return f"PlatformStore(address={self._address})"
+
+
+def _item(wire: _WireItem) -> port.Item:
+    if wire.deleted or wire.value is None:
+        return port.Item(wire.key, None, wire.revision)
+    return port.Item(wire.key, base64.b64decode(wire.value), wire.revision)
+
+
+def _transaction(writes: list[port.Write]) -> _WireTransaction:
+    return _WireTransaction(
+        precondition=[
+            _WireCondition(write.key, write.expected_revision)
+            for write in writes
+            if write.expected_revision is not None
+        ],
+        puts=[
+            _WirePut(
+                write.key,
+                base64.b64encode(write.value).decode(),
+                write.lease_id,
+            )
+            for write in writes
+            if write.value is not None
+        ],
+        remove=[write.key for write in writes if write.value is None],
+    )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/rights/__init__.py
@@ -0,0 +1,1 @@
+"""Spending rights of one instance: draws, loans and reservations."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/rights/account.py
@@ -0,0 +1,148 @@
+"""Rights of one instance to spend of one team's budget; pure."""
+
+from __future__ import annotations
+
+import math
+
+DEMAND_HALF_LIFE_MS = 8_000
+"""Time after which demand counts half; about as long as an outage."""
+
+HORIZON_MS = 10_000
+"""Demand that the stock should cover; outages of the store last 8 to 9 s."""
+
+_MS_PER_S = 1_000
+
+
+class Account:
+    """What an instance may spend of a budget, and what it spent.
+
+        available = granted + borrowed - lent - reserved - spent
+
+    All amounts are tokens and never decrease, but for reservations.
+
+    Attributes:
+        granted_tokens: Granted by the ledger, as far as that is confirmed.
+        borrowed_tokens: Got from peers.
+        lent_tokens: Given to peers.
+        reserved_tokens: Upper bounds of requests that have not ended.
+        spent_tokens: Used by requests that have ended.
+        is_closed: Whether the rest was given back; nothing may be reserved.
+
+    Examples:
+        >>> account = Account()
+        >>> account.grant_total(100)
+        >>> account.reserve("r1", 60, now_ms=0), account.reserve("r2", 60,
+        ...     now_ms=0)
+        (True, False)
+        >>> account.settle("r1", 10)
+        >>> account.available_tokens
+        90
+    """
+
+    __slots__ = (
+        "_demand_tokens",
+        "_demand_updated_ms",
+        "_largest_tokens",
+        "_reserved_by_request",
+        "borrowed_tokens",
+        "granted_tokens",
+        "is_closed",
+        "lent_tokens",
+        "reserved_tokens",
+        "spent_tokens",
+    )
+
+    def __init__(self) -> None:
+        self.granted_tokens = 0
+        self.borrowed_tokens = 0
+        self.lent_tokens = 0
+        self.reserved_tokens = 0
+        self.spent_tokens = 0
+        self.is_closed = False
+        self._reserved_by_request: dict[str, int] = {}
+        self._demand_tokens = 0.0
+        self._demand_updated_ms = 0
+        self._largest_tokens = 0.0
+
+    @property
+    def available_tokens(self) -> int:
+        """Rights that are neither used nor reserved."""
+        if self.is_closed:
+            return 0
+        held = self.granted_tokens + self.borrowed_tokens
+        return (
+            held - self.lent_tokens - self.reserved_tokens - self.spent_tokens
+        )
+
+    @property
+    def used_tokens(self) -> int:
+        """What the ledger has to keep once this account is closed."""
+        return self.spent_tokens + self.lent_tokens - self.borrowed_tokens
+
+    @property
+    def open_requests(self) -> int:
+        """Number of requests that have not ended."""
+        return len(self._reserved_by_request)
+
+    def grant_total(self, tokens: int) -> None:
+        """Notes the total that the ledger grants; it only grows here."""
+        self.granted_tokens = max(self.granted_tokens, tokens)
+
+    def reserve(self, request_id: str, tokens: int, *, now_ms: int) -> bool:
+        """Reserves the upper bound of a request; False if it does not fit."""
+        if tokens > self.available_tokens:
+            return False
+        self._reserved_by_request[request_id] = tokens
+        self.reserved_tokens += tokens
+        self._note_demand(tokens, now_ms)
+        return True
+
+    def settle(self, request_id: str, spent_tokens: int) -> None:
+        """Ends a request; doing so again has no effect.
+
+        Args:
+            request_id: The request.
+            spent_tokens: What it used; 0 if it did not run.
+        """
+        reserved = self._reserved_by_request.pop(request_id, None)
+        if reserved is not None:
+            self.reserved_tokens -= reserved
+            self.spent_tokens += min(spent_tokens, reserved)
+
+    def lend(self, wanted_tokens: int) -> int:
+        """Gives rights to a peer; returns how many.
+
+        All that is wanted is given if it is there, else all that is there:
+        a request that waits goes before requests that may come.
+        """
+        lent = max(0, min(wanted_tokens, self.available_tokens))
+        self.lent_tokens += lent
+        return lent
+
+    def borrow(self, tokens: int) -> None:
+        """Takes rights that a peer has given."""
+        self.borrowed_tokens += tokens
+
+    def close(self) -> None:
+        """Ends the use of these rights."""
+        self.is_closed = True
+
+    def wanted_stock_tokens(self, now_ms: int) -> int:
+        """Returns how much should be available, by the recent demand."""
+        per_ms = self._faded_demand(now_ms) * math.log(2) / DEMAND_HALF_LIFE_MS
+        return round(per_ms * HORIZON_MS + self._largest_tokens)
+
+    def _note_demand(self, tokens: int, now_ms: int) -> None:
+        self._demand_tokens = self._faded_demand(now_ms) + tokens
+        self._demand_updated_ms = now_ms
+        self._largest_tokens = max(self._largest_tokens * 0.9, tokens)
+
+    def _faded_demand(self, now_ms: int) -> float:
+        age_ms = max(0, now_ms - self._demand_updated_ms)
+        return self._demand_tokens * math.exp2(-age_ms / DEMAND_HALF_LIFE_MS)
+
+    def __repr__(self) -> str:
+        return (
+            f"Account(available={self.available_tokens},"
+            f" reserved={self.reserved_tokens}, spent={self.spent_tokens})"
+        )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/rights/ledger.py
@@ -0,0 +1,98 @@
+"""The record of what a team's budget was handed out to; pure.
+
+One record a team lies in the store. Its total never exceeds what the team
+prepaid, so that instances that spend only what the record grants them can't
+overspend together, whatever else fails.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+KEY_PREFIX = "bambooglade/rights/"
+
+
+class MalformedLedgerError(ValueError):
+    """The record can't be read; no rights are taken from it."""
+
+
+class Ledger(msgspec.Struct, frozen=True):
+    """Rights that were handed out of one budget, in tokens.
+
+    Attributes:
+        closed_tokens: Rights of instances that are gone; they stay used.
+        granted_by_holder: Rights of running instances, by holder.
+
+    Examples:
+        >>> ledger = Ledger().granting("a/1", 40).granting("b/1", 10)
+        >>> ledger.total_tokens
+        50
+        >>> ledger.closing("a/1", used_tokens=15).total_tokens
+        25
+    """
+
+    closed_tokens: int = 0
+    granted_by_holder: dict[str, int] = {}
+
+    @property
+    def total_tokens(self) -> int:
+        """Rights that can't be handed out any more."""
+        return self.closed_tokens + sum(self.granted_by_holder.values())
+
+    def granting(self, holder: str, tokens: int) -> Ledger:
+        """Returns the ledger with this much more granted to a holder.
+
+        Grants of earlier processes of the same instance are closed as used.
+
+        Args:
+            holder: `instance/incarnation`.
+            tokens: What is granted in addition.
+        """
+        instance = holder.partition("/")[0]
+        closed = self.closed_tokens
+        granted = {}
+        for other, amount in self.granted_by_holder.items():
+            if other != holder and other.partition("/")[0] == instance:
+                closed += amount
+            else:
+                granted[other] = amount
+        granted[holder] = granted.get(holder, 0) + tokens
+        return Ledger(closed, granted)
+
+    def closing(self, holder: str, *, used_tokens: int) -> Ledger:
+        """Returns the ledger after a holder gave back what it did not use.
+
+        Args:
+            holder: The holder that spends nothing from now on.
+            used_tokens: What it used; negative if it got more from peers than
+                it used itself.
+        """
+        granted = dict(self.granted_by_holder)
+        granted.pop(holder, None)
+        return Ledger(self.closed_tokens + used_tokens, granted)
+
+
+def key_of(team: str) -> str:
+    """Returns the key of a team's ledger."""
+    return KEY_PREFIX + team
+
+
+def encode(ledger: Ledger) -> bytes:
+    """Returns the stored form."""
+    return msgspec.json.encode(ledger)
+
+
+def decode(value: bytes | None) -> Ledger:
+    """Returns the ledger; an empty one where there is none.
+
+    Raises:
+        MalformedLedgerError: The bytes are no ledger.
+    """
+    if value is None:
+        return Ledger()
+    try:
+        return msgspec.json.decode(value, type=Ledger)
+    except msgspec.DecodeError as error:
+        raise MalformedLedgerError(
+            f"{error}; restore the record from its last good value"
+        ) from error
--- /dev/null
+++ b/packages/bambooglade/bambooglade/rights/lending.py
@@ -0,0 +1,206 @@
+"""Loans of rights between instances, while the store can't help.
+
+A lender lowers its own account before its answer leaves. A loan whose answer
+is lost is therefore stranded, and never spent twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent import futures
+import random
+
+import msgspec
+
+from bambooglade.discovery import peers as peers_lib
+from bambooglade.eventloop import http_client
+from bambooglade.eventloop import loop as loop_lib
+from bambooglade.eventloop import tasks
+
+LOAN_PATH = "/v1/loans"
+LOAN_TIMEOUT_MS = 250
+"""Limit on one request for a loan; peers answer within a few milliseconds."""
+
+ASKED_AT_ONCE = 3
+"""Peers that are asked together, so that a silent one costs little time."""
+
+MAX_ASKED = 12
+"""Peers that one request asks; more would flood a large fleet."""
+
+_OK = 200
+
+
+class LoanRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks a peer for rights.
+
+    Attributes:
+        team: Name of the team.
+        tokens: How many are wanted.
+        borrower: The peer that asks.
+    """
+
+    team: str
+    tokens: int
+    borrower: peers_lib.Peer
+
+
+class LoanAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """What the lender gave.
+
+    Attributes:
+        tokens: How many were given.
+        available_tokens: What the lender has left.
+    """
+
+    tokens: int
+    available_tokens: int
+
+
+class Loan:
+    """How a round of asking ended.
+
+    Attributes:
+        tokens: What was got in all.
+        asked: Number of peers that were asked.
+        answered: Number of peers that answered.
+        is_whole_fleet: Whether no peer was left out.
+    """
+
+    __slots__ = ("answered", "asked", "is_whole_fleet", "tokens")
+
+    def __init__(self) -> None:
+        self.tokens = 0
+        self.asked = 0
+        self.answered = 0
+        self.is_whole_fleet = False
+
+    @property
+    def all_answered(self) -> bool:
+        """Whether the whole fleet was asked and answered."""
+        return self.is_whole_fleet and self.answered == self.asked
+
+
+class Lenders:
+    """Asks peers for rights, those first that had most left.
+
+    Args:
+        loop: The event loop.
+        client: Calls the peers.
+        peers: Returns the peers that are known.
+        own: This instance, as peers know it.
+        random_source: Orders peers of which nothing is known.
+    """
+
+    __slots__ = (
+        "_available_by_team_and_peer",
+        "_client",
+        "_loop",
+        "_own",
+        "_peers",
+        "_random",
+    )
+
+    def __init__(
+        self,
+        loop: loop_lib.EventLoop,
+        client: http_client.HttpClient,
+        *,
+        peers: Callable[[], list[peers_lib.Peer]],
+        own: peers_lib.Peer,
+        random_source: random.Random,
+    ) -> None:
+        self._loop = loop
+        self._client = client
+        self._peers = peers
+        self._own = own
+        self._random = random_source
+        self._available_by_team_and_peer: dict[tuple[str, str], int] = {}
+
+    def borrow(
+        self, team: str, tokens: int, received: Callable[[int], None]
+    ) -> futures.Future:
+        """Asks peers until enough was got.
+
+        Args:
+            team: Name of the team.
+            tokens: How many rights are missing.
+            received: Takes what each peer gives.
+
+        Returns:
+            A future with a `Loan`.
+        """
+        return tasks.spawn(self._borrow(team, tokens, received))
+
+    def _borrow(
+        self, team: str, tokens: int, received: Callable[[int], None]
+    ) -> tasks.Task:
+        loan = Loan()
+        ranked = self._ranked(team)
+        asked = ranked[:MAX_ASKED]
+        loan.is_whole_fleet = len(asked) == len(ranked)
+        for first in range(0, len(asked), ASKED_AT_ONCE):
+            group = asked[first : first + ASKED_AT_ONCE]
+            missing = tokens - loan.tokens
+            answers = [(p, self._ask(p, team, missing)) for p in group]
+            loan.asked += len(answers)
+            for peer, future in answers:
+                answer = yield future
+                self._note(team, peer, answer, loan, received)
+            if loan.tokens >= tokens:
+                break
+        return loan
+
+    def _note(
+        self,
+        team: str,
+        peer: peers_lib.Peer,
+        answer: LoanAnswer | None,
+        loan: Loan,
+        received: Callable[[int], None],
+    ) -> None:
+        known = (team, peer.name)
+        if answer is None:
+            self._available_by_team_and_peer[known] = -1
+            return
+        loan.answered += 1
+        loan.tokens += answer.tokens
+        self._available_by_team_and_peer[known] = answer.available_tokens
+        if answer.tokens:
+            received(answer.tokens)
+
+    def _ranked(self, team: str) -> list[peers_lib.Peer]:
+        peers = list(self._peers())
+        self._random.shuffle(peers)
+        known = self._available_by_team_and_peer
+        peers.sort(key=lambda peer: -known.get((team, peer.name), 0))
+        return peers
+
+    def _ask(
+        self, peer: peers_lib.Peer, team: str, tokens: int
+    ) -> futures.Future:
+        answered: futures.Future = futures.Future()
+        request = LoanRequest(team=team, tokens=tokens, borrower=self._own)
+
+        def finish(done: futures.Future) -> None:
+            tasks.complete(answered, _decode(done.result()))
+
+        self._client.call(
+            peer.address,
+            method="POST",
+            target=LOAN_PATH,
+            body=msgspec.json.encode(request),
+            timeout_ms=LOAN_TIMEOUT_MS,
+        ).add_done_callback(finish)
+        return answered
+
+    def __repr__(self) -> str:
+        return f"Lenders(peers={len(self._peers())})"
+
+
+def _decode(response: http_client.Response | None) -> LoanAnswer | None:
+    if response is None or response.status != _OK:
+        return None
+    try:
+        return msgspec.json.decode(response.body, type=LoanAnswer)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/packages/bambooglade/bambooglade/rights/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `bambooglade.rights`."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/store/__init__.py
@@ -0,0 +1,1 @@
+"""Port to a transactional key-value service, and pacing of its calls."""
