Draw rights of many teams in one write; bound stocks by demand

Ruled out: marks in a record that a successor on the same machine trusts by the boot-time clock. Change: one write at a time carries the ledgers of all teams that are low; the stock is bounded by a share of the free budget. What tasks and callbacks raise is logged, and ends neither the process nor other requests.

--- a/packages/bambooglade/bambooglade/eventloop/loop.py
+++ b/packages/bambooglade/bambooglade/eventloop/loop.py
@@ -8,6 +8,8 @@
 import selectors
 import socket
 
+from absl import logging
+
 from bambooglade.core import clock as clock_lib
 
 READ = selectors.EVENT_READ
@@ -127,7 +129,7 @@
         for key, ready in self._selector.select(wait_ms / _MS_PER_S):
             current = self._selector.get_map().get(key.fd)
             if current is not None and current.data == key.data:
-                key.data(ready)
+                _call(key.data, ready)
         self._run_timers()
 
     def _next_timer_in_ms(self) -> int:
@@ -143,7 +145,7 @@
         while self._timers and self._timers[0][0] <= now_ms:
             due.append(heapq.heappop(self._timers)[2])
         for timer in due:
-            timer.run()
+            _call(timer.run)
 
     def close(self) -> None:
         """Releases the selector."""
@@ -151,3 +153,11 @@
 
     def __repr__(self) -> str:
         return f"EventLoop(timers={len(self._timers)})"
+
+
+def _call(callback: Callback, *arguments: object) -> None:
+    """Makes a call; a fault in one connection must not end the others."""
+    try:
+        callback(*arguments)
+    except Exception:  # noqa: BLE001 - a fault of any kind is told
+        logging.exception("event=callback_failed callback=%s", callback)
--- a/packages/bambooglade/bambooglade/eventloop/tasks.py
+++ b/packages/bambooglade/bambooglade/eventloop/tasks.py
@@ -7,6 +7,8 @@
 from typing import Any
 from typing import TypeAlias
 
+from absl import logging
+
 from bambooglade.eventloop import loop as loop_lib
 
 Task: TypeAlias = Generator[futures.Future, Any, Any]
@@ -15,6 +17,8 @@
 def spawn(task: Task) -> futures.Future:
     """Runs a task up to its first wait, and on as its futures complete.
 
+    What a task raises is logged, since nobody may be waiting for it.
+
     Returns:
         A future with what the task returns, or with what it raised.
 
@@ -53,7 +57,10 @@
         waited_for = task.send(value)
     except StopIteration as stopped:
         complete(done, stopped.value)
-        return
-    waited_for.add_done_callback(
-        lambda future: _advance(task, done, future.result())
-    )
+    except Exception as error:  # noqa: BLE001 - a fault of any kind is told
+        logging.exception("event=task_failed task=%s", task.__qualname__)
+        done.set_exception(error)
+    else:
+        waited_for.add_done_callback(
+            lambda future: _advance(task, done, future.result())
+        )
--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -140,9 +140,7 @@
         if outcome is keeper_lib.Reservation.RESERVED:
             self._dispatch()
             return
-        available = self._context.rights.account(
-            self._team.name
-        ).available_tokens
+        available = self._context.rights.available_tokens(self._team.name)
         bound = self._prompt.bound_tokens
         detail = f"{bound} tokens are needed, {available} are available here"
         if outcome is keeper_lib.Reservation.EXHAUSTED:
--- a/packages/bambooglade/bambooglade/gateway/peer_api.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_api.py
@@ -74,18 +74,16 @@
         request = msgspec.json.decode(body, type=lending.LoanRequest)
         self._peers.heard_of([request.borrower], now_ms=self._now_ms())
         lent = self._rights.lend(request.team, request.tokens)
-        account = self._rights.account(request.team)
+        available = self._rights.available_tokens(request.team)
         self._log.event(
             "rights_lent",
             team=request.team,
             borrower=request.borrower.name,
             wanted_tokens=request.tokens,
             lent_tokens=lent,
-            available_tokens=account.available_tokens,
-        )
-        return lending.LoanAnswer(
-            tokens=lent, available_tokens=account.available_tokens
+            available_tokens=available,
         )
+        return lending.LoanAnswer(tokens=lent, available_tokens=available)
 
     def __repr__(self) -> str:
         return f"PeerApi(view={self._view!r})"
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -108,7 +108,8 @@
             self.loop,
             store,
             lenders,
-            holder=f"{self.settings.instance}/{self._incarnation}",
+            place=f"{self.settings.instance}@{self.settings.peer_address[0]}",
+            incarnation=self._incarnation,
             prepaid_of=self._prepaid_of,
             fleet_size=self._fleet_size,
             contact=self._contact,
@@ -260,7 +261,8 @@
         ]
         for team in changed:
             self._prepaid_by_team[team] = self._prepaid_of(team)
-        self.rights.fill_stocks(changed)
+        self.rights.watch_teams(changed)
+        self.rights.tick()
 
     def reload(self, settings: settings_lib.GatewaySettings) -> None:
         """Takes new settings; addresses stay as they are until a restart."""
--- a/packages/bambooglade/bambooglade/rights/account.py
+++ b/packages/bambooglade/bambooglade/rights/account.py
@@ -7,18 +7,16 @@
 DEMAND_HALF_LIFE_MS = 8_000
 """Time after which demand counts half; about as long as an outage."""
 
-HORIZON_MS = 10_000
+STOCK_HORIZON_MS = 9_000
 """Demand that the stock should cover; outages of the store last 8 to 9 s."""
 
-_MS_PER_S = 1_000
-
 
 class Account:
     """What an instance may spend of a budget, and what it spent.
 
-        available = granted + borrowed - lent - reserved - spent
+        used = spent + reserved + lent - borrowed
 
-    All amounts are tokens and never decrease, but for reservations.
+    `used` never passes the grant. All amounts are tokens.
 
     Attributes:
         granted_tokens: Granted by the ledger, as far as that is confirmed.
@@ -31,7 +29,7 @@
     Examples:
         >>> account = Account()
         >>> account.grant_total(100)
-        >>> account.reserve("r1", 60, now_ms=0), account.reserve("r2", 60,
+            >>> account.reserve("r1", 60, now_ms=0), account.reserve("r2", 60,
         ...     now_ms=0)
         (True, False)
         >>> account.settle("r1", 10)
@@ -67,22 +65,17 @@
     @property
     def available_tokens(self) -> int:
         """Rights that are neither used nor reserved."""
-        if self.is_closed:
-            return 0
-        held = self.granted_tokens + self.borrowed_tokens
-        return (
-            held - self.lent_tokens - self.reserved_tokens - self.spent_tokens
-        )
+        return 0 if self.is_closed else self.granted_tokens - self.used_tokens
 
     @property
     def used_tokens(self) -> int:
-        """What the ledger has to keep once this account is closed."""
-        return self.spent_tokens + self.lent_tokens - self.borrowed_tokens
-
-    @property
-    def open_requests(self) -> int:
-        """Number of requests that have not ended."""
-        return len(self._reserved_by_request)
+        """What must not be handed out again, open requests at their most."""
+        return (
+            self.spent_tokens
+            + self.reserved_tokens
+            + self.lent_tokens
+            - self.borrowed_tokens
+        )
 
     def grant_total(self, tokens: int) -> None:
         """Notes the total that the ledger grants; it only grows here."""
@@ -127,10 +120,22 @@
         """Ends the use of these rights."""
         self.is_closed = True
 
-    def wanted_stock_tokens(self, now_ms: int) -> int:
-        """Returns how much should be available, by the recent demand."""
+    def wanted_stock_tokens(self, *, now_ms: int, fleet_size: int) -> int:
+        """Returns what should be available, by the recent demand.
+
+        Large requests are rare at one instance; the fleet keeps one in all,
+        and instances lend.
+
+        Args:
+            now_ms: The time.
+            fleet_size: Number of instances.
+        """
+        demand = self._demand_within(STOCK_HORIZON_MS, now_ms)
+        return round(demand + self._largest_tokens / fleet_size)
+
+    def _demand_within(self, horizon_ms: int, now_ms: int) -> float:
         per_ms = self._faded_demand(now_ms) * math.log(2) / DEMAND_HALF_LIFE_MS
-        return round(per_ms * HORIZON_MS + self._largest_tokens)
+        return per_ms * horizon_ms
 
     def _note_demand(self, tokens: int, now_ms: int) -> None:
         self._demand_tokens = self._faded_demand(now_ms) + tokens
@@ -143,6 +148,5 @@
 
     def __repr__(self) -> str:
         return (
-            f"Account(available={self.available_tokens},"
-            f" reserved={self.reserved_tokens}, spent={self.spent_tokens})"
+            f"Account(granted={self.granted_tokens}, used={self.used_tokens})"
         )
--- /dev/null
+++ b/packages/bambooglade/bambooglade/rights/bookkeeper.py
@@ -0,0 +1,366 @@
+"""Draws rights of one instance from the ledgers in the store.
+
+One write is under way at a time. It carries the ledgers of all teams that need
+more, all or nothing.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from concurrent import futures
+
+from bambooglade.core import event_log
+from bambooglade.eventloop import loop as loop_lib
+from bambooglade.eventloop import tasks
+from bambooglade.rights import account as account_lib
+from bambooglade.rights import ledger as ledger_lib
+from bambooglade.store import contact as contact_lib
+from bambooglade.store import port
+
+WRITE_TIMEOUT_MS = 600
+"""Limit on one write; a slow store takes some hundred milliseconds."""
+
+MAX_LEDGERS_PER_WRITE = 14
+"""Ledgers in one write; the store takes 32 conditions and values."""
+
+MAX_CONFLICTS = 8
+"""Conflicts with other instances before requests are told to wait."""
+
+MAX_STOCK_SHARE = 0.5
+"""Most of an equal share of the free budget that an instance holds unused.
+
+What all hold together has to last through an outage of the store; what an
+instance holds is lost when it dies.
+"""
+
+MIN_STOCK_SHARE = 0.15
+"""Least of an equal share of the free budget that is held without demand."""
+
+DRAW_PAUSE_MS = 1_000
+"""Pause between two draws of a team that only fill its stock."""
+
+REFILL_BELOW = 0.5
+"""Part of the wanted stock below which it is filled up."""
+
+
+class Bookkeeper:
+    """Keeps accounts supplied with rights.
+
+    Args:
+        loop: The event loop.
+        store: Where the ledgers lie.
+        place: `instance@address` of this instance; outlives the process.
+        incarnation: This process.
+        accounts: Accounts by team.
+        prepaid_of: Returns what a team prepaid, in tokens; None for no limit.
+        fleet_size: Returns the number of instances.
+        contact: Tells whether the store answers.
+        log: Told of writes.
+    """
+
+    def __init__(
+        self,
+        loop: loop_lib.EventLoop,
+        store: port.TransactionalStore,
+        *,
+        place: str,
+        incarnation: str,
+        accounts: dict[str, account_lib.Account],
+        prepaid_of: Callable[[str], int | None],
+        fleet_size: Callable[[], int],
+        contact: contact_lib.Contact,
+        log: event_log.EventLog,
+    ) -> None:
+        self._loop = loop
+        self._store = store
+        self._place = place
+        self._incarnation = incarnation
+        self._holder = f"{place}/{incarnation}"
+        self._account_by_team = accounts
+        self._prepaid_of = prepaid_of
+        self._fleet_size = fleet_size
+        self._contact = contact
+        self._log = log
+        self._ledger_item_by_team: dict[str, port.Item] = {}
+        self._free_by_team: dict[str, int] = {}
+        self._exhausted: set[str] = set()
+        self._needed_by_team: collections.Counter[str] = collections.Counter()
+        self._waiting: list[futures.Future] = []
+        self._drawn_at_ms_by_team: dict[str, int] = {}
+        self._is_writing = False
+        self._is_closed = False
+
+    def is_exhausted(self, team: str) -> bool:
+        """Returns whether the ledger had nothing left when last seen."""
+        return team in self._exhausted
+
+    def request(self, team: str, tokens: int) -> futures.Future:
+        """Asks for rights beyond what is available.
+
+        Args:
+            team: Name of the team.
+            tokens: Upper bound of the request that waits.
+
+        Returns:
+            A future that completes when a write has ended, whatever came of it.
+        """
+        done: futures.Future = futures.Future()
+        self._needed_by_team[team] += tokens
+        self._waiting.append(done)
+        self.wake()
+        return done
+
+    def wake(self) -> None:
+        """Writes soon, unless a write is under way or the store is away."""
+        if not self._is_writing and not self._is_closed:
+            self._is_writing = True
+            tasks.spawn(self._write_all())
+
+    def tick(self) -> None:
+        """Draws if a stock is low."""
+        if not self._contact.is_lost and self._low_stocks():
+            self.wake()
+
+    def watch_team(self, team: str) -> None:
+        """Starts to hold a stock for a team."""
+        _ = self._account_by_team[team]
+        self._exhausted.discard(team)
+        self._free_by_team.pop(team, None)
+
+    def _write_all(self) -> tasks.Task:
+        """Writes until no request waits."""
+        try:
+            yield tasks.sleep(self._loop, 0)
+            yield from self._write_round()
+            while self._waiting:
+                yield from self._write_round()
+        finally:
+            self._is_writing = False
+
+    def _write_round(self) -> tasks.Task:
+        waiting, self._waiting = self._waiting, []
+        needed = self._needed_by_team
+        self._needed_by_team = collections.Counter()
+        try:
+            if not self._contact.is_lost:
+                yield from self._write(needed)
+        finally:
+            for future in waiting:
+                tasks.complete(future, None)
+
+    def _write(self, needed: collections.Counter[str]) -> tasks.Task:
+        for _ in range(MAX_CONFLICTS):
+            teams = self._teams_to_draw(needed)[:MAX_LEDGERS_PER_WRITE]
+            is_read = yield from self._read_ledgers(teams)
+            if not is_read:
+                return
+            is_done = yield from self._commit(teams, needed)
+            if is_done:
+                return
+
+    def _read_ledgers(self, teams: list[str]) -> tasks.Task:
+        missing = [t for t in teams if t not in self._ledger_item_by_team]
+        reads = [self._store.read(ledger_lib.key_of(team)) for team in missing]
+        for team, future in zip(missing, reads, strict=True):
+            item = yield future
+            if not isinstance(item, port.Item):
+                self._note_failure("read ledger", item)
+                return False
+            self._ledger_item_by_team[team] = item
+        return True
+
+    def _low_stocks(self) -> list[str]:
+        now_ms = self._loop.now_ms()
+        return [
+            team
+            for team, account in self._account_by_team.items()
+            if team not in self._exhausted
+            and not account.is_closed
+            and now_ms - self._drawn_at_ms_by_team.get(team, 0) >= DRAW_PAUSE_MS
+            and (
+                team not in self._free_by_team
+                or account.available_tokens
+                < self._wanted_stock(team) * REFILL_BELOW
+            )
+        ]
+
+    def _teams_to_draw(self, needed: collections.Counter[str]) -> list[str]:
+        short = [
+            team
+            for team, tokens in needed.items()
+            if self._account_by_team[team].available_tokens < tokens
+        ]
+        return list(dict.fromkeys(short + self._low_stocks()))
+
+    def _wanted_stock(self, team: str) -> int:
+        """Returns how much should be available, in tokens."""
+        fleet_size = self._fleet_size()
+        share = self._free_by_team.get(team, 0) / fleet_size
+        by_demand = self._account_by_team[team].wanted_stock_tokens(
+            now_ms=self._loop.now_ms(), fleet_size=fleet_size
+        )
+        at_least, at_most = share * MIN_STOCK_SHARE, share * MAX_STOCK_SHARE
+        return round(max(at_least, min(by_demand, at_most)))
+
+    def _commit(
+        self, teams: list[str], needed: collections.Counter[str]
+    ) -> tasks.Task:
+        """Writes the ledgers; returns whether to leave it at that."""
+        ledger_by_team = {
+            team: ledger
+            for team in teams
+            if (ledger := self._drawn(team, needed[team])) is not None
+        }
+        if not ledger_by_team:
+            return True
+        writes = [
+            port.Write(
+                self._ledger_item_by_team[team].key,
+                ledger_lib.encode(ledger),
+                expected_revision=self._ledger_item_by_team[team].revision,
+            )
+            for team, ledger in ledger_by_team.items()
+        ]
+        answer = yield self._store.commit(writes, timeout_ms=WRITE_TIMEOUT_MS)
+        if isinstance(answer, port.Committed):
+            self._committed(writes, answer.revision, ledger_by_team)
+            return True
+        if isinstance(answer, port.Conflicted):
+            self._conflicted(answer)
+            return False
+        for team in ledger_by_team:
+            self._ledger_item_by_team.pop(team, None)
+        self._note_failure("write", answer)
+        return True
+
+    def _drawn(self, team: str, needed_tokens: int) -> ledger_lib.Ledger | None:
+        """Returns the ledger after a draw; None if it stays as it is."""
+        item = self._ledger_item_by_team[team]
+        self._drawn_at_ms_by_team[team] = self._loop.now_ms()
+        prepaid = self._prepaid_of(team)
+        try:
+            ledger = ledger_lib.decode(item.value)
+        except ledger_lib.MalformedLedgerError as error:
+            self._log.event("ledger_malformed", team=team, error=error)
+            prepaid = None
+        if prepaid is None:
+            self._free_by_team[team] = 0
+            return None
+        closed = self._without_predecessors(team, ledger)
+        account = self._account_by_team[team]
+        account.grant_total(closed.granted_by_holder.get(self._holder, 0))
+        free_tokens = prepaid - closed.total_tokens
+        self._free_by_team[team] = free_tokens
+        tokens = self._draw_size(team, free_tokens, needed_tokens)
+        if free_tokens <= 0:
+            self._exhausted.add(team)
+        else:
+            self._exhausted.discard(team)
+        if tokens <= 0 and closed == ledger:
+            return None
+        return closed.granting(self._holder, max(0, tokens))
+
+    def _without_predecessors(
+        self, team: str, ledger: ledger_lib.Ledger
+    ) -> ledger_lib.Ledger:
+        """Closes what earlier processes of this place held, all as used."""
+        for holder in ledger.holders_at(self._place):
+            if holder == self._holder:
+                continue
+            used = ledger.granted_by_holder[holder]
+            self._log.event(
+                "predecessor_closed",
+                team=team,
+                holder=holder,
+                used_tokens=used,
+            )
+            ledger = ledger.closing(holder, used_tokens=used)
+        return ledger
+
+    def _draw_size(
+        self, team: str, free_tokens: int, needed_tokens: int
+    ) -> int:
+        """Returns how much to draw, in tokens; 0 for nothing."""
+        account = self._account_by_team[team]
+        wanted = max(needed_tokens, self._wanted_stock(team))
+        return max(0, min(free_tokens, wanted - account.available_tokens))
+
+    def _committed(
+        self,
+        writes: list[port.Write],
+        revision: int,
+        ledger_by_team: dict[str, ledger_lib.Ledger],
+    ) -> None:
+        for write in writes:
+            team = ledger_lib.team_of(write.key)
+            self._ledger_item_by_team[team] = port.Item(
+                write.key, write.value, revision
+            )
+            account = self._account_by_team[team]
+            before = account.granted_tokens
+            granted = ledger_by_team[team].granted_by_holder[self._holder]
+            account.grant_total(granted)
+            self._log.event(
+                "rights_drawn",
+                team=team,
+                tokens=granted - before,
+                granted_tokens=granted,
+                ledger_tokens=ledger_by_team[team].total_tokens,
+                free_tokens=self._free_by_team.get(team),
+                revision=revision,
+            )
+
+    def _conflicted(self, answer: port.Conflicted) -> None:
+        for item in answer.items:
+            self._ledger_item_by_team[ledger_lib.team_of(item.key)] = item
+
+    def close(self) -> futures.Future:
+        """Gives back what was not used; nothing may be reserved after it."""
+        for account in self._account_by_team.values():
+            account.close()
+        self._is_closed = True
+        return tasks.spawn(self._close())
+
+    def _close(self) -> tasks.Task:
+        held = [t for t, a in self._account_by_team.items() if a.granted_tokens]
+        for first in range(0, len(held), MAX_LEDGERS_PER_WRITE):
+            teams = held[first : first + MAX_LEDGERS_PER_WRITE]
+            for _ in range(MAX_CONFLICTS):
+                is_read = yield from self._read_ledgers(teams)
+                if not is_read:
+                    return
+                answer = yield self._store.commit(
+                    list(self._closing_writes(teams)),
+                    timeout_ms=WRITE_TIMEOUT_MS,
+                )
+                if not isinstance(answer, port.Conflicted):
+                    self._log.event(
+                        "rights_returned",
+                        teams=len(teams),
+                        answer=type(answer).__name__,
+                    )
+                    break
+                self._conflicted(answer)
+
+    def _closing_writes(self, teams: list[str]):
+        for team in teams:
+            item = self._ledger_item_by_team[team]
+            ledger = ledger_lib.decode(item.value)
+            if self._holder not in ledger.granted_by_holder:
+                continue
+            used = self._account_by_team[team].used_tokens
+            closed = ledger.closing(self._holder, used_tokens=used)
+            yield port.Write(
+                item.key,
+                ledger_lib.encode(closed),
+                expected_revision=item.revision,
+            )
+
+    def _note_failure(self, call: str, answer: port.Answer) -> None:
+        self._log.event(
+            "ledger_unreachable", call=call, answer=type(answer).__name__
+        )
+
+    def __repr__(self) -> str:
+        return f"Bookkeeper(holder={self._holder!r})"
--- a/packages/bambooglade/bambooglade/rights/ledger.py
+++ b/packages/bambooglade/bambooglade/rights/ledger.py
@@ -20,8 +20,8 @@
     """Rights that were handed out of one budget, in tokens.
 
     Attributes:
-        closed_tokens: Rights of instances that are gone; they stay used.
-        granted_by_holder: Rights of running instances, by holder.
+        closed_tokens: What holders that are gone have used.
+        granted_by_holder: Rights of running holders, by `place/incarnation`.
 
     Examples:
         >>> ledger = Ledger().granting("a/1", 40).granting("b/1", 10)
@@ -40,24 +40,10 @@
         return self.closed_tokens + sum(self.granted_by_holder.values())
 
     def granting(self, holder: str, tokens: int) -> Ledger:
-        """Returns the ledger with this much more granted to a holder.
-
-        Grants of earlier processes of the same instance are closed as used.
-
-        Args:
-            holder: `instance/incarnation`.
-            tokens: What is granted in addition.
-        """
-        instance = holder.partition("/")[0]
-        closed = self.closed_tokens
-        granted = {}
-        for other, amount in self.granted_by_holder.items():
-            if other != holder and other.partition("/")[0] == instance:
-                closed += amount
-            else:
-                granted[other] = amount
+        """Returns the ledger with this much more granted to a holder."""
+        granted = dict(self.granted_by_holder)
         granted[holder] = granted.get(holder, 0) + tokens
-        return Ledger(closed, granted)
+        return Ledger(self.closed_tokens, granted)
 
     def closing(self, holder: str, *, used_tokens: int) -> Ledger:
         """Returns the ledger after a holder gave back what it did not use.
@@ -71,12 +57,22 @@
         granted.pop(holder, None)
         return Ledger(self.closed_tokens + used_tokens, granted)
 
+    def holders_at(self, place: str) -> list[str]:
+        """Returns the holders of a place, this and earlier ones."""
+        prefix = place + "/"
+        return [h for h in self.granted_by_holder if h.startswith(prefix)]
+
 
 def key_of(team: str) -> str:
     """Returns the key of a team's ledger."""
     return KEY_PREFIX + team
 
 
+def team_of(key: str) -> str:
+    """Returns the team of a ledger's key."""
+    return key.removeprefix(KEY_PREFIX)
+
+
 def encode(ledger: Ledger) -> bytes:
     """Returns the stored form."""
     return msgspec.json.encode(ledger)
