Estimate demand without bias, refill stocks early, send callers back later

The mean of the demand started at zero, so that six seconds of traffic counted as two fifths of it; stocks were filled up only when half empty; and callers came back after a second, in the middle of an outage of eight. Change: the mean is corrected for its age; refill below 0.8 of the wanted stock, capped at 0.6 of an equal share; four seconds to return in an outage. Conclusion: what is left in an outage is what the cap leaves in the ledger.

--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -152,7 +152,7 @@
                 refusals.Refusal(
                     refusals.Kind.RIGHTS_UNREACHABLE,
                     detail,
-                    retry_after_ms=self._spread(refusals.RETRY_LATER_MS),
+                    retry_after_ms=self._spread(refusals.RETRY_AFTER_OUTAGE_MS),
                 )
             )
 
--- a/packages/bambooglade/bambooglade/gateway/refusals.py
+++ b/packages/bambooglade/bambooglade/gateway/refusals.py
@@ -16,6 +16,9 @@
 RETRY_LATER_MS = 1_000
 """When to come back while something is out of reach."""
 
+RETRY_AFTER_OUTAGE_MS = 4_000
+"""When to come back while rights wait for the store: half a usual outage."""
+
 _MS_PER_S = 1_000
 
 
--- a/packages/bambooglade/bambooglade/rights/account.py
+++ b/packages/bambooglade/bambooglade/rights/account.py
@@ -7,6 +7,12 @@
 DEMAND_HALF_LIFE_MS = 8_000
 """Time after which demand counts half; about as long as an outage."""
 
+MIN_KNOWN_MS = 2_000
+"""Least time that demand is taken to have been observed for."""
+
+LARGEST_FADING = 0.9
+"""Part that is kept of the largest request at each new one."""
+
 STOCK_HORIZON_MS = 9_000
 """Demand that the stock should cover; outages of the store last 8 to 9 s."""
 
@@ -38,6 +44,7 @@
     """
 
     __slots__ = (
+        "_demand_since_ms",
         "_demand_tokens",
         "_demand_updated_ms",
         "_largest_tokens",
@@ -60,6 +67,7 @@
         self._reserved_by_request: dict[str, int] = {}
         self._demand_tokens = 0.0
         self._demand_updated_ms = 0
+        self._demand_since_ms: int | None = None
         self._largest_tokens = 0.0
 
     @property
@@ -134,13 +142,22 @@
         return round(demand + self._largest_tokens / fleet_size)
 
     def _demand_within(self, horizon_ms: int, now_ms: int) -> float:
+        """Returns the expected demand of the time to come, in tokens."""
+        if self._demand_since_ms is None:
+            return 0.0
+        known_ms = max(MIN_KNOWN_MS, now_ms - self._demand_since_ms)
+        weight = 1.0 - math.exp2(-known_ms / DEMAND_HALF_LIFE_MS)
         per_ms = self._faded_demand(now_ms) * math.log(2) / DEMAND_HALF_LIFE_MS
-        return per_ms * horizon_ms
+        return per_ms / weight * horizon_ms
 
     def _note_demand(self, tokens: int, now_ms: int) -> None:
+        if self._demand_since_ms is None:
+            self._demand_since_ms = now_ms
         self._demand_tokens = self._faded_demand(now_ms) + tokens
         self._demand_updated_ms = now_ms
-        self._largest_tokens = max(self._largest_tokens * 0.9, tokens)
+        self._largest_tokens = max(
+            self._largest_tokens * LARGEST_FADING, tokens
+        )
 
     def _faded_demand(self, now_ms: int) -> float:
         age_ms = max(0, now_ms - self._demand_updated_ms)
--- a/packages/bambooglade/bambooglade/rights/bookkeeper.py
+++ b/packages/bambooglade/bambooglade/rights/bookkeeper.py
@@ -27,20 +27,20 @@
 MAX_CONFLICTS = 8
 """Conflicts with other instances before requests are told to wait."""
 
-MAX_STOCK_SHARE = 0.5
+MAX_STOCK_SHARE = 0.6
 """Most of an equal share of the free budget that an instance holds unused.
 
 What all hold together has to last through an outage of the store; what an
 instance holds is lost when it dies.
 """
 
-MIN_STOCK_SHARE = 0.15
+MIN_STOCK_SHARE = 0.25
 """Least of an equal share of the free budget that is held without demand."""
 
 DRAW_PAUSE_MS = 1_000
 """Pause between two draws of a team that only fill its stock."""
 
-REFILL_BELOW = 0.5
+REFILL_BELOW = 0.8
 """Part of the wanted stock below which it is filled up."""
 
 
