Emulate the users' store and engines; test the gateway against them

Change: an in-memory store with the faults of theirs (silent, busy, lost and late answers, history given up, leases), its HTTP interface, an engine whose faults are scripted call by call, and a scene that runs gateways, store, engines and callers on one event loop. Found by these tests: a request larger than the free rest was told to come back where the budget could not cover it; the readiness address had to be open before the first configuration (it was); a listener could not be closed twice.

--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Emulates the users' platform: its store, its engines and its callers."""
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/engine.py
@@ -0,0 +1,219 @@
+"""An engine of the users' platform whose faults are scripted."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+import socket
+
+from bambooglade.eventloop import connection as connection_lib
+from bambooglade.eventloop import loop as loop_lib
+from bambooglade.http1 import messages
+from bambooglade.http1 import request_parser
+
+SIGNATURE = b"X-Bambooglade-Engine-Signature"
+ATTEMPT_ID = b"X-Bambooglade-Attempt-Id"
+_MAX_BYTES = 10_000_000
+
+
+class Call:
+    """One request at an engine, and the means to answer it.
+
+    Attributes:
+        request: The request.
+        engine: The engine.
+    """
+
+    def __init__(
+        self,
+        request: messages.Request,
+        engine: Engine,
+        connection: connection_lib.Connection,
+    ) -> None:
+        self.request = request
+        self.engine = engine
+        self._connection = connection
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the caller is still connected."""
+        return self._connection.is_open
+
+    def fields(self) -> messages.HeaderFields:
+        """Returns the fields that mark the response as the engine's."""
+        attempt_id = self.request.get(ATTEMPT_ID.lower())
+        return [(ATTEMPT_ID, attempt_id), (SIGNATURE, self.engine.signature)]
+
+    def respond(self, body: bytes, status: int = 200, extra=()) -> None:
+        """Sends a whole, genuine response."""
+        self.send(
+            messages.encode_response(
+                status=status, fields=[*self.fields(), *extra], body=body
+            )
+        )
+
+    def start_stream(self) -> None:
+        """Sends the head of a stream."""
+        self.send(
+            messages.encode_response_head(
+                status=200,
+                fields=[
+                    *self.fields(),
+                    (b"Content-Type", b"text/event-stream"),
+                    (b"Transfer-Encoding", b"chunked"),
+                ],
+            )
+        )
+
+    def event(self, number: int) -> None:
+        """Sends one event."""
+        self.send(messages.encode_chunk(event(number)))
+
+    def end_stream(self) -> None:
+        """Ends a stream."""
+        self.send(messages.LAST_CHUNK)
+
+    def decline(self) -> None:
+        """States that the request was not run."""
+        self.engine.declined += 1
+        self.send(
+            messages.encode_response(
+                status=503, fields=[(b"X-Bambooglade-Not-Executed", b"1")]
+            )
+        )
+
+    def send(self, data: bytes) -> None:
+        """Sends bytes as they are."""
+        self._connection.send(data)
+
+    def close(self) -> None:
+        """Closes the connection in order."""
+        self._connection.close_when_sent()
+
+    def reset(self) -> None:
+        """Resets the connection."""
+        self._connection.reset()
+
+
+Behaviour = Callable[[Call], None]
+
+
+def event(number: int) -> bytes:
+    """Returns one event as it stands on the wire."""
+    return b"id: %d\ndata: token-%d\n\n" % (number, number)
+
+
+def answer_plainly(call: Call) -> None:
+    """Answers with the engine's name and the length of the body."""
+    call.respond(b"%s:%d" % (call.engine.name.encode(), len(call.request.body)))
+
+
+def stream_events(count: int) -> Behaviour:
+    """Returns a behaviour that streams the events that are still missing."""
+
+    def behave(call: Call) -> None:
+        first = int(call.request.get(b"last-event-id") or 0) + 1
+        call.start_stream()
+        for number in range(first, count + 1):
+            call.event(number)
+        call.end_stream()
+
+    return behave
+
+
+class Engine:
+    """An engine that behaves as its script says, call by call.
+
+    Args:
+        loop: The event loop.
+        name: Id of the engine.
+        default: What it does when the script is at its end.
+
+    Attributes:
+        script: Behaviours of the next calls.
+        requests: What arrived, in order.
+        declined: Requests that it said not to have run.
+    """
+
+    def __init__(
+        self,
+        loop: loop_lib.EventLoop,
+        name: str,
+        *,
+        default: Behaviour = answer_plainly,
+    ) -> None:
+        self._loop = loop
+        self.name = name
+        self.default = default
+        self.script: collections.deque[Behaviour] = collections.deque()
+        self.requests: list[messages.Request] = []
+        self.connections = 0
+        self.open_connections: set[_EngineConnection] = set()
+        self.declined = 0
+        self.is_closed = False
+        self._listener = connection_lib.Listener(
+            loop, ("127.0.0.1", 0), self._accepted
+        )
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP number and port."""
+        return self._listener.address
+
+    @property
+    def signature(self) -> bytes:
+        """Signature of its responses."""
+        return b"sig-" + self.name.encode()
+
+    def loop_later(self, callback: Callable[[], None]) -> None:
+        """Calls back soon, after what was sent has left."""
+        self._loop.call_later(20, callback)
+
+    def close(self) -> None:
+        """Refuses connections, and cuts those that are open."""
+        self.is_closed = True
+        self._listener.close()
+        for connection in list(self.open_connections):
+            connection.connection.reset()
+
+    def handle(
+        self,
+        request: messages.Request,
+        connection: connection_lib.Connection,
+    ) -> None:
+        """Behaves as the script says."""
+        self.requests.append(request)
+        behaviour = self.script.popleft() if self.script else self.default
+        behaviour(Call(request, self, connection))
+
+    def _accepted(self, sock: socket.socket) -> None:
+        self.connections += 1
+        self.open_connections.add(_EngineConnection(self._loop, sock, self))
+
+    def __repr__(self) -> str:
+        return f"Engine({self.name!r}, requests={len(self.requests)})"
+
+
+class _EngineConnection:
+    def __init__(self, loop, sock: socket.socket, engine: Engine) -> None:
+        self._loop = loop
+        self._engine = engine
+        self._parser = request_parser.RequestParser(
+            request_parser.RequestLimits(
+                max_header_bytes=_MAX_BYTES, max_body_bytes=_MAX_BYTES
+            )
+        )
+        self.connection = connection_lib.Connection(loop, sock, self)
+
+    def connected(self) -> None:
+        """Never called: the socket was accepted."""
+
+    def received(self, data: bytes) -> None:
+        """Takes bytes of requests."""
+        for request in self._parser.feed(data, now_ms=self._loop.now_ms()):
+            self._engine.handle(request, self.connection)
+
+    def closed(self, *, is_clean: bool) -> None:
+        """Forgets the connection."""
+        del is_clean
+        self._engine.open_connections.discard(self)
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/memory_store.py
@@ -0,0 +1,260 @@
+"""The users' store in memory, with the faults that it may have.
+
+See Also:
+    bambooglade_standins.users_platform.store_server: its HTTP interface.
+"""
+
+from __future__ import annotations
+
+from concurrent import futures
+import enum
+
+from bambooglade.eventloop import loop as loop_lib
+from bambooglade.eventloop import tasks
+from bambooglade.store import port
+
+ANSWER_MS = 4
+"""Time to an answer, as the users' sheet has it."""
+
+PAGE_ITEMS = 500
+"""Most items of one page."""
+
+MAX_ENTRIES = 32
+"""Most conditions, values and removals of one transaction."""
+
+
+class Fault(enum.Enum):
+    """What is wrong with the store, for the next calls."""
+
+    NONE = enum.auto()
+    SILENT = enum.auto()
+    BUSY = enum.auto()
+    LOSE_ANSWERS = enum.auto()
+    EXECUTE_LATE = enum.auto()
+
+
+class MemoryStore:
+    """A linearizable key-value store on an event loop.
+
+    Args:
+        loop: Delays the answers.
+
+    Attributes:
+        fault: What is wrong now.
+        late_ms: Delay of the writes that are executed late.
+        answer_ms: Time to an answer.
+        calls: Number of calls so far.
+        revision: Revision of the last change.
+    """
+
+    def __init__(self, loop: loop_lib.EventLoop) -> None:
+        self._loop = loop
+        self._item_by_key: dict[str, port.Item] = {}
+        self._lease_by_key: dict[str, int] = {}
+        self._ttl_ms_by_lease: dict[int, int] = {}
+        self._expiry_by_lease: dict[int, loop_lib.Timer] = {}
+        self._history: list[port.Item] = []
+        self._history_from = 0
+        self._watches: list[tuple[str, int, futures.Future]] = []
+        self.fault = Fault.NONE
+        self.late_ms = 3_000
+        self.answer_ms = ANSWER_MS
+        self.calls = 0
+        self.revision = 10
+
+    def put_now(self, key: str, value: bytes | None) -> int:
+        """Writes a key at once, as operators and engines do."""
+        self.revision += 1
+        self._apply(port.Write(key, value))
+        self._notify()
+        return self.revision
+
+    def peek(self, key: str) -> bytes | None:
+        """Returns the value of a key; None if there is none."""
+        item = self._item_by_key.get(key)
+        return item.value if item else None
+
+    def forget_history(self) -> None:
+        """Drops the history, and cuts the watches."""
+        self._history.clear()
+        self._history_from = self.revision
+        watches, self._watches = self._watches, []
+        for _, _, future in watches:
+            tasks.complete(future, port.HistoryLost())
+
+    def read(self, key: str) -> futures.Future:
+        """Reads one key."""
+        return self._answer(
+            lambda: self._item_by_key.get(key) or port.Item(key, None, 0)
+        )
+
+    def read_prefix(
+        self, prefix: str, *, after_key: str = ""
+    ) -> futures.Future:
+        """Reads a page of the keys below a prefix."""
+
+        def page() -> port.Items:
+            keys = sorted(
+                key
+                for key in self._item_by_key
+                if key.startswith(prefix) and key > after_key
+            )
+            items = [self._item_by_key[key] for key in keys[:PAGE_ITEMS]]
+            return port.Items(
+                items,
+                at_revision=self.revision,
+                has_more=len(keys) > PAGE_ITEMS,
+            )
+
+        return self._answer(page)
+
+    def watch(
+        self, prefix: str, *, after_revision: int, wait_ms: int
+    ) -> futures.Future:
+        """Waits for changes below a prefix."""
+        if self.fault in (Fault.SILENT, Fault.BUSY):
+            return self._answer(port.NotFound)
+        self.calls += 1
+        future: futures.Future = futures.Future()
+        if after_revision < self._history_from:
+            tasks.complete(future, port.HistoryLost())
+            return future
+        self._watches.append((prefix, after_revision, future))
+        self._loop.call_later(
+            wait_ms, self._complete_watch, prefix, after_revision, future
+        )
+        self._loop.call_later(self.answer_ms, self._notify)
+        return future
+
+    def commit(
+        self, writes: list[port.Write], *, timeout_ms: int
+    ) -> futures.Future:
+        """Carries out all writes, or none."""
+        del timeout_ms
+        conditions = [w for w in writes if w.expected_revision is not None]
+        assert len(writes) + len(conditions) <= MAX_ENTRIES
+        return self._answer(lambda: self._commit_now(writes), is_write=True)
+
+    def grant_lease(self, *, ttl_ms: int) -> futures.Future:
+        """Starts a lease."""
+
+        def grant() -> port.LeaseGranted:
+            lease_id = len(self._ttl_ms_by_lease) + 1
+            self._ttl_ms_by_lease[lease_id] = ttl_ms
+            self._extend(lease_id)
+            return port.LeaseGranted(lease_id, ttl_ms)
+
+        return self._answer(grant, is_write=True)
+
+    def renew_lease(self, lease_id: int) -> futures.Future:
+        """Renews a lease."""
+
+        def renew() -> port.Answer:
+            if lease_id not in self._expiry_by_lease:
+                return port.NotFound()
+            self._extend(lease_id)
+            return port.Committed()
+
+        return self._answer(renew)
+
+    def end_lease(self, lease_id: int) -> futures.Future:
+        """Ends a lease; its keys are removed."""
+
+        def end() -> port.Answer:
+            self._expire(lease_id)
+            return port.Committed()
+
+        return self._answer(end, is_write=True)
+
+    def _answer(self, execute, *, is_write: bool = False) -> futures.Future:
+        self.calls += 1
+        future: futures.Future = futures.Future()
+        if self.fault is Fault.SILENT:
+            tasks.complete(future, port.Unanswered())
+        elif self.fault is Fault.BUSY:
+            tasks.complete(future, port.Refused(503))
+        elif is_write and self.fault is Fault.LOSE_ANSWERS:
+            execute()
+            self._loop.call_later(
+                self.answer_ms, tasks.complete, future, port.Unanswered()
+            )
+        elif is_write and self.fault is Fault.EXECUTE_LATE:
+            self._loop.call_later(self.late_ms, execute)
+            tasks.complete(future, port.Unanswered())
+        else:
+            self._loop.call_later(
+                self.answer_ms,
+                lambda: tasks.complete(future, execute()),
+            )
+        return future
+
+    def _commit_now(self, writes: list[port.Write]) -> port.Answer:
+        for write in writes:
+            current = self._item_by_key.get(write.key)
+            revision = current.revision if current else 0
+            if write.expected_revision not in (None, revision):
+                return port.Conflicted(
+                    [
+                        self._item_by_key.get(w.key)
+                        or port.Item(w.key, None, 0)
+                        for w in writes
+                        if w.expected_revision is not None
+                    ]
+                )
+        self.revision += 1
+        for write in writes:
+            self._apply(write)
+        self._notify()
+        return port.Committed(self.revision)
+
+    def _apply(self, write: port.Write) -> None:
+        item = port.Item(write.key, write.value, self.revision)
+        self._history.append(item)
+        self._lease_by_key.pop(write.key, None)
+        if write.value is None:
+            self._item_by_key.pop(write.key, None)
+            return
+        self._item_by_key[write.key] = item
+        if write.lease_id:
+            self._lease_by_key[write.key] = write.lease_id
+
+    def _extend(self, lease_id: int) -> None:
+        timer = self._expiry_by_lease.get(lease_id)
+        if timer is not None:
+            timer.cancel()
+        self._expiry_by_lease[lease_id] = self._loop.call_later(
+            self._ttl_ms_by_lease[lease_id], self._expire, lease_id
+        )
+
+    def _expire(self, lease_id: int) -> None:
+        self._expiry_by_lease.pop(lease_id, None)
+        for key, lease in list(self._lease_by_key.items()):
+            if lease == lease_id:
+                self.put_now(key, None)
+
+    def _changes(self, prefix: str, after_revision: int) -> port.Items:
+        items = [
+            item
+            for item in self._history
+            if item.key.startswith(prefix) and item.revision > after_revision
+        ]
+        return port.Items(items, at_revision=self.revision)
+
+    def _notify(self) -> None:
+        for prefix, after_revision, future in list(self._watches):
+            if self._changes(prefix, after_revision).items:
+                self._complete_watch(prefix, after_revision, future)
+
+    def _complete_watch(
+        self, prefix: str, after_revision: int, future: futures.Future
+    ) -> None:
+        watch = (prefix, after_revision, future)
+        if watch in self._watches:
+            self._watches.remove(watch)
+            if self.fault is Fault.SILENT:
+                tasks.complete(future, port.Unanswered())
+            else:
+                tasks.complete(future, self._changes(prefix, after_revision))
+
+    def __repr__(self) -> str:
+        return f"MemoryStore(revision={self.revision}, fault={self.fault})"
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/store_server.py
@@ -0,0 +1,175 @@
+"""HTTP interface of the emulated store, in the users' format."""
+
+from __future__ import annotations
+
+import base64
+from concurrent import futures
+import functools
+from urllib import parse
+
+import msgspec
+
+from bambooglade.eventloop import http_server
+from bambooglade.eventloop import loop as loop_lib
+from bambooglade.eventloop import tasks
+from bambooglade.http1 import messages
+from bambooglade.store import port
+from bambooglade_standins.users_platform import memory_store
+
+
+class StoreServer:
+    """Serves a `MemoryStore` over HTTP.
+
+    Args:
+        loop: The event loop.
+        store: The state.
+        address: Where to listen.
+    """
+
+    def __init__(
+        self,
+        loop: loop_lib.EventLoop,
+        store: memory_store.MemoryStore,
+        address: tuple[str, int] = ("127.0.0.1", 0),
+    ) -> None:
+        self.store = store
+        self._server = http_server.HttpServer(loop, address, self._answer)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP number and port."""
+        return self._server.address
+
+    def close(self) -> None:
+        """Stops to serve."""
+        self._server.close()
+
+    def _answer(self, request: messages.Request) -> futures.Future:
+        reply: futures.Future = futures.Future()
+        self._call(request).add_done_callback(
+            lambda done: tasks.complete(reply, _reply(done.result()))
+        )
+        return reply
+
+    def _call(self, request: messages.Request) -> futures.Future:
+        path = request.path.decode()
+        query = dict(parse.parse_qsl(request.target.decode().partition("?")[2]))
+        body = msgspec.json.decode(request.body) if request.body else {}
+        match path.split("/")[2:]:
+            case ["kv-key"]:
+                return self.store.read(query["key"])
+            case ["kv-range"]:
+                return self.store.read_prefix(
+                    query.get("pathPrefix", ""),
+                    after_key=query.get("after", ""),
+                )
+            case ["kv-watch"]:
+                return self.store.watch(
+                    query.get("pathPrefix", ""),
+                    after_revision=int(query["after"]),
+                    wait_ms=int(query["waitMs"]),
+                )
+            case ["kv-txn"]:
+                return self.store.commit(_writes(body), timeout_ms=1_000)
+            case ["kv-lease"]:
+                return self.store.grant_lease(ttl_ms=body["ttlMs"])
+            case ["kv-keep", lease]:
+                return self.store.renew_lease(int(lease))
+            case ["kv-lease-end", lease]:
+                return self.store.end_lease(int(lease))
+        unknown: futures.Future = futures.Future()
+        unknown.set_result(port.Refused(400))
+        return unknown
+
+    def __repr__(self) -> str:
+        return f"StoreServer(address={self.address})"
+
+
+def _writes(body) -> list[port.Write]:
+    revision_by_key = {c["key"]: c["revision"] for c in body["precondition"]}
+    puts = [
+        port.Write(
+            put["key"],
+            base64.b64decode(put["value"]),
+            expected_revision=revision_by_key.get(put["key"]),
+            lease_id=put["lease"],
+        )
+        for put in body["puts"]
+    ]
+    removals = [
+        port.Write(key, None, expected_revision=revision_by_key.get(key))
+        for key in body["remove"]
+    ]
+    return puts + removals
+
+
+def _wire(item: port.Item):
+    if item.value is None:
+        return {"key": item.key, "revision": item.revision, "deleted": True}
+    value = base64.b64encode(item.value).decode()
+    return {"key": item.key, "revision": item.revision, "value": value}
+
+
+@functools.singledispatch
+def _reply(answer: port.Answer) -> http_server.Reply | None:
+    """Returns the response to a call; None closes the connection."""
+    raise TypeError(f"{answer!r} is no answer; add a response for its type")
+
+
+@_reply.register
+def _(answer: port.Unanswered) -> None:
+    del answer
+
+
+@_reply.register
+def _(answer: port.Refused) -> http_server.Reply:
+    return http_server.Reply(answer.status)
+
+
+@_reply.register
+def _(answer: port.NotFound) -> http_server.Reply:
+    del answer
+    return http_server.Reply(404, b"{}")
+
+
+@_reply.register
+def _(answer: port.HistoryLost) -> http_server.Reply:
+    del answer
+    return http_server.Reply(410, b"{}")
+
+
+@_reply.register
+def _(answer: port.Item) -> http_server.Reply:
+    if answer.value is None:
+        return http_server.Reply(404, b"{}")
+    return http_server.Reply(200, msgspec.json.encode(_wire(answer)))
+
+
+@_reply.register
+def _(answer: port.Items) -> http_server.Reply:
+    items = [_wire(item) for item in answer.items]
+    body = {
+        "entries": items,
+        "events": items,
+        "hasMore": answer.has_more,
+        "at": answer.at_revision,
+    }
+    return http_server.Reply(200, msgspec.json.encode(body))
+
+
+@_reply.register
+def _(answer: port.Committed) -> http_server.Reply:
+    body = {"revision": answer.revision, "ttlMs": 0}
+    return http_server.Reply(200, msgspec.json.encode(body))
+
+
+@_reply.register
+def _(answer: port.Conflicted) -> http_server.Reply:
+    items = [_wire(item) for item in answer.items]
+    return http_server.Reply(412, msgspec.json.encode({"entries": items}))
+
+
+@_reply.register
+def _(answer: port.LeaseGranted) -> http_server.Reply:
+    body = {"lease": answer.lease_id, "ttlMs": answer.ttl_ms}
+    return http_server.Reply(200, msgspec.json.encode(body))
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests against the emulated platform."""
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights.py
@@ -0,0 +1,183 @@
+"""Tests of spending rights, on virtual time."""
+
+from __future__ import annotations
+
+import pytest
+
+from bambooglade.rights import account as account_lib
+from bambooglade.rights import bookkeeper
+from bambooglade.rights import keeper as keeper_lib
+from bambooglade.rights import ledger as ledger_lib
+from bambooglade_standins.users_platform import memory_store
+from bambooglade_standins.users_platform import rights_world
+
+Fault = memory_store.Fault
+Reservation = keeper_lib.Reservation
+TEAM = rights_world.TEAM
+
+
+@pytest.fixture
+def world():
+    built = rights_world.RightsWorld()
+    built.advance(2_000)
+    return built
+
+
+def ledger(world) -> ledger_lib.Ledger:
+    return ledger_lib.decode(world.store.peek(ledger_lib.key_of(TEAM)))
+
+
+def total_available(world) -> int:
+    return sum(
+        node.keeper.available_tokens(TEAM)
+        for node in world.node_by_name.values()
+        if node is not None
+    )
+
+
+def test_a_stock_is_held_before_the_first_request(world):
+    assert total_available(world) > 0
+    assert world.request("a", 30) is Reservation.RESERVED
+
+
+def test_a_large_request_draws_from_the_ledger(world):
+    assert world.request("a", 700) is Reservation.RESERVED
+    world.check()
+
+
+def test_a_request_that_is_larger_than_the_budget(world):
+    assert world.request("a", 1_001) is Reservation.EXHAUSTED
+
+
+def test_the_whole_budget_can_be_used(world):
+    outcomes = [world.request("abc"[n % 3], 50) for n in range(25)]
+    assert outcomes.count(Reservation.RESERVED) == 20
+    assert outcomes[-1] is Reservation.EXHAUSTED
+    world.check()
+
+
+def test_peers_lend_while_the_store_is_away(world):
+    available = total_available(world)
+    world.store.fault = Fault.SILENT
+    world.advance(500)
+    assert world.request("a", available) is Reservation.RESERVED
+    assert world.request("a", 1) is Reservation.UNREACHABLE
+    assert world.request("b", 1) is Reservation.UNREACHABLE
+    world.check()
+
+
+def test_a_top_up_is_usable(world):
+    assert world.request("a", 1_000) is Reservation.RESERVED
+    assert world.request("b", 10) is Reservation.EXHAUSTED
+    world.prepaid = 1_100
+    for node in world.node_by_name.values():
+        node.keeper.watch_teams([TEAM])
+    world.advance(1_500)
+    assert world.request("b", 10) is Reservation.RESERVED
+    world.check()
+
+
+def test_what_was_not_used_is_usable_again(world):
+    assert world.request("a", 900) is Reservation.RESERVED
+    world.settle("a", spent_share=0.1)
+    assert world.request("b", 800) is Reservation.RESERVED
+    world.check()
+
+
+def test_a_planned_stop_gives_everything_back(world):
+    assert world.request("a", 100) is Reservation.RESERVED
+    for name in ("a", "b", "c"):
+        world.stop(name)
+    assert ledger(world).total_tokens == world.used == 50
+
+
+@pytest.mark.parametrize("fault", [Fault.LOSE_ANSWERS, Fault.EXECUTE_LATE])
+def test_writes_whose_answer_is_lost(world, fault):
+    world.store.fault = fault
+    for number in range(12):
+        world.request("abc"[number % 3], 60)
+    world.store.fault = Fault.NONE
+    world.advance(6_000)
+    for number in range(30):
+        world.request("abc"[number % 3], 30)
+    world.check()
+    assert ledger(world).total_tokens <= world.prepaid
+    assert world.used >= 900
+
+
+def test_a_killed_instance_counts_as_having_used_its_grant(world):
+    world.request("a", 40)
+    granted = ledger(world).total_tokens
+    world.kill("a")
+    world.start("a")
+    world.advance(2_000)
+    after = ledger(world)
+    assert after.closed_tokens > 0
+    assert len(after.holders_at("a@10.0.0.1")) == 1
+    assert after.total_tokens >= granted
+    for number in range(40):
+        world.request("abc"[number % 3], 30)
+    world.check()
+
+
+def test_a_kill_of_all_leaves_most_of_the_budget(world):
+    for number in range(10):
+        world.request("abc"[number % 3], 10)
+    for name in "abc":
+        world.kill(name)
+    for name in "abc":
+        world.start(name)
+    world.advance(2_000)
+    free = world.prepaid - ledger(world).closed_tokens
+    assert free >= world.prepaid * (1 - bookkeeper.MAX_STOCK_SHARE)
+
+
+def test_a_loan_whose_answer_is_lost_is_not_spent_twice(world):
+    world.store.fault = Fault.SILENT
+    world.are_loans_lost = True
+    world.advance(500)
+    world.request("a", 400)
+    world.are_loans_lost = False
+    for number in range(40):
+        world.request("abc"[number % 3], 30)
+    world.check()
+
+
+def test_a_ledger_that_can_not_be_read(world):
+    world.store.put_now(ledger_lib.key_of(TEAM), b"torn")
+    world.advance(5_000)
+    assert world.request("a", 900) is Reservation.UNREACHABLE
+    world.check()
+
+
+def test_stocks_cost_few_calls(world):
+    before = world.store.calls
+    for _ in range(20):
+        for name in "abc":
+            world.request(name, 1)
+        world.advance(1_000)
+    assert world.store.calls - before <= 2 * 20 * 3
+
+
+@pytest.mark.parametrize(
+    ("interval_ms", "tokens"), [(1_000, 10), (250, 40), (4_000, 400)]
+)
+def test_the_wanted_stock_follows_the_demand(interval_ms, tokens):
+    account = account_lib.Account()
+    account.grant_total(10_000_000)
+    now_ms = 0
+    for number in range(200):
+        account.reserve(f"r{number}", tokens, now_ms=now_ms)
+        now_ms += interval_ms
+    wanted = account.wanted_stock_tokens(now_ms=now_ms, fleet_size=4)
+    rate = tokens / interval_ms * account_lib.STOCK_HORIZON_MS
+    assert rate * 0.8 <= wanted - tokens / 4 <= rate * 1.2
+
+
+def test_young_demand_is_not_underestimated():
+    account = account_lib.Account()
+    account.grant_total(10_000)
+    for number in range(6):
+        account.reserve(f"r{number}", 10, now_ms=number * 1_000)
+    wanted = account.wanted_stock_tokens(now_ms=6_000, fleet_size=10)
+    assert wanted >= 0.8 * 10 * account_lib.STOCK_HORIZON_MS / 1_000
--- a/packages/bambooglade/bambooglade/eventloop/connection.py
+++ b/packages/bambooglade/bambooglade/eventloop/connection.py
@@ -304,9 +304,10 @@
         return self._sock.getsockname()
 
     def close(self) -> None:
-        """Stops to accept."""
-        self._loop.watch(self._sock, 0, self._ready)
-        self._sock.close()
+        """Stops to accept; doing so again has no effect."""
+        if self._sock.fileno() >= 0:
+            self._loop.watch(self._sock, 0, self._ready)
+            self._sock.close()
 
     def _ready(self, events: int) -> None:
         del events
--- a/packages/bambooglade/bambooglade/eventloop/http_server.py
+++ b/packages/bambooglade/bambooglade/eventloop/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from concurrent import futures
 import socket
 
 from bambooglade.eventloop import connection as connection_lib
@@ -34,16 +35,17 @@
         self.content_type = content_type
 
 
-Handler = Callable[[messages.Request], Reply]
+Handler = Callable[[messages.Request], Reply | futures.Future]
 
 
 class HttpServer:
-    """Answers short requests, each at once.
+    """Answers short requests, one after the other on a connection.
 
     Args:
         loop: The event loop.
         address: Where to listen.
-        handler: Answers a request.
+        handler: Answers a request, at once or with a future; None as its
+            result closes the connection without an answer.
     """
 
     __slots__ = ("_connections", "_handler", "_listener", "_loop")
@@ -126,6 +128,17 @@
 
     def _answer(self, request: messages.Request) -> None:
         reply = self._handler(request)
+        if isinstance(reply, futures.Future):
+            reply.add_done_callback(
+                lambda done: self._reply(request, done.result())
+            )
+        else:
+            self._reply(request, reply)
+
+    def _reply(self, request: messages.Request, reply: Reply | None) -> None:
+        if reply is None:
+            self.close()
+            return
         fields = [(b"Content-Type", reply.content_type.encode())]
         if request.expects_close:
             fields.append((b"Connection", b"close"))
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -265,8 +265,8 @@
         self.rights.tick()
 
     def reload(self, settings: settings_lib.GatewaySettings) -> None:
-        """Takes new settings; addresses stay as they are until a restart."""
-        self._context.settings = settings
+        """Takes new settings; own addresses stay until a restart."""
+        self.settings = self._context.settings = settings
         self._log.event("settings_reloaded", store=settings.store_address[0])
 
     def stop(self) -> None:
--- /dev/null
+++ b/packages/bambooglade/bambooglade/http1/tests/test_request_parser.py
@@ -0,0 +1,108 @@
+"""Tests of `bambooglade.http1.request_parser`."""
+
+from __future__ import annotations
+
+import pytest
+
+from bambooglade.http1 import request_parser
+
+LIMITS = request_parser.RequestLimits(max_header_bytes=500, max_body_bytes=20)
+HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\n"
+
+
+def parse(*chunks: bytes) -> list:
+    parser = request_parser.RequestParser(LIMITS)
+    return [r for chunk in chunks for r in parser.feed(chunk, now_ms=0)]
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET /a HTTP/1.1\nHost: x\n\n", 400),
+        (b"GET /a HTTP/1.1\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", 400),
+        (b"GET * HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+        (b"CONNECT a:1 HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+        (HEAD + b"Content-Length : 3\r\n\r\nabc", 400),
+        (HEAD + b"Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400),
+        (HEAD + b"Content-Length: 3, 3\r\n\r\nabc", 400),
+        (HEAD + b"Content-Length: +3\r\n\r\nabc", 400),
+        (HEAD + b"Content-Length: -1\r\n\r\n", 400),
+        (
+            HEAD + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+            400,
+        ),
+        (HEAD + b"Transfer-Encoding: gzip\r\n\r\n", 400),
+        (HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400),
+        (HEAD + b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", 400),
+        (HEAD + b"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n", 400),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n", 400),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\nabc\n0\n\n", 400),
+        (HEAD + b"X: a\r\n folded\r\n\r\n", 400),
+        (HEAD + b"X: a\rY: b\r\n\r\n", 400),
+        (HEAD + b": nameless\r\n\r\n", 400),
+        (HEAD + b"X: " + b"y" * 600 + b"\r\n\r\n", 431),
+        (b"GET /" + b"x" * 600, 431),
+        (HEAD + b"Content-Length: 21\r\n\r\n", 413),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n15\r\n" + b"x" * 21, 413),
+    ],
+)
+def test_what_could_be_read_in_two_ways_or_is_too_long(data, status):
+    with pytest.raises(request_parser.RejectedRequestError) as caught:
+        parse(data)
+    assert caught.value.status == status
+
+
+@pytest.mark.parametrize("size", [1, 7, 1_000])
+def test_requests_in_pieces(size):
+    data = (
+        HEAD
+        + b"Content-Length: 3\r\n\r\nabc"
+        + HEAD
+        + b"Transfer-Encoding: chunked\r\n\r\n2;e=1\r\nde\r\n0\r\nT: 1\r\n\r\n"
+        + b"GET /b?c=%20 HTTP/1.1\r\nHost: X:80\r\n\r\n"
+    )
+    pieces = [data[i : i + size] for i in range(0, len(data), size)]
+    first, second, third = parse(*pieces)
+    assert (first.body, second.body, third.body) == (b"abc", b"de", b"")
+    assert (third.target, third.path, third.host) == (b"/b?c=%20", b"/b", b"x")
+    assert not second.has(b"t")
+
+
+def test_a_long_body_in_one_piece_with_its_head_is_no_long_header():
+    parser = request_parser.RequestParser(
+        request_parser.RequestLimits(max_header_bytes=200, max_body_bytes=9_000)
+    )
+    data = HEAD + b"Content-Length: 9000\r\n\r\n" + b"x" * 9_000
+    (request,) = parser.feed(data, now_ms=0)
+    assert len(request.body) == 9_000
+
+
+def test_time_of_the_first_byte():
+    parser = request_parser.RequestParser(LIMITS)
+    assert list(parser.feed(b"GET /a HT", now_ms=100)) == []
+    assert parser.started_at_ms == 100
+    (request,) = parser.feed(b"TP/1.1\r\nHost: x\r\n\r\n", now_ms=150)
+    assert request.received_at_ms == 100
+    assert parser.started_at_ms is None
+
+
+@pytest.mark.parametrize(
+    ("fields", "closes", "continues"),
+    [
+        (b"", False, False),
+        (b"Connection: close\r\n", True, False),
+        (b"Connection: Upgrade\r\nUpgrade: h2c\r\n", True, False),
+        (b"Expect: 100-continue\r\n", False, True),
+    ],
+)
+def test_what_the_connection_is_told(fields, closes, continues):
+    (request,) = parse(HEAD + fields + b"Content-Length: 0\r\n\r\n")
+    assert request.expects_close is closes
+    assert request.expects_continue is continues
+
+
+def test_too_many_requests_ahead():
+    data = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+    with pytest.raises(request_parser.RejectedRequestError):
+        parse(data * (request_parser.MAX_PIPELINED + 1))
--- a/packages/bambooglade/bambooglade/platform/store.py
+++ b/packages/bambooglade/bambooglade/platform/store.py
@@ -105,6 +105,10 @@
         self._address = address
         self._log = log
 
+    def set_address(self, address: tuple[str, int]) -> None:
+        """Sends the next calls to another address."""
+        self._address = address
+
     def read(self, key: str) -> futures.Future:
         """Reads one key; an absent one has revision 0."""
 
--- a/packages/bambooglade/bambooglade/rights/account.py
+++ b/packages/bambooglade/bambooglade/rights/account.py
@@ -35,9 +35,8 @@
     Examples:
         >>> account = Account()
         >>> account.grant_total(100)
-            >>> account.reserve("r1", 60, now_ms=0), account.reserve("r2", 60,
-        ...     now_ms=0)
-        (True, False)
+        >>> [account.reserve(r, 60, now_ms=0) for r in ("r1", "r2")]
+        [True, False]
         >>> account.settle("r1", 10)
         >>> account.available_tokens
         90
--- a/packages/bambooglade/bambooglade/rights/bookkeeper.py
+++ b/packages/bambooglade/bambooglade/rights/bookkeeper.py
@@ -253,10 +253,10 @@
         free_tokens = prepaid - closed.total_tokens
         self._free_by_team[team] = free_tokens
         tokens = self._draw_size(team, free_tokens, needed_tokens)
-        if free_tokens <= 0:
-            self._exhausted.add(team)
-        else:
+        if free_tokens > 0:
             self._exhausted.discard(team)
+        else:
+            self._exhausted.add(team)
         if tokens <= 0 and closed == ledger:
             return None
         return closed.granting(self._holder, max(0, tokens))
@@ -301,6 +301,8 @@
             before = account.granted_tokens
             granted = ledger_by_team[team].granted_by_holder[self._holder]
             account.grant_total(granted)
+            if self._free_by_team.get(team, 0) <= granted - before:
+                self._exhausted.add(team)
             self._log.event(
                 "rights_drawn",
                 team=team,
