Keep sessions on their engine while its first token is on time; keep connections longer

Cause: a session left its engine for a few milliseconds of predicted delay, and 5,000 tokens were read again elsewhere; connections to targets were given up after 6 s of 10, those for calls that may not be repeated after 1.5 s. Change: the first target in the order that all instances share takes the request if its first token is predicted within half of the target latency. Kept connections are used for 0.8 of the stated time; a kept one that fails lowers the idle time that is trusted from then on. Ruled out: moving or backing up runs.

--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -117,7 +117,11 @@
             return
         ready = context.view.ready_targets(self._service.name)
         choice = context.placement.choose(
-            ready, prompt=self._prompt, excluded=self._tried, now_ms=now_ms
+            ready,
+            prompt=self._prompt,
+            excluded=self._tried,
+            now_ms=now_ms,
+            target_latency_ms=self._route.target_latency_ms,
         )
         if choice.target is None:
             self._give_up(refusals.Kind.NO_TARGET, choice.reason)
--- a/packages/bambooglade/bambooglade/gateway/placement.py
+++ b/packages/bambooglade/bambooglade/gateway/placement.py
@@ -1,8 +1,9 @@
 """Chooses the target of a request, by predicted time to its first byte; pure.
 
 Answers two loads. Model engines: long prompts delay every request beside
-them, so a request goes where its prompt parts are cached unless the engine is
-busy for longer than reading them again takes. Plain services: few slots, so
+them, and reading a shared part twice takes time from all. A request goes where
+its session is cached as long as its first token is predicted well within the
+target latency, and else where it comes soonest. Plain services: few slots, so
 requests go where the fewest are in progress, the own zone first.
 """
 
@@ -36,6 +37,13 @@
 COLD_MS = 50.0
 """Cost of a target that is still slow after its start, in ms."""
 
+AFFINITY_SHARE = 0.5
+"""Part of the target latency that a first token may take on its session's
+target; the other half is left for what other instances send there."""
+
+DEFAULT_TARGET_LATENCY_MS = 1_000
+"""Target latency where a route has none."""
+
 REPORT_LIFETIME_MS = 2_000
 """Age from which a reported load says nothing any more."""
 
@@ -117,6 +125,7 @@
         prompt: facts.Prompt | None,
         excluded: frozenset[str] | set[str],
         now_ms: int,
+        target_latency_ms: int = DEFAULT_TARGET_LATENCY_MS,
     ) -> Choice:
         """Chooses among the ready targets of a service.
 
@@ -125,6 +134,7 @@
             prompt: Size and parts of the prompt; None for a plain service.
             excluded: Targets that this request has tried.
             now_ms: The time.
+            target_latency_ms: Time to the first token that is on time.
         """
         untried = [t for t in ready if t.target_id not in excluded]
         ids = [target.target_id for target in untried]
@@ -134,12 +144,15 @@
         usable = [t for t in untried if t.target_id not in shut_out] or untried
         if not usable:
             return Choice(None, reason=f"ready={len(ready)} untried=0")
-        preferred = _preferred(prompt, usable)
+        ranked = _ranked(prompt, usable)
         rated = [
-            self._rate(target, prompt, target is preferred, ids, now_ms)
-            for target in usable
+            self._rate(target, prompt, rank == 0, ids, now_ms)
+            for rank, target in enumerate(ranked)
         ]
         best = min(rated, key=lambda choice: choice.predicted_ms)
+        if prompt is not None:
+            bound_ms = AFFINITY_SHARE * target_latency_ms
+            best = next((c for c in rated if c.predicted_ms <= bound_ms), best)
         best.reason += f" usable={len(usable)} shut_out={len(shut_out)}"
         return best
 
@@ -277,15 +290,16 @@
         return f"Placement(targets={len(self._load_by_target)})"
 
 
-def _preferred(
+def _ranked(
     prompt: facts.Prompt | None,
     usable: Sequence[targets_lib.RegisteredTarget],
-) -> targets_lib.RegisteredTarget | None:
-    """Returns the target on which all instances place this prompt first."""
+) -> Sequence[targets_lib.RegisteredTarget]:
+    """Returns the targets in the order in which all instances prefer them."""
     if prompt is None or len(prompt.parts) < 2:
-        return None
+        return usable
     by_id = {target.target_id: target for target in usable}
-    return by_id[hashing.rendezvous(prompt.parts[-2].part_id, by_id)[0]]
+    order = hashing.rendezvous(prompt.parts[-2].part_id, by_id)
+    return [by_id[target_id] for target_id in order]
 
 
 def _ahead_ms(
--- a/packages/bambooglade/bambooglade/gateway/target_pool.py
+++ b/packages/bambooglade/bambooglade/gateway/target_pool.py
@@ -19,15 +19,24 @@
 DEFAULT_IDLE_MS = 4_000
 """Idle time of a kept connection whose target states none."""
 
-IDLE_SHARE = 0.6
+IDLE_SHARE = 0.8
 """Part of the stated idle time after which a connection is not used."""
 
-MAX_IDLE_UNREPEATABLE_MS = 1_500
+MAX_IDLE_UNREPEATABLE_MS = 5_000
 """Idle time from which a request that may not be repeated gets a new one.
 
 A connection that died unnoticed would leave open whether the request ran.
 """
 
+LEARNT_IDLE_SHARE = 0.5
+"""Part that is trusted of the idle time at which a kept connection failed."""
+
+DEFAULT_TRUSTED_IDLE_MS = 60_000
+"""Idle time that is trusted until a kept connection fails."""
+
+MIN_IDLE_MS = 200
+"""Idle time that is trusted in any case: requests that follow at once."""
+
 MAX_IDLE_PER_TARGET = 16
 """Connections kept to one target; more were a burst."""
 
@@ -67,7 +76,7 @@
         "_connect_timer",
         "_connection",
         "_handler",
-        "_is_reused",
+        "_idle_ms",
         "_loop",
         "_parser",
         "_pool",
@@ -87,7 +96,7 @@
         request: bytes,
         is_bodiless: bool,
         is_expected: Callable[[messages.Head], bool],
-        connection: connection_lib.Connection | None,
+        kept: _KeptConnection | None,
     ) -> None:
         self._loop = loop
         self._pool = pool
@@ -100,18 +109,20 @@
         self.head: messages.ResponseHead | None = None
         self.is_over = False
         self._connect_timer: loop_lib.Timer | None = None
-        self._is_reused = connection is not None
-        if connection is None:
-            connection = connection_lib.connect(loop, target.address, self)
+        self._idle_ms: int | None = None
+        if kept is None:
+            self._connection = connection_lib.connect(
+                loop, target.address, self
+            )
             self._connect_timer = loop.call_later(
                 CONNECT_TIMEOUT_MS, self._connect_timed_out
             )
-            self._connection = connection
         else:
-            self._connection = connection
-            connection.set_handler(self)
-            connection.sent_bytes = 0
-            connection.send(request)
+            self._idle_ms = loop.now_ms() - kept.idle_since_ms
+            self._connection = kept.connection
+            self._connection.set_handler(self)
+            self._connection.sent_bytes = 0
+            self._connection.send(request)
 
     @property
     def is_sent(self) -> bool:
@@ -137,8 +148,9 @@
         """Takes the end of the connection."""
         self._parser.ended(is_clean=is_clean)
         reason = "closed by the target" if is_clean else "connection lost"
-        if self._is_reused:
-            reason += " (kept connection)"
+        if self._idle_ms is not None and self.head is None:
+            reason += f" (idle for {self._idle_ms} ms before)"
+            self._pool.kept_connection_failed(self._idle_ms)
         self._check_end(reason)
 
     def cancel(self) -> None:
@@ -240,7 +252,13 @@
             idle connection, in milliseconds; None if it does not say.
     """
 
-    __slots__ = ("_idle_by_address", "_idle_timeout_of", "_loop", "_open_by_id")
+    __slots__ = (
+        "_idle_by_address",
+        "_idle_timeout_of",
+        "_loop",
+        "_open_by_id",
+        "_trusted_idle_ms",
+    )
 
     def __init__(
         self,
@@ -254,6 +272,7 @@
             collections.defaultdict(list)
         )
         self._open_by_id: collections.Counter[str] = collections.Counter()
+        self._trusted_idle_ms = DEFAULT_TRUSTED_IDLE_MS
 
     def send(
         self,
@@ -277,6 +296,7 @@
                 request.
         """
         self._open_by_id[target.target_id] += 1
+        kept = self._take_idle(target, is_repeatable)
         return Attempt(
             self._loop,
             self,
@@ -285,9 +305,14 @@
             request=request,
             is_bodiless=is_bodiless,
             is_expected=is_expected,
-            connection=self._take_idle(target, is_repeatable),
+            kept=kept,
         )
 
+    def kept_connection_failed(self, idle_ms: int) -> None:
+        """Learns that targets drop connections that are idle for so long."""
+        trusted_ms = max(MIN_IDLE_MS, round(idle_ms * LEARNT_IDLE_SHARE))
+        self._trusted_idle_ms = min(self._trusted_idle_ms, trusted_ms)
+
     def in_progress(self, target_id: str) -> int:
         """Returns the number of requests under way to a target."""
         return self._open_by_id[target_id]
@@ -334,20 +359,18 @@
 
     def _take_idle(
         self, target: targets_lib.RegisteredTarget, is_repeatable: bool
-    ) -> connection_lib.Connection | None:
+    ) -> _KeptConnection | None:
         idle = self._idle_by_address[target.address]
         now_ms = self._loop.now_ms()
-        while idle:
-            kept = idle[-1]
-            idle_ms = now_ms - kept.idle_since_ms
-            if kept.usable_until_ms > now_ms and (
-                is_repeatable or idle_ms <= MAX_IDLE_UNREPEATABLE_MS
-            ):
-                idle.pop()
-                return kept.connection
-            if kept.usable_until_ms > now_ms:
-                return None
-            idle.pop().connection.close()
+        bound_ms = self._trusted_idle_ms
+        if not is_repeatable:
+            bound_ms = min(bound_ms, MAX_IDLE_UNREPEATABLE_MS)
+        if not idle or now_ms - idle[-1].idle_since_ms > bound_ms:
+            return None
+        kept = idle.pop()
+        if kept.usable_until_ms > now_ms:
+            return kept
+        kept.connection.close()
         return None
 
     def __repr__(self) -> str:
