Leave only names, formats and calls in platform/

Cause: the folder also held the call budget, the queue of calls and the port of the older key-value service, which decide when to call. Change: they stand in 'store/' now, with their tests; imports follow. Tests of the decoders: malformed configurations, entries of other writers, wrong settings, sizes and keys. Ruled out: an alias at the old place; one copy of each name.

--- a/benchmarks/service_calls.py
+++ b/benchmarks/service_calls.py
@@ -16,9 +16,9 @@
 import msgspec
 
 from bambooglade.core import effects
-from bambooglade.platform import call_budget
-from bambooglade.platform import call_queue
-from bambooglade.platform import prefix_watch
+from bambooglade.store import call_budget
+from bambooglade.store import call_queue
+from bambooglade.store import prefix_watch
 from bambooglade_standins.virtual import event_queue
 
 TICK_MS = 100
--- a/benchmarks/tests/test_service_calls.py
+++ b/benchmarks/tests/test_service_calls.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bambooglade.platform import call_budget
+from bambooglade.store import call_budget
 from benchmarks import service_calls
 
 SIXTY = service_calls.Size(nodes=60, documents=4_800, refill_period_ms=300_000)
--- a/packages/bambooglade-standins/bambooglade_standins/instance_list/app.py
+++ b/packages/bambooglade-standins/bambooglade_standins/instance_list/app.py
@@ -9,8 +9,8 @@
 from werkzeug import wrappers
 
 from bambooglade.core import clock as clocks
-from bambooglade.platform import listing
-from bambooglade.platform import ports
+from bambooglade.store import listing
+from bambooglade.store import services
 from bambooglade_standins import platform_server
 
 
@@ -21,7 +21,7 @@
         entries: The whole list as it is from now on.
     """
 
-    entries: tuple[ports.ListedInstance, ...]
+    entries: tuple[services.ListedInstance, ...]
 
 
 class Faults(msgspec.Struct, frozen=True, kw_only=True):
@@ -46,17 +46,19 @@
     __slots__ = ("_versions",)
 
     def __init__(self) -> None:
-        self._versions: list[tuple[int, tuple[ports.ListedInstance, ...]]] = []
+        self._versions: list[
+            tuple[int, tuple[services.ListedInstance, ...]]
+        ] = []
 
     def set(
-        self, entries: tuple[ports.ListedInstance, ...], *, now_ms: int
+        self, entries: tuple[services.ListedInstance, ...], *, now_ms: int
     ) -> None:
         """Replaces the list."""
         self._versions.append((now_ms, entries))
 
     def visible(
         self, *, now_ms: int, lag_ms: int
-    ) -> tuple[ports.ListedInstance, ...]:
+    ) -> tuple[services.ListedInstance, ...]:
         """Returns the newest list that is at least as old as the lag."""
         old_enough = [
             entries
--- a/packages/bambooglade-standins/bambooglade_standins/instance_list/tests/test_platform_lists.py
+++ b/packages/bambooglade-standins/bambooglade_standins/instance_list/tests/test_platform_lists.py
@@ -8,13 +8,13 @@
 from werkzeug import test as werkzeug_test
 
 from bambooglade.core import clock as clocks
-from bambooglade.platform import listing
-from bambooglade.platform import ports
+from bambooglade.store import listing
+from bambooglade.store import services
 from bambooglade_standins import platform_server
 from bambooglade_standins.instance_list import app as instance_list
 from bambooglade_standins.weight_store import app as weight_store
 
-ENTRY = ports.ListedInstance(
+ENTRY = services.ListedInstance(
     name="x1", availability_zone="scot-a", url="http://10.0.0.1:1", leaving=True
 )
 
--- a/packages/bambooglade-standins/bambooglade_standins/key_value/store.py
+++ b/packages/bambooglade-standins/bambooglade_standins/key_value/store.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from bambooglade.core import effects
-from bambooglade.platform import ports
+from bambooglade.store import services
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_HISTORY = 100_000
@@ -64,7 +64,7 @@
     """Compare-and-swap, leases and watches over a dictionary.
 
     Revisions are global, as in etcd: every write takes the next one. The
-    methods named like those of `ports.KeyValueStore` apply the faults; the
+    methods named like those of `services.KeyValueStore` apply the faults; the
     others don't.
 
     Examples:
@@ -258,7 +258,7 @@
 
     def watch(
         self, prefix: str, *, after_revision: int, timeout_ms: int
-    ) -> Iterator[ports.DocumentChanged]:
+    ) -> Iterator[services.DocumentChanged]:
         """Yields what changed so far; it never waits."""
         del timeout_ms
         self.reads += 1
@@ -268,7 +268,7 @@
             prefix, prefix_end(prefix), from_revision=after_revision + 1
         )
         for change in changes:
-            yield ports.DocumentChanged(
+            yield services.DocumentChanged(
                 key=change.key,
                 revision=change.revision,
                 value=change.entry.value if change.entry else None,
--- a/packages/bambooglade-standins/bambooglade_standins/key_value/tests/test_document_client.py
+++ b/packages/bambooglade-standins/bambooglade_standins/key_value/tests/test_document_client.py
@@ -10,10 +10,10 @@
 
 from bambooglade.core import clock as clocks
 from bambooglade.core import effects
-from bambooglade.platform import call_budget
-from bambooglade.platform import document_client
-from bambooglade.platform import key_value
-from bambooglade.platform import prefix_watch
+from bambooglade.store import call_budget
+from bambooglade.store import document_client
+from bambooglade.store import key_value
+from bambooglade.store import prefix_watch
 from bambooglade_standins import platform_server
 from bambooglade_standins.key_value import server
 from bambooglade_standins.key_value import store as stores
--- a/packages/bambooglade-standins/bambooglade_standins/key_value/tests/test_key_value.py
+++ b/packages/bambooglade-standins/bambooglade_standins/key_value/tests/test_key_value.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bambooglade.core import effects
-from bambooglade.platform import key_value
+from bambooglade.store import key_value
 from bambooglade.transport import client as http_client
 from bambooglade.transport import messages
 from bambooglade_standins import platform_server
--- a/packages/bambooglade-standins/bambooglade_standins/weight_store/app.py
+++ b/packages/bambooglade-standins/bambooglade_standins/weight_store/app.py
@@ -9,8 +9,8 @@
 from werkzeug import wrappers
 
 from bambooglade.core import clock as clocks
-from bambooglade.platform import call_budget
-from bambooglade.platform import listing
+from bambooglade.store import call_budget
+from bambooglade.store import listing
 from bambooglade_standins import platform_server
 
 CALLS_PER_S = 2.0
--- a/packages/bambooglade/bambooglade/fleet/membership.py
+++ b/packages/bambooglade/bambooglade/fleet/membership.py
@@ -18,8 +18,8 @@
 from bambooglade.fleet import contacts
 from bambooglade.fleet import gossip
 from bambooglade.fleet import messages
-from bambooglade.platform import ports
 from bambooglade.shards import assignments
+from bambooglade.store import services
 
 BUDGET_RETENTION_MS = 3_600_000
 """Members that were seen within it count as drawing on shared budgets."""
@@ -140,7 +140,7 @@
         return contacts.url_of(instance_id)
 
     def observe_list(
-        self, listed: Iterable[ports.ListedInstance], now_ms: int
+        self, listed: Iterable[services.ListedInstance], now_ms: int
     ) -> None:
         """Takes in the platform's list; absence from it means nothing."""
         entries = tuple(listed)
--- a/packages/bambooglade/bambooglade/fleet/tests/test_membership.py
+++ b/packages/bambooglade/bambooglade/fleet/tests/test_membership.py
@@ -10,8 +10,8 @@
 from bambooglade.core import identifiers
 from bambooglade.fleet import membership as memberships
 from bambooglade.fleet import messages
-from bambooglade.platform import ports
 from bambooglade.shards import assignments
+from bambooglade.store import services
 from bambooglade_standins.virtual import control
 from bambooglade_standins.virtual import instances
 from bambooglade_standins.virtual import network
@@ -219,7 +219,7 @@
 
 
 def network_entry(url, *, leaving):
-    return ports.ListedInstance(
+    return services.ListedInstance(
         name="listed",
         availability_zone=network.PLATFORM,
         url=url,
--- a/packages/bambooglade/bambooglade/platform/__init__.py
+++ b/packages/bambooglade/bambooglade/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Ports to the platform's services, and their HTTP adapters."""
+"""Speaks the users' platform: names, formats and calls; decides nothing."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/platform/tests/test_decoding.py
@@ -0,0 +1,218 @@
+"""Tests of what is decoded from the users' platform."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from bambooglade.gateway import configuration
+from bambooglade.gateway import settings
+from bambooglade.http1 import messages
+from bambooglade.platform import engine_entries
+from bambooglade.platform import headers
+from bambooglade.platform import node_file
+from bambooglade.platform import operator_configuration
+
+ROUTE = {
+    "name": "r",
+    "hostname": "API.example",
+    "pathPrefix": "/a/",
+    "routeType": "streaming",
+    "timeoutMs": 12_000,
+    "targetLatencyMs": 400,
+    "priority": 0,
+    "service": "jury",
+    "maxAttempts": 2,
+    "sessionAffinity": True,
+    "streamResumption": True,
+    "targetGapMs": 400,
+}
+ENGINE = {"slots": 64, "kvCapacityTokens": 524_542, "stride": 6}
+
+
+def decode(**changes) -> configuration.Configuration:
+    value = {
+        "version": 7,
+        "routes": [ROUTE],
+        "services": [{"name": "jury", "maxConnections": 9, "engine": ENGINE}],
+        "tenants": [{"name": "t", "apiKeys": ["k"], "prepaid": 5}],
+        "limits": {"maxHeaderBytes": 100},
+        **changes,
+    }
+    return operator_configuration.decode(msgspec.json.encode(value))
+
+
+def test_a_configuration():
+    decoded = decode()
+    route = decoded.find_route(b"api.example", b"/a/b")
+    assert decoded.version == 7
+    assert route.kind is configuration.RouteKind.STREAM
+    assert route.is_idempotent
+    assert route.has_prompt
+    assert [s.service for s in route.services] == ["jury"]
+    assert decoded.service_by_name["jury"].engine.tokens_per_event == 6
+    assert decoded.team_by_key[b"k"].prepaid_tokens == 5
+    assert decoded.limits.max_header_bytes == 100
+    assert decoded.limits.idle_timeout_ms == 15_000
+
+
+def test_a_split_route():
+    split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    route = {k: v for k, v in ROUTE.items() if k != "service"}
+    decoded = decode(routes=[{**route, "trafficSplit": split}])
+    services = decoded.find_route(b"api.example", b"/a/").services
+    assert [(s.service, s.weight) for s in services] == [("a", 90), ("b", 10)]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"version": "seven"},
+        {"routes": [{**ROUTE, "routeType": "sometimes"}]},
+        {"routes": [{"name": "r"}]},
+        {"routes": None},
+        {"tenants": [{"apiKeys": ["k"]}]},
+        {"limits": {"maxBodyBytes": "many"}},
+    ],
+)
+def test_a_malformed_configuration(changes):
+    with pytest.raises(operator_configuration.MalformedConfigurationError):
+        decode(**changes)
+
+
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "slots": 4,
+    "state": "ready",
+    "born": 1_700_000_000_000,
+    "sequence": 9,
+    "unknown": {"x": 1},
+}
+
+
+@pytest.mark.parametrize(
+    ("changes", "is_draining"), [({}, False), ({"state": "draining"}, True)]
+)
+def test_an_entry(changes, is_draining):
+    value = msgspec.json.encode({**ENTRY, **changes})
+    target = engine_entries.decode("servers/i-1", value)
+    assert target.target_id == "i-1"
+    assert target.address == ("10.0.0.9", 8080)
+    assert target.born_ms == 1_700_000_000_000
+    assert target.is_draining is is_draining
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\x00",
+        b"[]",
+        *(
+            msgspec.json.encode({**ENTRY, **changes})
+            for changes in (
+                {"state": "asleep"},
+                {"slots": 0},
+                {"slots": "four"},
+                {"address": "nowhere"},
+                {"address": ":80"},
+                {"service": 5},
+                {"zone": None},
+            )
+        ),
+    ],
+)
+def test_an_entry_of_another_writer(value):
+    with pytest.raises(engine_entries.MalformedEntryError):
+        engine_entries.decode("servers/i-1", value)
+
+
+NODE_FILE = b"""
+nodeName = "edge-1"
+ip = "10.1.0.40"
+zone = "zona-antigua"
+internalPortRange = [7340, 7355]
+seeds = ["10.2.0.29:8229"]
+somethingNew = { a = 1 }
+[listen]
+frontend = "10.1.0.40:8227"
+readiness = "10.1.0.40:8220"
+controlPlane = "10.1.0.40:8229"
+[limits]
+maxFds = 4100
+[bounds]
+graceS = 8
+retryBudgetSlack = 52
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+
+def test_a_settings_file():
+    decoded = node_file.decode(NODE_FILE)
+    assert decoded.instance == "edge-1"
+    assert decoded.caller_address == ("10.1.0.40", 8227)
+    assert decoded.metrics_address == ("10.1.0.40", 7340)
+    assert decoded.seed_addresses == (("10.2.0.29", 8229),)
+    assert decoded.stop_bound_ms == 8_000
+    assert decoded.retry_slack == 52
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "named"),
+    [
+        (b'nodeName = "edge-1"', b"", "nodeName"),
+        (b'"10.1.0.40:8227"', b'"front"', "front"),
+        (b"graceS = 8", b'graceS = "long"', "graceS"),
+        (b'address = "10.200.1.7:8223"', b"", "address"),
+        (b"[listen]", b"[listen", "line"),
+    ],
+)
+def test_a_wrong_settings_file(before, after, named):
+    with pytest.raises(settings.InvalidSettingsError, match=named):
+        node_file.decode(NODE_FILE.replace(before, after))
+
+
+@pytest.mark.parametrize(
+    ("usage", "prefix", "tokens", "parts"),
+    [
+        (b"1460,80", b"5c:800,91:410,e4:250", 1_540, 3),
+        (b"1460,80", b"", 1_540, 0),
+        (b"1460,80", b"5c:x,91:410", 1_540, 1),
+        (b"1460", b"5c:800", None, 0),
+        (b"a,b", b"5c:800", None, 0),
+    ],
+)
+def test_the_declared_size_of_a_request(usage, prefix, tokens, parts):
+    request = messages.Request(
+        method=b"POST",
+        target=b"/",
+        fields=[
+            (b"X-Bambooglade-Token-Usage", usage),
+            (b"X-Bambooglade-Prefix-Hash", prefix),
+        ],
+    )
+    prompt = headers.request_facts(request).prompt
+    assert (prompt.bound_tokens if prompt else None) == tokens
+    assert (len(prompt.parts) if prompt else 0) == parts
+
+
+@pytest.mark.parametrize(
+    ("authorization", "key"),
+    [
+        (b"Token abc", b"abc"),
+        (b"token  abc ", b"abc"),
+        (b"Bearer abc", None),
+        (b"abc", None),
+        (b"", None),
+    ],
+)
+def test_the_key_of_a_request(authorization, key):
+    request = messages.Request(
+        method=b"GET",
+        target=b"/",
+        fields=[(b"Authorization", authorization)],
+    )
+    assert headers.request_facts(request).key == key
--- a/packages/bambooglade/bambooglade/router/budget_inspector.py
+++ b/packages/bambooglade/bambooglade/router/budget_inspector.py
@@ -17,12 +17,12 @@
 from bambooglade.core import hashing
 from bambooglade.core import identifiers
 from bambooglade.fleet import messages as fleet_messages
-from bambooglade.platform import ports
 from bambooglade.router import effect_waiters
 from bambooglade.router import networked_assembly
 from bambooglade.router import operator_messages as messages
 from bambooglade.router import runtime as runtimes
 from bambooglade.shards import document as documents
+from bambooglade.store import services
 
 ANSWER_TIMEOUT_S = 4.0
 
@@ -47,7 +47,7 @@
         networked: networked_assembly.NetworkedParts,
         runtime: runtimes.Runtime,
         waiters: effect_waiters.EffectWaiters,
-        store: ports.KeyValueStore,
+        store: services.KeyValueStore,
     ) -> None:
         self._networked = networked
         self._parts = networked.parts
--- a/packages/bambooglade/bambooglade/router/construction.py
+++ b/packages/bambooglade/bambooglade/router/construction.py
@@ -10,15 +10,15 @@
 from bambooglade.core import effects
 from bambooglade.core import identifiers
 from bambooglade.operations import retention as retentions
-from bambooglade.platform import call_budget
-from bambooglade.platform import key_value
-from bambooglade.platform import prefix_watch
 from bambooglade.router import application
 from bambooglade.router import assembly
 from bambooglade.router import granted_out as granted_out_lib
 from bambooglade.router import networked_assembly
 from bambooglade.router import runtime as runtimes
 from bambooglade.router import settings as settings_lib
+from bambooglade.store import call_budget
+from bambooglade.store import key_value
+from bambooglade.store import prefix_watch
 from bambooglade.table import pages
 from bambooglade.table import replica as replicas
 from bambooglade.transport import limits
--- a/packages/bambooglade/bambooglade/router/counted_store.py
+++ b/packages/bambooglade/bambooglade/router/counted_store.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterator
 
 from bambooglade.core import effects
-from bambooglade.platform import ports
 from bambooglade.router import metrics as metrics_lib
+from bambooglade.store import services
 
 ANSWERED = "answered"
 LOST = "lost"
@@ -23,7 +23,7 @@
     __slots__ = ("_metrics", "_store")
 
     def __init__(
-        self, store: ports.KeyValueStore, metrics: metrics_lib.Metrics
+        self, store: services.KeyValueStore, metrics: metrics_lib.Metrics
     ) -> None:
         self._store = store
         self._metrics = metrics
@@ -50,7 +50,7 @@
 
     def watch(
         self, prefix: str, *, after_revision: int, timeout_ms: int
-    ) -> Iterator[ports.DocumentChanged]:
+    ) -> Iterator[services.DocumentChanged]:
         """Yields changes below a prefix, until the time-out or a failure."""
         self._count("watch", is_lost=False)
         return self._store.watch(
--- a/packages/bambooglade/bambooglade/router/fleet_refresh.py
+++ b/packages/bambooglade/bambooglade/router/fleet_refresh.py
@@ -7,8 +7,8 @@
 from bambooglade.core import clock as clocks
 from bambooglade.core import effects
 from bambooglade.fleet import membership as memberships
-from bambooglade.platform import ports
 from bambooglade.router import runtime as runtimes
+from bambooglade.store import services
 
 PAUSE_MS = 1_000
 """Pause between two reads of the list, in milliseconds."""
@@ -29,7 +29,7 @@
     def __init__(
         self,
         *,
-        instance_list: ports.InstanceList | None,
+        instance_list: services.InstanceList | None,
         membership: memberships.Membership,
         runtime: runtimes.Runtime,
         clock: clocks.Clock,
@@ -50,7 +50,7 @@
         )
 
     def _observe(
-        self, listed: list[ports.ListedInstance], now_ms: int
+        self, listed: list[services.ListedInstance], now_ms: int
     ) -> Iterator[effects.Effects]:
         self._membership.observe_list(listed, now_ms)
         yield from ()
--- a/packages/bambooglade/bambooglade/router/granted_out.py
+++ b/packages/bambooglade/bambooglade/router/granted_out.py
@@ -8,8 +8,8 @@
 from bambooglade.core import effects
 from bambooglade.core import hashing
 from bambooglade.core import identifiers
-from bambooglade.platform import ports
 from bambooglade.shards import document as documents
+from bambooglade.store import services
 
 
 class GrantedOut:
@@ -28,7 +28,9 @@
 
     __slots__ = ("_by_budget_id", "_lock", "_shard_count", "_store")
 
-    def __init__(self, store: ports.KeyValueStore, *, shard_count: int) -> None:
+    def __init__(
+        self, store: services.KeyValueStore, *, shard_count: int
+    ) -> None:
         self._store = store
         self._shard_count = shard_count
         self._lock = threading.Lock()
--- a/packages/bambooglade/bambooglade/router/process.py
+++ b/packages/bambooglade/bambooglade/router/process.py
@@ -11,7 +11,6 @@
 from bambooglade.core import clock as clocks
 from bambooglade.core import identifiers
 from bambooglade.fleet import drain as drains
-from bambooglade.platform import listing
 from bambooglade.router import admission_gate
 from bambooglade.router import application
 from bambooglade.router import budget_inspector
@@ -41,6 +40,7 @@
 from bambooglade.router import ticker
 from bambooglade.router import trace
 from bambooglade.shards import assignments
+from bambooglade.store import listing
 from bambooglade.table import credentials
 from bambooglade.table import view
 from bambooglade.transport import client as client_lib
--- a/packages/bambooglade/bambooglade/router/runtime.py
+++ b/packages/bambooglade/bambooglade/router/runtime.py
@@ -14,9 +14,6 @@
 from bambooglade.core import effects
 from bambooglade.core import identifiers
 from bambooglade.operations import calls
-from bambooglade.platform import call_budget
-from bambooglade.platform import document_client
-from bambooglade.platform import ports
 from bambooglade.router import assembly
 from bambooglade.router import call_status
 from bambooglade.router import calls_port
@@ -25,6 +22,9 @@
 from bambooglade.router import pending_calls
 from bambooglade.router import state_machine
 from bambooglade.router import ticker
+from bambooglade.store import call_budget
+from bambooglade.store import document_client
+from bambooglade.store import services
 from bambooglade.transport import peers as transport_peers
 
 STOP_TIMEOUT_MS = 2_000
@@ -52,7 +52,7 @@
         parts: assembly.Parts,
         machine: state_machine.InstanceStateMachine,
         clock: clocks.Clock,
-        store: ports.KeyValueStore,
+        store: services.KeyValueStore,
         budget: call_budget.CallBudget,
         waiters: effect_waiters.EffectWaiters,
     ) -> None:
--- a/packages/bambooglade/bambooglade/router/target_watcher.py
+++ b/packages/bambooglade/bambooglade/router/target_watcher.py
@@ -11,9 +11,9 @@
 import result
 
 from bambooglade.core import identifiers
-from bambooglade.platform import ports
 from bambooglade.router import target_directory
 from bambooglade.router import ticker
+from bambooglade.store import services
 from bambooglade.targets import affinity
 from bambooglade.targets import leaving
 from bambooglade.targets import load
@@ -57,8 +57,8 @@
         *,
         directory: target_directory.TargetDirectory,
         client: client_lib.HttpClient,
-        instance_list: ports.InstanceList | None = None,
-        weight_store: ports.WeightStore | None = None,
+        instance_list: services.InstanceList | None = None,
+        weight_store: services.WeightStore | None = None,
         polls_per_s: int = POLLS_PER_S,
     ) -> None:
         self._directory = directory
--- a/packages/bambooglade/bambooglade/router/tests/test_target_watcher.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_target_watcher.py
@@ -7,9 +7,9 @@
 import pytest
 
 from bambooglade.core import clock as clocks
-from bambooglade.platform import ports
 from bambooglade.router import target_directory
 from bambooglade.router import target_watcher
+from bambooglade.store import services
 from bambooglade.table import rows
 from bambooglade.table import view
 from bambooglade.targets import leaving
@@ -24,9 +24,9 @@
     """A list of the platform that can be silent."""
 
     def __init__(self) -> None:
-        self.listed: list[ports.ListedInstance] | None = []
+        self.listed: list[services.ListedInstance] | None = []
 
-    def targets(self) -> list[ports.ListedInstance] | None:
+    def targets(self) -> list[services.ListedInstance] | None:
         return self.listed
 
 
@@ -82,7 +82,7 @@
 
 def say_by_list(scene):
     scene.list.listed = [
-        ports.ListedInstance(
+        services.ListedInstance(
             name="e1",
             availability_zone="z1",
             url=f"{scene.servers['e1'].url}/",
--- a/packages/bambooglade/bambooglade/store/__init__.py
+++ b/packages/bambooglade/bambooglade/store/__init__.py
@@ -1,1 +1,1 @@
-"""Port to a transactional key-value service, and pacing of its calls."""
+"""Ports to the platform's services, their adapters, and pacing of calls."""
--- a/packages/bambooglade/bambooglade/platform/call_budget.py
+++ b/packages/bambooglade/bambooglade/store/call_budget.py
@@ -5,7 +5,7 @@
 not known of, and for operators.
 
 See Also:
-    bambooglade.platform.document_client: makes the calls.
+    bambooglade.store.document_client: makes the calls.
 """
 
 from __future__ import annotations
--- a/packages/bambooglade/bambooglade/platform/call_queue.py
+++ b/packages/bambooglade/bambooglade/store/call_queue.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from bambooglade.core import effects
-from bambooglade.platform import call_budget
+from bambooglade.store import call_budget
 
 MAX_QUEUED = 5_000
 QUEUE_TIMEOUT_MS = 5_000
--- a/packages/bambooglade/bambooglade/platform/document_client.py
+++ b/packages/bambooglade/bambooglade/store/document_client.py
@@ -11,9 +11,9 @@
 
 from bambooglade.core import clock as clocks
 from bambooglade.core import effects
-from bambooglade.platform import call_budget
-from bambooglade.platform import call_queue
-from bambooglade.platform import ports
+from bambooglade.store import call_budget
+from bambooglade.store import call_queue
+from bambooglade.store import services
 
 THREADS = 4
 
@@ -48,7 +48,7 @@
     def __init__(
         self,
         *,
-        store: ports.KeyValueStore,
+        store: services.KeyValueStore,
         budget: call_budget.CallBudget,
         clock: clocks.Clock,
         deliver: Deliver,
--- a/packages/bambooglade/bambooglade/platform/key_value.py
+++ b/packages/bambooglade/bambooglade/store/key_value.py
@@ -1,8 +1,8 @@
 """Adapter to the platform's key-value service: JSON gateway of etcd v3.
 
 See Also:
-    bambooglade.platform.ports: the port that this adapter implements.
-    bambooglade.platform.document_client: keeps calls within their budget.
+    bambooglade.store.services: the port that this adapter implements.
+    bambooglade.store.document_client: keeps calls within their budget.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 import msgspec
 
 from bambooglade.core import effects
-from bambooglade.platform import ports
+from bambooglade.store import services
 from bambooglade.transport import client as http_client
 from bambooglade.transport import messages
 
@@ -119,7 +119,7 @@
 
     def watch(
         self, prefix: str, *, after_revision: int, timeout_ms: int
-    ) -> Iterator[ports.DocumentChanged]:
+    ) -> Iterator[services.DocumentChanged]:
         """Yields changes below a prefix, until the time-out or a failure."""
         request = messages.Request(
             method="POST",
@@ -217,8 +217,8 @@
         yield from (line for line in whole if line.strip())
 
 
-def _changed(event: _Event) -> ports.DocumentChanged:
-    return ports.DocumentChanged(
+def _changed(event: _Event) -> services.DocumentChanged:
+    return services.DocumentChanged(
         key=event.kv.key.decode(),
         revision=int(event.kv.mod_revision),
         value=None if event.type == "DELETE" else event.kv.value,
--- a/packages/bambooglade/bambooglade/platform/listing.py
+++ b/packages/bambooglade/bambooglade/store/listing.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from bambooglade.core import identifiers
-from bambooglade.platform import ports
+from bambooglade.store import services
 from bambooglade.transport import client as http_client
 from bambooglade.transport import messages
 
@@ -19,7 +19,7 @@
 class Listing(msgspec.Struct, frozen=True, kw_only=True):
     """Answer of the list of instances."""
 
-    entries: tuple[ports.ListedInstance, ...]
+    entries: tuple[services.ListedInstance, ...]
 
 
 class Weights(msgspec.Struct, frozen=True, kw_only=True):
@@ -44,15 +44,15 @@
         self._url = url.rstrip("/")
         self._client = client or http_client.HttpClient()
 
-    def instances(self) -> list[ports.ListedInstance] | None:
+    def instances(self) -> list[services.ListedInstance] | None:
         """Returns the listed router instances; None when unreachable."""
         return self._list("/v1/instances")
 
-    def targets(self) -> list[ports.ListedInstance] | None:
+    def targets(self) -> list[services.ListedInstance] | None:
         """Returns the listed targets; None when unreachable."""
         return self._list("/v1/targets")
 
-    def _list(self, path: str) -> list[ports.ListedInstance] | None:
+    def _list(self, path: str) -> list[services.ListedInstance] | None:
         listing = _get(self._client, self._url + path, Listing)
         return list(listing.entries) if listing else None
 
--- a/packages/bambooglade/bambooglade/platform/prefix_watch.py
+++ b/packages/bambooglade/bambooglade/store/prefix_watch.py
@@ -11,8 +11,8 @@
 from absl import logging
 
 from bambooglade.core import effects
-from bambooglade.platform import document_client
-from bambooglade.platform import ports
+from bambooglade.store import document_client
+from bambooglade.store import services
 
 WATCH_TIMEOUT_MS = 60_000
 PAUSE_S = 1.0
@@ -49,7 +49,7 @@
     def __init__(
         self,
         *,
-        store: ports.KeyValueStore,
+        store: services.KeyValueStore,
         documents: document_client.DocumentClient,
         prefix: str,
         on_snapshot: Callable[[Sequence[effects.DocumentRead]], None],
@@ -131,7 +131,7 @@
         return f"PrefixWatch(prefix={self._prefix!r})"
 
 
-def _document(change: ports.DocumentChanged) -> effects.DocumentRead:
+def _document(change: services.DocumentChanged) -> effects.DocumentRead:
     return effects.DocumentRead(
         key=change.key,
         revision=0 if change.value is None else change.revision,
--- a/packages/bambooglade/bambooglade/platform/tests/test_call_queue.py
+++ b/packages/bambooglade/bambooglade/store/tests/test_call_queue.py
@@ -7,8 +7,8 @@
 import pytest
 
 from bambooglade.core import effects
-from bambooglade.platform import call_budget
-from bambooglade.platform import call_queue
+from bambooglade.store import call_budget
+from bambooglade.store import call_queue
 
 
 def _queue(*, reads_per_s=100.0, writes_per_s=100.0):
--- a/packages/bambooglade/bambooglade/platform/tests/test_key_value.py
+++ b/packages/bambooglade/bambooglade/store/tests/test_key_value.py
@@ -6,7 +6,7 @@
 import threading
 
 from bambooglade.core import effects
-from bambooglade.platform import key_value
+from bambooglade.store import key_value
 
 _ANSWER = b'{"header": {"revision": "1"}, "kvs": []}'
 _HEAD = f"HTTP/1.1 200 OK\r\nContent-Length: {len(_ANSWER)}\r\n\r\n".encode()
