Hold a team's stock at one home a zone

Change: the home of a team in a zone, found by rendezvous hashing, holds the stock and lends; the homes of eight teams in all coincide, so that one write draws for them. A home draws before it lends. Watches wait 3 s. What was borrowed and not used is given back at a planned stop (a test found that it was lost). A budget that covers less than 20 s of demand holds smaller stocks. Ruled out: longer pauses between draws alone; the calls would still grow with instances times teams.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/rights_world.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/rights_world.py
@@ -10,7 +10,9 @@
 import itertools
 
 from bambooglade.core import event_log
+from bambooglade.discovery import peers as peers_lib
 from bambooglade.eventloop import tasks
+from bambooglade.rights import homes as homes_lib
 from bambooglade.rights import keeper as keeper_lib
 from bambooglade.rights import lending
 from bambooglade.store import contact as contact_lib
@@ -32,25 +34,33 @@
         self._world = world
         self._name = name
 
-    def borrow(self, team: str, tokens: int, received) -> futures.Future:
+    def borrow(
+        self, team: str, tokens: int, received, *, only_homes: bool = False
+    ) -> futures.Future:
         """Asks the peers, as `bambooglade.rights.lending.Lenders` does."""
+        return tasks.spawn(self._borrow(team, tokens, received, only_homes))
+
+    def _borrow(
+        self, team: str, tokens: int, received, only_homes: bool
+    ) -> tasks.Task:
         loan = lending.Loan()
-        loan.is_whole_fleet = True
+        loan.is_whole_fleet = not only_homes
+        homes = {home.name for home in self._world.homes(self._name).of(team)}
         for name, node in self._world.node_by_name.items():
             if name == self._name or node is None:
                 continue
+            if only_homes and name not in homes:
+                continue
             loan.asked += 1
             if self._world.are_peers_cut:
                 continue
-            lent = node.keeper.lend(team, tokens - loan.tokens)
+            lent = yield node.keeper.lend(team, tokens - loan.tokens)
             if self._world.are_loans_lost:
                 continue
             loan.answered += 1
             loan.tokens += lent
             received(lent)
-        done: futures.Future = futures.Future()
-        tasks.complete(done, loan)
-        return done
+        return loan
 
 
 class Node:
@@ -66,7 +76,7 @@
             place=f"{name}@10.0.0.1",
             incarnation=str(incarnation),
             prepaid_of=lambda team: world.prepaid if team == TEAM else None,
-            fleet_size=lambda: len(world.node_by_name),
+            homes=world.homes(name),
             contact=self.contact,
             log=log,
         )
@@ -98,6 +108,23 @@
         for name in names:
             self.start(name)
 
+    def homes(self, name: str) -> homes_lib.Homes:
+        """Returns the homes as an instance sees them: two share a zone."""
+        peers = {
+            other: peers_lib.Peer(
+                name=other,
+                incarnation="1",
+                host="10.0.0.1",
+                port=1,
+                availability_zone="z1" if other in ("a", "b") else "z2",
+            )
+            for other in self.node_by_name
+        }
+        others = [peer for other, peer in peers.items() if other != name]
+        return homes_lib.Homes(
+            peers[name], peers=lambda: others, team_count=lambda: 1
+        )
+
     def start(self, name: str) -> None:
         """Starts an instance that does not run."""
         node = Node(self, name, next(self._numbers))
--- a/packages/bambooglade/bambooglade/core/event_log.py
+++ b/packages/bambooglade/bambooglade/core/event_log.py
@@ -45,6 +45,7 @@
         "_clock",
         "_descriptor",
         "_instance",
+        "_told_at_ms",
         "_told_dropped",
         "_updated_at_ms",
         "dropped_lines",
@@ -65,6 +66,7 @@
         self._allowance = float(BURST_LINES)
         self._updated_at_ms = clock.now_ms()
         self._told_dropped = 0
+        self._told_at_ms = 0
         self.dropped_lines = 0
         self.lines = 0
         if descriptor is not None:
@@ -96,8 +98,10 @@
         return True
 
     def _write(self, line: bytes) -> None:
-        if self.dropped_lines > self._told_dropped:
+        since_ms = self._updated_at_ms - self._told_at_ms
+        if self.dropped_lines > self._told_dropped and since_ms >= _MS_PER_S:
             self._told_dropped = self.dropped_lines
+            self._told_at_ms = self._updated_at_ms
             line += b"event=log_lines_dropped total=%d\n" % self.dropped_lines
         self._buffer += line
         self._flush()
--- a/packages/bambooglade/bambooglade/discovery/follower.py
+++ b/packages/bambooglade/bambooglade/discovery/follower.py
@@ -12,8 +12,12 @@
 from bambooglade.store import contact as contact_lib
 from bambooglade.store import port
 
-WATCH_WAIT_MS = 1_500
-"""Longest wait of one watch; bounds how long a silent connection is trusted."""
+WATCH_WAIT_MS = 3_000
+"""Longest wait of one watch; bounds how long a silent connection is trusted.
+
+A fault of connections excuses an instance for 3 s and more, and a change has
+to be in force 2 s later at the earliest.
+"""
 
 WATCH_PAUSE_MS = 100
 """Pause between two watches, so that changes in a row cost one call."""
--- a/packages/bambooglade/bambooglade/discovery/peers.py
+++ b/packages/bambooglade/bambooglade/discovery/peers.py
@@ -9,6 +9,9 @@
 PEER_LIFETIME_MS = 60_000
 """How long a peer is remembered without news; longer than usual outages."""
 
+UNREGISTERED_MS = 5_000
+"""How long a peer that is not registered is remembered since it called."""
+
 
 class Peer(msgspec.Struct, frozen=True, kw_only=True):
     """Another instance.
@@ -61,6 +64,16 @@
                 self._peer_by_name[peer.name] = peer
                 self._heard_ms_by_name[peer.name] = now_ms
 
+    def registered(self, peers: Iterable[Peer], *, now_ms: int) -> None:
+        """Takes the list of all registered peers; others are forgotten."""
+        listed = list(peers)
+        names = {peer.name for peer in listed}
+        for name, heard_ms in list(self._heard_ms_by_name.items()):
+            if name not in names and now_ms - heard_ms > UNREGISTERED_MS:
+                del self._heard_ms_by_name[name]
+                del self._peer_by_name[name]
+        self.heard_of(listed, now_ms=now_ms)
+
     def all(self, *, now_ms: int) -> list[Peer]:
         """Returns the peers that were heard of lately, sorted by name."""
         return [
--- a/packages/bambooglade/bambooglade/discovery/registration.py
+++ b/packages/bambooglade/bambooglade/discovery/registration.py
@@ -21,6 +21,9 @@
 RENEW_PAUSE_MS = 4_000
 """Pause between renewals; two may be lost."""
 
+READ_EVERY = 3
+"""Renewals for each reading of the registered instances."""
+
 RETRY_PAUSE_MS = 700
 """Mean pause after a failure of the store."""
 
@@ -78,10 +81,12 @@
             self._store.end_lease(self._lease_id)
 
     def _run(self) -> tasks.Task:
+        rounds = 0
         while not self._is_stopped:
             is_registered = yield from self._register_or_renew()
-            if is_registered:
+            if is_registered and (rounds % READ_EVERY == 0 or rounds < 2):
                 is_registered = yield from self._read_peers()
+            rounds += is_registered
             pause_ms = RENEW_PAUSE_MS if is_registered else RETRY_PAUSE_MS
             yield tasks.sleep(
                 self._loop, pause_ms * (0.75 + self._random.random() / 2)
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -196,6 +196,7 @@
     def head_received(self, head: messages.ResponseHead) -> None:
         """Decides whether the response is delivered as it arrives."""
         self._facts = self._context.codec.response_facts(head)
+        self._context.placement.reachable(self._choice.target)
         now_ms = self._context.loop.now_ms()
         if self._facts.load is not None:
             self._context.placement.reported(
@@ -262,12 +263,15 @@
         if end is target_pool.AttemptEnd.COMPLETE:
             self._completed(self._attempt.head)
         elif end is target_pool.AttemptEnd.NOT_SENT:
-            self._note_failure(reason, placement_lib.REFUSED_FAILURES)
+            self._context.placement.unreachable(
+                self._choice.target, now_ms=self._context.loop.now_ms()
+            )
+            self._note_failure(reason)
             self._send_again_unrun(reason)
         else:
             self.may_have_run = True
             self._runs += 1
-            self._note_failure(reason, 1)
+            self._note_failure(reason)
             self._delivery.break_stream()
             self._send_again_broken(reason)
 
@@ -287,7 +291,7 @@
             self._context.placement.succeeded(self.target_id)
             self._deliver(head)
         elif head.status in _SUCCESSES:
-            self._note_failure("unsigned success", 1)
+            self._note_failure("unsigned success")
             self._send_again_broken("the target's response is not genuine")
         else:
             self._deliver_failure(head)
@@ -303,7 +307,7 @@
         """Takes a failure that the target itself answered."""
         is_server_error = head.status >= _FIRST_SERVER_ERROR
         if is_server_error:
-            self._note_failure(f"status {head.status}", 1)
+            self._note_failure(f"status {head.status}")
         if is_server_error and self._may_repeat():
             self.send_next()
         elif self._delivery.is_started:
@@ -314,11 +318,9 @@
             self._delivery.respond(head, b"".join(self._body))
             self._exchange.finish(head.status)
 
-    def _note_failure(self, reason: str, failures: int) -> None:
+    def _note_failure(self, reason: str) -> None:
         now_ms = self._context.loop.now_ms()
-        self._context.placement.failed(
-            self.target_id, now_ms=now_ms, failures=failures
-        )
+        self._context.placement.failed(self.target_id, now_ms=now_ms)
         self._context.log.event(
             "attempt_failed",
             request=self._exchange.facts.attempt_id,
@@ -392,7 +394,7 @@
             return
         self.cancel()
         self._runs += 1
-        self._note_failure("no progress", 1)
+        self._note_failure("no progress")
         self._delivery.break_stream()
         self.send_next()
 
@@ -402,7 +404,7 @@
         self.cancel()
         if was_sent:
             self.may_have_run = True
-            self._note_failure("deadline", 1)
+            self._note_failure("deadline")
             self._exchange.fail(refusals.Kind.TIMED_OUT, "no whole response")
         else:
             self._give_up(refusals.Kind.OUT_OF_TIME, "not sent in time")
--- a/packages/bambooglade/bambooglade/gateway/peer_api.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from concurrent import futures
 
 import msgspec
 
@@ -11,6 +12,7 @@
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import view as view_lib
 from bambooglade.eventloop import http_server
+from bambooglade.eventloop import tasks
 from bambooglade.http1 import messages
 from bambooglade.rights import keeper as keeper_lib
 from bambooglade.rights import lending
@@ -47,7 +49,9 @@
         self._log = log
         self._now_ms = now_ms
 
-    def answer(self, request: messages.Request) -> http_server.Reply:
+    def answer(
+        self, request: messages.Request
+    ) -> http_server.Reply | futures.Future:
         """Answers one request of a peer."""
         handlers = {
             peer_view.VIEW_PATH: self._view_answer,
@@ -57,33 +61,38 @@
         if handler is None or request.method != b"POST":
             return http_server.Reply(404)
         try:
-            answered = handler(request.body)
+            return handler(request.body)
         except msgspec.DecodeError as error:
             self._log.event("peer_request_malformed", error=error)
             return http_server.Reply(400)
-        return http_server.Reply(200, msgspec.json.encode(answered))
 
-    def _view_answer(self, body: bytes) -> peer_view.ViewAnswer:
+    def _view_answer(self, body: bytes) -> http_server.Reply:
         request = msgspec.json.decode(body, type=peer_view.ViewRequest)
         now_ms = self._now_ms()
         self._peers.heard_of([request.asker], now_ms=now_ms)
         known = [*self._peers.all(now_ms=now_ms), self._own]
-        return peer_view.answer(request, self._view, known)
+        answered = peer_view.answer(request, self._view, known)
+        return http_server.Reply(200, msgspec.json.encode(answered))
 
-    def _loan_answer(self, body: bytes) -> lending.LoanAnswer:
+    def _loan_answer(self, body: bytes) -> futures.Future:
         request = msgspec.json.decode(body, type=lending.LoanRequest)
         self._peers.heard_of([request.borrower], now_ms=self._now_ms())
-        lent = self._rights.lend(request.team, request.tokens)
+        return tasks.spawn(self._lend(request))
+
+    def _lend(self, request: lending.LoanRequest) -> tasks.Task:
+        lent = yield self._rights.lend(request.team, request.tokens)
         available = self._rights.available_tokens(request.team)
-        self._log.event(
-            "rights_lent",
-            team=request.team,
-            borrower=request.borrower.name,
-            wanted_tokens=request.tokens,
-            lent_tokens=lent,
-            available_tokens=available,
-        )
-        return lending.LoanAnswer(tokens=lent, available_tokens=available)
+        if lent:
+            self._log.event(
+                "rights_lent",
+                team=request.team,
+                borrower=request.borrower.name,
+                wanted_tokens=request.tokens,
+                lent_tokens=lent,
+                available_tokens=available,
+            )
+        answered = lending.LoanAnswer(tokens=lent, available_tokens=available)
+        return http_server.Reply(200, msgspec.json.encode(answered))
 
     def __repr__(self) -> str:
         return f"PeerApi(view={self._view!r})"
--- a/packages/bambooglade/bambooglade/gateway/placement.py
+++ b/packages/bambooglade/bambooglade/gateway/placement.py
@@ -47,8 +47,17 @@
 REPORT_LIFETIME_MS = 2_000
 """Age from which a reported load says nothing any more."""
 
-REFUSED_FAILURES = breaker.FAILURES_TO_OPEN
-"""A refused connection counts as many failures as shut a target out."""
+SUSPECT_MS = 1_500
+"""How long a target that could not be connected to is avoided."""
+
+UNREACHABLE_MS = 2_000.0
+"""Cost of a target that could not be connected to, in ms: it comes last."""
+
+SUSPECT_ZONE_MS = 500.0
+"""Cost of a target whose zone has one that could not be connected to, in ms.
+
+An availability zone that is cut off shows itself one target after the other.
+"""
 
 
 class Choice:
@@ -107,6 +116,8 @@
         "_latency",
         "_load_by_target",
         "_prefixes",
+        "_suspect_until_ms_by_id",
+        "_suspect_until_ms_by_zone",
     )
 
     def __init__(self, availability_zone: str) -> None:
@@ -114,6 +125,8 @@
         self._breakers = breaker.CircuitBreakers()
         self._latency = latency.LatencyTracker()
         self._prefixes = affinity.PrefixIndex()
+        self._suspect_until_ms_by_id: dict[str, int] = {}
+        self._suspect_until_ms_by_zone: dict[str, int] = {}
         self._load_by_target: dict[str, _TargetLoad] = collections.defaultdict(
             _TargetLoad
         )
@@ -179,6 +192,7 @@
         total_ms = (work_ms + ahead_ms) * slowness
         total_ms += 0 if is_local else OTHER_ZONE_MS
         total_ms += COLD_MS if target.cold_remaining_ms else 0
+        total_ms += self._suspicion_ms(target, now_ms)
         return Choice(
             target,
             predicted_ms=total_ms,
@@ -189,6 +203,16 @@
             ),
         )
 
+    def _suspicion_ms(
+        self, target: targets_lib.RegisteredTarget, now_ms: int
+    ) -> float:
+        if self._suspect_until_ms_by_id.get(target.target_id, 0) > now_ms:
+            return UNREACHABLE_MS
+        zone = target.availability_zone
+        if self._suspect_until_ms_by_zone.get(zone, 0) > now_ms:
+            return SUSPECT_ZONE_MS
+        return 0.0
+
     def _cached_tokens(
         self,
         target: targets_lib.RegisteredTarget,
@@ -263,16 +287,24 @@
         """Notes a whole response."""
         self._breakers.succeeded(target_id)
 
-    def failed(self, target_id: str, *, now_ms: int, failures: int = 1) -> None:
-        """Notes a failure of the target.
+    def failed(self, target_id: str, *, now_ms: int) -> None:
+        """Notes a failure of the target."""
+        self._breakers.failed(target_id, now_ms)
 
-        Args:
-            target_id: The target.
-            now_ms: The time.
-            failures: How many failures it counts as.
-        """
-        for _ in range(failures):
-            self._breakers.failed(target_id, now_ms)
+    def unreachable(
+        self, target: targets_lib.RegisteredTarget, *, now_ms: int
+    ) -> None:
+        """Notes that a connection could not be established."""
+        until_ms = now_ms + SUSPECT_MS
+        self._suspect_until_ms_by_id[target.target_id] = until_ms
+        if target.availability_zone != self._availability_zone:
+            zone = target.availability_zone
+            self._suspect_until_ms_by_zone[zone] = until_ms
+
+    def reachable(self, target: targets_lib.RegisteredTarget) -> None:
+        """Notes that the target has answered."""
+        self._suspect_until_ms_by_id.pop(target.target_id, None)
+        self._suspect_until_ms_by_zone.pop(target.availability_zone, None)
 
     def own_running(self, target_id: str) -> int:
         """Returns how many requests of this instance the target has."""
@@ -285,6 +317,7 @@
             if target_id not in known and not load.own_running:
                 del self._load_by_target[target_id]
                 self._prefixes.forget(target_id)
+                self._suspect_until_ms_by_id.pop(target_id, None)
 
     def __repr__(self) -> str:
         return f"Placement(targets={len(self._load_by_target)})"
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -26,6 +26,7 @@
 from bambooglade.gateway import settings as settings_lib
 from bambooglade.gateway import target_pool
 from bambooglade.http1 import messages
+from bambooglade.rights import homes as homes_lib
 from bambooglade.rights import keeper as keeper_lib
 from bambooglade.rights import lending
 from bambooglade.router import metrics as metrics_lib
@@ -97,10 +98,14 @@
     def _rights_keeper(
         self, store: port.TransactionalStore, client: http_client.HttpClient
     ) -> keeper_lib.RightsKeeper:
+        homes = homes_lib.Homes(
+            self._own, peers=self._known_peers, team_count=self._team_count
+        )
         lenders = lending.Lenders(
             self.loop,
             client,
             peers=self._known_peers,
+            homes=homes,
             own=self._own,
             random_source=self._random,
         )
@@ -111,7 +116,7 @@
             place=f"{self.settings.instance}@{self.settings.peer_address[0]}",
             incarnation=self._incarnation,
             prepaid_of=self._prepaid_of,
-            fleet_size=self._fleet_size,
+            homes=homes,
             contact=self._contact,
             log=self._log,
         )
@@ -179,6 +184,10 @@
     def _fleet_size(self) -> int:
         return self._peers.fleet_size(self.loop.now_ms())
 
+    def _team_count(self) -> int:
+        configuration = self.view.configuration
+        return len(configuration.team_by_name) if configuration else 0
+
     def _prepaid_of(self, team: str) -> int | None:
         configuration = self.view.configuration
         if configuration is None or team not in configuration.team_by_name:
--- a/packages/bambooglade/bambooglade/gateway/target_pool.py
+++ b/packages/bambooglade/bambooglade/gateway/target_pool.py
@@ -13,8 +13,11 @@
 from bambooglade.http1 import messages
 from bambooglade.http1 import response_parser
 
-CONNECT_TIMEOUT_MS = 500
-"""Time to connect; a lost opening packet is sent again only after 1 s."""
+CONNECT_TIMEOUT_MS = 250
+"""Time to connect; takes a few ms, and another target can take the request.
+
+A lost opening packet would be sent again only after 1 s.
+"""
 
 DEFAULT_IDLE_MS = 4_000
 """Idle time of a kept connection whose target states none."""
--- a/packages/bambooglade/bambooglade/rights/account.py
+++ b/packages/bambooglade/bambooglade/rights/account.py
@@ -7,6 +7,13 @@
 DEMAND_HALF_LIFE_MS = 8_000
 """Time after which demand counts half; about as long as an outage."""
 
+SCARCE_HORIZON_MS = 20_000
+"""Demand that the free budget has to cover to count as plentiful.
+
+A budget below it is used up soon in any case: what is held for an outage then
+only adds to what a kill loses.
+"""
+
 MIN_KNOWN_MS = 2_000
 """Least time that demand is taken to have been observed for."""
 
@@ -109,7 +116,7 @@
             self.reserved_tokens -= reserved
             self.spent_tokens += min(spent_tokens, reserved)
 
-    def lend(self, wanted_tokens: int) -> int:
+    def lend(self, wanted_tokens: int, *, now_ms: int) -> int:
         """Gives rights to a peer; returns how many.
 
         All that is wanted is given if it is there, else all that is there:
@@ -117,6 +124,8 @@
         """
         lent = max(0, min(wanted_tokens, self.available_tokens))
         self.lent_tokens += lent
+        if lent:
+            self._note_demand(lent, now_ms)
         return lent
 
     def borrow(self, tokens: int) -> None:
@@ -127,18 +136,18 @@
         """Ends the use of these rights."""
         self.is_closed = True
 
-    def wanted_stock_tokens(self, *, now_ms: int, fleet_size: int) -> int:
+    def wanted_stock_tokens(self, *, now_ms: int, home_count: int) -> int:
         """Returns what should be available, by the recent demand.
 
-        Large requests are rare at one instance; the fleet keeps one in all,
-        and instances lend.
+        Large requests are rare in one zone; the fleet keeps one in all, and
+        the homes lend.
 
         Args:
             now_ms: The time.
-            fleet_size: Number of instances.
+            home_count: Number of instances that hold stocks of the team.
         """
         demand = self._demand_within(STOCK_HORIZON_MS, now_ms)
-        return round(demand + self._largest_tokens / fleet_size)
+        return round(demand + self._largest_tokens / home_count)
 
     def _demand_within(self, horizon_ms: int, now_ms: int) -> float:
         """Returns the expected demand of the time to come, in tokens."""
--- a/packages/bambooglade/bambooglade/rights/bookkeeper.py
+++ b/packages/bambooglade/bambooglade/rights/bookkeeper.py
@@ -8,12 +8,14 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterator
 from concurrent import futures
 
 from bambooglade.core import event_log
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
 from bambooglade.rights import account as account_lib
+from bambooglade.rights import homes as homes_lib
 from bambooglade.rights import ledger as ledger_lib
 from bambooglade.store import contact as contact_lib
 from bambooglade.store import port
@@ -28,14 +30,17 @@
 """Conflicts with other instances before requests are told to wait."""
 
 MAX_STOCK_SHARE = 0.6
-"""Most of an equal share of the free budget that an instance holds unused.
+"""Most of a zone's share of the free budget that its home holds unused.
 
 What all hold together has to last through an outage of the store; what an
 instance holds is lost when it dies.
 """
 
+SCARCE_STOCK_SHARE = 0.2
+"""The same once the free budget covers a short time only."""
+
 MIN_STOCK_SHARE = 0.25
-"""Least of an equal share of the free budget that is held without demand."""
+"""Least of a zone's share of the free budget that is held without demand."""
 
 DRAW_PAUSE_MS = 1_000
 """Pause between two draws of a team that only fill its stock."""
@@ -54,7 +59,7 @@
         incarnation: This process.
         accounts: Accounts by team.
         prepaid_of: Returns what a team prepaid, in tokens; None for no limit.
-        fleet_size: Returns the number of instances.
+        homes: Knows whose stocks are held here.
         contact: Tells whether the store answers.
         log: Told of writes.
     """
@@ -68,7 +73,7 @@
         incarnation: str,
         accounts: dict[str, account_lib.Account],
         prepaid_of: Callable[[str], int | None],
-        fleet_size: Callable[[], int],
+        homes: homes_lib.Homes,
         contact: contact_lib.Contact,
         log: event_log.EventLog,
     ) -> None:
@@ -79,7 +84,7 @@
         self._holder = f"{place}/{incarnation}"
         self._account_by_team = accounts
         self._prepaid_of = prepaid_of
-        self._fleet_size = fleet_size
+        self._homes = homes
         self._contact = contact
         self._log = log
         self._ledger_item_by_team: dict[str, port.Item] = {}
@@ -177,6 +182,7 @@
             for team, account in self._account_by_team.items()
             if team not in self._exhausted
             and not account.is_closed
+            and self._homes.is_own(team)
             and now_ms - self._drawn_at_ms_by_team.get(team, 0) >= DRAW_PAUSE_MS
             and (
                 team not in self._free_by_team
@@ -195,12 +201,19 @@
 
     def _wanted_stock(self, team: str) -> int:
         """Returns how much should be available, in tokens."""
-        fleet_size = self._fleet_size()
-        share = self._free_by_team.get(team, 0) / fleet_size
+        home_count = self._homes.count()
+        share = self._free_by_team.get(team, 0) / home_count
         by_demand = self._account_by_team[team].wanted_stock_tokens(
-            now_ms=self._loop.now_ms(), fleet_size=fleet_size
+            now_ms=self._loop.now_ms(), home_count=home_count
+        )
+        scarce_below = (
+            by_demand
+            * account_lib.SCARCE_HORIZON_MS
+            / account_lib.STOCK_HORIZON_MS
         )
-        at_least, at_most = share * MIN_STOCK_SHARE, share * MAX_STOCK_SHARE
+        is_scarce = share < scarce_below
+        at_most = share * (SCARCE_STOCK_SHARE if is_scarce else MAX_STOCK_SHARE)
+        at_least = min(at_most, share * MIN_STOCK_SHARE)
         return round(max(at_least, min(by_demand, at_most)))
 
     def _commit(
@@ -325,7 +338,11 @@
         return tasks.spawn(self._close())
 
     def _close(self) -> tasks.Task:
-        held = [t for t, a in self._account_by_team.items() if a.granted_tokens]
+        held = [
+            team
+            for team, account in self._account_by_team.items()
+            if account.granted_tokens or account.used_tokens
+        ]
         for first in range(0, len(held), MAX_LEDGERS_PER_WRITE):
             teams = held[first : first + MAX_LEDGERS_PER_WRITE]
             for _ in range(MAX_CONFLICTS):
@@ -345,12 +362,15 @@
                     break
                 self._conflicted(answer)
 
-    def _closing_writes(self, teams: list[str]):
+    def _closing_writes(self, teams: list[str]) -> Iterator[port.Write]:
+        """Yields the ledgers without this holder.
+
+        A write without an answer is not sent again: what was borrowed stands
+        under no holder, and would be given back twice.
+        """
         for team in teams:
             item = self._ledger_item_by_team[team]
             ledger = ledger_lib.decode(item.value)
-            if self._holder not in ledger.granted_by_holder:
-                continue
             used = self._account_by_team[team].used_tokens
             closed = ledger.closing(self._holder, used_tokens=used)
             yield port.Write(
--- a/packages/bambooglade/bambooglade/rights/keeper.py
+++ b/packages/bambooglade/bambooglade/rights/keeper.py
@@ -16,6 +16,7 @@
 from bambooglade.eventloop import tasks
 from bambooglade.rights import account as account_lib
 from bambooglade.rights import bookkeeper as bookkeeper_lib
+from bambooglade.rights import homes as homes_lib
 from bambooglade.rights import lending
 from bambooglade.store import contact as contact_lib
 from bambooglade.store import port
@@ -39,7 +40,7 @@
         place: `instance@address` of this instance.
         incarnation: This process.
         prepaid_of: Returns what a team prepaid, in tokens; None for no limit.
-        fleet_size: Returns the number of instances.
+        homes: Knows which instance holds a team's stock.
         contact: Tells whether the store answers.
         log: Told of draws and loans.
     """
@@ -48,6 +49,7 @@
         "_account_by_team",
         "_bookkeeper",
         "_contact",
+        "_homes",
         "_lenders",
         "_log",
         "_loop",
@@ -63,12 +65,13 @@
         place: str,
         incarnation: str,
         prepaid_of: Callable[[str], int | None],
-        fleet_size: Callable[[], int],
+        homes: homes_lib.Homes,
         contact: contact_lib.Contact,
         log: event_log.EventLog,
     ) -> None:
         self._loop = loop
         self._lenders = lenders
+        self._homes = homes
         self._prepaid_of = prepaid_of
         self._contact = contact
         self._log = log
@@ -82,7 +85,7 @@
             incarnation=incarnation,
             accounts=self._account_by_team,
             prepaid_of=prepaid_of,
-            fleet_size=fleet_size,
+            homes=homes,
             contact=contact,
             log=log,
         )
@@ -112,11 +115,27 @@
         """Ends a request that was reserved."""
         self._account_by_team[team].settle(request_id, spent_tokens)
 
-    def lend(self, team: str, wanted_tokens: int) -> int:
-        """Gives rights to a peer; returns how many."""
+    def lend(self, team: str, wanted_tokens: int) -> futures.Future:
+        """Gives rights to a peer; draws them first if they are missing.
+
+        Returns:
+            A future with how many were given.
+        """
+        return tasks.spawn(self._lend(team, wanted_tokens))
+
+    def _lend(self, team: str, wanted_tokens: int) -> tasks.Task:
         if self._prepaid_of(team) is None:
             return 0
-        return self._account_by_team[team].lend(wanted_tokens)
+        account = self._account_by_team[team]
+        is_short = account.available_tokens < wanted_tokens
+        if is_short and self._may_draw(team):
+            yield self._bookkeeper.request(team, wanted_tokens)
+        return account.lend(wanted_tokens, now_ms=self._loop.now_ms())
+
+    def _may_draw(self, team: str) -> bool:
+        return not self._contact.is_lost and not self._bookkeeper.is_exhausted(
+            team
+        )
 
     def watch_teams(self, teams: list[str]) -> None:
         """Holds stocks for teams that are new or whose budget changed."""
@@ -143,6 +162,10 @@
     def _reserve_later(
         self, team: str, request_id: str, tokens: int
     ) -> tasks.Task:
+        if not self._homes.is_own(team):
+            yield from self._borrow(team, tokens, only_homes=True)
+            if self._try_reserve(team, request_id, tokens):
+                return Reservation.RESERVED
         if not self._contact.is_lost:
             yield self._bookkeeper.request(team, tokens)
             if self._try_reserve(team, request_id, tokens):
@@ -153,10 +176,14 @@
         is_final = self._bookkeeper.is_exhausted(team) and loan.all_answered
         return Reservation.EXHAUSTED if is_final else Reservation.UNREACHABLE
 
-    def _borrow(self, team: str, tokens: int) -> tasks.Task:
+    def _borrow(
+        self, team: str, tokens: int, *, only_homes: bool = False
+    ) -> tasks.Task:
         account = self._account_by_team[team]
         missing = tokens - self.available_tokens(team)
-        loan = yield self._lenders.borrow(team, missing, account.borrow)
+        loan = yield self._lenders.borrow(
+            team, missing, account.borrow, only_homes=only_homes
+        )
         self._log.event(
             "rights_borrowed",
             team=team,
--- a/packages/bambooglade/bambooglade/rights/lending.py
+++ b/packages/bambooglade/bambooglade/rights/lending.py
@@ -16,17 +16,18 @@
 from bambooglade.eventloop import http_client
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
+from bambooglade.rights import homes as homes_lib
 
 LOAN_PATH = "/v1/loans"
 LOAN_TIMEOUT_MS = 250
 """Limit on one request for a loan; peers answer within a few milliseconds."""
 
-ASKED_AT_ONCE = 3
-"""Peers that are asked together, so that a silent one costs little time."""
-
 MAX_ASKED = 12
 """Peers that one request asks; more would flood a large fleet."""
 
+SILENT_MS = 2_000
+"""How long a peer that did not answer is asked last."""
+
 _OK = 200
 
 
@@ -81,12 +82,13 @@
 
 
 class Lenders:
-    """Asks peers for rights, those first that had most left.
+    """Asks peers for rights: the homes of the team, then those with most left.
 
     Args:
         loop: The event loop.
         client: Calls the peers.
         peers: Returns the peers that are known.
+        homes: Knows which peers hold a team's stock.
         own: This instance, as peers know it.
         random_source: Orders peers of which nothing is known.
     """
@@ -94,10 +96,12 @@
     __slots__ = (
         "_available_by_team_and_peer",
         "_client",
+        "_homes",
         "_loop",
         "_own",
         "_peers",
         "_random",
+        "_silent_until_ms_by_peer",
     )
 
     def __init__(
@@ -106,46 +110,55 @@
         client: http_client.HttpClient,
         *,
         peers: Callable[[], list[peers_lib.Peer]],
+        homes: homes_lib.Homes,
         own: peers_lib.Peer,
         random_source: random.Random,
     ) -> None:
         self._loop = loop
         self._client = client
         self._peers = peers
+        self._homes = homes
         self._own = own
         self._random = random_source
         self._available_by_team_and_peer: dict[tuple[str, str], int] = {}
+        self._silent_until_ms_by_peer: dict[str, int] = {}
 
     def borrow(
-        self, team: str, tokens: int, received: Callable[[int], None]
+        self,
+        team: str,
+        tokens: int,
+        received: Callable[[int], None],
+        *,
+        only_homes: bool = False,
     ) -> futures.Future:
-        """Asks peers until enough was got.
+        """Asks peers, one after the other, until enough was got.
 
         Args:
             team: Name of the team.
             tokens: How many rights are missing.
             received: Takes what each peer gives.
+            only_homes: Whether only the homes of the team are asked.
 
         Returns:
             A future with a `Loan`.
         """
-        return tasks.spawn(self._borrow(team, tokens, received))
+        return tasks.spawn(self._borrow(team, tokens, received, only_homes))
 
     def _borrow(
-        self, team: str, tokens: int, received: Callable[[int], None]
+        self,
+        team: str,
+        tokens: int,
+        received: Callable[[int], None],
+        only_homes: bool,
     ) -> tasks.Task:
         loan = Loan()
-        ranked = self._ranked(team)
+        ranked = self._ranked(team, only_homes)
         asked = ranked[:MAX_ASKED]
-        loan.is_whole_fleet = len(asked) == len(ranked)
-        for first in range(0, len(asked), ASKED_AT_ONCE):
-            group = asked[first : first + ASKED_AT_ONCE]
-            missing = tokens - loan.tokens
-            answers = [(p, self._ask(p, team, missing)) for p in group]
-            loan.asked += len(answers)
-            for peer, future in answers:
-                answer = yield future
-                self._note(team, peer, answer, loan, received)
+        loan.is_whole_fleet = len(asked) == len(ranked) and not only_homes
+        for peer in asked:
+            loan.asked += 1
+            answer = yield self._ask(peer, team, tokens - loan.tokens)
+            self._note(team, peer, answer, loan, received)
             if loan.tokens >= tokens:
                 break
         return loan
@@ -160,7 +173,9 @@
     ) -> None:
         known = (team, peer.name)
         if answer is None:
-            self._available_by_team_and_peer[known] = -1
+            self._silent_until_ms_by_peer[peer.name] = (
+                self._loop.now_ms() + SILENT_MS
+            )
             return
         loan.answered += 1
         loan.tokens += answer.tokens
@@ -168,12 +183,22 @@
         if answer.tokens:
             received(answer.tokens)
 
-    def _ranked(self, team: str) -> list[peers_lib.Peer]:
-        peers = list(self._peers())
-        self._random.shuffle(peers)
+    def _ranked(self, team: str, only_homes: bool) -> list[peers_lib.Peer]:
+        homes = [
+            home for home in self._homes.of(team) if home.name != self._own.name
+        ]
+        if only_homes:
+            return [home for home in homes if not self._is_silent(home)]
+        names = {home.name for home in homes}
+        others = [peer for peer in self._peers() if peer.name not in names]
+        self._random.shuffle(others)
         known = self._available_by_team_and_peer
-        peers.sort(key=lambda peer: -known.get((team, peer.name), 0))
-        return peers
+        others.sort(key=lambda peer: -known.get((team, peer.name), 0))
+        return sorted(homes + others, key=self._is_silent)
+
+    def _is_silent(self, peer: peers_lib.Peer) -> bool:
+        until_ms = self._silent_until_ms_by_peer.get(peer.name, 0)
+        return until_ms > self._loop.now_ms()
 
     def _ask(
         self, peer: peers_lib.Peer, team: str, tokens: int
