Turn requests away where the own link is congested; pause longer between watches

And each entry that a target wrote at the start woke every instance by itself. Change: the median time to connect within the own zone tells congestion; the instance is not ready then, lets connections end with their response, and turns new requests away with a return after 60 ms: retries reach other instances. An exhausted budget is looked at once a second, not at every request. 400 ms pass between two watches. Ruled out: taking every time-out for congestion; a zone that is cut off gives time-outs too, so only connections within the own zone count.

--- a/packages/bambooglade/bambooglade/discovery/follower.py
+++ b/packages/bambooglade/bambooglade/discovery/follower.py
@@ -19,8 +19,11 @@
 to be in force 2 s later at the earliest.
 """
 
-WATCH_PAUSE_MS = 100
-"""Pause between two watches, so that changes in a row cost one call."""
+WATCH_PAUSE_MS = 400
+"""Mean pause between two watches, so that changes in a row cost one call.
+
+Instances times targets calls would be made while all targets register.
+"""
 
 RETRY_PAUSE_MS = 300
 """Mean pause after a failure of the store."""
--- a/packages/bambooglade/bambooglade/gateway/context.py
+++ b/packages/bambooglade/bambooglade/gateway/context.py
@@ -9,6 +9,7 @@
 from bambooglade.discovery import view as view_lib
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.gateway import codec as codec_lib
+from bambooglade.gateway import congestion as congestion_lib
 from bambooglade.gateway import placement as placement_lib
 from bambooglade.gateway import retry_allowance
 from bambooglade.gateway import settings as settings_lib
@@ -27,6 +28,7 @@
         codec: Decodes headers.
         placement: Chooses targets.
         pool: Sends to targets.
+        congestion: Whether this instance is congested.
         rights: Spending rights.
         metrics: Counters.
         log: The log.
@@ -37,6 +39,7 @@
         "_allowance_by_service",
         "_fleet_size",
         "codec",
+        "congestion",
         "log",
         "loop",
         "metrics",
@@ -57,6 +60,7 @@
         codec: codec_lib.HeaderCodec,
         placement: placement_lib.Placement,
         pool: target_pool.TargetPool,
+        congestion: congestion_lib.Congestion,
         rights: keeper_lib.RightsKeeper,
         metrics: metrics_lib.Metrics,
         log: event_log.EventLog,
@@ -69,6 +73,7 @@
         self.codec = codec
         self.placement = placement
         self.pool = pool
+        self.congestion = congestion
         self.rights = rights
         self.metrics = metrics
         self.log = log
--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -79,6 +79,15 @@
             self._refuse(refusal)
             return
         now_ms = self._context.loop.now_ms()
+        if self._context.congestion.is_congested(now_ms):
+            self._refuse(
+                refusals.Refusal(
+                    refusals.Kind.CONGESTED,
+                    "connecting takes long here; others are free",
+                    retry_after_ms=self._spread(refusals.RETRY_ELSEWHERE_MS),
+                )
+            )
+            return
         self.deadline_at_ms = self.request.received_at_ms + min(
             self.facts.deadline_ms or NO_DEADLINE_MS, self.route.timeout_ms
         )
--- a/packages/bambooglade/bambooglade/gateway/frontend.py
+++ b/packages/bambooglade/bambooglade/gateway/frontend.py
@@ -252,7 +252,12 @@
     def _with_close(
         self, fields: messages.HeaderFields
     ) -> messages.HeaderFields:
-        if self._request.expects_close or self._frontend.is_draining:
+        is_congested = self._context.congestion.is_congested(self.now_ms())
+        if (
+            self._request.expects_close
+            or self._frontend.is_draining
+            or is_congested
+        ):
             self._is_closing = True
             return [*fields, _CLOSE]
         return fields
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -13,12 +13,14 @@
 from bambooglade.discovery import peer_view
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import registration as registration_lib
+from bambooglade.discovery import targets as targets_lib
 from bambooglade.discovery import view as view_lib
 from bambooglade.eventloop import http_client
 from bambooglade.eventloop import http_server
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
 from bambooglade.gateway import codec as header_codec_lib
+from bambooglade.gateway import congestion as congestion_lib
 from bambooglade.gateway import context as context_lib
 from bambooglade.gateway import frontend as frontend_lib
 from bambooglade.gateway import peer_api
@@ -90,6 +92,8 @@
         )
         self.rights = self._rights_keeper(store, client)
         self._metrics = metrics_lib.Metrics()
+        self._congestion = congestion_lib.Congestion()
+        self._was_congested = False
         self._context = self._new_context(header_codec)
         self._followers = self._new_followers(store, client, item_codec)
         self._frontend: frontend_lib.Frontend | None = None
@@ -135,7 +139,9 @@
                 idle_timeout_of=lambda head: (
                     header_codec.response_facts(head).idle_timeout_ms
                 ),
+                connected=self._connected,
             ),
+            congestion=self._congestion,
             rights=self.rights,
             metrics=self._metrics,
             log=self._log,
@@ -178,6 +184,21 @@
         )
         return follower, registration, puller
 
+    def _connected(
+        self, target: targets_lib.RegisteredTarget, took_ms: int
+    ) -> None:
+        now_ms = self.loop.now_ms()
+        if target.availability_zone == self.settings.availability_zone:
+            self._congestion.connected(target.target_id, took_ms, now_ms=now_ms)
+        is_congested = self._congestion.is_congested(now_ms)
+        if is_congested != self._was_congested:
+            self._was_congested = is_congested
+            self._log.event(
+                "congested" if is_congested else "not_congested",
+                connect_ms=took_ms,
+                target=target.target_id,
+            )
+
     def _known_peers(self) -> list[peers_lib.Peer]:
         return self._peers.all(now_ms=self.loop.now_ms())
 
@@ -197,7 +218,11 @@
     @property
     def is_ready(self) -> bool:
         """Whether new connections should come here."""
-        return self.view.is_ready and not self._is_draining
+        return (
+            self.view.is_ready
+            and not self._is_draining
+            and not self._congestion.is_congested(self.loop.now_ms())
+        )
 
     @property
     def is_stopped(self) -> bool:
--- a/packages/bambooglade/bambooglade/gateway/refusals.py
+++ b/packages/bambooglade/bambooglade/gateway/refusals.py
@@ -13,6 +13,9 @@
 RETRY_SOON_MS = 300
 """When to come back after a fault that others recover from quickly."""
 
+RETRY_ELSEWHERE_MS = 60
+"""When to come back to reach another instance."""
+
 RETRY_LATER_MS = 1_000
 """When to come back while something is out of reach."""
 
@@ -44,6 +47,7 @@
     NOT_READY = "not_ready", 503, _RETURN_LATER
     NO_TARGET = "no_target", 503, _RETURN_LATER
     OVERLOADED = "overloaded", 503, _RETURN_LATER
+    CONGESTED = "congested", 503, _RETURN_LATER
     RIGHTS_UNREACHABLE = "rights_unreachable", 503, _RETURN_LATER
     OUT_OF_TIME = "out_of_time", 503, "Send it again with a later deadline."
     TIMED_OUT = "timed_out", 504, _RUN_UNKNOWN
--- a/packages/bambooglade/bambooglade/gateway/target_pool.py
+++ b/packages/bambooglade/bambooglade/gateway/target_pool.py
@@ -84,6 +84,7 @@
         "_parser",
         "_pool",
         "_request",
+        "_started_at_ms",
         "_target",
         "head",
         "is_over",
@@ -102,6 +103,7 @@
         kept: _KeptConnection | None,
     ) -> None:
         self._loop = loop
+        self._started_at_ms = loop.now_ms()
         self._pool = pool
         self._target = target
         self._handler = handler
@@ -135,6 +137,7 @@
     def connected(self) -> None:
         """Sends the request."""
         self._connect_timer.cancel()
+        self._note_connected()
         self._connection.send(self._request)
 
     def received(self, data: bytes) -> None:
@@ -162,7 +165,12 @@
             self._over()
             self._connection.close()
 
+    def _note_connected(self) -> None:
+        took_ms = self._loop.now_ms() - self._started_at_ms
+        self._pool.note_connected(self._target, took_ms)
+
     def _connect_timed_out(self) -> None:
+        self._note_connected()
         self._connection.close()
         self._finish(AttemptEnd.NOT_SENT, "connecting timed out")
 
@@ -253,6 +261,7 @@
         loop: The event loop.
         idle_timeout_of: Tells from a response how long its target keeps an
             idle connection, in milliseconds; None if it does not say.
+        connected: Told of the time that each new connection took.
     """
 
     __slots__ = (
@@ -261,6 +270,7 @@
         "_loop",
         "_open_by_id",
         "_trusted_idle_ms",
+        "note_connected",
     )
 
     def __init__(
@@ -268,8 +278,10 @@
         loop: loop_lib.EventLoop,
         *,
         idle_timeout_of: Callable[[messages.ResponseHead], int | None],
+        connected: Callable[[targets_lib.RegisteredTarget, int], None],
     ) -> None:
         self._loop = loop
+        self.note_connected = connected
         self._idle_timeout_of = idle_timeout_of
         self._idle_by_address: dict[tuple[str, int], list[_KeptConnection]] = (
             collections.defaultdict(list)
--- a/packages/bambooglade/bambooglade/rights/bookkeeper.py
+++ b/packages/bambooglade/bambooglade/rights/bookkeeper.py
@@ -100,6 +100,21 @@
         """Returns whether the ledger had nothing left when last seen."""
         return team in self._exhausted
 
+    def is_worth_asking(self, team: str) -> bool:
+        """Returns whether a draw may bring something.
+
+        A budget that was used up a moment ago is not looked at again for every
+        request that comes.
+        """
+        if self._contact.is_lost:
+            return False
+        drawn_at_ms = self._drawn_at_ms_by_team.get(team)
+        return (
+            team not in self._exhausted
+            or drawn_at_ms is None
+            or self._loop.now_ms() - drawn_at_ms >= DRAW_PAUSE_MS
+        )
+
     def request(self, team: str, tokens: int) -> futures.Future:
         """Asks for rights beyond what is available.
 
--- a/packages/bambooglade/bambooglade/rights/keeper.py
+++ b/packages/bambooglade/bambooglade/rights/keeper.py
@@ -48,7 +48,6 @@
     __slots__ = (
         "_account_by_team",
         "_bookkeeper",
-        "_contact",
         "_homes",
         "_lenders",
         "_log",
@@ -73,7 +72,6 @@
         self._lenders = lenders
         self._homes = homes
         self._prepaid_of = prepaid_of
-        self._contact = contact
         self._log = log
         self._account_by_team: dict[str, account_lib.Account] = (
             collections.defaultdict(account_lib.Account)
@@ -128,15 +126,10 @@
             return 0
         account = self._account_by_team[team]
         is_short = account.available_tokens < wanted_tokens
-        if is_short and self._may_draw(team):
+        if is_short and self._bookkeeper.is_worth_asking(team):
             yield self._bookkeeper.request(team, wanted_tokens)
         return account.lend(wanted_tokens, now_ms=self._loop.now_ms())
 
-    def _may_draw(self, team: str) -> bool:
-        return not self._contact.is_lost and not self._bookkeeper.is_exhausted(
-            team
-        )
-
     def watch_teams(self, teams: list[str]) -> None:
         """Holds stocks for teams that are new or whose budget changed."""
         for team in teams:
@@ -166,7 +159,7 @@
             yield from self._borrow(team, tokens, only_homes=True)
             if self._try_reserve(team, request_id, tokens):
                 return Reservation.RESERVED
-        if not self._contact.is_lost:
+        if self._bookkeeper.is_worth_asking(team):
             yield self._bookkeeper.request(team, tokens)
             if self._try_reserve(team, request_id, tokens):
                 return Reservation.RESERVED
