Give idle rights back to the homes; hand over at a stop while the store is away

What instances had borrowed and not used stayed with them: 24 teams at 89 instances. A home that stopped while the store was away lost its stock, and a request waited 1.4 s for two writes that got no answer. Change: rights that no request asked for in 0.8 s go back to the home of the zone; a stop in an outage hands them to another home; a failed call keeps requests from waiting for the store for a second. A request is refused for good once all homes have answered and the ledger is empty. Ruled out: smaller loans; they are exactly what is missing already. Conclusion: what is held is now held at homes.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/rights_world.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/rights_world.py
@@ -40,11 +40,31 @@
         """Asks the peers, as `bambooglade.rights.lending.Lenders` does."""
         return tasks.spawn(self._borrow(team, tokens, received, only_homes))
 
+    def home_to_repay(self, team: str) -> peers_lib.Peer | None:
+        """Returns the home of the own zone, as `Lenders` does."""
+        home = self._world.homes(self._name).of(team)[0]
+        is_running = self._world.node_by_name[home.name] is not None
+        return home if home.name != self._name and is_running else None
+
+    def heir(self, team: str) -> peers_lib.Peer | None:
+        """Returns who takes the rights of an instance that stops."""
+        for home in self._world.homes(self._name).of(team):
+            is_running = self._world.node_by_name[home.name] is not None
+            if home.name != self._name and is_running:
+                return home
+        return None
+
+    def repay(self, home: peers_lib.Peer, tokens_by_team) -> None:
+        """Gives rights back, unless the message is lost."""
+        node = self._world.node_by_name[home.name]
+        if not self._world.are_peers_cut:
+            node.keeper.repaid(tokens_by_team)
+
     def _borrow(
         self, team: str, tokens: int, received, only_homes: bool
     ) -> tasks.Task:
         loan = lending.Loan()
-        loan.is_whole_fleet = not only_homes
+        loan.are_homes_asked = not only_homes
         homes = {home.name for home in self._world.homes(self._name).of(team)}
         for name, node in self._world.node_by_name.items():
             if name == self._name or node is None:
--- a/packages/bambooglade/bambooglade/gateway/peer_api.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_api.py
@@ -56,6 +56,7 @@
         handlers = {
             peer_view.VIEW_PATH: self._view_answer,
             lending.LOAN_PATH: self._loan_answer,
+            lending.REPAYMENT_PATH: self._repayment_answer,
         }
         handler = handlers.get(request.path.decode("latin-1"))
         if handler is None or request.method != b"POST":
@@ -79,6 +80,12 @@
         self._peers.heard_of([request.borrower], now_ms=self._now_ms())
         return tasks.spawn(self._lend(request))
 
+    def _repayment_answer(self, body: bytes) -> http_server.Reply:
+        request = msgspec.json.decode(body, type=lending.Repayment)
+        self._peers.heard_of([request.sender], now_ms=self._now_ms())
+        self._rights.repaid(request.tokens_by_team)
+        return http_server.Reply(200, b"{}")
+
     def _lend(self, request: lending.LoanRequest) -> tasks.Task:
         lent = yield self._rights.lend(request.team, request.tokens)
         available = self._rights.available_tokens(request.team)
--- a/packages/bambooglade/bambooglade/rights/account.py
+++ b/packages/bambooglade/bambooglade/rights/account.py
@@ -7,7 +7,7 @@
 DEMAND_HALF_LIFE_MS = 8_000
 """Time after which demand counts half; about as long as an outage."""
 
-SCARCE_HORIZON_MS = 20_000
+SCARCE_HORIZON_MS = 14_000
 """Demand that the free budget has to cover to count as plentiful.
 
 A budget below it is used up soon in any case: what is held for an outage then
@@ -17,6 +17,9 @@
 MIN_KNOWN_MS = 2_000
 """Least time that demand is taken to have been observed for."""
 
+IDLE_AFTER_MS = 800
+"""Time without a request after which rights are of more use at a home."""
+
 LARGEST_FADING = 0.9
 """Part that is kept of the largest request at each new one."""
 
@@ -128,6 +131,20 @@
             self._note_demand(lent, now_ms)
         return lent
 
+    def idle_tokens(self, *, now_ms: int) -> int:
+        """Returns what is available and was not asked for lately.
+
+        Args:
+            now_ms: The time.
+        """
+        if now_ms - self._demand_updated_ms < IDLE_AFTER_MS:
+            return 0
+        return max(0, self.available_tokens)
+
+    def repay(self, tokens: int) -> None:
+        """Gives rights back to where they came from; no demand."""
+        self.lent_tokens += tokens
+
     def borrow(self, tokens: int) -> None:
         """Takes rights that a peer has given."""
         self.borrowed_tokens += tokens
--- a/packages/bambooglade/bambooglade/rights/bookkeeper.py
+++ b/packages/bambooglade/bambooglade/rights/bookkeeper.py
@@ -23,13 +23,16 @@
 WRITE_TIMEOUT_MS = 600
 """Limit on one write; a slow store takes some hundred milliseconds."""
 
+FAILURE_PAUSE_MS = 1_000
+"""Time for which requests do not wait for the store after a call failed."""
+
 MAX_LEDGERS_PER_WRITE = 14
 """Ledgers in one write; the store takes 32 conditions and values."""
 
 MAX_CONFLICTS = 8
 """Conflicts with other instances before requests are told to wait."""
 
-MAX_STOCK_SHARE = 0.6
+MAX_STOCK_SHARE = 1.0
 """Most of a zone's share of the free budget that its home holds unused.
 
 What all hold together has to last through an outage of the store; what an
@@ -93,6 +96,7 @@
         self._needed_by_team: collections.Counter[str] = collections.Counter()
         self._waiting: list[futures.Future] = []
         self._drawn_at_ms_by_team: dict[str, int] = {}
+        self._paused_until_ms = 0
         self._is_writing = False
         self._is_closed = False
 
@@ -106,7 +110,7 @@
         A budget that was used up a moment ago is not looked at again for every
         request that comes.
         """
-        if self._contact.is_lost:
+        if self._contact.is_lost or self._loop.now_ms() < self._paused_until_ms:
             return False
         drawn_at_ms = self._drawn_at_ms_by_team.get(team)
         return (
@@ -395,6 +399,7 @@
             )
 
     def _note_failure(self, call: str, answer: port.Answer) -> None:
+        self._paused_until_ms = self._loop.now_ms() + FAILURE_PAUSE_MS
         self._log.event(
             "ledger_unreachable", call=call, answer=type(answer).__name__
         )
--- a/packages/bambooglade/bambooglade/rights/keeper.py
+++ b/packages/bambooglade/bambooglade/rights/keeper.py
@@ -8,10 +8,12 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 from concurrent import futures
 import enum
 
 from bambooglade.core import event_log
+from bambooglade.discovery import peers as peers_lib
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
 from bambooglade.rights import account as account_lib
@@ -48,6 +50,7 @@
     __slots__ = (
         "_account_by_team",
         "_bookkeeper",
+        "_contact",
         "_homes",
         "_lenders",
         "_log",
@@ -71,6 +74,7 @@
         self._loop = loop
         self._lenders = lenders
         self._homes = homes
+        self._contact = contact
         self._prepaid_of = prepaid_of
         self._log = log
         self._account_by_team: dict[str, account_lib.Account] = (
@@ -138,11 +142,58 @@
             self._bookkeeper.wake()
 
     def tick(self) -> None:
-        """Keeps the stocks filled."""
+        """Keeps the stocks filled, and gives idle rights back to the homes."""
         self._bookkeeper.tick()
+        self._repay_idle()
+
+    def repaid(self, tokens_by_team: dict[str, int]) -> None:
+        """Takes rights that a peer gives back."""
+        for team, tokens in tokens_by_team.items():
+            self._account_by_team[team].borrow(tokens)
+
+    def _repay_idle(self) -> None:
+        now_ms = self._loop.now_ms()
+        self._repay(
+            (
+                team,
+                account.idle_tokens(now_ms=now_ms),
+                self._lenders.home_to_repay(team),
+            )
+            for team, account in self._account_by_team.items()
+        )
+
+    def _repay(
+        self, shares: Iterable[tuple[str, int, peers_lib.Peer | None]]
+    ) -> None:
+        """Sends rights to peers, one message each.
+
+        Args:
+            shares: Team, tokens, and who gets them; None for nobody.
+        """
+        tokens_by_peer: dict[peers_lib.Peer, dict[str, int]] = {}
+        for team, tokens, peer in shares:
+            if peer is not None and tokens > 0:
+                self._account_by_team[team].repay(tokens)
+                tokens_by_peer.setdefault(peer, {})[team] = tokens
+        for peer, tokens_by_team in tokens_by_peer.items():
+            self._lenders.repay(peer, tokens_by_team)
+            self._log.event(
+                "rights_repaid",
+                peer=peer.name,
+                teams=len(tokens_by_team),
+                tokens=sum(tokens_by_team.values()),
+            )
 
     def give_back(self) -> futures.Future:
-        """Closes all accounts and returns what was not used to the ledgers."""
+        """Closes all accounts and returns what was not used.
+
+        It goes to the ledgers, or to peers while the store is away.
+        """
+        if self._contact.is_lost:
+            self._repay(
+                (team, account.available_tokens, self._lenders.heir(team))
+                for team, account in self._account_by_team.items()
+            )
         return self._bookkeeper.close()
 
     def _try_reserve(self, team: str, request_id: str, tokens: int) -> bool:
--- a/packages/bambooglade/bambooglade/rights/lending.py
+++ b/packages/bambooglade/bambooglade/rights/lending.py
@@ -19,6 +19,7 @@
 from bambooglade.rights import homes as homes_lib
 
 LOAN_PATH = "/v1/loans"
+REPAYMENT_PATH = "/v1/repayments"
 LOAN_TIMEOUT_MS = 250
 """Limit on one request for a loan; peers answer within a few milliseconds."""
 
@@ -57,6 +58,18 @@
     available_tokens: int
 
 
+class Repayment(msgspec.Struct, frozen=True, kw_only=True):
+    """Gives rights back to a home; a lost one is stranded.
+
+    Attributes:
+        tokens_by_team: Rights of each team.
+        sender: The peer that gives them.
+    """
+
+    tokens_by_team: dict[str, int]
+    sender: peers_lib.Peer
+
+
 class Loan:
     """How a round of asking ended.
 
@@ -64,21 +77,21 @@
         tokens: What was got in all.
         asked: Number of peers that were asked.
         answered: Number of peers that answered.
-        is_whole_fleet: Whether no peer was left out.
+        are_homes_asked: Whether no home of the team was left out.
     """
 
-    __slots__ = ("answered", "asked", "is_whole_fleet", "tokens")
+    __slots__ = ("answered", "are_homes_asked", "asked", "tokens")
 
     def __init__(self) -> None:
         self.tokens = 0
         self.asked = 0
         self.answered = 0
-        self.is_whole_fleet = False
+        self.are_homes_asked = False
 
     @property
     def all_answered(self) -> bool:
-        """Whether the whole fleet was asked and answered."""
-        return self.is_whole_fleet and self.answered == self.asked
+        """Whether all homes were asked, and all who were asked answered."""
+        return self.are_homes_asked and self.answered == self.asked
 
 
 class Lenders:
@@ -144,6 +157,33 @@
         """
         return tasks.spawn(self._borrow(team, tokens, received, only_homes))
 
+    def repay(self, home: peers_lib.Peer, tokens_by_team: dict[str, int]):
+        """Gives rights back; they were taken from the accounts before."""
+        self._client.call(
+            home.address,
+            method="POST",
+            target=REPAYMENT_PATH,
+            body=msgspec.json.encode(
+                Repayment(tokens_by_team=tokens_by_team, sender=self._own)
+            ),
+            timeout_ms=LOAN_TIMEOUT_MS,
+        )
+
+    def home_to_repay(self, team: str) -> peers_lib.Peer | None:
+        """Returns the home of the own zone; None if it is here or silent."""
+        home = self._homes.of(team)[0]
+        if home.name == self._own.name or self._is_silent(home):
+            return None
+        return home
+
+    def heir(self, team: str) -> peers_lib.Peer | None:
+        """Returns who takes the rights of this instance when it stops."""
+        for home in self._homes.of(team):
+            if home.name != self._own.name and not self._is_silent(home):
+                return home
+        others = [peer for peer in self._peers() if not self._is_silent(peer)]
+        return self._random.choice(others) if others else None
+
     def _borrow(
         self,
         team: str,
@@ -154,7 +194,7 @@
         loan = Loan()
         ranked = self._ranked(team, only_homes)
         asked = ranked[:MAX_ASKED]
-        loan.is_whole_fleet = len(asked) == len(ranked) and not only_homes
+        loan.are_homes_asked = len(asked) >= self._homes.count() - 1
         for peer in asked:
             loan.asked += 1
             answer = yield self._ask(peer, team, tokens - loan.tokens)
