--- a/packages/bambooglade/bambooglade/rights/account.py
+++ b/packages/bambooglade/bambooglade/rights/account.py
@@ -7,7 +7,7 @@
 DEMAND_HALF_LIFE_MS = 8_000
 """Time after which demand counts half; about as long as an outage."""
 
-SCARCE_HORIZON_MS = 14_000
+SCARCE_HORIZON_MS = 20_000
 """Demand that the free budget has to cover to count as plentiful.
 
 A budget below it is used up soon in any case: what is held for an outage then
@@ -119,15 +119,20 @@
             self.reserved_tokens -= reserved
             self.spent_tokens += min(spent_tokens, reserved)
 
-    def lend(self, wanted_tokens: int, *, now_ms: int) -> int:
+    def lend(self, wanted_tokens: int, *, now_ms: int, is_demand: bool) -> int:
         """Gives rights to a peer; returns how many.
 
         All that is wanted is given if it is there, else all that is there:
         a request that waits goes before requests that may come.
+
+        Args:
+            wanted_tokens: What the peer asks for.
+            now_ms: The time.
+            is_demand: Whether the stock here is to cover the peer's demand.
         """
         lent = max(0, min(wanted_tokens, self.available_tokens))
         self.lent_tokens += lent
-        if lent:
+        if lent and is_demand:
             self._note_demand(lent, now_ms)
         return lent
 
--- a/packages/bambooglade/bambooglade/rights/bookkeeper.py
+++ b/packages/bambooglade/bambooglade/rights/bookkeeper.py
@@ -23,6 +23,9 @@
 WRITE_TIMEOUT_MS = 600
 """Limit on one write; a slow store takes some hundred milliseconds."""
 
+CLOSE_POLL_MS = 20
+"""Time between two looks at whether the last write has ended."""
+
 FAILURE_PAUSE_MS = 1_000
 """Time for which requests do not wait for the store after a call failed."""
 
@@ -32,8 +35,8 @@
 MAX_CONFLICTS = 8
 """Conflicts with other instances before requests are told to wait."""
 
-MAX_STOCK_SHARE = 1.0
-"""Most of a zone's share of the free budget that its home holds unused.
+MAX_STOCK_SHARE = 0.6
+"""Most of an equal share of the free budget that a home holds unused.
 
 What all hold together has to last through an outage of the store; what an
 instance holds is lost when it dies.
@@ -43,7 +46,7 @@
 """The same once the free budget covers a short time only."""
 
 MIN_STOCK_SHARE = 0.25
-"""Least of a zone's share of the free budget that is held without demand."""
+"""Least of an equal share of the free budget that is held without demand."""
 
 DRAW_PAUSE_MS = 1_000
 """Pause between two draws of a team that only fill its stock."""
@@ -110,7 +113,8 @@
         A budget that was used up a moment ago is not looked at again for every
         request that comes.
         """
-        if self._contact.is_lost or self._loop.now_ms() < self._paused_until_ms:
+        is_paused = self._loop.now_ms() < self._paused_until_ms
+        if self._contact.is_lost or is_paused or self._is_closed:
             return False
         drawn_at_ms = self._drawn_at_ms_by_team.get(team)
         return (
@@ -175,10 +179,14 @@
 
     def _write(self, needed: collections.Counter[str]) -> tasks.Task:
         for _ in range(MAX_CONFLICTS):
+            if self._is_closed:
+                return
             teams = self._teams_to_draw(needed)[:MAX_LEDGERS_PER_WRITE]
             is_read = yield from self._read_ledgers(teams)
             if not is_read:
                 return
+            if self._is_closed:
+                return
             is_done = yield from self._commit(teams, needed)
             if is_done:
                 return
@@ -357,6 +365,8 @@
         return tasks.spawn(self._close())
 
     def _close(self) -> tasks.Task:
+        while self._is_writing:
+            yield tasks.sleep(self._loop, CLOSE_POLL_MS)
         held = [
             team
             for team, account in self._account_by_team.items()
@@ -399,7 +409,10 @@
             )
 
     def _note_failure(self, call: str, answer: port.Answer) -> None:
-        self._paused_until_ms = self._loop.now_ms() + FAILURE_PAUSE_MS
+        now_ms = self._loop.now_ms()
+        self._paused_until_ms = now_ms + FAILURE_PAUSE_MS
+        if isinstance(answer, port.Unanswered):
+            self._contact.failed(now_ms=now_ms, reason=call)
         self._log.event(
             "ledger_unreachable", call=call, answer=type(answer).__name__
         )
--- a/packages/bambooglade/bambooglade/rights/homes.py
+++ b/packages/bambooglade/bambooglade/rights/homes.py
@@ -1,9 +1,10 @@
 """Which instance holds a team's stock for its availability zone; pure.
 
 Answers the size of the fleet: if each instance held a stock of each team,
-writes to the ledgers would grow with instances times teams. One instance a
-zone holds a team's stock and lends to the others of its zone; a zone that is
-cut off has its own.
+writes to the ledgers would grow with instances times teams. In a large fleet
+one instance a zone holds a team's stock and lends to the others of its zone; a
+zone that is cut off has its own. In a small fleet every instance is a home, so
+that requests need no loans.
 """
 
 from __future__ import annotations
@@ -13,6 +14,9 @@
 from bambooglade.core import hashing
 from bambooglade.discovery import peers as peers_lib
 
+SMALL_FLEET = 16
+"""Instances up to which each one is a home of every team."""
+
 TEAMS_PER_SHARD = 8
 """Teams whose stocks lie at the same instance, drawn in one write."""
 
@@ -31,8 +35,8 @@
         ...         host="10.0.0.1", port=1, availability_zone=zone)
         >>> homes = Homes(peer("a", "z1"), peers=lambda: [peer("b", "z1"),
         ...     peer("c", "z2")], team_count=lambda: 1)
-        >>> [home.availability_zone for home in homes.of("team")]
-        ['z1', 'z2']
+        >>> [home.name for home in homes.of("team")]
+        ['a', 'b', 'c']
     """
 
     __slots__ = ("_own", "_peers", "_team_count")
@@ -48,10 +52,27 @@
         self._peers = peers
         self._team_count = team_count
 
+    @property
+    def are_all(self) -> bool:
+        """Whether the fleet is small, so that every instance is a home."""
+        return len(self._peers()) < SMALL_FLEET
+
     def of(self, team: str) -> list[peers_lib.Peer]:
-        """Returns the home of a team in each zone, the own zone first."""
+        """Returns the homes of a team, those of the own zone first."""
+        peers = self._peers()
+        if self.are_all:
+            own_zone = self._own.availability_zone
+            return [
+                self._own,
+                *sorted(peers, key=lambda p: p.availability_zone != own_zone),
+            ]
+        return self._one_a_zone(team, peers)
+
+    def _one_a_zone(
+        self, team: str, peers: list[peers_lib.Peer]
+    ) -> list[peers_lib.Peer]:
         by_zone: dict[str, dict[str, peers_lib.Peer]] = {}
-        for peer in [self._own, *self._peers()]:
+        for peer in [self._own, *peers]:
             members = by_zone.setdefault(peer.availability_zone, {})
             members[peer.name] = peer
         shard_count = max(1, self._team_count() // TEAMS_PER_SHARD)
@@ -64,13 +85,16 @@
         ]
 
     def is_own(self, team: str) -> bool:
-        """Returns whether this instance is the home in its zone."""
+        """Returns whether this instance is a home of the team."""
         return self.of(team)[0].name == self._own.name
 
     def count(self) -> int:
-        """Returns the number of zones, which is that of a team's homes."""
-        zones = {peer.availability_zone for peer in self._peers()}
+        """Returns the number of homes of a team."""
+        peers = self._peers()
+        if self.are_all:
+            return len(peers) + 1
+        zones = {peer.availability_zone for peer in peers}
         return len(zones | {self._own.availability_zone})
 
     def __repr__(self) -> str:
-        return f"Homes(own={self._own.name!r}, zones={self.count()})"
+        return f"Homes(own={self._own.name!r}, count={self.count()})"
--- a/packages/bambooglade/bambooglade/rights/keeper.py
+++ b/packages/bambooglade/bambooglade/rights/keeper.py
@@ -132,7 +132,11 @@
         is_short = account.available_tokens < wanted_tokens
         if is_short and self._bookkeeper.is_worth_asking(team):
             yield self._bookkeeper.request(team, wanted_tokens)
-        return account.lend(wanted_tokens, now_ms=self._loop.now_ms())
+        return account.lend(
+            wanted_tokens,
+            now_ms=self._loop.now_ms(),
+            is_demand=not self._homes.are_all,
+        )
 
     def watch_teams(self, teams: list[str]) -> None:
         """Holds stocks for teams that are new or whose budget changed."""
--- a/packages/bambooglade/bambooglade/rights/lending.py
+++ b/packages/bambooglade/bambooglade/rights/lending.py
@@ -233,7 +233,8 @@
         others = [peer for peer in self._peers() if peer.name not in names]
         self._random.shuffle(others)
         known = self._available_by_team_and_peer
-        others.sort(key=lambda peer: -known.get((team, peer.name), 0))
+        for group in (homes, others):
+            group.sort(key=lambda peer: -known.get((team, peer.name), 0))
         return sorted(homes + others, key=self._is_silent)
 
     def _is_silent(self, peer: peers_lib.Peer) -> bool:
