--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,10 @@
 EXAMPLES ?= 500
 STEPS ?= 60
 
-.PHONY: help env run test check format unit measure fuzz clean
+# Fault soak with real processes: `make soak SEED=7 SECONDS=60`.
+SECONDS ?= 30
+
+.PHONY: help env run test check format unit measure fuzz soak clean
 
 help: ## List the targets.
 	@grep -hE '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -49,5 +52,9 @@
 	$(BIN)/python -m benchmarks.fuzz --seed=$(SEED) --examples=$(EXAMPLES) \
 	  --steps=$(STEPS)
 
+soak: env ## Run gateway processes under faults: SEED, SECONDS.
+	$(BIN)/python -m bambooglade_standins.users_platform.soak --seed=$(SEED) \
+	  --seconds=$(SECONDS)
+
 clean: ## Remove the environment and the outputs.
 	rm -rf $(VENV) build reports run
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/scene.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/scene.py
@@ -104,6 +104,24 @@
     )
 
 
+def entry(
+    address: tuple[str, int], service: str, *, state: str = "ready"
+) -> bytes:
+    """Returns the entry of an engine as it writes it itself."""
+    host, port = address
+    return msgspec.json.encode(
+        {
+            "service": service,
+            "address": f"{host}:{port}",
+            "zone": "zone-a",
+            "slots": 8,
+            "state": state,
+            "coldRemainingMs": 0,
+            "born": 1,
+        }
+    )
+
+
 class Scene:
     """Starts everything on loopback addresses.
 
@@ -142,17 +160,10 @@
         self, name: str, service: str, *, state: str = "ready"
     ) -> None:
         """Writes the entry of an engine."""
-        host, port = self.engine_by_name[name].address
-        entry = {
-            "service": service,
-            "address": f"{host}:{port}",
-            "zone": "zone-a",
-            "slots": 8,
-            "state": state,
-            "coldRemainingMs": 0,
-            "born": 1,
-        }
-        self.store.put_now(f"servers/{name}", msgspec.json.encode(entry))
+        address = self.engine_by_name[name].address
+        self.store.put_now(
+            f"servers/{name}", entry(address, service, state=state)
+        )
 
     def configure(self, value: bytes) -> None:
         """Writes the configuration."""
@@ -160,7 +171,7 @@
 
     def start_gateway(self, name: str = "edge-1") -> process_lib.GatewayProcess:
         """Starts a gateway and waits until it is ready."""
-        addresses = [_free_address() for _ in range(4)]
+        addresses = [free_address() for _ in range(4)]
         settings = settings_lib.GatewaySettings(
             instance=name,
             availability_zone="zone-a",
@@ -193,7 +204,7 @@
 
     def turn_away(self, gateway: int) -> None:
         """Lets one gateway's connections to the store be refused."""
-        self._stores[gateway].set_address(_free_address())
+        self._stores[gateway].set_address(free_address())
 
     def call(
         self,
@@ -348,7 +359,7 @@
         self._parser.ended(is_clean=is_clean)
 
 
-def _free_address() -> tuple[str, int]:
+def free_address() -> tuple[str, int]:
     """Returns a free port of a loopback address of this process alone.
 
     Ports of outgoing connections are taken from 127.0.0.1, and other processes
