Bill a key as much as its largest run delivered

Cause: a stream that its caller cut was billed what it had delivered; sent again with the same key it ran anew, and whatever that run delivered was free. By cancelling and repeating, a budget was used without being paid. Change: the entry reports such a run if it delivered more than was billed; the arbiter bills the difference and keeps it by attempt, so that a repeated report or a lost answer adds nothing. One key still has one bill, which never passes its bound, since each run has reserved it. Ruled out: adding up all runs. A caller whose stream broke off by our fault would pay for both. Conclusion: a run that delivered no more than was billed stays free, as before.

--- a/packages/bambooglade/bambooglade/operations/bill_decision.py
+++ b/packages/bambooglade/bambooglade/operations/bill_decision.py
@@ -27,7 +27,9 @@
     """Decides whether the reported run of a key is the one that is billed.
 
     The holder of the claim comes first; another entry that ran a repeatable
-    call meanwhile is billed once the holder's time is over. Where records may
+    call meanwhile is billed once the holder's time is over. A later run that
+    delivered more than was billed is billed the difference, so that cancelling
+    a stream and sending it again costs what it delivers. Where records may
     have been lost, only the first holder before the loss is billed, and only
     while nobody else can have been: rather no bill than two.
 
@@ -42,8 +44,12 @@
         return messages.Decision.BILLED
     is_holder = record.holder == report.attempt
     if record.state is _State.FINISHED:
+        is_billed = (
+            record.share_of(report.attempt) is not None
+            or report.end.spent_tokens > record.billed_tokens
+        )
         return (
-            messages.Decision.BILLED if is_holder else messages.Decision.VOIDED
+            messages.Decision.BILLED if is_billed else messages.Decision.VOIDED
         )
     if now_ms - report.begun_at_ms > retention.repeatable_ms:
         return messages.Decision.VOIDED
@@ -67,11 +73,8 @@
     """Returns whether a billed run is not on record yet."""
     if decision is not messages.Decision.BILLED:
         return False
-    is_on_record = record.holder == report.attempt and record.state in (
-        _State.FINISHED,
-        _State.UNKNOWN,
-    )
-    return not is_on_record
+    is_ended = record.state in (_State.FINISHED, _State.UNKNOWN)
+    return not is_ended or record.share_of(report.attempt) is None
 
 
 def _may_precede_loss(
--- a/packages/bambooglade/bambooglade/operations/claim_book.py
+++ b/packages/bambooglade/bambooglade/operations/claim_book.py
@@ -121,7 +121,12 @@
             now_ms=now_ms,
         )
         if bill_decision.is_news(record, message, decision):
-            record = record.after_run(message)
+            is_larger = record.state is _State.FINISHED and message.repeatable
+            record = (
+                record.after_larger_run(message)
+                if is_larger
+                else record.after_run(message)
+            )
             yield from self._change(record, now_ms)
         yield claim_replies.after_replication(
             sender, claim_replies.run_recorded(record, message, decision)
@@ -376,7 +381,7 @@
             look_up_id=look_up_id,
             state=claim_replies.OUTCOME_BY_STATE[record.state],
             holder=record.holder.entry if record.holder else None,
-            spent_tokens=record.spent_tokens,
+            spent_tokens=record.billed_tokens,
             target_id=record.target_id,
             answer=record.answer,
             fingerprint=record.fingerprint,
--- a/packages/bambooglade/bambooglade/operations/claim_record.py
+++ b/packages/bambooglade/bambooglade/operations/claim_record.py
@@ -30,6 +30,18 @@
     UNKNOWN = "unknown"
 
 
+class Surcharge(msgspec.Struct, frozen=True, kw_only=True):
+    """What a later run of a key is billed beyond the bill of the first one.
+
+    Attributes:
+        attempt: The attempt that ran.
+        tokens: What it delivered beyond what was billed until then.
+    """
+
+    attempt: messages.Attempt
+    tokens: int
+
+
 class ClaimRecord(book.Record, frozen=True, kw_only=True):
     """What the arbiter keeps of one key.
 
@@ -42,7 +54,8 @@
         holder: Who holds the claim, or ran the key.
         expires_at_ms: When the run of the holder has ended at the latest.
         withdrawn_by_entry: Highest attempt of each entry that never ran.
-        spent_tokens: What was billed.
+        spent_tokens: What the holder was billed.
+        surcharges: What later runs were billed.
         target_id: The target that answered.
         answer: The kept answer.
         may_have_run: Whether the claim was taken over from a holder whose run
@@ -60,10 +73,24 @@
         default_factory=dict
     )
     spent_tokens: int = 0
+    surcharges: tuple[Surcharge, ...] = ()
     target_id: identifiers.TargetId | None = None
     answer: calls.KeptAnswer | None = None
     may_have_run: bool = False
 
+    @property
+    def billed_tokens(self) -> int:
+        """The bill of the key: as much as its largest run delivered."""
+        return self.spent_tokens + sum(s.tokens for s in self.surcharges)
+
+    def share_of(self, attempt: messages.Attempt) -> int | None:
+        """Returns what an attempt is billed; None if it is on no bill."""
+        if attempt == self.holder:
+            return self.spent_tokens
+        return next(
+            (s.tokens for s in self.surcharges if s.attempt == attempt), None
+        )
+
     def is_withdrawn(self, attempt: messages.Attempt) -> bool:
         """Returns whether an attempt said that it never ran."""
         highest = self.withdrawn_by_entry.get(attempt.entry, 0)
@@ -139,6 +166,16 @@
             answer=report.end.answer,
         )
 
+    def after_larger_run(self, report: messages.ReportRun) -> ClaimRecord:
+        """Returns the record with a run that delivered more than is billed."""
+        surcharge = Surcharge(
+            attempt=report.attempt,
+            tokens=report.end.spent_tokens - self.billed_tokens,
+        )
+        return msgspec.structs.replace(
+            self, surcharges=(*self.surcharges, surcharge)
+        )
+
 
 def history_record(lost_at_ms: int) -> ClaimRecord:
     """Returns the record of a loss of all records."""
--- a/packages/bambooglade/bambooglade/operations/claim_replies.py
+++ b/packages/bambooglade/bambooglade/operations/claim_replies.py
@@ -60,7 +60,7 @@
     return messages.ClaimFinished(
         key=claim.key,
         attempt=claim.attempt,
-        spent_tokens=record.spent_tokens,
+        spent_tokens=record.billed_tokens,
         answer=record.answer,
     )
 
@@ -107,9 +107,10 @@
     if record.state is claim_record.RecordState.UNKNOWN:
         decision = messages.Decision.PENDING
     is_billed = decision is messages.Decision.BILLED
+    share = record.share_of(report.attempt) or 0
     return messages.RunRecorded(
         key=report.key,
         attempt=report.attempt,
         decision=decision,
-        spent_tokens=record.spent_tokens if is_billed else 0,
+        spent_tokens=share if is_billed else 0,
     )
--- a/packages/bambooglade/bambooglade/operations/closing.py
+++ b/packages/bambooglade/bambooglade/operations/closing.py
@@ -103,7 +103,7 @@
             if not self._was_billed_before():
                 yield from self._claim.withdraw(now_ms)
             return
-        if self._was_billed_before():
+        if self._is_covered():
             yield from self._reservation.settle(0, now_ms)
             return
         yield from self._claim.report(self._end_to_report(), now_ms)
@@ -129,9 +129,7 @@
     def bill(self) -> calls.Bill:
         """Returns the bill as far as it is known."""
         decision = self._claim.decision
-        voided = (
-            self._was_billed_before() or decision is messages.Decision.VOIDED
-        )
+        voided = self._is_covered() or decision is messages.Decision.VOIDED
         spent_tokens = self.run_end.spent_tokens
         if decision in _FINAL:
             spent_tokens = self._claim.recorded.spent_tokens
@@ -154,6 +152,13 @@
     def _was_billed_before(self) -> bool:
         return self._claim.state is claim_request.ClaimState.FINISHED
 
+    def _is_covered(self) -> bool:
+        """Whether an earlier bill of the key covers what this run delivered."""
+        return (
+            self._was_billed_before()
+            and self.run_end.spent_tokens <= self._claim.finished.spent_tokens
+        )
+
     def __repr__(self) -> str:
         return (
             f"Closing(key={self._call.key!r}, "
--- a/packages/bambooglade/bambooglade/operations/tests/test_coordinator.py
+++ b/packages/bambooglade/bambooglade/operations/tests/test_coordinator.py
@@ -312,3 +312,54 @@
         bench.finish(ENTRY_A, key, answer=answer)
         bench.begin(ENTRY_B, call)
         assert bench.names()[-1] == told
+
+
+@pytest.mark.parametrize(
+    ("delivered", "billed"),
+    [
+        ((3, 9), 9),
+        ((3, 9, 2), 9),
+        ((3, 9, 10), 10),
+        ((9, 3), 9),
+        ((4, 4), 4),
+        ((0, 5), 5),
+    ],
+)
+@pytest.mark.parametrize(
+    "lost",
+    [
+        (),
+        (messages.RunRecorded,),
+        (messages.ReportRun,),
+        (budget_messages.Settled,),
+    ],
+)
+@pytest.mark.parametrize("entries", [(ENTRY_A, ENTRY_B), (ENTRY_A, ENTRY_A)])
+def test_stream_cut_by_its_caller_and_sent_again(
+    delivered, billed, lost, entries
+):
+    bench = harness.Harness()
+    call = harness.make_call(
+        repeatable=True, deadline_ms=harness.START_MS + 300_000
+    )
+    for number, tokens in enumerate(delivered):
+        entry = entries[number % 2]
+        bench.begin(entry, call)
+        bench.lose = _loses(*lost)
+        bench.finish(entry, call.key, spent_tokens=tokens)
+        bench.lose = _loses()
+        bench.pass_time(40_000)
+    assert (_spent(bench), _reserved(bench)) == (billed, 0)
+    told = [end for end in bench.ends if isinstance(end, calls.Billed)]
+    assert len(told) == len(delivered)
+    assert bench.book.record(call.key).billed_tokens == billed
+
+
+def test_bill_of_a_repeated_stream_survives_the_loss_of_the_primary():
+    bench = harness.Harness()
+    call = harness.make_call(repeatable=True)
+    for entry, tokens in ((ENTRY_A, 3), (ENTRY_B, 9), (ENTRY_A, 8)):
+        bench.begin(entry, call)
+        bench.finish(entry, call.key, spent_tokens=tokens)
+        bench.promote_backup()
+    assert _spent(bench) == 9
