Leave all idle connections to a peer that did not answer

Cause: connections may fall silent for good while new ones work. A call that timed out closed its own connection only; the next call took the next idle one and timed out as well, so that a watch could stay behind for several times 3.7 s. `HttpClient.forget` was there for that and was never called. Change: a call without an answer closes the idle connections to its address. Ruled out: closing connections after a short idle time; one that is in use falls silent as well. Figures: the test opens three connections and silences them: before, the second call got no answer either; after, it goes over a new one.

--- a/packages/bambooglade/bambooglade/eventloop/http_client.py
+++ b/packages/bambooglade/bambooglade/eventloop/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 from concurrent import futures
 
 from bambooglade.eventloop import connection as connection_lib
@@ -34,7 +35,8 @@
     """Calls services by IP number, over connections that it keeps.
 
     A call without a whole response in time completes with None: it may have
-    been carried out or not. It is never repeated here.
+    been carried out or not. It is never repeated here. The idle connections to
+    that address are closed with it: they may have gone silent as well.
 
     Args:
         loop: The event loop.
@@ -75,7 +77,9 @@
             candidate = idle.pop()
             connection = candidate if candidate.is_usable else None
         if connection is None:
-            connection = _ClientConnection(self._loop, address, self._release)
+            connection = _ClientConnection(
+                self._loop, address, self._release, self.forget
+            )
         fields = [(b"Host", b"%s:%d" % (address[0].encode(), address[1]))]
         if body:
             fields.append((b"Content-Type", b"application/json"))
@@ -89,7 +93,7 @@
         return connection.exchange(request, timeout_ms)
 
     def forget(self, address: Address) -> None:
-        """Closes the idle connections to an address that may be gone."""
+        """Closes the idle connections to an address that does not answer."""
         for connection in self._idle_by_address.pop(address, []):
             connection.close()
 
@@ -108,6 +112,7 @@
     __slots__ = (
         "_body",
         "_connection",
+        "_failed",
         "_future",
         "_loop",
         "_parser",
@@ -117,11 +122,16 @@
     )
 
     def __init__(
-        self, loop: loop_lib.EventLoop, address: Address, release
+        self,
+        loop: loop_lib.EventLoop,
+        address: Address,
+        release: Callable[[_ClientConnection], None],
+        failed: Callable[[Address], None],
     ) -> None:
         self._loop = loop
         self.address = address
         self._release = release
+        self._failed = failed
         self._future: futures.Future | None = None
         self._timer: loop_lib.Timer | None = None
         self._parser = response_parser.ResponseParser()
@@ -186,5 +196,8 @@
                 self._release(self)
             else:
                 self._connection.close()
-        if future is not None:
-            tasks.complete(future, response)
+        if future is None:
+            return
+        if response is None:
+            self._failed(self.address)
+        tasks.complete(future, response)
--- a/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
+++ b/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
@@ -169,3 +169,62 @@
     assert run(loop, call()) is None
     assert len(seen) == 2
     server.close()
+
+
+class SilentAfterTwo:
+    """Answers each request until it is told to be silent, as old peers are."""
+
+    def __init__(self, loop):
+        self.accepted = 0
+        self._loop = loop
+        self._silent = set()
+        self._connections = []
+        self._listener = connection_lib.Listener(
+            loop, ("127.0.0.1", 0), self._accept
+        )
+        self.address = self._listener.address
+
+    def _accept(self, sock):
+        self.accepted += 1
+        server = self
+
+        class Handler:
+            def connected(self):
+                """Never called."""
+
+            def received(self, data):
+                del data
+                if self not in server._silent:
+                    self.connection.send(
+                        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                    )
+
+            def closed(self, *, is_clean):
+                del is_clean
+
+        handler = Handler()
+        handler.connection = connection_lib.Connection(
+            self._loop, sock, handler
+        )
+        self._connections.append(handler)
+
+    def silence(self):
+        """Lets the connections that are open now never answer again."""
+        self._silent.update(self._connections)
+
+
+def test_connections_that_fell_silent_are_all_left_after_one_call(loop):
+    server = SilentAfterTwo(loop)
+    client = http_client.HttpClient(loop)
+
+    def call(timeout_ms):
+        return client.call(
+            server.address, method="GET", target="/", timeout_ms=timeout_ms
+        )
+
+    overlapping = [call(1_000) for _ in range(3)]
+    assert all(run(loop, future).status == 200 for future in overlapping)
+    server.silence()
+    assert run(loop, call(50)) is None
+    assert run(loop, call(1_000)).body == b"ok"
+    assert server.accepted == 4
