Draw on the retry allowance only for requests that reached a target

Change: a request that did not reach its target is sent on without drawing on the allowance; it has added no load to any target. The bound on sends stays. Ruled out: a larger share of the allowance; the fleet's bound is the operators'. Conclusion: targets that decline still count, as a test shows.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_calls.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_calls.py
@@ -170,6 +170,29 @@
     assert runs(scene, PORTAL) == 0
 
 
+@pytest.mark.parametrize("path", ["/plain/1", "/status/1", "/stream/1"])
+def test_a_target_that_was_not_reached_draws_on_no_retry_allowance(scene, path):
+    scene.gateways[0].settings.retry_slack = 0
+    scene.gateways[0].settings.retry_ratio = 0
+    scene.engine_by_name["p1"].close()
+    scene.engine_by_name["j1"].close()
+    statuses = {
+        scene.call(path, prompt="10,5" if "stream" in path else None).status
+        for _ in range(4)
+    }
+    assert statuses == {200}
+
+
+def test_a_target_that_declined_draws_on_the_retry_allowance(scene):
+    scene.gateways[0].settings.retry_slack = 0
+    scene.gateways[0].settings.retry_ratio = 0
+    for name in PORTAL:
+        scene.engine_by_name[name].default = decline
+    assert scene.call("/plain/1").status == 503
+    engines = [scene.engine_by_name[name] for name in PORTAL]
+    assert sum(len(engine.requests) for engine in engines) == 1
+
+
 def test_a_mute_target_of_a_call_that_may_not_be_repeated(scene):
     script(scene, PORTAL, stay_mute)
     caller = scene.call("/plain/1", deadline_ms=400)
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -267,7 +267,7 @@
                 self._choice.target, now_ms=self._context.loop.now_ms()
             )
             self._note_failure(reason)
-            self._send_again_unrun(reason)
+            self._send_again_unrun(reason, has_arrived=False)
         else:
             self.may_have_run = True
             self._runs += 1
@@ -331,9 +331,16 @@
             may_have_run=self.may_have_run,
         )
 
-    def _send_again_unrun(self, reason: str) -> None:
-        is_allowed = self.attempts < MAX_SENDS and self._take_retry()
-        if is_allowed:
+    def _send_again_unrun(
+        self, reason: str, *, has_arrived: bool = True
+    ) -> None:
+        """Sends a request again that did not run.
+
+        One that did not reach its target adds no load to any, and draws on no
+        allowance.
+        """
+        is_allowed = self.attempts < MAX_SENDS
+        if is_allowed and (not has_arrived or self._take_retry()):
             self.send_next()
         else:
             self._give_up(refusals.Kind.OVERLOADED, reason)
