Return stocks that are no longer needed to the ledgers

The stock of the largest team was 20 s of its demand instead of 9: what a home had drawn for a burst stayed there, while the home of another zone drew the last of the ledger. Change: a ledger keeps what each holder was granted and what it gave back, both as totals, so that a write which is lost, late or repeated changes nothing. A home takes its surplus out of use first and writes it then. The wanted stock is a part of what is left, the own stock included, and shrinks steadily with scarcity; it no longer jumps when rights go back and forth. Ruled out: marks of what was used, trusted by a successor. A death shortly after a mark and one after an outage leave the same traces in the store. Conclusion: what covers an outage is still lost at a kill of all instances.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights.py
@@ -273,3 +273,32 @@
         account.reserve(f"r{number}", 10, now_ms=number * 1_000)
     wanted = account.wanted_stock_tokens(now_ms=6_000, home_count=10)
     assert wanted >= 0.8 * 10 * account_lib.STOCK_HORIZON_MS / 1_000
+
+
+@pytest.mark.parametrize(
+    "fault", [Fault.NONE, Fault.LOSE_ANSWERS, Fault.EXECUTE_LATE]
+)
+def test_a_stock_for_demand_that_has_ended_goes_back(world, fault):
+    assert world.request("a", 900) is Reservation.RESERVED
+    world.settle("a", spent_share=0.0)
+    world.store.fault = fault
+    world.advance(4_000)
+    world.store.fault = Fault.NONE
+    world.advance(8_000)
+    free_tokens = world.prepaid - ledger(world).total_tokens
+    assert free_tokens >= world.prepaid // 2
+    assert total_available(world) + free_tokens == world.prepaid
+    world.kill("a")
+    assert world.request("b", free_tokens) is Reservation.RESERVED
+    world.check()
+
+
+def test_little_is_held_of_a_budget_that_is_used_up_soon(world):
+    for number in range(16):
+        name = "abc"[number % 3]
+        assert world.request(name, 50) is Reservation.RESERVED
+        world.settle(name, spent_share=1.0)
+        world.advance(1_000)
+    free_tokens = world.prepaid - ledger(world).total_tokens
+    assert total_available(world) + free_tokens == world.prepaid - world.used
+    assert total_available(world) <= 0.6 * (world.prepaid - world.used)
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights_fuzz.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights_fuzz.py
@@ -189,6 +189,26 @@
     monkeypatch.setattr(ledger_lib.Ledger, "closing", close_all)
 
 
+def return_surplus_and_keep_it(monkeypatch):
+    returning = ledger_lib.Ledger.returning
+
+    def return_more(self, holder, *, total_tokens):
+        return returning(self, holder, total_tokens=total_tokens + 60)
+
+    monkeypatch.setattr(ledger_lib.Ledger, "returning", return_more)
+
+
+def count_returned_rights_twice(monkeypatch):
+    def add(self, holder, *, total_tokens):
+        returned = dict(self.returned_by_holder)
+        returned[holder] = returned.get(holder, 0) + total_tokens
+        return ledger_lib.Ledger(
+            self.closed_tokens, self.granted_by_holder, returned
+        )
+
+    monkeypatch.setattr(ledger_lib.Ledger, "returning", add)
+
+
 @pytest.mark.parametrize(
     "fault",
     [
@@ -200,6 +220,8 @@
         forget_predecessors,
         reserve_beyond,
         return_rights_and_go_on,
+        return_surplus_and_keep_it,
+        count_returned_rights_twice,
     ],
 )
 def test_the_oracle_finds_a_deliberate_fault(monkeypatch, fault):
--- a/packages/bambooglade/bambooglade/rights/account.py
+++ b/packages/bambooglade/bambooglade/rights/account.py
@@ -31,13 +31,15 @@
     """What an instance may spend of a budget, and what it spent.
 
         used = spent + reserved + lent - borrowed
+        available = granted - returned - used
 
-    `used` never passes the grant. All amounts are tokens.
+    `available` never falls below 0. All amounts are tokens.
 
     Attributes:
         granted_tokens: Granted by the ledger, as far as that is confirmed.
         borrowed_tokens: Got from peers.
         lent_tokens: Given to peers.
+        returned_tokens: Given back to the ledger, or on the way there.
         reserved_tokens: Upper bounds of requests that have not ended.
         spent_tokens: Used by requests that have ended.
         is_closed: Whether the rest was given back; nothing may be reserved.
@@ -63,6 +65,7 @@
         "is_closed",
         "lent_tokens",
         "reserved_tokens",
+        "returned_tokens",
         "spent_tokens",
     )
 
@@ -70,6 +73,7 @@
         self.granted_tokens = 0
         self.borrowed_tokens = 0
         self.lent_tokens = 0
+        self.returned_tokens = 0
         self.reserved_tokens = 0
         self.spent_tokens = 0
         self.is_closed = False
@@ -82,7 +86,9 @@
     @property
     def available_tokens(self) -> int:
         """Rights that are neither used nor reserved."""
-        return 0 if self.is_closed else self.granted_tokens - self.used_tokens
+        if self.is_closed:
+            return 0
+        return self.granted_tokens - self.returned_tokens - self.used_tokens
 
     @property
     def used_tokens(self) -> int:
@@ -150,6 +156,10 @@
         """Gives rights back to where they came from; no demand."""
         self.lent_tokens += tokens
 
+    def give_back(self, tokens: int) -> None:
+        """Takes rights out of use that the next write returns to the ledger."""
+        self.returned_tokens += max(0, min(tokens, self.available_tokens))
+
     def borrow(self, tokens: int) -> None:
         """Takes rights that a peer has given."""
         self.borrowed_tokens += tokens
--- a/packages/bambooglade/bambooglade/rights/bookkeeper.py
+++ b/packages/bambooglade/bambooglade/rights/bookkeeper.py
@@ -35,18 +35,18 @@
 MAX_CONFLICTS = 8
 """Conflicts with other instances before requests are told to wait."""
 
-MAX_STOCK_SHARE = 0.6
-"""Most of an equal share of the free budget that a home holds unused.
+MAX_STOCK_SHARE = 0.375
+"""Most of an equal share of what is left that a home holds unused.
 
 What all hold together has to last through an outage of the store; what an
 instance holds is lost when it dies.
 """
 
-SCARCE_STOCK_SHARE = 0.2
-"""The same once the free budget covers a short time only."""
+SCARCE_STOCK_SHARE = 0.17
+"""The same once what is left covers half of the scarce horizon or less."""
 
-MIN_STOCK_SHARE = 0.25
-"""Least of an equal share of the free budget that is held without demand."""
+MIN_STOCK_SHARE = 0.2
+"""Least of an equal share of what is left that is held without demand."""
 
 DRAW_PAUSE_MS = 1_000
 """Pause between two draws of a team that only fill its stock."""
@@ -54,6 +54,12 @@
 REFILL_BELOW = 0.8
 """Part of the wanted stock below which it is filled up."""
 
+SURPLUS_ABOVE = 1.5
+"""Part of the wanted stock above which the rest goes back to the ledger.
+
+What others drew meanwhile may be short elsewhere, and is lost at a kill.
+"""
+
 
 class Bookkeeper:
     """Keeps accounts supplied with rights.
@@ -95,6 +101,7 @@
         self._log = log
         self._ledger_item_by_team: dict[str, port.Item] = {}
         self._free_by_team: dict[str, int] = {}
+        self._returned_by_team: dict[str, int] = {}
         self._exhausted: set[str] = set()
         self._needed_by_team: collections.Counter[str] = collections.Counter()
         self._waiting: list[futures.Future] = []
@@ -147,7 +154,7 @@
 
     def tick(self) -> None:
         """Draws if a stock is low."""
-        if not self._contact.is_lost and self._low_stocks():
+        if not self._contact.is_lost and self._stocks_to_change():
             self.wake()
 
     def watch_team(self, team: str) -> None:
@@ -209,7 +216,7 @@
             self._ledger_item_by_team[team] = item
         return True
 
-    def _low_stocks(self) -> list[str]:
+    def _stocks_to_change(self) -> list[str]:
         now_ms = self._loop.now_ms()
         return [
             team
@@ -218,35 +225,47 @@
             and not account.is_closed
             and self._homes.is_own(team)
             and now_ms - self._drawn_at_ms_by_team.get(team, 0) >= DRAW_PAUSE_MS
-            and (
-                team not in self._free_by_team
-                or account.available_tokens
-                < self._wanted_stock(team) * REFILL_BELOW
-            )
+            and self._is_stock_off(team, account)
         ]
 
+    def _is_stock_off(self, team: str, account: account_lib.Account) -> bool:
+        """Returns whether a stock is to be filled up or reduced."""
+        is_unwritten = account.returned_tokens > (
+            self._returned_by_team.get(team, 0)
+        )
+        if team not in self._free_by_team or is_unwritten:
+            return True
+        wanted = self._wanted_stock(team)
+        available = account.available_tokens
+        return (
+            available < wanted * REFILL_BELOW
+            or available > wanted * SURPLUS_ABOVE
+        )
+
     def _teams_to_draw(self, needed: collections.Counter[str]) -> list[str]:
         short = [
             team
             for team, tokens in needed.items()
             if self._account_by_team[team].available_tokens < tokens
         ]
-        return list(dict.fromkeys(short + self._low_stocks()))
+        return list(dict.fromkeys(short + self._stocks_to_change()))
 
     def _wanted_stock(self, team: str) -> int:
-        """Returns how much should be available, in tokens."""
+        """Returns how much should be available, in tokens.
+
+        The own stock counts as left, so that what is wanted stays the same
+        while rights go to the ledger and come from it.
+        """
+        account = self._account_by_team[team]
         home_count = self._homes.count()
-        share = self._free_by_team.get(team, 0) / home_count
-        by_demand = self._account_by_team[team].wanted_stock_tokens(
-            now_ms=self._loop.now_ms(), home_count=home_count
+        share = (
+            self._free_by_team.get(team, 0) / home_count
+            + account.available_tokens
         )
-        scarce_below = (
-            by_demand
-            * account_lib.SCARCE_HORIZON_MS
-            / account_lib.STOCK_HORIZON_MS
+        by_demand = account.wanted_stock_tokens(
+            now_ms=self._loop.now_ms(), home_count=home_count
         )
-        is_scarce = share < scarce_below
-        at_most = share * (SCARCE_STOCK_SHARE if is_scarce else MAX_STOCK_SHARE)
+        at_most = share * _stock_share(share, by_demand)
         at_least = min(at_most, share * MIN_STOCK_SHARE)
         return round(max(at_least, min(by_demand, at_most)))
 
@@ -297,6 +316,10 @@
         closed = self._without_predecessors(team, ledger)
         account = self._account_by_team[team]
         account.grant_total(closed.granted_by_holder.get(self._holder, 0))
+        self._give_back_surplus(team, needed_tokens)
+        closed = closed.returning(
+            self._holder, total_tokens=account.returned_tokens
+        )
         free_tokens = prepaid - closed.total_tokens
         self._free_by_team[team] = free_tokens
         tokens = self._draw_size(team, free_tokens, needed_tokens)
@@ -315,7 +338,7 @@
         for holder in ledger.holders_at(self._place):
             if holder == self._holder:
                 continue
-            used = ledger.granted_by_holder[holder]
+            used = ledger.held_by(holder)
             self._log.event(
                 "predecessor_closed",
                 team=team,
@@ -325,6 +348,15 @@
             ledger = ledger.closing(holder, used_tokens=used)
         return ledger
 
+    def _give_back_surplus(self, team: str, needed_tokens: int) -> None:
+        """Takes rights out of use that were drawn for more demand."""
+        if team not in self._free_by_team or not self._homes.is_own(team):
+            return
+        wanted = max(needed_tokens, self._wanted_stock(team))
+        account = self._account_by_team[team]
+        if account.available_tokens > wanted * SURPLUS_ABOVE:
+            account.give_back(account.available_tokens - wanted)
+
     def _draw_size(
         self, team: str, free_tokens: int, needed_tokens: int
     ) -> int:
@@ -348,6 +380,9 @@
             before = account.granted_tokens
             granted = ledger_by_team[team].granted_by_holder[self._holder]
             account.grant_total(granted)
+            self._returned_by_team[team] = ledger_by_team[
+                team
+            ].returned_by_holder.get(self._holder, 0)
             if self._free_by_team.get(team, 0) <= granted - before:
                 self._exhausted.add(team)
             self._log.event(
@@ -355,6 +390,7 @@
                 team=team,
                 tokens=granted - before,
                 granted_tokens=granted,
+                returned_tokens=account.returned_tokens or None,
                 ledger_tokens=ledger_by_team[team].total_tokens,
                 free_tokens=self._free_by_team.get(team),
                 revision=revision,
@@ -426,3 +462,25 @@
 
     def __repr__(self) -> str:
         return f"Bookkeeper(holder={self._holder!r})"
+
+
+def _stock_share(share_tokens: float, stock_tokens: float) -> float:
+    """Returns which part of a share of the budget may be held as a stock.
+
+    Args:
+        share_tokens: The share of what is left.
+        stock_tokens: The stock that covers an outage.
+
+    Examples:
+        >>> [round(_stock_share(share, 9.0), 2) for share in (9, 15, 20)]
+        [0.17, 0.27, 0.38]
+    """
+    if not stock_tokens:
+        return MAX_STOCK_SHARE
+    plentiful_tokens = (
+        stock_tokens
+        * account_lib.SCARCE_HORIZON_MS
+        / account_lib.STOCK_HORIZON_MS
+    )
+    plenty = min(1.0, max(0.0, 2 * share_tokens / plentiful_tokens - 1))
+    return SCARCE_STOCK_SHARE + plenty * (MAX_STOCK_SHARE - SCARCE_STOCK_SHARE)
--- a/packages/bambooglade/bambooglade/rights/ledger.py
+++ b/packages/bambooglade/bambooglade/rights/ledger.py
@@ -21,7 +21,9 @@
 
     Attributes:
         closed_tokens: What holders that are gone have used.
-        granted_by_holder: Rights of running holders, by `place/incarnation`.
+        granted_by_holder: Rights that running holders got in all, by
+            `place/incarnation`.
+        returned_by_holder: Rights that running holders gave back in all.
 
     Examples:
         >>> ledger = Ledger().granting("a/1", 40).granting("b/1", 10)
@@ -29,21 +31,46 @@
         50
         >>> ledger.closing("a/1", used_tokens=15).total_tokens
         25
+        >>> ledger.returning("a/1", total_tokens=30).total_tokens
+        20
     """
 
     closed_tokens: int = 0
     granted_by_holder: dict[str, int] = {}
+    returned_by_holder: dict[str, int] = {}
 
     @property
     def total_tokens(self) -> int:
         """Rights that can't be handed out any more."""
-        return self.closed_tokens + sum(self.granted_by_holder.values())
+        return self.closed_tokens + sum(map(self.held_by, self.holders))
+
+    @property
+    def holders(self) -> list[str]:
+        """Holders that were granted something."""
+        return list(self.granted_by_holder)
+
+    def held_by(self, holder: str) -> int:
+        """Returns what a holder was granted and did not give back."""
+        granted = self.granted_by_holder.get(holder, 0)
+        return granted - self.returned_by_holder.get(holder, 0)
 
     def granting(self, holder: str, tokens: int) -> Ledger:
         """Returns the ledger with this much more granted to a holder."""
         granted = dict(self.granted_by_holder)
         granted[holder] = granted.get(holder, 0) + tokens
-        return Ledger(self.closed_tokens, granted)
+        return msgspec.structs.replace(self, granted_by_holder=granted)
+
+    def returning(self, holder: str, *, total_tokens: int) -> Ledger:
+        """Returns the ledger with what a holder gave back in all.
+
+        The total is repeated with each write, so that a lost answer or a write
+        that is carried out twice changes nothing.
+        """
+        if not total_tokens:
+            return self
+        returned = dict(self.returned_by_holder)
+        returned[holder] = max(total_tokens, returned.get(holder, 0))
+        return msgspec.structs.replace(self, returned_by_holder=returned)
 
     def closing(self, holder: str, *, used_tokens: int) -> Ledger:
         """Returns the ledger after a holder gave back what it did not use.
@@ -55,12 +82,14 @@
         """
         granted = dict(self.granted_by_holder)
         granted.pop(holder, None)
-        return Ledger(self.closed_tokens + used_tokens, granted)
+        returned = dict(self.returned_by_holder)
+        returned.pop(holder, None)
+        return Ledger(self.closed_tokens + used_tokens, granted, returned)
 
     def holders_at(self, place: str) -> list[str]:
         """Returns the holders of a place, this and earlier ones."""
         prefix = place + "/"
-        return [h for h in self.granted_by_holder if h.startswith(prefix)]
+        return [h for h in self.holders if h.startswith(prefix)]
 
 
 def key_of(team: str) -> str:
