Choose a target without rating all of them against each other

Cause: the slowness of each target was computed against the median of all, anew for each one, and all were rated although the first one within the bound is taken: the time grew with the square of the targets. Change: one median a choice; rating stops at the first target within the bound.

--- a/packages/bambooglade/bambooglade/gateway/placement.py
+++ b/packages/bambooglade/bambooglade/gateway/placement.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterator
 from collections.abc import Sequence
 
 from bambooglade.core import hashing
@@ -150,7 +151,6 @@
             target_latency_ms: Time to the first token that is on time.
         """
         untried = [t for t in ready if t.target_id not in excluded]
-        ids = [target.target_id for target in untried]
         shut_out = self._breakers.shut_out(
             [target.target_id for target in ready], now_ms
         )
@@ -158,14 +158,13 @@
         if not usable:
             return Choice(None, reason=f"ready={len(ready)} untried=0")
         ranked = _ranked(prompt, usable)
-        rated = [
-            self._rate(target, prompt, rank == 0, ids, now_ms)
+        median_ms = self._latency.median_ms(t.target_id for t in untried)
+        rated = (
+            self._rate(target, prompt, rank == 0, median_ms, now_ms)
             for rank, target in enumerate(ranked)
-        ]
-        best = min(rated, key=lambda choice: choice.predicted_ms)
-        if prompt is not None:
-            bound_ms = AFFINITY_SHARE * target_latency_ms
-            best = next((c for c in rated if c.predicted_ms <= bound_ms), best)
+        )
+        bound_ms = 0.0 if prompt is None else AFFINITY_SHARE * target_latency_ms
+        best = _first_within(rated, bound_ms)
         best.reason += f" usable={len(usable)} shut_out={len(shut_out)}"
         return best
 
@@ -174,7 +173,7 @@
         target: targets_lib.RegisteredTarget,
         prompt: facts.Prompt | None,
         is_preferred: bool,
-        ids: list[str],
+        median_ms: float | None,
         now_ms: int,
     ) -> Choice:
         load = self._load_by_target[target.target_id]
@@ -186,7 +185,7 @@
         )
         ahead_ms = _ahead_ms(target, load, prompt is None, now_ms)
         slowness = self._latency.slowness(
-            target.target_id, among=ids, now_ms=now_ms
+            target.target_id, median_ms=median_ms, now_ms=now_ms
         )
         is_local = target.availability_zone == self._availability_zone
         total_ms = (work_ms + ahead_ms) * slowness
@@ -323,6 +322,16 @@
         return f"Placement(targets={len(self._load_by_target)})"
 
 
+def _first_within(rated: Iterator[Choice], bound_ms: float) -> Choice:
+    """Returns the first choice within the bound, else the soonest of all."""
+    passed: list[Choice] = []
+    for choice in rated:
+        if choice.predicted_ms <= bound_ms:
+            return choice
+        passed.append(choice)
+    return min(passed, key=lambda choice: choice.predicted_ms)
+
+
 def _ranked(
     prompt: facts.Prompt | None,
     usable: Sequence[targets_lib.RegisteredTarget],
--- a/packages/bambooglade/bambooglade/router/target_directory.py
+++ b/packages/bambooglade/bambooglade/router/target_directory.py
@@ -118,6 +118,7 @@
             target_ids = [target.target_id for target in targets]
             shut_out = self._breakers.shut_out(target_ids, now_ms)
             load_by_target = self._load.estimates(target_ids, now_ms)
+            median_ms = self._latency.median_ms(target_ids)
             return [
                 self._candidate(
                     target,
@@ -125,7 +126,7 @@
                     now_ms,
                     load=load_by_target[target.target_id],
                     slowness=self._latency.slowness(
-                        target.target_id, among=target_ids, now_ms=now_ms
+                        target.target_id, median_ms=median_ms, now_ms=now_ms
                     ),
                     excluded=self._exclusion(target, tried, shut_out, now_ms),
                 )
--- a/packages/bambooglade/bambooglade/targets/latency.py
+++ b/packages/bambooglade/bambooglade/targets/latency.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable
 import math
 import statistics
 
@@ -25,7 +25,8 @@
         >>> tracker = LatencyTracker()
         >>> for target_id, time_ms in (("e1", 10), ("e2", 10), ("e3", 100)):
         ...     tracker.observed(target_id, time_ms, now_ms=0)
-        >>> round(tracker.slowness("e3", among=("e1", "e2", "e3"), now_ms=0))
+        >>> median_ms = tracker.median_ms(("e1", "e2", "e3"))
+        >>> round(tracker.slowness("e3", median_ms=median_ms, now_ms=0))
         10
     """
 
@@ -41,11 +42,20 @@
         mean = self._by_target.setdefault(target_id, _Mean(now_ms))
         mean.add(time_ms, now_ms)
 
+    def median_ms(self, among: Iterable[identifiers.TargetId]) -> float | None:
+        """Returns the median of targets; None if fewer than two are known."""
+        known = [
+            self._by_target[target_id].value_ms
+            for target_id in among
+            if target_id in self._by_target
+        ]
+        return statistics.median(known) if len(known) > 1 else None
+
     def slowness(
         self,
         target_id: identifiers.TargetId,
         *,
-        among: Sequence[identifiers.TargetId],
+        median_ms: float | None,
         now_ms: int,
     ) -> float:
         """Returns the target's time relative to the median; 1 or more.
@@ -54,20 +64,13 @@
 
         Args:
             target_id: The target.
-            among: The targets of its service.
+            median_ms: The median of the targets of its service.
             now_ms: The time.
         """
         mean = self._by_target.get(target_id)
-        known = [
-            self._by_target[other].value_ms
-            for other in among
-            if other in self._by_target
-        ]
-        if mean is None or len(known) < 2:
+        if mean is None or not median_ms:
             return 1.0
-        median = statistics.median(known)
-        ratio = mean.value_ms / median if median > 0 else 1.0
-        excess = (ratio - 1.0) * mean.confidence(now_ms)
+        excess = (mean.value_ms / median_ms - 1.0) * mean.confidence(now_ms)
         return min(max(1.0, 1.0 + excess), SLOWEST_FACTOR)
 
     def __repr__(self) -> str:
--- a/packages/bambooglade/bambooglade/targets/tests/test_policy.py
+++ b/packages/bambooglade/bambooglade/targets/tests/test_policy.py
@@ -126,12 +126,12 @@
     times_ms = {"e1": 10, "e2": 10, "e3": 80, "till-1": 1, "till-2": 1}
     for name, time_ms in times_ms.items():
         tracker.observed(name, time_ms, 0)
-    engines = ("e1", "e2", "e3")
-    now = tracker.slowness("e3", among=engines, now_ms=0)
+    median_ms = tracker.median_ms(("e1", "e2", "e3"))
+    now = tracker.slowness("e3", median_ms=median_ms, now_ms=0)
     assert now == pytest.approx(8.0)
-    assert tracker.slowness("e1", among=engines, now_ms=0) == 1.0
+    assert tracker.slowness("e1", median_ms=median_ms, now_ms=0) == 1.0
     later_ms = 10 * latency.HALF_LIFE_MS
-    later = tracker.slowness("e3", among=engines, now_ms=later_ms)
+    later = tracker.slowness("e3", median_ms=median_ms, now_ms=later_ms)
     assert later == pytest.approx(1.0, abs=0.1)
 
 
