Refuse at once what the whole budget would not cover

Cause: the demonstration of the emulated platform sent a request for 9,020 of 2,000 prepaid tokens, and got 503 with a time to come back: the instance drew what was left, asked its peers, and could not tell that nothing would help. Change: a request larger than what was prepaid is refused as exhausted, without moving rights. Ruled out: comparing with what the ledger has left; a top-up may be under way. Conclusion: what is smaller than the budget still asks.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights.py
@@ -53,6 +53,15 @@
     assert world.request("a", 1_001) is Reservation.EXHAUSTED
 
 
+def test_a_request_that_is_larger_than_the_budget_moves_no_rights(world):
+    world.store.fault = Fault.SILENT
+    world.are_peers_cut = True
+    world.advance(500)
+    before = total_available(world)
+    assert world.request("a", 1_001) is Reservation.EXHAUSTED
+    assert total_available(world) == before
+
+
 def test_the_whole_budget_can_be_used(world):
     outcomes = [world.request("abc"[n % 3], 50) for n in range(25)]
     assert outcomes.count(Reservation.RESERVED) == 20
--- a/packages/bambooglade/bambooglade/rights/keeper.py
+++ b/packages/bambooglade/bambooglade/rights/keeper.py
@@ -112,11 +112,14 @@
         """Reserves the upper bound of a request.
 
         Returns:
-            `RESERVED` at once if the account covers it, else a future with how
-            it ended.
+            `RESERVED` at once if the account covers it, `EXHAUSTED` if not even
+            the whole budget would, else a future with how it ended.
         """
         if self._try_reserve(team, request_id, tokens):
             return Reservation.RESERVED
+        prepaid_tokens = self._prepaid_of(team)
+        if prepaid_tokens is not None and tokens > prepaid_tokens:
+            return Reservation.EXHAUSTED
         return tasks.spawn(self._reserve_later(team, request_id, tokens))
 
     def settle(self, team: str, request_id: str, spent_tokens: int) -> None:
