Follow the store through one relay a zone; bring instances back into step in time

Each of 89 instances watched targets and configuration, and each entry that one of 94 targets wrote woke them all. 2. 64 instances that had been cut off from the store for 8 s, while a configuration of 340 KB was written three times, stayed behind for 15 s more (CONFIG 188, DENIED 160): the watch brought every version, and was given up after 1.1 s on links of 10 Mbit/s, again and again; pulls from peers carried the same bytes and ended after 0.5 s. Where a team's ledger was used up, every instance looked at it again. Change: one instance a zone follows the store, one with the widest link; the others wait at it for news, and follow the store themselves when their view was not confirmed for 0.7 of the bound. Only changes that requests depend on are passed on. After a failure the newest version is read. A response that has begun may take longer than the wait for it. What peers pass on is compressed. Tasks that have to go on are started anew after a fault. The list of instances is read with a lag, which costs a tenth. Stocks are drawn once the fleet is known. Homes tell whether a ledger is used up. Ruled out: the configuration inside the relay's answer; its link would carry it 22 times.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/memory_store.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/memory_store.py
@@ -89,9 +89,10 @@
         )
 
     def read_prefix(
-        self, prefix: str, *, after_key: str = ""
+        self, prefix: str, *, after_key: str = "", may_lag: bool = False
     ) -> futures.Future:
-        """Reads a page of the keys below a prefix."""
+        """Reads a page of the keys below a prefix; it never lags here."""
+        del may_lag
 
         def page() -> port.Items:
             keys = sorted(
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/rights_world.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/rights_world.py
@@ -77,6 +77,8 @@
             lent = yield node.keeper.lend(team, tokens - loan.tokens)
             if self._world.are_loans_lost:
                 continue
+            if not loan.answered:
+                loan.is_exhausted = node.keeper.is_exhausted(team)
             loan.answered += 1
             loan.tokens += lent
             received(lent)
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/store_server.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/store_server.py
@@ -62,6 +62,7 @@
                 return self.store.read_prefix(
                     query.get("pathPrefix", ""),
                     after_key=query.get("after", ""),
+                    may_lag=query.get("staleOk") == "1",
                 )
             case ["kv-watch"]:
                 return self.store.watch(
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_following.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_following.py
@@ -10,6 +10,7 @@
 from bambooglade.discovery import follower as follower_lib
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import registration as registration_lib
+from bambooglade.discovery import relays as relays_lib
 from bambooglade.discovery import view as view_lib
 from bambooglade.platform import codec
 from bambooglade.store import contact as contact_lib
@@ -33,6 +34,17 @@
             self.store,
             self.view,
             codec=codec.PlatformCodec(),
+            relays=relays_lib.Relays(
+                peers_lib.Peer(
+                    name="own",
+                    incarnation="1",
+                    host="10.0.0.1",
+                    port=1,
+                    availability_zone="z",
+                ),
+                peers=list,
+                change_bound_ms=APPLY_BOUND_MS,
+            ),
             contact=self.contact,
             random_source=random.Random(1),
         ).start()
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights.py
@@ -329,3 +329,20 @@
         assert world.request(other, 20) is Reservation.RESERVED
     assert world.node_by_name[other].keeper.available_tokens(TEAM) == 0
     world.check()
+
+
+def test_only_homes_look_at_a_ledger_that_is_used_up(monkeypatch):
+    monkeypatch.setattr(homes, "SMALL_FLEET", 0)
+    world = rights_world.RightsWorld()
+    world.advance(2_000)
+    other = next(
+        name
+        for name in ("a", "b")
+        if world.homes(name).of(TEAM)[0].name != name
+    )
+    assert world.request(other, 1_000) is Reservation.RESERVED
+    before = world.store.calls
+    for _ in range(40):
+        assert world.request(other, 20) is Reservation.EXHAUSTED
+    seconds = 40 * 100 / 1_000
+    assert world.store.calls - before <= 2 * (seconds + 1)
--- a/packages/bambooglade/bambooglade/discovery/peer_view.py
+++ b/packages/bambooglade/bambooglade/discovery/peer_view.py
@@ -1,18 +1,23 @@
-"""Instances tell each other what they know, when the store does not answer.
+"""Instances tell each other what they know.
 
-A store that turns an instance away may serve the others: what they have
-learnt has to reach it all the same.
+In a large fleet an instance waits for news at the relay of its zone. And a
+store that turns an instance away may serve the others: what they have learnt
+has to reach it all the same.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from concurrent import futures
+import functools
 import random
+import zlib
 
 import msgspec
 
 from bambooglade.core import event_log
 from bambooglade.discovery import peers as peers_lib
+from bambooglade.discovery import relays as relays_lib
 from bambooglade.discovery import view as view_lib
 from bambooglade.eventloop import http_client
 from bambooglade.eventloop import loop as loop_lib
@@ -30,15 +35,34 @@
 IDLE_PAUSE_MS = 250
 """Time between two looks at whether the store is away."""
 
+RELAY_WAIT_SHARE = 0.4
+"""Longest wait of a relay for news, as a part of the age at which a view is
+stale; the rest covers the relay's own watch and the way."""
+
+RELAY_GRACE_SHARE = 0.25
+"""Time that an answer of a relay may take beyond its wait, as a part of the
+same age; then the next relay is asked."""
+
 _OK = 200
 _TEXT_ENCODING = "latin-1"
 
 
 class KnownItem(msgspec.Struct, frozen=True, array_like=True):
-    """An item with its bytes as text of one character a byte."""
+    """An item with its bytes as text of one character a byte.
+
+    The text is None if the key was deleted.
+    """
+
+    key: str
+    value: str | None
+    revision: int
+
+
+class PackedItem(msgspec.Struct, frozen=True, array_like=True):
+    """An item with compressed bytes: a configuration is long and regular."""
 
     key: str
-    value: str
+    deflated: bytes
     revision: int
 
 
@@ -49,56 +73,111 @@
         configuration_revision: Revision of the own configuration; 0 for none.
         targets_revision: Revision of the own list of targets; 0 for none.
         asker: Who asks.
+        wait_ms: How long to wait for news; 0 for an answer at once.
+        reads_store: Whether the asker reads a configuration from the store,
+            so that the link of the peer does not have to carry it.
     """
 
     configuration_revision: int
     targets_revision: int
     asker: peers_lib.Peer
+    wait_ms: int = 0
+    reads_store: bool = False
 
 
 class ViewAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """What is newer.
 
     Attributes:
-        configuration: The configuration; None if it is not newer.
-        targets: All targets; None if the list is not newer.
+        configuration: The configuration; None if it is not newer, or if the
+            asker reads it from the store.
+        configuration_revision: Its revision; 0 if none is known.
+        targets: Targets that changed; None if the list is not newer.
+        are_all_targets: Whether they are all, not the changes alone.
         targets_revision: Revision as of which the targets are complete.
-        peers: Instances that are known.
+        checked_ms_ago: Age of the view; None if it was never the newest.
+        waited_ms: How long the answer waited for news.
+        peers: Instances that are known; empty where the store lists them.
     """
 
-    configuration: KnownItem | None = None
+    configuration: PackedItem | None = None
+    configuration_revision: int = 0
     targets: list[KnownItem] | None = None
+    are_all_targets: bool = True
     targets_revision: int = 0
+    checked_ms_ago: int | None = None
+    waited_ms: int = 0
     peers: list[peers_lib.Peer] = []
 
 
+def has_news(request: ViewRequest, view: view_lib.FleetView) -> bool:
+    """Returns whether there is something that the asker has to know."""
+    item = view.configuration_item
+    if item is not None and item.revision > request.configuration_revision:
+        return True
+    if view.targets_revision <= request.targets_revision:
+        return False
+    is_complete = view.is_complete_since(request.targets_revision)
+    return not is_complete or bool(
+        view.changed_target_items(request.targets_revision)
+    )
+
+
 def answer(
     request: ViewRequest,
     view: view_lib.FleetView,
     known_peers: list[peers_lib.Peer],
+    *,
+    now_ms: int,
+    waited_ms: int = 0,
 ) -> ViewAnswer:
-    """Returns what the asker does not know yet."""
+    """Returns what the asker does not know yet.
+
+    Args:
+        request: What the asker knows.
+        view: The own view.
+        known_peers: Instances to tell of.
+        now_ms: The time.
+        waited_ms: How long the answer waited for news.
+    """
     item = view.configuration_item
-    is_newer = item and item.revision > request.configuration_revision
+    is_newer = (
+        item is not None and item.revision > request.configuration_revision
+    )
     targets = None
     if view.targets_revision > request.targets_revision:
-        targets = [_known(item) for item in view.target_items()]
+        targets = [
+            _known(changed)
+            for changed in view.changed_target_items(request.targets_revision)
+        ]
+    checked_at_ms = view.checked_at_ms
     return ViewAnswer(
-        configuration=_known(item) if is_newer else None,
+        configuration=(
+            _packed(item) if is_newer and not request.reads_store else None
+        ),
+        configuration_revision=item.revision if item is not None else 0,
         targets=targets,
+        are_all_targets=not view.is_complete_since(request.targets_revision),
         targets_revision=view.targets_revision,
-        peers=known_peers,
+        checked_ms_ago=None
+        if checked_at_ms is None
+        else now_ms - checked_at_ms,
+        waited_ms=waited_ms,
+        peers=[] if request.reads_store else known_peers,
     )
 
 
 class PeerPuller:
-    """Pulls from peers while the store is away.
+    """Waits at the relay, and pulls from any peer while the store is away.
 
     Args:
         loop: The event loop.
         client: Calls the peers.
         view: Takes what is newer.
         peers: The known peers.
+        relays: Chooses the relay.
+        read_configuration: Reads the configuration from the store; returns a
+            future that completes when it has ended.
         own: This instance, as peers know it.
         seeds: Addresses to ask while no peers are known.
         contact: Tells whether the store is away.
@@ -115,6 +194,8 @@
         "_own",
         "_peers",
         "_random",
+        "_read_configuration",
+        "_relays",
         "_seeds",
         "_view",
     )
@@ -126,6 +207,8 @@
         view: view_lib.FleetView,
         *,
         peers: peers_lib.PeerList,
+        relays: relays_lib.Relays,
+        read_configuration: Callable[[], futures.Future],
         own: peers_lib.Peer,
         seeds: tuple[tuple[str, int], ...],
         contact: contact_lib.Contact,
@@ -136,6 +219,8 @@
         self._client = client
         self._view = view
         self._peers = peers
+        self._relays = relays
+        self._read_configuration = read_configuration
         self._own = own
         self._seeds = seeds
         self._contact = contact
@@ -145,7 +230,7 @@
 
     def start(self) -> None:
         """Starts to look after the view."""
-        tasks.spawn(self._run())
+        tasks.keep_running(self._loop, self._run)
 
     def stop(self) -> None:
         """Ends after the call that is under way."""
@@ -153,15 +238,51 @@
 
     def _run(self) -> tasks.Task:
         while not self._is_stopped:
-            if not self._contact.is_lost:
+            relay = self._relays.pick(now_ms=self._loop.now_ms())
+            if self._contact.is_lost:
+                yield from self._pull_from_any()
+            elif relay is not None:
+                yield from self._wait_at(relay)
+            else:
                 yield tasks.sleep(self._loop, IDLE_PAUSE_MS)
-                continue
-            address = self._pick()
-            if address is not None:
-                yield from self._pull(address)
-            yield tasks.sleep(
-                self._loop, PULL_PAUSE_MS * (0.5 + self._random.random())
+
+    def _pull_from_any(self) -> tasks.Task:
+        address = self._pick()
+        if address is not None:
+            yield from self._pull(address)
+        yield tasks.sleep(
+            self._loop, PULL_PAUSE_MS * (0.5 + self._random.random())
+        )
+
+    def _wait_at(self, relay: peers_lib.Peer) -> tasks.Task:
+        """Waits once for news; a relay that does not help is left."""
+        asked_at_ms = self._loop.now_ms()
+        stale_ms = self._relays.stale_ms
+        wait_ms = round(RELAY_WAIT_SHARE * stale_ms)
+        decoded = yield from self._ask(
+            relay.address,
+            wait_ms=wait_ms,
+            reads_store=True,
+            timeout_ms=wait_ms + round(RELAY_GRACE_SHARE * stale_ms),
+        )
+        age_ms = decoded.checked_ms_ago if decoded is not None else None
+        if age_ms is None or age_ms > stale_ms:
+            self._relays.suspect(
+                relay,
+                has_answered=decoded is not None,
+                now_ms=self._loop.now_ms(),
             )
+            self._log.event("relay_left", relay=relay.name, age_ms=age_ms)
+            return
+        way_ms = self._loop.now_ms() - asked_at_ms - decoded.waited_ms
+        checked_at_ms = self._loop.now_ms() - age_ms - way_ms
+        self._take(decoded, relay.name)
+        self._view.targets_checked_at_ms = checked_at_ms
+        known = self._view.configuration_item
+        if known is None or known.revision < decoded.configuration_revision:
+            yield self._read_configuration()
+        else:
+            self._view.configuration_checked_at_ms = checked_at_ms
 
     def _pick(self) -> tuple[str, int] | None:
         known = [p.address for p in self._peers.all(now_ms=self._loop.now_ms())]
@@ -170,62 +291,99 @@
         return self._random.choice(candidates) if candidates else None
 
     def _pull(self, address: tuple[str, int]) -> tasks.Task:
+        decoded = yield from self._ask(address, timeout_ms=PULL_TIMEOUT_MS)
+        if decoded is not None:
+            self._take(decoded, address[0])
+
+    def _ask(
+        self,
+        address: tuple[str, int],
+        *,
+        timeout_ms: int,
+        wait_ms: int = 0,
+        reads_store: bool = False,
+    ) -> tasks.Task:
+        """Returns the answer of a peer; None if there is none."""
         item = self._view.configuration_item
         request = ViewRequest(
             configuration_revision=item.revision if item else 0,
             targets_revision=self._view.targets_revision,
             asker=self._own,
+            wait_ms=wait_ms,
+            reads_store=reads_store,
         )
-        response: http_client.Response | None = yield self._call(
-            address, request
+        response: http_client.Response | None = yield self._client.call(
+            address,
+            method="POST",
+            target=VIEW_PATH,
+            body=msgspec.json.encode(request),
+            timeout_ms=timeout_ms,
         )
         if response is None or response.status != _OK:
-            return
+            return None
         try:
-            decoded = msgspec.json.decode(response.body, type=ViewAnswer)
+            return msgspec.json.decode(response.body, type=ViewAnswer)
         except msgspec.DecodeError as error:
             self._log.event(
                 "peer_answer_malformed", peer=address[0], error=error
             )
-            return
-        self._take(decoded, address[0])
-
-    def _call(
-        self, address: tuple[str, int], request: ViewRequest
-    ) -> futures.Future:
-        return self._client.call(
-            address,
-            method="POST",
-            target=VIEW_PATH,
-            body=msgspec.json.encode(request),
-            timeout_ms=PULL_TIMEOUT_MS,
-        )
+            return None
 
     def _take(self, decoded: ViewAnswer, peer: str) -> None:
         now_ms = self._loop.now_ms()
         source = f"peer:{peer}"
         self._peers.heard_of(decoded.peers, now_ms=now_ms)
         if decoded.configuration is not None:
-            self._view.take_configuration(
-                _item(decoded.configuration), source=source
-            )
-        if decoded.targets is not None:
+            self._take_configuration(decoded.configuration, source)
+        if decoded.targets is None:
+            return
+        items = [_item(known) for known in decoded.targets]
+        if decoded.are_all_targets:
             self._view.take_all_targets(
-                [_item(known) for known in decoded.targets],
+                items,
                 at_revision=decoded.targets_revision,
                 now_ms=now_ms,
                 source=source,
             )
+        else:
+            self._view.take_changes(
+                port.Items(items, at_revision=decoded.targets_revision),
+                now_ms=now_ms,
+                source=source,
+            )
+
+    def _take_configuration(self, packed: PackedItem, source: str) -> None:
+        try:
+            item = _unpacked(packed)
+        except zlib.error as error:
+            self._log.event("peer_answer_malformed", peer=source, error=error)
+            return
+        self._view.take_configuration(item, source=source)
 
     def __repr__(self) -> str:
         return f"PeerPuller(contact={self._contact!r})"
 
 
-def _known(item: port.Item) -> KnownItem:
-    return KnownItem(item.key, item.value.decode(_TEXT_ENCODING), item.revision)
+def _packed(item: port.Item) -> PackedItem:
+    return PackedItem(item.key, _deflated(item.value), item.revision)
 
 
-def _item(known: KnownItem) -> port.Item:
+@functools.lru_cache(maxsize=1)
+def _deflated(value: bytes) -> bytes:
+    return zlib.compress(value)
+
+
+def _unpacked(packed: PackedItem) -> port.Item:
     return port.Item(
-        known.key, known.value.encode(_TEXT_ENCODING), known.revision
+        packed.key, zlib.decompress(packed.deflated), packed.revision
     )
+
+
+def _known(item: port.Item) -> KnownItem:
+    value = None if item.value is None else item.value.decode(_TEXT_ENCODING)
+    return KnownItem(item.key, value, item.revision)
+
+
+def _item(known: KnownItem) -> port.Item:
+    value = None if known.value is None else known.value.encode(_TEXT_ENCODING)
+    return port.Item(known.key, value, known.revision)
--- a/packages/bambooglade/bambooglade/discovery/peers.py
+++ b/packages/bambooglade/bambooglade/discovery/peers.py
@@ -22,6 +22,7 @@
         host: IP number.
         port: Port of its interface for peers.
         availability_zone: Where it runs.
+        link_mbps: What its network link carries, in Mbit/s; 0 if not known.
     """
 
     name: str
@@ -29,6 +30,7 @@
     host: str
     port: int
     availability_zone: str
+    link_mbps: float = 0.0
 
     @property
     def address(self) -> tuple[str, int]:
--- a/packages/bambooglade/bambooglade/discovery/registration.py
+++ b/packages/bambooglade/bambooglade/discovery/registration.py
@@ -24,6 +24,12 @@
 READ_EVERY = 3
 """Renewals for each reading of the registered instances."""
 
+FRESH_READS = 2
+"""Readings after the start that may not lag; the fleet may be starting."""
+
+FRESH_PAUSE_MS = 1_000
+"""Pause between these; instances start within some hundred milliseconds."""
+
 RETRY_PAUSE_MS = 700
 """Mean pause after a failure of the store."""
 
@@ -38,6 +44,9 @@
         peers: Told of the registered instances.
         contact: Tells whether the store answers.
         random_source: Spreads the pauses of the instances.
+
+    Attributes:
+        is_settled: Whether the instances that started together know each other.
     """
 
     __slots__ = (
@@ -49,6 +58,7 @@
         "_peers",
         "_random",
         "_store",
+        "is_settled",
     )
 
     def __init__(
@@ -69,10 +79,11 @@
         self._random = random_source
         self._lease_id = 0
         self._is_stopped = False
+        self.is_settled = False
 
     def start(self) -> None:
         """Starts to keep the registration."""
-        tasks.spawn(self._run())
+        tasks.keep_running(self._loop, self._run)
 
     def stop(self) -> None:
         """Ends the registration."""
@@ -84,10 +95,17 @@
         rounds = 0
         while not self._is_stopped:
             is_registered = yield from self._register_or_renew()
-            if is_registered and (rounds % READ_EVERY == 0 or rounds < 2):
-                is_registered = yield from self._read_peers()
+            if is_registered and (
+                rounds % READ_EVERY == 0 or rounds < FRESH_READS
+            ):
+                is_registered = yield from self._read_peers(
+                    may_lag=rounds >= FRESH_READS
+                )
             rounds += is_registered
-            pause_ms = RENEW_PAUSE_MS if is_registered else RETRY_PAUSE_MS
+            self.is_settled = rounds >= FRESH_READS
+            pause_ms = RETRY_PAUSE_MS
+            if is_registered:
+                pause_ms = RENEW_PAUSE_MS if self.is_settled else FRESH_PAUSE_MS
             yield tasks.sleep(
                 self._loop, pause_ms * (0.75 + self._random.random() / 2)
             )
@@ -112,8 +130,8 @@
             self._lease_id = answer.lease_id
         return bool(self._lease_id)
 
-    def _read_peers(self) -> tasks.Task:
-        answer = yield self._store.read_prefix(PEER_PREFIX)
+    def _read_peers(self, *, may_lag: bool) -> tasks.Task:
+        answer = yield self._store.read_prefix(PEER_PREFIX, may_lag=may_lag)
         if not isinstance(answer, port.Items):
             return False
         self._peers.heard_of(_decoded(answer.items), now_ms=self._loop.now_ms())
--- a/packages/bambooglade/bambooglade/discovery/targets.py
+++ b/packages/bambooglade/bambooglade/discovery/targets.py
@@ -49,6 +49,22 @@
         self.is_draining = is_draining
         self.cold_remaining_ms = cold_remaining_ms
 
+    def is_like(self, other: RegisteredTarget | None) -> bool:
+        """Returns whether requests would be sent alike to both.
+
+        How long a target is slow yet, and what it counts, changes with each
+        entry that it writes and decides nothing.
+        """
+        return other is not None and (
+            self.service == other.service
+            and self.address == other.address
+            and self.availability_zone == other.availability_zone
+            and self.slots == other.slots
+            and self.born_ms == other.born_ms
+            and self.is_draining == other.is_draining
+            and bool(self.cold_remaining_ms) == bool(other.cold_remaining_ms)
+        )
+
     def __repr__(self) -> str:
         state = "draining" if self.is_draining else "ready"
         return (
--- a/packages/bambooglade/bambooglade/discovery/view.py
+++ b/packages/bambooglade/bambooglade/discovery/view.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 
 from bambooglade.core import event_log
@@ -36,20 +37,32 @@
     Attributes:
         configuration: The newest one; None before the first.
         configuration_item: Its item, to be passed on; None before the first.
+        configuration_revision: Revision as of which the configuration is the
+            newest one.
+        configuration_checked_at_ms: When that was last confirmed.
         targets_revision: Revision as of which the targets are complete.
+        targets_checked_at_ms: When that was last confirmed.
         target_by_id: Registered targets, draining ones included.
+        listeners: Called after changes on which requests depend.
     """
 
     __slots__ = (
+        "_change_count",
+        "_changed_at_revision_by_key",
         "_codec",
+        "_forgotten_revision",
         "_item_by_key",
         "_lapsing_until_ms_by_id",
         "_log",
         "_targets_by_service",
         "_tombstone_by_key",
         "configuration",
+        "configuration_checked_at_ms",
         "configuration_item",
+        "configuration_revision",
+        "listeners",
         "target_by_id",
+        "targets_checked_at_ms",
         "targets_revision",
     )
 
@@ -62,6 +75,9 @@
         self._tombstone_by_key: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        self._forgotten_revision = 0
+        self._change_count = 0
+        self._changed_at_revision_by_key: dict[str, int] = {}
         self._lapsing_until_ms_by_id: dict[str, int] = {}
         self._targets_by_service: dict[
             str, list[targets_lib.RegisteredTarget]
@@ -70,6 +86,16 @@
         self.configuration_item: port.Item | None = None
         self.target_by_id: dict[str, targets_lib.RegisteredTarget] = {}
         self.targets_revision = 0
+        self.configuration_revision = 0
+        self.configuration_checked_at_ms: int | None = None
+        self.targets_checked_at_ms: int | None = None
+        self.listeners: list[Callable[[], None]] = []
+
+    @property
+    def checked_at_ms(self) -> int | None:
+        """When the whole view was last known to be the newest."""
+        times = (self.configuration_checked_at_ms, self.targets_checked_at_ms)
+        return None if None in times else min(times)
 
     @property
     def is_ready(self) -> bool:
@@ -80,6 +106,31 @@
         """Returns the items of all targets, to be passed on."""
         return list(self._item_by_key.values())
 
+    def changed_target_items(self, after_revision: int) -> list[port.Item]:
+        """Returns the items that changed in what requests depend on.
+
+        Args:
+            after_revision: Revision as of which all are known; 0 for none. All
+                items are returned if deletions since then were forgotten.
+        """
+        if after_revision <= self._forgotten_revision:
+            return self.target_items()
+        changed = [
+            item
+            for key, item in self._item_by_key.items()
+            if self._changed_at_revision_by_key.get(key, 0) > after_revision
+        ]
+        deleted = [
+            port.Item(key, None, revision)
+            for key, revision in self._tombstone_by_key.items()
+            if revision > after_revision
+        ]
+        return changed + deleted
+
+    def is_complete_since(self, after_revision: int) -> bool:
+        """Returns whether every change since a revision is remembered."""
+        return after_revision > self._forgotten_revision
+
     def ready_targets(self, service: str) -> list[targets_lib.RegisteredTarget]:
         """Returns the targets of a service that take new requests."""
         return self._targets_by_service.get(service, [])
@@ -109,6 +160,9 @@
             return False
         self.configuration = decoded
         self.configuration_item = item
+        self.configuration_revision = max(
+            self.configuration_revision, item.revision
+        )
         self._log.event(
             "configuration_applied",
             version=decoded.version,
@@ -116,8 +170,14 @@
             source=source,
             routes=decoded.route_count,
         )
+        self._notify()
         return True
 
+    def configuration_is_as_of(self, revision: int, *, now_ms: int) -> None:
+        """Notes that the configuration is the newest one up to a revision."""
+        self.configuration_revision = max(self.configuration_revision, revision)
+        self.configuration_checked_at_ms = now_ms
+
     def take_changes(
         self,
         changes: port.Items,
@@ -135,10 +195,13 @@
             is_after_outage: Whether entries may have lapsed although their
                 targets live.
         """
+        changes_before = self._change_count
         for item in changes.items:
             self._take_target(item, now_ms, source, is_after_outage)
         self.targets_revision = max(self.targets_revision, changes.at_revision)
-        self._index()
+        if self._change_count != changes_before:
+            self._index()
+            self._notify()
 
     def take_all_targets(
         self,
@@ -152,6 +215,9 @@
         """Takes the whole list of targets as of a revision."""
         if at_revision < self.targets_revision:
             return
+        self._forgotten_revision = max(
+            self._forgotten_revision, at_revision - 1
+        )
         items = list(listed)
         keys = {item.key for item in items}
         missing = [
@@ -196,6 +262,8 @@
         target_id = item.key.removeprefix(self._codec.target_prefix)
         if item.value is None:
             self._item_by_key.pop(item.key, None)
+            self._changed_at_revision_by_key.pop(item.key, None)
+            self._change_count += 1
             self._bury(item)
             if is_after_outage and target_id in self.target_by_id:
                 until_ms = now_ms + RETURN_GRACE_MS
@@ -218,12 +286,15 @@
                 remedy="the entry is ignored",
             )
             self._drop(target_id, source=source)
+            self._note_change(item)
             return
-        self._lapsing_until_ms_by_id.pop(target_id, None)
+        was_lapsing = self._lapsing_until_ms_by_id.pop(target_id, None)
         known = self.target_by_id.get(target_id)
         if known is not None and known.born_ms > target.born_ms > 0:
             return
         self.target_by_id[target_id] = target
+        if was_lapsing is not None or not target.is_like(known):
+            self._note_change(item)
         if known is None or known.is_draining != target.is_draining:
             self._log.event(
                 "target_draining" if target.is_draining else "target_ready",
@@ -234,11 +305,20 @@
                 source=source,
             )
 
+    def _note_change(self, item: port.Item) -> None:
+        self._changed_at_revision_by_key[item.key] = item.revision
+        self._change_count += 1
+
+    def _notify(self) -> None:
+        for listener in list(self.listeners):
+            listener()
+
     def _bury(self, item: port.Item) -> None:
         self._tombstone_by_key[item.key] = item.revision
         self._tombstone_by_key.move_to_end(item.key)
         if len(self._tombstone_by_key) > MAX_TOMBSTONES:
-            self._tombstone_by_key.popitem(last=False)
+            _, revision = self._tombstone_by_key.popitem(last=False)
+            self._forgotten_revision = max(self._forgotten_revision, revision)
 
     def _drop(self, target_id: str, *, source: str) -> None:
         self._lapsing_until_ms_by_id.pop(target_id, None)
--- a/packages/bambooglade/bambooglade/eventloop/http_client.py
+++ b/packages/bambooglade/bambooglade/eventloop/http_client.py
@@ -15,6 +15,16 @@
 MAX_IDLE_PER_ADDRESS = 4
 """Connections kept open to one address: a watch, and calls that overlap."""
 
+PROGRESS_TIMEOUT_MS = 1_000
+"""Longest pause within a response; a lost packet is sent again sooner."""
+
+MAX_TRANSFER_MS = 6_000
+"""Longest time from the first byte of a response to its last one.
+
+A configuration of a thousand routes has half a megabyte, and takes a second on
+a link of 5 Mbit/s that it has for itself.
+"""
+
 Address = tuple[str, int]
 
 
@@ -66,7 +76,8 @@
             method: HTTP method.
             target: Path and query.
             body: JSON document; empty for none.
-            timeout_ms: Time for the whole exchange.
+            timeout_ms: Time until the response begins; it then may go on as
+                long as it makes progress.
 
         Returns:
             A future with a `Response`, or with None.
@@ -118,6 +129,7 @@
         "_parser",
         "_release",
         "_timer",
+        "_transfer_until_ms",
         "address",
     )
 
@@ -136,6 +148,7 @@
         self._timer: loop_lib.Timer | None = None
         self._parser = response_parser.ResponseParser()
         self._body: list[bytes] = []
+        self._transfer_until_ms: int | None = None
         self._connection = connection_lib.connect(loop, address, self)
 
     @property
@@ -147,6 +160,7 @@
         self._future = futures.Future()
         self._parser = response_parser.ResponseParser()
         self._body = []
+        self._transfer_until_ms = None
         self._timer = self._loop.call_later(timeout_ms, self._timed_out)
         self._connection.send(request)
         return self._future
@@ -162,8 +176,19 @@
             self._connection.close()
             return
         self._body.append(self._parser.feed(data))
+        self._await_progress()
         self._check_end()
 
+    def _await_progress(self) -> None:
+        now_ms = self._loop.now_ms()
+        if self._transfer_until_ms is None:
+            self._transfer_until_ms = now_ms + MAX_TRANSFER_MS
+        self._timer.cancel()
+        self._timer = self._loop.call_later(
+            min(PROGRESS_TIMEOUT_MS, self._transfer_until_ms - now_ms),
+            self._timed_out,
+        )
+
     def closed(self, *, is_clean: bool) -> None:
         self._parser.ended(is_clean=is_clean)
         self._check_end()
--- a/packages/bambooglade/bambooglade/eventloop/tasks.py
+++ b/packages/bambooglade/bambooglade/eventloop/tasks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Generator
 from concurrent import futures
 from typing import Any
@@ -11,6 +12,10 @@
 
 from bambooglade.eventloop import loop as loop_lib
 
+RESTART_PAUSE_MS = 500
+"""Pause before a task that failed is started anew, so that faults which come
+back at once cost little."""
+
 Task: TypeAlias = Generator[futures.Future, Any, Any]
 
 
@@ -37,6 +42,23 @@
     return done
 
 
+def keep_running(
+    loop: loop_lib.EventLoop, new_task: Callable[[], Task]
+) -> None:
+    """Runs a task that is never to end by a fault; starts it anew after one.
+
+    Args:
+        loop: Delays the new start.
+        new_task: Makes the task; it is not started again once it returns.
+    """
+
+    def ended(done: futures.Future) -> None:
+        if done.exception() is not None:
+            loop.call_later(RESTART_PAUSE_MS, keep_running, loop, new_task)
+
+    spawn(new_task()).add_done_callback(ended)
+
+
 def sleep(loop: loop_lib.EventLoop, delay_ms: float) -> futures.Future:
     """Returns a future that completes after a delay in milliseconds."""
     future: futures.Future = futures.Future()
--- a/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
+++ b/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
@@ -171,10 +171,15 @@
     server.close()
 
 
-class SilentAfterTwo:
+def send_ok(connection):
+    connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+
+class ScriptedServer:
     """Answers each request until it is told to be silent, as old peers are."""
 
-    def __init__(self, loop):
+    def __init__(self, loop, answer=send_ok):
+        self._answer = answer
         self.accepted = 0
         self._loop = loop
         self._silent = set()
@@ -195,9 +200,7 @@
             def received(self, data):
                 del data
                 if self not in server._silent:
-                    self.connection.send(
-                        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-                    )
+                    server._answer(self.connection)
 
             def closed(self, *, is_clean):
                 del is_clean
@@ -214,7 +217,7 @@
 
 
 def test_connections_that_fell_silent_are_all_left_after_one_call(loop):
-    server = SilentAfterTwo(loop)
+    server = ScriptedServer(loop)
     client = http_client.HttpClient(loop)
 
     def call(timeout_ms):
@@ -228,3 +231,45 @@
     assert run(loop, call(50)) is None
     assert run(loop, call(1_000)).body == b"ok"
     assert server.accepted == 4
+
+
+@pytest.mark.parametrize(
+    ("parts", "pause_ms", "is_whole"),
+    [(8, 30, True), (1, 0, True), (2, 400, False)],
+)
+def test_a_long_response_may_take_longer_than_the_wait_for_it(
+    loop, monkeypatch, parts, pause_ms, is_whole
+):
+    monkeypatch.setattr(http_client, "PROGRESS_TIMEOUT_MS", 150)
+
+    def send_parts(connection):
+        connection.send(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (4 * parts)
+        )
+        for number in range(parts):
+            loop.call_later(pause_ms * number, connection.send, b"part")
+
+    server = ScriptedServer(loop, answer=send_parts)
+    client = http_client.HttpClient(loop)
+    called = client.call(
+        server.address, method="GET", target="/", timeout_ms=100
+    )
+    response = run(loop, called)
+    assert (response is not None) == is_whole
+    assert response is None or response.body == b"part" * parts
+
+
+def test_a_task_that_has_to_go_on_is_started_anew_after_a_fault(loop):
+    starts = []
+
+    def fragile():
+        starts.append(len(starts))
+        yield tasks.sleep(loop, 1)
+        if len(starts) < 3:
+            raise ValueError("broken")
+
+    tasks.keep_running(loop, fragile)
+    loop.run(until=lambda: len(starts) == 3)
+    tasks_end = tasks.sleep(loop, 2 * tasks.RESTART_PAUSE_MS)
+    loop.run(until=tasks_end.done)
+    assert starts == [0, 1, 2]
--- a/packages/bambooglade/bambooglade/gateway/peer_api.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_api.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from concurrent import futures
 
 import msgspec
@@ -12,6 +11,7 @@
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import view as view_lib
 from bambooglade.eventloop import http_server
+from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
 from bambooglade.http1 import messages
 from bambooglade.rights import keeper as keeper_lib
@@ -27,10 +27,18 @@
         own: This instance, as peers know it.
         rights: Accounts that are lent from.
         log: Told of loans.
-        now_ms: Returns the time.
+        loop: The event loop.
     """
 
-    __slots__ = ("_log", "_now_ms", "_own", "_peers", "_rights", "_view")
+    __slots__ = (
+        "_log",
+        "_loop",
+        "_own",
+        "_peers",
+        "_rights",
+        "_view",
+        "_waiting",
+    )
 
     def __init__(
         self,
@@ -40,14 +48,16 @@
         own: peers_lib.Peer,
         rights: keeper_lib.RightsKeeper,
         log: event_log.EventLog,
-        now_ms: Callable[[], int],
+        loop: loop_lib.EventLoop,
     ) -> None:
         self._view = view
         self._peers = peers
         self._own = own
         self._rights = rights
         self._log = log
-        self._now_ms = now_ms
+        self._loop = loop
+        self._waiting: list[futures.Future] = []
+        view.listeners.append(self._view_changed)
 
     def answer(
         self, request: messages.Request
@@ -67,22 +77,48 @@
             self._log.event("peer_request_malformed", error=error)
             return http_server.Reply(400)
 
-    def _view_answer(self, body: bytes) -> http_server.Reply:
+    def _view_answer(self, body: bytes) -> futures.Future:
         request = msgspec.json.decode(body, type=peer_view.ViewRequest)
-        now_ms = self._now_ms()
-        self._peers.heard_of([request.asker], now_ms=now_ms)
-        known = [*self._peers.all(now_ms=now_ms), self._own]
-        answered = peer_view.answer(request, self._view, known)
+        self._peers.heard_of([request.asker], now_ms=self._loop.now_ms())
+        return tasks.spawn(self._answer_view(request))
+
+    def _answer_view(self, request: peer_view.ViewRequest) -> tasks.Task:
+        """Answers once there is news, or when the asker's wait is over."""
+        asked_at_ms = self._loop.now_ms()
+        due_ms = asked_at_ms + request.wait_ms
+        while not peer_view.has_news(request, self._view):
+            left_ms = due_ms - self._loop.now_ms()
+            if left_ms <= 0:
+                break
+            yield tasks.within(self._loop, self._next_change(), left_ms)
+        now_ms = self._loop.now_ms()
+        answered = peer_view.answer(
+            request,
+            self._view,
+            [*self._peers.all(now_ms=now_ms), self._own],
+            now_ms=now_ms,
+            waited_ms=now_ms - asked_at_ms,
+        )
         return http_server.Reply(200, msgspec.json.encode(answered))
 
+    def _next_change(self) -> futures.Future:
+        changed: futures.Future = futures.Future()
+        self._waiting.append(changed)
+        return changed
+
+    def _view_changed(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for changed in waiting:
+            tasks.complete(changed, None)
+
     def _loan_answer(self, body: bytes) -> futures.Future:
         request = msgspec.json.decode(body, type=lending.LoanRequest)
-        self._peers.heard_of([request.borrower], now_ms=self._now_ms())
+        self._peers.heard_of([request.borrower], now_ms=self._loop.now_ms())
         return tasks.spawn(self._lend(request))
 
     def _repayment_answer(self, body: bytes) -> http_server.Reply:
         request = msgspec.json.decode(body, type=lending.Repayment)
-        self._peers.heard_of([request.sender], now_ms=self._now_ms())
+        self._peers.heard_of([request.sender], now_ms=self._loop.now_ms())
         self._rights.repaid(request.tokens_by_team)
         return http_server.Reply(200, b"{}")
 
@@ -98,7 +134,11 @@
                 lent_tokens=lent,
                 available_tokens=available,
             )
-        answered = lending.LoanAnswer(tokens=lent, available_tokens=available)
+        answered = lending.LoanAnswer(
+            tokens=lent,
+            available_tokens=available,
+            is_exhausted=self._rights.is_exhausted(request.team),
+        )
         return http_server.Reply(200, msgspec.json.encode(answered))
 
     def __repr__(self) -> str:
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -13,6 +13,7 @@
 from bambooglade.discovery import peer_view
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import registration as registration_lib
+from bambooglade.discovery import relays as relays_lib
 from bambooglade.discovery import targets as targets_lib
 from bambooglade.discovery import view as view_lib
 from bambooglade.eventloop import http_client
@@ -89,6 +90,7 @@
             host=settings.peer_address[0],
             port=settings.peer_address[1],
             availability_zone=settings.availability_zone,
+            link_mbps=settings.link_mbps,
         )
         self.rights = self._rights_keeper(store, client)
         self._metrics = metrics_lib.Metrics()
@@ -155,15 +157,21 @@
         client: http_client.HttpClient,
         item_codec: item_codec_lib.ItemCodec,
     ):
+        relays = relays_lib.Relays(
+            self._own,
+            peers=self._known_peers,
+            change_bound_ms=self.settings.change_bound_ms,
+        )
         follower = follower_lib.StoreFollower(
             self.loop,
             store,
             self.view,
             codec=item_codec,
+            relays=relays,
             contact=self._contact,
             random_source=self._random,
         )
-        registration = registration_lib.Registration(
+        self._registration = registration_lib.Registration(
             self.loop,
             store,
             own=self._own,
@@ -176,13 +184,15 @@
             client,
             self.view,
             peers=self._peers,
+            relays=relays,
+            read_configuration=follower.read_configuration,
             own=self._own,
             seeds=self.settings.seed_addresses,
             contact=self._contact,
             log=self._log,
             random_source=self._random,
         )
-        return follower, registration, puller
+        return follower, self._registration, puller
 
     def _connected(
         self, target: targets_lib.RegisteredTarget, took_ms: int
@@ -238,7 +248,7 @@
             own=self._own,
             rights=self.rights,
             log=self._log,
-            now_ms=self.loop.now_ms,
+            loop=self.loop,
         )
         handler_by_address = {
             settings.peer_address: api.answer,
@@ -283,10 +293,16 @@
             self.loop.call_later(UPKEEP_PAUSE_MS, self._upkeep)
 
     def _fill_stocks(self) -> None:
-        """Draws rights for teams that are new or whose budget changed."""
+        """Draws rights for teams that are new or whose budget changed.
+
+        It waits until the fleet is known: an instance that believes to be alone
+        would hold a stock of every team.
+        """
         configuration = self.view.configuration
         if configuration is None or self._contact.is_lost or self._is_draining:
             return
+        if not self._registration.is_settled:
+            return
         changed = [
             team.name
             for team in configuration.team_by_name.values()
--- a/packages/bambooglade/bambooglade/gateway/settings.py
+++ b/packages/bambooglade/bambooglade/gateway/settings.py
@@ -32,12 +32,17 @@
         retry_window_ms: Window in which retries are counted.
         retry_slack: Retries of the fleet in a window beyond the ratio.
         max_descriptors: File descriptors that the process may use.
+        link_mbps: What the network link carries, in Mbit/s; 0 if not known.
+        change_bound_ms: Time in which a change has to be in force: one of the
+            configuration, or a target that is leaving.
     """
 
     __slots__ = (
         "availability_zone",
         "caller_address",
+        "change_bound_ms",
         "instance",
+        "link_mbps",
         "max_descriptors",
         "metrics_address",
         "peer_address",
@@ -66,6 +71,8 @@
         retry_window_ms: int = 10_000,
         retry_slack: float = 50.0,
         max_descriptors: int = 1_024,
+        link_mbps: float = 0.0,
+        change_bound_ms: int = 2_000,
     ) -> None:
         self.instance = instance
         self.availability_zone = availability_zone
@@ -80,6 +87,8 @@
         self.retry_window_ms = retry_window_ms
         self.retry_slack = retry_slack
         self.max_descriptors = max_descriptors
+        self.link_mbps = link_mbps
+        self.change_bound_ms = change_bound_ms
 
     def __repr__(self) -> str:
         return f"GatewaySettings(instance={self.instance!r})"
--- a/packages/bambooglade/bambooglade/platform/node_file.py
+++ b/packages/bambooglade/bambooglade/platform/node_file.py
@@ -23,11 +23,13 @@
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
     memory_mb: float = 300
     max_fds: int = 1_024
+    link_mbps: float = 0.0
 
 
 class _Bounds(msgspec.Struct, frozen=True, rename="camel"):
     grace_s: float = 8
     drain_ms: float = 2_000
+    config_apply_ms: float = 2_000
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10
     retry_budget_slack: float = 50
@@ -87,4 +89,8 @@
         retry_window_ms=round(wire.bounds.budget_window_s * 1_000),
         retry_slack=wire.bounds.retry_budget_slack,
         max_descriptors=wire.limits.max_fds,
+        link_mbps=wire.limits.link_mbps,
+        change_bound_ms=round(
+            min(wire.bounds.config_apply_ms, wire.bounds.drain_ms)
+        ),
     )
--- a/packages/bambooglade/bambooglade/platform/store.py
+++ b/packages/bambooglade/bambooglade/platform/store.py
@@ -121,7 +121,7 @@
         return self._call("GET", target, decoded, accepts=(_NOT_FOUND,))
 
     def read_prefix(
-        self, prefix: str, *, after_key: str = ""
+        self, prefix: str, *, after_key: str = "", may_lag: bool = False
     ) -> futures.Future:
         """Reads a page of the keys below a prefix."""
 
@@ -136,6 +136,8 @@
         query = {"pathPrefix": prefix}
         if after_key:
             query["after"] = after_key
+        if may_lag:
+            query["staleOk"] = "1"
         return self._call(
             "GET", "/v1/kv-range?" + parse.urlencode(query), decoded
         )
--- a/packages/bambooglade/bambooglade/rights/keeper.py
+++ b/packages/bambooglade/bambooglade/rights/keeper.py
@@ -102,6 +102,10 @@
         """Returns the account of a team."""
         return self._account_by_team[team]
 
+    def is_exhausted(self, team: str) -> bool:
+        """Returns whether the ledger had nothing left when last seen."""
+        return self._bookkeeper.is_exhausted(team)
+
     def available_tokens(self, team: str) -> int:
         """Returns what may be reserved at once."""
         return self._account_by_team[team].available_tokens
@@ -223,18 +227,21 @@
     def _reserve_later(
         self, team: str, request_id: str, tokens: int
     ) -> tasks.Task:
+        is_exhausted = False
         if not self._homes.is_own(team):
-            yield from self._borrow(team, tokens, only_homes=True)
+            loan = yield from self._borrow(team, tokens, only_homes=True)
             if self._try_reserve(team, request_id, tokens):
                 return Reservation.RESERVED
-        if self._bookkeeper.is_worth_asking(team):
+            is_exhausted = loan.is_exhausted
+        if not is_exhausted and self._bookkeeper.is_worth_asking(team):
             yield self._bookkeeper.request(team, tokens)
             if self._try_reserve(team, request_id, tokens):
                 return Reservation.RESERVED
         loan = yield from self._borrow(team, tokens)
         if self._try_reserve(team, request_id, tokens):
             return Reservation.RESERVED
-        is_final = self._bookkeeper.is_exhausted(team) and loan.all_answered
+        is_exhausted = is_exhausted or self._bookkeeper.is_exhausted(team)
+        is_final = is_exhausted and loan.all_answered
         return Reservation.EXHAUSTED if is_final else Reservation.UNREACHABLE
 
     def _borrow(
--- a/packages/bambooglade/bambooglade/rights/lending.py
+++ b/packages/bambooglade/bambooglade/rights/lending.py
@@ -52,10 +52,13 @@
     Attributes:
         tokens: How many were given.
         available_tokens: What the lender has left.
+        is_exhausted: Whether the ledger had nothing left when the lender saw it
+            last, which is a second ago at the most for a home.
     """
 
     tokens: int
     available_tokens: int
+    is_exhausted: bool = False
 
 
 class Repayment(msgspec.Struct, frozen=True, kw_only=True):
@@ -78,15 +81,24 @@
         asked: Number of peers that were asked.
         answered: Number of peers that answered.
         are_homes_asked: Whether no home of the team was left out.
+        is_exhausted: Whether the first who answered, a home, said so of the
+            ledger.
     """
 
-    __slots__ = ("answered", "are_homes_asked", "asked", "tokens")
+    __slots__ = (
+        "answered",
+        "are_homes_asked",
+        "asked",
+        "is_exhausted",
+        "tokens",
+    )
 
     def __init__(self) -> None:
         self.tokens = 0
         self.asked = 0
         self.answered = 0
         self.are_homes_asked = False
+        self.is_exhausted = False
 
     @property
     def all_answered(self) -> bool:
@@ -217,6 +229,8 @@
                 self._loop.now_ms() + SILENT_MS
             )
             return
+        if not loan.answered:
+            loan.is_exhausted = answer.is_exhausted
         loan.answered += 1
         loan.tokens += answer.tokens
         self._available_by_team_and_peer[known] = answer.available_tokens
--- a/packages/bambooglade/bambooglade/store/port.py
+++ b/packages/bambooglade/bambooglade/store/port.py
@@ -170,9 +170,15 @@
         ...
 
     def read_prefix(
-        self, prefix: str, *, after_key: str = ""
+        self, prefix: str, *, after_key: str = "", may_lag: bool = False
     ) -> futures.Future:
-        """Reads a page of the keys below a prefix."""
+        """Reads a page of the keys below a prefix.
+
+        Args:
+            prefix: What the keys begin with.
+            after_key: The last key of the page before; empty for the first.
+            may_lag: Whether the page may be some seconds old, which costs less.
+        """
         ...
 
     def watch(
