--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/gateway_process.py
@@ -0,0 +1,107 @@
+"""A gateway as a process of its own, for the soak and the demonstration."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+
+from bambooglade_standins.users_platform import scene as scene_lib
+
+_NODE_FILE = """
+nodeName = "{name}"
+ip = "{host}"
+zone = "zone-{zone}"
+internalPortRange = [{metrics}, {metrics}]
+seeds = [{seeds}]
+[listen]
+frontend = "{frontend}"
+readiness = "{readiness}"
+controlPlane = "{peer}"
+[bounds]
+graceS = 4
+[platform]
+address = "{store}"
+"""
+
+
+class GatewayProcess:
+    """One gateway process, which may be ended and started again.
+
+    Args:
+        name: Name of the instance.
+        zone: Its availability zone.
+        store: IP number and port of the store.
+
+    Attributes:
+        addresses: Of callers, readiness, peers and metrics.
+        started_at_ms: When it last started; set by who starts it.
+    """
+
+    def __init__(self, name: str, zone: str, store: tuple[str, int]) -> None:
+        self.name = name
+        self._zone = zone
+        self._store = f"{store[0]}:{store[1]}"
+        self.addresses = [scene_lib.free_address() for _ in range(4)]
+        self.started_at_ms = 0
+        self._process: subprocess.Popen | None = None
+        self._directory = tempfile.TemporaryDirectory()
+
+    def write_settings(self, seeds: list[str]) -> None:
+        """Writes the settings file."""
+        texts = [f"{host}:{port}" for host, port in self.addresses]
+        text = _NODE_FILE.format(
+            name=self.name,
+            host=self.addresses[3][0],
+            zone=self._zone,
+            metrics=self.addresses[3][1],
+            seeds=", ".join(f'"{seed}"' for seed in seeds),
+            frontend=texts[0],
+            readiness=texts[1],
+            peer=texts[2],
+            store=self._store,
+        )
+        self._path.write_text(text)
+
+    @property
+    def _path(self) -> pathlib.Path:
+        return pathlib.Path(self._directory.name) / "node.toml"
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process exists."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self, *, now_ms: int = 0) -> None:
+        """Starts the process."""
+        self.started_at_ms = now_ms
+        with open(self._path.with_suffix(".log"), "ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "bambooglade.platform.gateway_main"],
+                env={**os.environ, "BAMBOOGLADE_NODE_FILE": str(self._path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, signal_number: int) -> None:
+        """Signals the process, if it runs."""
+        if self.is_running:
+            self._process.send_signal(signal_number)
+
+    def end(self) -> None:
+        """Kills the process and waits for it."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+
+    def log_text(self) -> str:
+        """Returns what the process wrote."""
+        path = self._path.with_suffix(".log")
+        return path.read_text() if path.exists() else ""
+
+    def __repr__(self) -> str:
+        return f"GatewayProcess({self.name!r}, running={self.is_running})"
--- a/tools/demo/run.sh
+++ b/tools/demo/run.sh
@@ -71,3 +71,6 @@
 "$bin/python" $demo/calls.py "$team_key" "${urls[@]}"
 echo "== Bills and balance"
 "$bin/bamboogladectl" budgets show hall-3
+
+echo "== Two gateways on the emulated users' platform"
+"$bin/python" -m bambooglade_standins.users_platform.demo
