Let homes alone look at ledgers, as long as the store answers them

Change: a lender tells whether it draws for others and reaches the store; then its borrower does not look at the ledger. A surplus that would leave the ledger with less than one request needs stays where it is. Ruled out: draws of small rests going back and forth; the new case for that passed before as well, and stays as a guard.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights.py
@@ -346,3 +346,16 @@
         assert world.request(other, 20) is Reservation.EXHAUSTED
     seconds = 40 * 100 / 1_000
     assert world.store.calls - before <= 2 * (seconds + 1)
+
+
+def test_the_rest_of_a_budget_does_not_go_back_and_forth(world):
+    for number in range(19):
+        name = "abc"[number % 3]
+        assert world.request(name, 50) is Reservation.RESERVED
+        world.settle(name, spent_share=1.0)
+    world.advance(2_000)
+    before = world.store.revision
+    for number in range(20):
+        assert world.request("abc"[number % 3], 60) is Reservation.EXHAUSTED
+        world.advance(500)
+    assert world.store.revision - before <= 3
--- a/packages/bambooglade/bambooglade/rights/account.py
+++ b/packages/bambooglade/bambooglade/rights/account.py
@@ -100,6 +100,11 @@
             - self.borrowed_tokens
         )
 
+    @property
+    def largest_tokens(self) -> float:
+        """Upper bound of the largest of the last requests."""
+        return self._largest_tokens
+
     def grant_total(self, tokens: int) -> None:
         """Notes the total that the ledger grants; it only grows here."""
         self.granted_tokens = max(self.granted_tokens, tokens)
--- a/packages/bambooglade/bambooglade/rights/bookkeeper.py
+++ b/packages/bambooglade/bambooglade/rights/bookkeeper.py
@@ -236,12 +236,24 @@
         if team not in self._free_by_team or is_unwritten:
             return True
         wanted = self._wanted_stock(team)
-        available = account.available_tokens
         return (
-            available < wanted * REFILL_BELOW
-            or available > wanted * SURPLUS_ABOVE
+            account.available_tokens < wanted * REFILL_BELOW
+            or self._surplus(team, wanted) > 0
         )
 
+    def _surplus(self, team: str, wanted: int) -> int:
+        """Returns what is to go back to the ledger, in tokens.
+
+        It stays if the ledger would not have enough for one request then: it
+        would come back with the next one, a write each way.
+        """
+        account = self._account_by_team[team]
+        surplus = account.available_tokens - wanted
+        is_large = account.available_tokens > wanted * SURPLUS_ABOVE
+        free_tokens = self._free_by_team.get(team, 0) + surplus
+        is_useful = free_tokens >= account.largest_tokens
+        return surplus if is_large and is_useful else 0
+
     def _teams_to_draw(self, needed: collections.Counter[str]) -> list[str]:
         short = [
             team
@@ -354,8 +366,7 @@
             return
         wanted = max(needed_tokens, self._wanted_stock(team))
         account = self._account_by_team[team]
-        if account.available_tokens > wanted * SURPLUS_ABOVE:
-            account.give_back(account.available_tokens - wanted)
+        account.give_back(self._surplus(team, wanted))
 
     def _draw_size(
         self, team: str, free_tokens: int, needed_tokens: int
--- a/packages/bambooglade/bambooglade/rights/keeper.py
+++ b/packages/bambooglade/bambooglade/rights/keeper.py
@@ -106,6 +106,11 @@
         """Returns whether the ledger had nothing left when last seen."""
         return self._bookkeeper.is_exhausted(team)
 
+    @property
+    def may_draw(self) -> bool:
+        """Whether rights are drawn for peers, and the store answers."""
+        return not self._homes.are_all and not self._contact.is_lost
+
     def available_tokens(self, team: str) -> int:
         """Returns what may be reserved at once."""
         return self._account_by_team[team].available_tokens
@@ -227,13 +232,13 @@
     def _reserve_later(
         self, team: str, request_id: str, tokens: int
     ) -> tasks.Task:
-        is_exhausted = False
+        is_exhausted = may_home_draw = False
         if not self._homes.is_own(team):
             loan = yield from self._borrow(team, tokens, only_homes=True)
             if self._try_reserve(team, request_id, tokens):
                 return Reservation.RESERVED
-            is_exhausted = loan.is_exhausted
-        if not is_exhausted and self._bookkeeper.is_worth_asking(team):
+            is_exhausted, may_home_draw = loan.is_exhausted, loan.may_draw
+        if not may_home_draw and self._bookkeeper.is_worth_asking(team):
             yield self._bookkeeper.request(team, tokens)
             if self._try_reserve(team, request_id, tokens):
                 return Reservation.RESERVED
--- a/packages/bambooglade/bambooglade/rights/lending.py
+++ b/packages/bambooglade/bambooglade/rights/lending.py
@@ -54,11 +54,14 @@
         available_tokens: What the lender has left.
         is_exhausted: Whether the ledger had nothing left when the lender saw it
             last, which is a second ago at the most for a home.
+        may_draw: Whether the lender draws from the ledger for others, and the
+            store answers it.
     """
 
     tokens: int
     available_tokens: int
     is_exhausted: bool = False
+    may_draw: bool = False
 
 
 class Repayment(msgspec.Struct, frozen=True, kw_only=True):
@@ -83,6 +86,8 @@
         are_homes_asked: Whether no home of the team was left out.
         is_exhausted: Whether the first who answered, a home, said so of the
             ledger.
+        may_draw: Whether that home draws for others, so that its borrower need
+            not look at the ledger.
     """
 
     __slots__ = (
@@ -90,6 +95,7 @@
         "are_homes_asked",
         "asked",
         "is_exhausted",
+        "may_draw",
         "tokens",
     )
 
@@ -99,6 +105,7 @@
         self.answered = 0
         self.are_homes_asked = False
         self.is_exhausted = False
+        self.may_draw = False
 
     @property
     def all_answered(self) -> bool:
@@ -231,6 +238,7 @@
             return
         if not loan.answered:
             loan.is_exhausted = answer.is_exhausted
+            loan.may_draw = answer.may_draw
         loan.answered += 1
         loan.tokens += answer.tokens
         self._available_by_team_and_peer[known] = answer.available_tokens
