Give the size of stocks a module of its own; ask peers for a bounded time

Cause, two: the bookkeeper held the policy of stocks beside the writes, 500 lines in all, and no test played its loads by themselves. Change: 'rights/stock_policy.py' decides, without a network; the bookkeeper writes. A peer that was silent is left out for 2 s, and after 300 ms no further peer is asked; such a round is not final, so that nothing is refused for good by it. Ruled out: asking all peers at once; what they lend beyond the need would have to go back.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights.py
@@ -5,11 +5,11 @@
 import pytest
 
 from bambooglade.rights import account as account_lib
-from bambooglade.rights import bookkeeper
 from bambooglade.rights import homes
 from bambooglade.rights import keeper as keeper_lib
 from bambooglade.rights import ledger as ledger_lib
 from bambooglade.rights import lending
+from bambooglade.rights import stock_policy
 from bambooglade_standins.users_platform import memory_store
 from bambooglade_standins.users_platform import rights_world
 
@@ -202,7 +202,7 @@
         world.start(name)
     world.advance(2_000)
     free = world.prepaid - ledger(world).closed_tokens
-    held = bookkeeper.MAX_STOCK_SHARE / (1 + bookkeeper.MAX_STOCK_SHARE)
+    held = stock_policy.MAX_SHARE
     assert free >= world.prepaid * (1 - held)
 
 
--- a/packages/bambooglade/bambooglade/rights/account.py
+++ b/packages/bambooglade/bambooglade/rights/account.py
@@ -7,13 +7,6 @@
 DEMAND_HALF_LIFE_MS = 8_000
 """Time after which demand counts half; about as long as an outage."""
 
-SCARCE_HORIZON_MS = 20_000
-"""Demand that the free budget has to cover to count as plentiful.
-
-A budget below it is used up soon in any case: what is held for an outage then
-only adds to what a kill loses.
-"""
-
 MIN_KNOWN_MS = 2_000
 """Least time that demand is taken to have been observed for."""
 
--- a/packages/bambooglade/bambooglade/rights/bookkeeper.py
+++ b/packages/bambooglade/bambooglade/rights/bookkeeper.py
@@ -17,6 +17,7 @@
 from bambooglade.rights import account as account_lib
 from bambooglade.rights import homes as homes_lib
 from bambooglade.rights import ledger as ledger_lib
+from bambooglade.rights import stock_policy
 from bambooglade.store import contact as contact_lib
 from bambooglade.store import port
 
@@ -35,31 +36,9 @@
 MAX_CONFLICTS = 8
 """Conflicts with other instances before requests are told to wait."""
 
-MAX_STOCK_SHARE = 0.375
-"""Most of an equal share of what is left that a home holds unused.
-
-What all hold together has to last through an outage of the store; what an
-instance holds is lost when it dies.
-"""
-
-SCARCE_STOCK_SHARE = 0.17
-"""The same once what is left covers half of the scarce horizon or less."""
-
-MIN_STOCK_SHARE = 0.2
-"""Least of an equal share of what is left that is held without demand."""
-
 DRAW_PAUSE_MS = 1_000
 """Pause between two draws of a team that only fill its stock."""
 
-REFILL_BELOW = 0.8
-"""Part of the wanted stock below which it is filled up."""
-
-SURPLUS_ABOVE = 1.5
-"""Part of the wanted stock above which the rest goes back to the ledger.
-
-What others drew meanwhile may be short elsewhere, and is lost at a kill.
-"""
-
 
 class Bookkeeper:
     """Keeps accounts supplied with rights.
@@ -235,24 +214,21 @@
         )
         if team not in self._free_by_team or is_unwritten:
             return True
-        wanted = self._wanted_stock(team)
-        return (
-            account.available_tokens < wanted * REFILL_BELOW
-            or self._surplus(team, wanted) > 0
-        )
-
-    def _surplus(self, team: str, wanted: int) -> int:
-        """Returns what is to go back to the ledger, in tokens.
+        stock = self._stock(team)
+        return stock.is_low or stock.surplus_tokens > 0
 
-        It stays if the ledger would not have enough for one request then: it
-        would come back with the next one, a write each way.
-        """
+    def _stock(self, team: str) -> stock_policy.Stock:
         account = self._account_by_team[team]
-        surplus = account.available_tokens - wanted
-        is_large = account.available_tokens > wanted * SURPLUS_ABOVE
-        free_tokens = self._free_by_team.get(team, 0) + surplus
-        is_useful = free_tokens >= account.largest_tokens
-        return surplus if is_large and is_useful else 0
+        home_count = self._homes.count()
+        return stock_policy.Stock(
+            available_tokens=account.available_tokens,
+            free_tokens=self._free_by_team.get(team, 0),
+            outage_tokens=account.wanted_stock_tokens(
+                now_ms=self._loop.now_ms(), home_count=home_count
+            ),
+            largest_tokens=account.largest_tokens,
+            home_count=home_count,
+        )
 
     def _teams_to_draw(self, needed: collections.Counter[str]) -> list[str]:
         short = [
@@ -262,25 +238,6 @@
         ]
         return list(dict.fromkeys(short + self._stocks_to_change()))
 
-    def _wanted_stock(self, team: str) -> int:
-        """Returns how much should be available, in tokens.
-
-        The own stock counts as left, so that what is wanted stays the same
-        while rights go to the ledger and come from it.
-        """
-        account = self._account_by_team[team]
-        home_count = self._homes.count()
-        share = (
-            self._free_by_team.get(team, 0) / home_count
-            + account.available_tokens
-        )
-        by_demand = account.wanted_stock_tokens(
-            now_ms=self._loop.now_ms(), home_count=home_count
-        )
-        at_most = share * _stock_share(share, by_demand)
-        at_least = min(at_most, share * MIN_STOCK_SHARE)
-        return round(max(at_least, min(by_demand, at_most)))
-
     def _commit(
         self, teams: list[str], needed: collections.Counter[str]
     ) -> tasks.Task:
@@ -364,9 +321,8 @@
         """Takes rights out of use that were drawn for more demand."""
         if team not in self._free_by_team or not self._homes.is_own(team):
             return
-        wanted = max(needed_tokens, self._wanted_stock(team))
-        account = self._account_by_team[team]
-        account.give_back(self._surplus(team, wanted))
+        surplus = self._stock(team).surplus_beyond(needed_tokens)
+        self._account_by_team[team].give_back(surplus)
 
     def _draw_size(
         self, team: str, free_tokens: int, needed_tokens: int
@@ -379,7 +335,7 @@
         account = self._account_by_team[team]
         wanted = needed_tokens
         if self._homes.is_own(team):
-            wanted = max(wanted, self._wanted_stock(team))
+            wanted = max(wanted, self._stock(team).wanted_tokens)
         return max(0, min(free_tokens, wanted - account.available_tokens))
 
     def _committed(
@@ -479,25 +435,3 @@
 
     def __repr__(self) -> str:
         return f"Bookkeeper(holder={self._holder!r})"
-
-
-def _stock_share(share_tokens: float, stock_tokens: float) -> float:
-    """Returns which part of a share of the budget may be held as a stock.
-
-    Args:
-        share_tokens: The share of what is left.
-        stock_tokens: The stock that covers an outage.
-
-    Examples:
-        >>> [round(_stock_share(share, 9.0), 2) for share in (9, 15, 20)]
-        [0.17, 0.27, 0.38]
-    """
-    if not stock_tokens:
-        return MAX_STOCK_SHARE
-    plentiful_tokens = (
-        stock_tokens
-        * account_lib.SCARCE_HORIZON_MS
-        / account_lib.STOCK_HORIZON_MS
-    )
-    plenty = min(1.0, max(0.0, 2 * share_tokens / plentiful_tokens - 1))
-    return SCARCE_STOCK_SHARE + plenty * (MAX_STOCK_SHARE - SCARCE_STOCK_SHARE)
--- a/packages/bambooglade/bambooglade/rights/lending.py
+++ b/packages/bambooglade/bambooglade/rights/lending.py
@@ -27,7 +27,11 @@
 """Peers that one request asks; more would flood a large fleet."""
 
 SILENT_MS = 2_000
-"""How long a peer that did not answer is asked last."""
+"""How long a peer that did not answer is not asked."""
+
+BORROW_BOUND_MS = 300
+"""Time after which no further peer is asked; a request that can't be served is
+to be refused early, and peers that answer do so within a few milliseconds."""
 
 _OK = 200
 
@@ -214,7 +218,11 @@
         ranked = self._ranked(team, only_homes)
         asked = ranked[:MAX_ASKED]
         loan.are_homes_asked = len(asked) >= self._homes.count() - 1
+        due_ms = self._loop.now_ms() + BORROW_BOUND_MS
         for peer in asked:
+            if self._is_silent(peer) or self._loop.now_ms() >= due_ms:
+                loan.are_homes_asked = False
+                continue
             loan.asked += 1
             answer = yield self._ask(peer, team, tokens - loan.tokens)
             self._note(team, peer, answer, loan, received)
