Write to no ledger for the sake of closing a predecessor

After the kill each instance closed what its predecessor had held in each of 24 ledgers, against all the others that did the same: one write wins, the rest read and write again. Change: a predecessor is closed along with the next draw. It counts as used in full either way. Ruled out: closing by a home for the others; it frees nothing. Ledgers keep the entries of instances that are gone for good, as before; that is open.

--- a/packages/bambooglade/bambooglade/rights/bookkeeper.py
+++ b/packages/bambooglade/bambooglade/rights/bookkeeper.py
@@ -282,28 +282,32 @@
         if prepaid is None:
             self._free_by_team[team] = 0
             return None
-        closed = self._without_predecessors(team, ledger)
         account = self._account_by_team[team]
-        account.grant_total(closed.granted_by_holder.get(self._holder, 0))
+        account.grant_total(ledger.granted_by_holder.get(self._holder, 0))
         self._give_back_surplus(team, needed_tokens)
-        closed = closed.returning(
+        returned = ledger.returning(
             self._holder, total_tokens=account.returned_tokens
         )
-        free_tokens = prepaid - closed.total_tokens
+        free_tokens = prepaid - returned.total_tokens
         self._free_by_team[team] = free_tokens
         tokens = self._draw_size(team, free_tokens, needed_tokens)
         if free_tokens > 0:
             self._exhausted.discard(team)
         else:
             self._exhausted.add(team)
-        if tokens <= 0 and closed == ledger:
+        if tokens <= 0 and returned == ledger:
             return None
+        closed = self._without_predecessors(team, returned)
         return closed.granting(self._holder, max(0, tokens))
 
     def _without_predecessors(
         self, team: str, ledger: ledger_lib.Ledger
     ) -> ledger_lib.Ledger:
-        """Closes what earlier processes of this place held, all as used."""
+        """Closes what earlier processes of this place held, all as used.
+
+        That frees nothing, and so is no reason for a write by itself: after a
+        kill of all, every instance would write to every ledger at once.
+        """
         for holder in ledger.holders_at(self._place):
             if holder == self._holder:
                 continue
