Let only homes look at ledgers for others

A request that can't be served asks twelve instances; those that are no homes looked at the ledger for it as well, and drew what was left to lend it on. Change: an instance that is not a home lends what it has. Ruled out: asking fewer instances; what they hold is all that is left in an outage. Figures: the new case fails before (50 tokens drawn for a peer) and passes after.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/rights_world.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/rights_world.py
@@ -79,7 +79,7 @@
                 continue
             if not loan.answered:
                 loan.is_exhausted = node.keeper.is_exhausted(team)
-                loan.may_draw = node.keeper.may_draw
+                loan.may_draw = node.keeper.draws_for_peers(team)
             loan.answered += 1
             loan.tokens += lent
             received(lent)
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights.py
@@ -374,3 +374,16 @@
         assert world.request("abc"[number % 3], 60) is Reservation.EXHAUSTED
         world.advance(500)
     assert world.store.revision - before <= 3
+
+
+def test_an_instance_that_is_no_home_draws_nothing_for_peers(monkeypatch):
+    monkeypatch.setattr(homes, "SMALL_FLEET", 0)
+    world = rights_world.RightsWorld()
+    world.advance(2_000)
+    other = next(n for n in "ab" if world.homes(n).of(TEAM)[0].name != n)
+    before = world.store.calls
+    for _ in range(4):
+        lent = world.node_by_name[other].keeper.lend(TEAM, 50)
+        world.loop.advance(1_100)
+        assert lent.result() == 0
+    assert world.store.calls == before
--- a/packages/bambooglade/bambooglade/gateway/peer_api.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_api.py
@@ -138,7 +138,7 @@
             tokens=lent,
             available_tokens=available,
             is_exhausted=self._rights.is_exhausted(request.team),
-            may_draw=self._rights.may_draw,
+            may_draw=self._rights.draws_for_peers(request.team),
         )
         return http_server.Reply(200, msgspec.json.encode(answered))
 
--- a/packages/bambooglade/bambooglade/rights/keeper.py
+++ b/packages/bambooglade/bambooglade/rights/keeper.py
@@ -106,10 +106,17 @@
         """Returns whether the ledger had nothing left when last seen."""
         return self._bookkeeper.is_exhausted(team)
 
-    @property
-    def may_draw(self) -> bool:
-        """Whether rights are drawn for peers, and the store answers."""
-        return not self._homes.are_all and not self._contact.is_lost
+    def draws_for_peers(self, team: str) -> bool:
+        """Returns whether rights are drawn for peers, and the store answers.
+
+        Only homes do: a request that can't be served asks many instances, and
+        each of them would look at the ledger.
+        """
+        return (
+            not self._homes.are_all
+            and self._homes.is_own(team)
+            and not self._contact.is_lost
+        )
 
     def available_tokens(self, team: str) -> int:
         """Returns what may be reserved at once."""
@@ -148,10 +155,11 @@
             return 0
         account = self._account_by_team[team]
         is_short = account.available_tokens < wanted_tokens
-        may_draw = not self._homes.are_all and self._bookkeeper.is_worth_asking(
-            team
-        )
-        if is_short and may_draw:
+        if (
+            is_short
+            and self.draws_for_peers(team)
+            and self._bookkeeper.is_worth_asking(team)
+        ):
             drawing = self._bookkeeper.request(team, wanted_tokens)
             yield tasks.within(self._loop, drawing, LEND_BOUND_MS)
         return account.lend(
