Tell a task that what it waits for has failed

Cause: found on reading: a task that waited for another one was never resumed when that one raised; it hung, and starting it anew after a fault was of no use then. Change: the failure is raised inside the waiting task. Ruled out: completing with None; the caller would take it for an answer. Figures: two new cases; one of them failed before (one start instead of two), the other hung.

--- a/packages/bambooglade/bambooglade/eventloop/tasks.py
+++ b/packages/bambooglade/bambooglade/eventloop/tasks.py
@@ -83,15 +83,20 @@
     return True
 
 
-def _advance(task: Task, done: futures.Future, value: object) -> None:
+def _advance(
+    task: Task, done: futures.Future, waited_for: futures.Future | None
+) -> None:
+    """Runs a task up to its next wait, with what the last one ended in."""
     try:
-        waited_for = task.send(value)
+        failure = waited_for.exception() if waited_for is not None else None
+        if failure is not None:
+            next_wait = task.throw(failure)
+        else:
+            next_wait = task.send(waited_for.result() if waited_for else None)
     except StopIteration as stopped:
         complete(done, stopped.value)
     except Exception as error:  # noqa: BLE001 - a fault of any kind is told
         logging.exception("event=task_failed task=%s", task.__qualname__)
         done.set_exception(error)
     else:
-        waited_for.add_done_callback(
-            lambda future: _advance(task, done, future.result())
-        )
+        next_wait.add_done_callback(lambda future: _advance(task, done, future))
--- a/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
+++ b/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
@@ -273,3 +273,34 @@
     tasks_end = tasks.sleep(loop, 2 * tasks.RESTART_PAUSE_MS)
     loop.run(until=tasks_end.done)
     assert starts == [0, 1, 2]
+
+
+def test_a_task_learns_that_one_it_waits_for_has_failed(loop):
+    def failing():
+        yield tasks.sleep(loop, 1)
+        raise ValueError("broken")
+
+    def waiting():
+        try:
+            yield tasks.spawn(failing())
+        except ValueError as error:
+            return f"told: {error}"
+
+    assert run(loop, tasks.spawn(waiting())) == "told: broken"
+
+
+def test_a_task_that_has_to_go_on_outlives_a_fault_of_what_it_waits_for(loop):
+    starts = []
+
+    def failing():
+        yield tasks.sleep(loop, 1)
+        raise ValueError("broken")
+
+    def fragile():
+        starts.append(len(starts))
+        yield tasks.spawn(failing())
+
+    tasks.keep_running(loop, fragile)
+    bound = tasks.sleep(loop, 4 * tasks.RESTART_PAUSE_MS)
+    loop.run(until=lambda: len(starts) == 2 or bound.done())
+    assert starts == [0, 1]
