--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/following_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/following_fleet.py
@@ -7,7 +7,7 @@
 
 from bambooglade.core import event_log
 from bambooglade.discovery import follower as follower_lib
-from bambooglade.discovery import peer_view
+from bambooglade.discovery import peer_puller
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import relays as relays_lib
 from bambooglade.discovery import view as view_lib
@@ -151,7 +151,7 @@
             contact=self.contact,
             random_source=random_source,
         )
-        self.puller = peer_view.PeerPuller(
+        self.puller = peer_puller.PeerPuller(
             fleet.loop,
             LocalClient(fleet),
             self.view,
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -10,7 +10,7 @@
 from bambooglade.core import event_log
 from bambooglade.discovery import codec as item_codec_lib
 from bambooglade.discovery import follower as follower_lib
-from bambooglade.discovery import peer_view
+from bambooglade.discovery import peer_puller
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import registration as registration_lib
 from bambooglade.discovery import relays as relays_lib
@@ -179,7 +179,7 @@
             contact=self._contact,
             random_source=self._random,
         )
-        puller = peer_view.PeerPuller(
+        puller = peer_puller.PeerPuller(
             self.loop,
             client,
             self.view,
