Let two deliberate faults be found again

'second_bill_not_voided' let every reported run be billed, which since a later run is billed the difference only adds nothing. 'forget_predecessors' was not found by 100 examples: a predecessor is closed with the next draw now, so that the fault shows less often, and the order of sets differs from process to process. Ruled out: the load; the first fails alone too, the second depends on the hash seed. Change: the first fault bills every reported run in full; the search for faults of spending rights goes on for up to 1,000 examples, and ends with the first that is found. No bound is lowered. Conclusion: the tests of 'budgets/' belong to every change of claims."

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights_fuzz.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights_fuzz.py
@@ -26,6 +26,9 @@
     suppress_health_check=list(hypothesis.HealthCheck),
 )
 
+FAULT_SETTINGS = hypothesis.settings(SETTINGS, max_examples=1_000)
+"""A fault ends the run when it is found, so that more examples cost little."""
+
 
 class RightsMachine(stateful.RuleBasedStateMachine):
     """Requests and faults in any order; the oracle checks after each."""
@@ -113,8 +116,8 @@
     monkeypatch.setattr(homes, "SMALL_FLEET", request.param)
 
 
-def run() -> None:
-    stateful.run_state_machine_as_test(RightsMachine, settings=SETTINGS)
+def run(settings=SETTINGS) -> None:
+    stateful.run_state_machine_as_test(RightsMachine, settings=settings)
 
 
 def test_nothing_is_overspent():
@@ -235,4 +238,4 @@
 def test_the_oracle_finds_a_deliberate_fault(monkeypatch, fault):
     fault(monkeypatch)
     with pytest.raises(AssertionError):
-        run()
+        run(FAULT_SETTINGS)
--- a/packages/bambooglade/bambooglade/budgets/tests/faults.py
+++ b/packages/bambooglade/bambooglade/budgets/tests/faults.py
@@ -6,7 +6,7 @@
 
 from bambooglade.budgets import settlement
 from bambooglade.core import effects
-from bambooglade.operations import bill_decision
+from bambooglade.operations import claim_replies
 from bambooglade.operations import messages as claim_messages
 from bambooglade.operations import retention
 from bambooglade.shards import document_session
@@ -113,9 +113,15 @@
 
 
 def second_bill_not_voided(monkeypatch):
-    """Every reported run is billed."""
-    monkeypatch.setattr(
-        bill_decision,
-        "decide",
-        lambda *args, **kwargs: claim_messages.Decision.BILLED,
-    )
+    """Every reported run is billed in full, whatever was billed before."""
+
+    def bill_in_full(record, report, decision):
+        del record, decision
+        return claim_messages.RunRecorded(
+            key=report.key,
+            attempt=report.attempt,
+            decision=claim_messages.Decision.BILLED,
+            spent_tokens=report.end.spent_tokens,
+        )
+
+    monkeypatch.setattr(claim_replies, "run_recorded", bill_in_full)
