List a count of the soak beyond the prepaid amount as open

No check, bound or seed changes. Ruled out: that the count explains seed 113. Both counts in one run differ by 68 to 204 tokens in seven runs of the three seeds; 113 had 7,248 too many. Conclusion: open, and first to look at; the outputs of the failed runs are lost.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_soak.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_soak.py
@@ -12,11 +12,12 @@
 """Time in which a deliberate fault has to be found; it ends the run."""
 KEPT_DURATION_MS = 15_000
 CAUSE_BY_KEPT_SEED = {
-    107: "the check counted the prompt of a resumed request twice",
-    110: "the check counted events that a cut connection had lost",
-    113: "the check counted the prompt of a resumed request twice",
+    107: "154 tokens too many; by reading, a prompt was counted for each run",
+    110: "96 tokens too many; by reading, events were counted that were lost",
+    113: "107,248 of 100,000 tokens used; not traced",
 }
-"""Seeds that failed once, with the cause."""
+"""Seeds that failed once, before the faults came in their present order, with
+what is known of the cause."""
 
 
 @pytest.mark.parametrize("seed", [1, 2])
