--- a/packages/bambooglade/bambooglade/gateway/delivery.py
+++ b/packages/bambooglade/bambooglade/gateway/delivery.py
@@ -75,6 +75,11 @@
         """Id of the last event that was sent; None before the first."""
         return self._splitter.last_event_id
 
+    @property
+    def partial_event_bytes(self) -> int:
+        """Number of received bytes of an event that is not complete yet."""
+        return len(self._splitter.pending)
+
     def time_to_first_event_ms(self, request: messages.Request) -> int | None:
         """Returns the time to the first event; None before it."""
         if self._first_event_at_ms is None:
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -115,6 +115,14 @@
     def _route(self) -> configuration_lib.Route:
         return self._exchange.route
 
+    @property
+    def response_framing(self) -> str | None:
+        """How the last response marks its end; None before its head."""
+        attempt = self._attempt
+        if attempt is None or attempt.head is None:
+            return None
+        return attempt.head.framing.name.lower()
+
     def send_next(self) -> None:
         """Sends the request to the best target that was not tried yet."""
         context = self._context
@@ -352,6 +360,8 @@
             reason=reason,
             after_ms=now_ms - self._sent_at_ms,
             may_have_run=self.may_have_run,
+            framing=self.response_framing,
+            partial_event_bytes=self._delivery.partial_event_bytes or None,
         )
 
     def _retry_unexecuted(
--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -324,6 +324,8 @@
             took_ms=took_ms,
             first_event_ms=self._delivery.time_to_first_event_ms(self.request),
             events=self._delivery.event_count or None,
+            framing=dispatcher.response_framing if dispatcher else None,
+            partial_event_bytes=self._delivery.partial_event_bytes or None,
             spent_tokens=spent or None,
             version=configuration.version if configuration else None,
         )
