Show that a stream cut inside an event is framed as complete

Six failing cases reproduce it with scripted engines: a stream without a length whose connection is closed inside an event, one closed before its first event, and a chunked one whose last chunk comes inside an event; each on a route whose streams may be resumed and on one whose may not. Two cases pass and have to go on passing: a stream without a length that ends between events is complete.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_calls.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_calls.py
@@ -363,6 +363,82 @@
     assert run_count(harness, JURY) == 2
 
 
+def send_unframed_stream(call: engine_lib.Call, body: bytes) -> None:
+    """Sends a stream that only the end of the connection ends."""
+    fields = [*call.fields(), (b"Content-Type", b"text/event-stream")]
+    head = messages.encode_response_head(status=200, fields=fields)
+    call.send(head + body)
+    call.close()
+
+
+def cut_unframed_stream(call: engine_lib.Call) -> None:
+    events = engine_lib.event(1) + engine_lib.event(2)
+    send_unframed_stream(call, events + engine_lib.event(3)[:-1])
+
+
+def cut_unframed_stream_before_first_event(call: engine_lib.Call) -> None:
+    send_unframed_stream(call, b"")
+
+
+def cut_chunked_stream(call: engine_lib.Call) -> None:
+    """Sends the last chunk inside an event."""
+    call.start_stream()
+    call.event(1)
+    call.event(2)
+    call.send(messages.encode_chunk(engine_lib.event(3)[:7]))
+    call.end_stream()
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "event_count"),
+    [
+        (cut_unframed_stream, 2),
+        (cut_unframed_stream_before_first_event, 0),
+        (cut_chunked_stream, 2),
+    ],
+)
+def test_stream_cut_inside_an_event_is_not_framed_as_complete(
+    harness, behaviour, event_count
+):
+    script_engines(harness, JURY, behaviour)
+    caller = harness.call("/stream/1", prompt="100,50")
+    assert not caller.is_complete
+    expected = map(engine_lib.event, range(1, event_count + 1))
+    assert caller.body == b"".join(expected)
+    assert run_count(harness, JURY) == 1
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        cut_unframed_stream,
+        cut_unframed_stream_before_first_event,
+        cut_chunked_stream,
+    ],
+)
+def test_stream_cut_inside_an_event_continues_on_other_target(
+    harness, behaviour
+):
+    script_engines(harness, JURY, behaviour)
+    caller = harness.start_call("/resume/1", prompt="100,50")
+    harness.run_until(lambda: run_count(harness, JURY) == 1)
+    for name in JURY:
+        harness.engine_by_name[name].script.clear()
+    harness.run_until(lambda: caller.is_finished)
+    assert caller.is_complete
+    assert caller.body == b"".join(map(engine_lib.event, range(1, 5)))
+    assert run_count(harness, JURY) == 2
+
+
+@pytest.mark.parametrize("rest", [b"", b"\n"])
+def test_unframed_stream_that_ends_between_events_is_complete(harness, rest):
+    body = b"".join(map(engine_lib.event, range(1, 5))) + rest
+    script_engines(harness, JURY, lambda c: send_unframed_stream(c, body))
+    caller = harness.call("/stream/1", prompt="100,50")
+    assert caller.is_complete
+    assert caller.body == body
+
+
 def test_caller_disconnect_cancels_and_settles_request(harness):
     calls: list[engine_lib.Call] = []
     script_engines(harness, JURY, calls.append)
