--- a/packages/bambooglade/bambooglade/gateway/delivery.py
+++ b/packages/bambooglade/bambooglade/gateway/delivery.py
@@ -75,6 +75,11 @@
         """Id of the last event that was sent; None before the first."""
         return self._splitter.last_event_id
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the received bytes end inside an event."""
+        return self._splitter.is_inside_event
+
     @property
     def partial_event_bytes(self) -> int:
         """Number of received bytes of an event that is not complete yet."""
@@ -108,7 +113,7 @@
         return True
 
     def end_stream(self) -> None:
-        """Sends the remaining bytes and the end of the stream."""
+        """Sends the line breaks after the last event, and the end."""
         if self._splitter.pending:
             self._responder.send_part(self._splitter.pending)
         self._responder.end_stream()
--- a/packages/bambooglade/bambooglade/gateway/event_stream.py
+++ b/packages/bambooglade/bambooglade/gateway/event_stream.py
@@ -25,6 +25,8 @@
         b'id: 7\ndata: a\n\n'
         >>> splitter.last_event_id, splitter.pending
         (b'7', b'id: 8\nda')
+        >>> splitter.is_inside_event
+        True
     """
 
     __slots__ = ("event_count", "last_event_id", "pending")
@@ -34,6 +36,14 @@
         self.last_event_id: bytes | None = None
         self.pending = b""
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes so far end inside an event.
+
+        Line breaks after the last event belong to no event.
+        """
+        return bool(self.pending.strip(b"\r\n"))
+
     def feed(self, data: bytes) -> bytes:
         """Adds bytes, and returns the events that are now complete.
 
