Break off streams without a length in the soak; test the other interface

Neither the soak nor the tests had a stream that ends with its connection, so neither could find that such a stream, cut inside an event, looked complete. Half of the streams that the soak's engines break off now end that way.

The project's own interface numbers its tokens and marks the last one, so a cut was seen there already. The scripted server of the client's tests became a module for it.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/engine.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/engine.py
@@ -73,6 +73,13 @@
         """Ends a stream."""
         self.send(messages.LAST_CHUNK)
 
+    def send_unframed_stream(self, body: bytes) -> None:
+        """Sends a stream that only the end of the connection ends."""
+        fields = [*self.fields(), (b"Content-Type", b"text/event-stream")]
+        self.send(messages.encode_response_head(status=200, fields=fields))
+        self.send(body)
+        self.close()
+
     def decline(self) -> None:
         """Responds that the request was not executed."""
         self.engine.declined_count += 1
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/soak.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/soak.py
@@ -229,13 +229,17 @@
         call.respond(b"answer-of-" + self._record_run(call).encode())
 
     def _stream_events(self, call: engine_lib.Call) -> None:
-        self._record_run(call, has_prompt=True)
+        attempt = self._record_run(call, has_prompt=True)
         first = int(call.request.get(b"last-event-id") or 0) + 1
         events = invariants_lib.EVENTS
         is_broken = first <= events and self._random.randrange(15) == 0
         last = (
             self._random.randrange(first, events + 1) if is_broken else events
         )
+        if is_broken and int(attempt[1:]) % 2:
+            sent = b"".join(map(engine_lib.event, range(first, last + 1)))
+            call.send_unframed_stream(sent[:-1])
+            return
         call.start_stream()
         for number in range(first, last + 1):
             call.event(number)
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_calls.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_calls.py
@@ -363,21 +363,13 @@
     assert run_count(harness, JURY) == 2
 
 
-def send_unframed_stream(call: engine_lib.Call, body: bytes) -> None:
-    """Sends a stream that only the end of the connection ends."""
-    fields = [*call.fields(), (b"Content-Type", b"text/event-stream")]
-    head = messages.encode_response_head(status=200, fields=fields)
-    call.send(head + body)
-    call.close()
-
-
 def cut_unframed_stream(call: engine_lib.Call) -> None:
     events = engine_lib.event(1) + engine_lib.event(2)
-    send_unframed_stream(call, events + engine_lib.event(3)[:-1])
+    call.send_unframed_stream(events + engine_lib.event(3)[:-1])
 
 
 def cut_unframed_stream_before_first_event(call: engine_lib.Call) -> None:
-    send_unframed_stream(call, b"")
+    call.send_unframed_stream(b"")
 
 
 def cut_chunked_stream(call: engine_lib.Call) -> None:
@@ -433,7 +425,7 @@
 @pytest.mark.parametrize("rest", [b"", b"\n"])
 def test_unframed_stream_that_ends_between_events_is_complete(harness, rest):
     body = b"".join(map(engine_lib.event, range(1, 5))) + rest
-    script_engines(harness, JURY, lambda c: send_unframed_stream(c, body))
+    script_engines(harness, JURY, lambda c: c.send_unframed_stream(body))
     caller = harness.call("/stream/1", prompt="100,50")
     assert caller.is_complete
     assert caller.body == body
--- a/packages/bambooglade/bambooglade/router/tests/test_engine_stream.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_engine_stream.py
@@ -13,6 +13,8 @@
 from bambooglade.transport import client as client_lib
 from bambooglade.transport import exchange
 from bambooglade.transport import messages
+from bambooglade.transport import sse
+from bambooglade.transport.tests import raw_server
 from bambooglade_standins import faults as faults_lib
 from bambooglade_standins.engine import app as engine_app
 from bambooglade_standins.engine import server as engine_server
@@ -119,3 +121,44 @@
         True,
         False,
     )
+
+
+def engine_event(seq: int, *, text: str) -> bytes:
+    token = stream_validation.Message(content=text)
+    return sse.encode(
+        msgspec.json.encode(
+            stream_validation.EngineEvent(
+                id="a1",
+                seq=seq,
+                choices=(stream_validation.Choice(delta=token),),
+            )
+        )
+    )
+
+
+@pytest.mark.parametrize(("cut_bytes", "token_count"), [(0, 2), (1, 1), (5, 1)])
+@pytest.mark.parametrize(
+    ("framing", "end"),
+    [(b"", b""), (b"Transfer-Encoding: chunked\r\n", b"0\r\n\r\n")],
+)
+def test_stream_cut_with_a_regular_end_is_not_complete(
+    cut_bytes, token_count, framing, end
+):
+    events = engine_event(0, text="a") + engine_event(1, text="b")
+    body = events[: len(events) - cut_bytes]
+    if end:
+        body = b"%x\r\n%s\r\n" % (len(body), body)
+    data = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + body + end
+    with raw_server.listening(raw_server.respond_then_close(data)) as (url, _):
+        attempt = engine_stream.EngineStream(
+            client=client_lib.HttpClient(),
+            clock=clocks.Clock(),
+            validator=stream_validation.StreamValidator("a1", next_seq=0),
+            on_head=lambda head: None,
+            is_abandoned=lambda: False,
+        )
+        request = messages.Request(method="POST", url=url, body=b"{}")
+        tokens, attempt_result = collect(attempt.run(request))
+    assert len(tokens) == token_count
+    assert attempt_result.outcome == "truncated response"
+    assert not attempt_result.has_all_tokens
--- a/packages/bambooglade/bambooglade/transport/tests/test_client.py
+++ b/packages/bambooglade/bambooglade/transport/tests/test_client.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from collections.abc import Iterator
 import contextlib
-import itertools
 import socket
 import threading
 
@@ -13,41 +10,11 @@
 
 from bambooglade.transport import client as client_lib
 from bambooglade.transport import messages
+from bambooglade.transport.tests import raw_server
 
-TIMEOUT_S = 10
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 
 
-@contextlib.contextmanager
-def listening(
-    serve: Callable[[socket.socket, int], None],
-) -> Iterator[tuple[str, list[bytes]]]:
-    """Serves each connection by `serve(socket, connection number)`."""
-    requests: list[bytes] = []
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-
-        def handle(sock, number):
-            sock.settimeout(TIMEOUT_S)
-            with contextlib.suppress(OSError), sock:
-                requests.append(sock.recv(65_536))
-                serve(sock, number)
-
-        def accept():
-            with contextlib.suppress(OSError):
-                for number in itertools.count():
-                    sock, _ = listener.accept()
-                    threading.Thread(
-                        target=handle, args=(sock, number), daemon=True
-                    ).start()
-
-        threading.Thread(target=accept, daemon=True).start()
-        yield f"http://127.0.0.1:{listener.getsockname()[1]}/", requests
-
-
-def respond_then_close(data: bytes):
-    return lambda sock, number: sock.sendall(data)
-
-
 def wait_for_close(data: bytes):
     def serve(sock, number):
         sock.sendall(data)
@@ -57,29 +24,37 @@
 
 
 FAILURES = {
-    "no_response": (respond_then_close(b""), messages.TransferFailure, True),
+    "no_response": (
+        raw_server.respond_then_close(b""),
+        messages.TransferFailure,
+        True,
+    ),
     "truncated_head": (
-        respond_then_close(OK[:20]),
+        raw_server.respond_then_close(OK[:20]),
         messages.TransferFailure,
         True,
     ),
     "truncated_body": (
-        respond_then_close(OK[:-1]),
+        raw_server.respond_then_close(OK[:-1]),
         messages.TransferFailure,
         True,
     ),
     "truncated_chunks": (
-        respond_then_close(
+        raw_server.respond_then_close(
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n"
         ),
         messages.TransferFailure,
         True,
     ),
-    "garbage": (respond_then_close(b"x" * 99), messages.TransferFailure, True),
+    "garbage": (
+        raw_server.respond_then_close(b"x" * 99),
+        messages.TransferFailure,
+        True,
+    ),
     "late_head": (wait_for_close(b""), messages.TransferTimeout, True),
     "late_end": (wait_for_close(OK[:-1]), messages.TransferTimeout, True),
     "oversized_body": (
-        respond_then_close(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 200),
+        raw_server.respond_then_close(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 200),
         messages.TransferFailure,
         True,
     ),
@@ -90,7 +65,7 @@
 def test_failure_states_whether_bytes_were_sent(name):
     serve, kind, sent = FAILURES[name]
     client = client_lib.HttpClient()
-    with listening(serve) as (url, _):
+    with raw_server.listening(serve) as (url, _):
         failure = client.request(
             messages.Request(
                 method="POST",
@@ -151,7 +126,7 @@
             posts.append(sock.recv(65_536))  # then closes without a response
 
     client = client_lib.HttpClient()
-    with listening(serve) as (url, first_requests):
+    with raw_server.listening(serve) as (url, first_requests):
         client.request(messages.Request(method="GET", url=url)).unwrap()
         outcome = client.request(
             messages.Request(
@@ -173,10 +148,10 @@
             closed.set()
 
     client = client_lib.HttpClient()
-    with listening(serve) as (url, _):
+    with raw_server.listening(serve) as (url, _):
         stream = client.stream(messages.Request(method="GET", url=url))
         assert isinstance(next(stream), messages.ResponseHead)
         assert next(stream) == b"h"
         stream.close()
-        assert closed.wait(TIMEOUT_S)
+        assert closed.wait(raw_server.TIMEOUT_S)
     assert repr(client) == "HttpClient(idle=0)"
