Log the software version of targets and the resumption of streams

Callers got streams of two software versions.

The version is decoded from the entry of a target; target_ready and request_dispatched show it, and request_dispatched gets after_event and resumes. A caller's Resumes header is decoded for that. An entry whose version is no text is malformed, as with the other fields; one without a version stays usable.

No decision depends on them.

--- a/packages/bambooglade/bambooglade/discovery/targets.py
+++ b/packages/bambooglade/bambooglade/discovery/targets.py
@@ -18,6 +18,7 @@
             stops.
         cold_remaining_ms: Remaining time for which the target is slow after its
             start.
+        software_version: Version of the target's software; empty if unknown.
     """
 
     __slots__ = (
@@ -27,6 +28,7 @@
         "is_draining",
         "service",
         "slots",
+        "software_version",
         "started_at_ms",
         "target_id",
     )
@@ -42,6 +44,7 @@
         started_at_ms: int = 0,
         is_draining: bool = False,
         cold_remaining_ms: int = 0,
+        software_version: str = "",
     ) -> None:
         self.target_id = target_id
         self.started_at_ms = started_at_ms
@@ -51,6 +54,7 @@
         self.slots = slots
         self.is_draining = is_draining
         self.cold_remaining_ms = cold_remaining_ms
+        self.software_version = software_version
 
     def is_equivalent_to(self, other: RegisteredTarget | None) -> bool:
         """Returns whether both entries lead to the same routing decisions.
@@ -66,6 +70,7 @@
             and self.slots == other.slots
             and self.started_at_ms == other.started_at_ms
             and self.is_draining == other.is_draining
+            and self.software_version == other.software_version
             and bool(self.cold_remaining_ms) == bool(other.cold_remaining_ms)
         )
 
--- a/packages/bambooglade/bambooglade/discovery/view.py
+++ b/packages/bambooglade/bambooglade/discovery/view.py
@@ -338,6 +338,7 @@
                 target=target_id,
                 service=target.service,
                 zone=target.availability_zone,
+                software_version=target.software_version or None,
                 revision=item.revision,
                 source=source,
             )
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -170,6 +170,9 @@
             request=self._exchange.metadata.attempt_id,
             target=self.target_id,
             service=self._service.name,
+            software_version=choice.target.software_version or None,
+            resumes=self._exchange.metadata.stream_id,
+            after_event=self._resumption_point(),
             attempt=self.attempts,
             remaining_ms=remaining_ms,
             predicted_ms=round(choice.predicted_ms),
@@ -189,8 +192,7 @@
             remaining_ms=remaining_ms,
             team=self._team.name if self._team else None,
             priority=self._effective_priority(),
-            last_event_id=self._delivery.last_event_id
-            or self._exchange.metadata.last_event_id,
+            last_event_id=self._resumption_point(),
         )
         return context.pool.send(
             choice.target,
@@ -209,6 +211,13 @@
             ),
         )
 
+    def _resumption_point(self) -> bytes | None:
+        """Returns the id of the last event that the caller has, if any."""
+        return (
+            self._delivery.last_event_id
+            or self._exchange.metadata.last_event_id
+        )
+
     def _effective_priority(self) -> int | None:
         if self._prompt is None:
             return None
--- a/packages/bambooglade/bambooglade/gateway/metadata.py
+++ b/packages/bambooglade/bambooglade/gateway/metadata.py
@@ -62,9 +62,18 @@
         prompt: Declared prompt for a model engine; None if there is none.
         last_event_id: Id of the event after which the caller resumes a stream;
             None for a new stream.
+        stream_id: Id of the caller's request that received the first event of
+            the stream that it resumes; None if the caller states none.
     """
 
-    __slots__ = ("attempt_id", "deadline_ms", "key", "last_event_id", "prompt")
+    __slots__ = (
+        "attempt_id",
+        "deadline_ms",
+        "key",
+        "last_event_id",
+        "prompt",
+        "stream_id",
+    )
 
     def __init__(
         self,
@@ -74,12 +83,14 @@
         key: bytes | None = None,
         prompt: Prompt | None = None,
         last_event_id: bytes | None = None,
+        stream_id: str | None = None,
     ) -> None:
         self.attempt_id = attempt_id
         self.deadline_ms = deadline_ms
         self.key = key
         self.prompt = prompt
         self.last_event_id = last_event_id
+        self.stream_id = stream_id
 
 
 class DispatchMetadata:
--- a/packages/bambooglade/bambooglade/platform/engine_entries.py
+++ b/packages/bambooglade/bambooglade/platform/engine_entries.py
@@ -23,6 +23,9 @@
     slots: int
     state: str
     cold_remaining_ms: float = 0
+    # Version of the engine's software. The versions of its weights are in
+    # another field.
+    version: str = ""
     # Unix time in ms at which the engine started. It distinguishes engines that
     # use the same id one after the other.
     born: int = 0
@@ -58,4 +61,5 @@
         started_at_ms=entry.born,
         is_draining=entry.state == _DRAINING,
         cold_remaining_ms=round(entry.cold_remaining_ms),
+        software_version=entry.version,
     )
--- a/packages/bambooglade/bambooglade/platform/headers.py
+++ b/packages/bambooglade/bambooglade/platform/headers.py
@@ -21,6 +21,8 @@
 _MODEL = b"x-bambooglade-model"
 _LENGTH_HINT = b"x-bambooglade-length-hint"
 _LAST_EVENT_ID = b"last-event-id"
+# Names the caller's request that received the first event of a stream.
+_RESUMES = b"resumes"
 _AUTHORIZATION = b"authorization"
 _KEY_SCHEME = b"token"
 
@@ -66,6 +68,7 @@
         key=_api_key(request.get(_AUTHORIZATION)),
         prompt=_prompt(request),
         last_event_id=request.get(_LAST_EVENT_ID) or None,
+        stream_id=request.get(_RESUMES).decode("latin-1") or None,
     )
 
 
--- a/packages/bambooglade/bambooglade/platform/tests/test_decoding.py
+++ b/packages/bambooglade/bambooglade/platform/tests/test_decoding.py
@@ -88,6 +88,7 @@
     "state": "ready",
     "born": 1_700_000_000_000,
     "sequence": 9,
+    "version": "v1.1",
     "unknown": {"x": 1},
 }
 
@@ -101,6 +102,7 @@
     assert target.target_id == "i-1"
     assert target.address == ("10.0.0.9", 8080)
     assert target.started_at_ms == 1_700_000_000_000
+    assert target.software_version == "v1.1"
     assert target.is_draining is is_draining
 
 
@@ -118,6 +120,7 @@
                 {"slots": "four"},
                 {"address": "nowhere"},
                 {"address": ":80"},
+                {"version": 1.1},
                 {"service": 5},
                 {"zone": None},
             )
@@ -201,6 +204,21 @@
     assert (len(prompt.parts) if prompt else 0) == parts
 
 
+@pytest.mark.parametrize(
+    ("fields", "last_event_id", "stream_id"),
+    [
+        ([], None, None),
+        ([(b"Last-Event-Id", b"7")], b"7", None),
+        ([(b"Last-Event-Id", b"7"), (b"Resumes", b"a1")], b"7", "a1"),
+    ],
+)
+def test_decodes_resumption_of_a_stream(fields, last_event_id, stream_id):
+    request = messages.Request(method=b"POST", target=b"/", fields=fields)
+    metadata = headers.decode_request(request)
+    assert metadata.last_event_id == last_event_id
+    assert metadata.stream_id == stream_id
+
+
 @pytest.mark.parametrize(
     ("authorization", "key"),
     [
