--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/platform_harness.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/platform_harness.py
@@ -109,7 +109,11 @@
 
 
 def engine_registration(
-    address: tuple[str, int], service: str, *, state: str = "ready"
+    address: tuple[str, int],
+    service: str,
+    *,
+    state: str = "ready",
+    version: str = "v1",
 ) -> bytes:
     """Returns the encoded registration that an engine writes to the store."""
     host, port = address
@@ -122,6 +126,7 @@
             "state": state,
             "coldRemainingMs": 0,
             "born": 1,
+            "version": version,
         }
     )
 
@@ -153,21 +158,27 @@
         service: str,
         *,
         default: engine_lib.Behaviour = engine_lib.respond_with_name,
+        version: str = "v1",
     ) -> engine_lib.Engine:
         """Starts an engine and registers it."""
         engine = engine_lib.Engine(self.loop, name, default=default)
         self.engine_by_name[name] = engine
-        self.register(name, service)
+        self.register(name, service, version=version)
         return engine
 
     def register(
-        self, name: str, service: str, *, state: str = "ready"
+        self,
+        name: str,
+        service: str,
+        *,
+        state: str = "ready",
+        version: str = "v1",
     ) -> None:
         """Writes the registration of an engine to the store."""
         address = self.engine_by_name[name].address
         self.store.put_now(
             f"servers/{name}",
-            engine_registration(address, service, state=state),
+            engine_registration(address, service, state=state, version=version),
         )
 
     def configure(self, value: bytes) -> None:
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -111,13 +111,13 @@
     ) -> manager_lib.RightsManager:
         homes = homes_lib.HomeSelector(
             self._local_instance,
-            peers=self._known_peers,
+            peers=self.known_peers,
             team_count=self._team_count,
         )
         lenders = lending.LendingClient(
             self.loop,
             client,
-            peers=self._known_peers,
+            peers=self.known_peers,
             homes=homes,
             local_instance=self._local_instance,
             random_source=self._random_source,
@@ -168,7 +168,7 @@
     ):
         relays = relays_lib.RelaySelector(
             self._local_instance,
-            peers=self._known_peers,
+            peers=self.known_peers,
             change_bound_ms=self.settings.max_propagation_ms,
         )
         follower = store_watcher_lib.StoreWatcher(
@@ -220,7 +220,8 @@
                 target=target.target_id,
             )
 
-    def _known_peers(self) -> list[peers_lib.Peer]:
+    def known_peers(self) -> list[peers_lib.Peer]:
+        """Returns the other instances that were seen recently."""
         return self._peers.recent(now_ms=self.loop.now_ms())
 
     def _fleet_size(self) -> int:
