Continue a stream only at the software version that began it

Callers got streams with events of two software versions of a service, which don't fit together, within one response and across their own requests.

Cause: the gateway chose the target of a continuation like that of a new stream, among all ready targets of a service that it drew anew from the route's split. It did not know the version of a target, and an instance that a caller reached with Last-Event-Id did not know where the stream had begun. Engines don't check either. The class of the fault: work is continued by something that can't continue it, because what identifies its state was not kept with it.

Ruled out as the main cause: an outdated view of a target's version. In the evidence the versions of both targets had been registered for seconds.

Change: the first event of a stream fixes its origin, service and software version. A continuation within the response goes to ready targets of that version only. The origin is kept under the id of the caller's request and, while targets of the service differ in version, sent to another instance of each availability zone; what was recorded before a second version appeared is sent then. An instance that gets Last-Event-Id looks the origin up, by the id in Resumes, before it reserves tokens. If nobody knows it, the stream goes on only if the route has one service with one recent version; else, and if the version has no target any more, the request is refused with 503 and has not run. While there is one version nothing is sent, and a resumption costs a lookup.

Weighed: choosing the version of a new stream by a hash of its id needs no state, but moves when versions come and go, and takes the choice of target from the placement; a record in the store costs a write a stream.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
@@ -173,6 +173,7 @@
             peers=self.peers,
             local_instance=self.local_instance,
             rights=None,
+            origins=None,
             log=log,
             loop=fleet.loop,
         )
--- a/packages/bambooglade/bambooglade/discovery/peers.py
+++ b/packages/bambooglade/bambooglade/discovery/peers.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from bambooglade.core import hashing
+
 PEER_TTL_MS = 60_000
 """Time for which a peer is kept after it was last seen.
 
@@ -44,6 +46,25 @@
         return self.host, self.port
 
 
+def rank_by_zone(key: str, instances: Iterable[Peer]) -> dict[str, list[Peer]]:
+    """Returns the instances of each availability zone, ranked for a key.
+
+    Instances with the same view rank them equally.
+
+    Args:
+        key: Key of the rendezvous hashing.
+        instances: All known instances, this one included.
+    """
+    by_zone: dict[str, dict[str, Peer]] = {}
+    for instance in instances:
+        members = by_zone.setdefault(instance.availability_zone, {})
+        members[instance.name] = instance
+    return {
+        zone: [members[name] for name in hashing.rendezvous(key, members)]
+        for zone, members in by_zone.items()
+    }
+
+
 class PeerList:
     """List of the peers that were seen recently.
 
--- a/packages/bambooglade/bambooglade/gateway/configuration.py
+++ b/packages/bambooglade/bambooglade/gateway/configuration.py
@@ -102,6 +102,12 @@
         self.is_resumable = is_resumable
         self.max_event_gap_ms = max_event_gap_ms
 
+    @property
+    def service_names(self) -> list[str]:
+        """Names of the services that receive requests of the route."""
+        weighted = [s.service for s in self.services if s.weight]
+        return weighted or [self.services[0].service]
+
     @property
     def is_idempotent(self) -> bool:
         """Whether a request may run more than once."""
@@ -268,6 +274,11 @@
         """Number of routes."""
         return len(self._route_by_prefix)
 
+    def service(self, name: str) -> Service:
+        """Returns a service, with default settings if it has none."""
+        known = self.service_by_name.get(name)
+        return known or Service(name=name, max_connections=1)
+
     def find_route(self, host: bytes, path: bytes) -> Route | None:
         """Returns the route with the longest prefix of the path, or None."""
         for length in self._prefix_lengths_by_host.get(host, ()):
--- a/packages/bambooglade/bambooglade/gateway/context.py
+++ b/packages/bambooglade/bambooglade/gateway/context.py
@@ -11,6 +11,7 @@
 from bambooglade.gateway import codec as codec_lib
 from bambooglade.gateway import congestion as congestion_lib
 from bambooglade.gateway import connection_pool
+from bambooglade.gateway import origin_replication
 from bambooglade.gateway import retry_budget
 from bambooglade.gateway import settings as settings_lib
 from bambooglade.gateway import target_selector as target_selector_lib
@@ -31,6 +32,7 @@
         congestion: Detects congestion of this instance.
         is_rejecting_requests: Whether the process is about to stop and could
             not finish new requests.
+        origins: Origins of recent streams, shared with peers.
         rights: Rights to spend tokens of the teams' prepaid budgets.
         metrics: Counters of this instance.
         log: The event log.
@@ -46,6 +48,7 @@
         "log",
         "loop",
         "metrics",
+        "origins",
         "pool",
         "random_source",
         "rights",
@@ -64,6 +67,7 @@
         target_selector: target_selector_lib.TargetSelector,
         pool: connection_pool.ConnectionPool,
         congestion: congestion_lib.CongestionDetector,
+        origins: origin_replication.OriginReplicator,
         rights: manager_lib.RightsManager,
         metrics: metrics_lib.Metrics,
         log: event_log.EventLog,
@@ -78,6 +82,7 @@
         self.pool = pool
         self.congestion = congestion
         self.is_rejecting_requests = False
+        self.origins = origins
         self.rights = rights
         self.metrics = metrics
         self.log = log
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from bambooglade.discovery import targets as targets_lib
 from bambooglade.gateway import configuration as configuration_lib
 from bambooglade.gateway import connection_pool
 from bambooglade.gateway import context as context_lib
@@ -13,6 +14,7 @@
 from bambooglade.gateway import error_responses
 from bambooglade.gateway import event_stream
 from bambooglade.gateway import metadata as metadata_lib
+from bambooglade.gateway import stream_origins
 from bambooglade.gateway import target_selector as target_selector_lib
 from bambooglade.http1 import messages
 
@@ -51,6 +53,8 @@
         prompt: Declared size of the prompt; None for a plain service, which is
             one without model engines.
         delivery: Sends the response to the caller.
+        origin: Where the stream began that the caller resumes; None for other
+            requests.
 
     Attributes:
         attempts: Number of targets that the request was dispatched to.
@@ -68,6 +72,7 @@
         "_exchange",
         "_is_first_byte_recorded",
         "_metadata",
+        "_origin",
         "_possible_runs",
         "_progress_timer",
         "_prompt",
@@ -89,6 +94,7 @@
         team: configuration_lib.Team | None,
         prompt: metadata_lib.Prompt | None,
         delivery: delivery_lib.Delivery,
+        origin: stream_origins.StreamOrigin | None = None,
     ) -> None:
         self._context = context
         self._exchange = exchange
@@ -96,6 +102,7 @@
         self._team = team
         self._prompt = prompt
         self._delivery = delivery
+        self._origin = origin
         self._attempt: connection_pool.Attempt | None = None
         self._choice: target_selector_lib.TargetChoice | None = None
         self._metadata: metadata_lib.ResponseMetadata | None = None
@@ -136,9 +143,8 @@
                 "too little time is left until the deadline",
             )
             return
-        ready = context.view.ready_targets(self._service.name)
         choice = context.target_selector.choose(
-            ready,
+            self._ready_targets(),
             prompt=self._prompt,
             excluded=self._tried_target_ids,
             now_ms=now_ms,
@@ -146,7 +152,8 @@
         )
         if choice.target is None:
             self._end_without_response(
-                error_responses.ErrorKind.NO_TARGET, choice.reason
+                error_responses.ErrorKind.NO_TARGET,
+                self._missing_target_detail(choice.reason),
             )
             return
         self._choice = choice
@@ -182,6 +189,25 @@
         self._attempt = self._send(choice, remaining_ms)
         self._start_progress_timer()
 
+    def _ready_targets(self) -> list[targets_lib.RegisteredTarget]:
+        """Returns the targets at which the request may run.
+
+        A stream that has begun goes on only at its software version.
+        """
+        ready = self._context.view.ready_targets(self._service.name)
+        if self._origin is None:
+            return ready
+        version = self._origin.software_version
+        return [t for t in ready if t.software_version == version]
+
+    def _missing_target_detail(self, reason: str) -> str:
+        if self._origin is None:
+            return reason
+        return (
+            f"the stream began at version {self._origin.software_version!r}"
+            f" of the software, which no other target has ({reason})"
+        )
+
     def _send(
         self, choice: target_selector_lib.TargetChoice, remaining_ms: int
     ) -> connection_pool.Attempt:
@@ -282,6 +308,18 @@
         if has_event:
             self._record_first_byte(self._context.loop.now_ms())
             self._start_progress_timer()
+            if self._origin is None:
+                self._record_origin()
+
+    def _record_origin(self) -> None:
+        self._origin = stream_origins.StreamOrigin(
+            service=self._service.name,
+            software_version=self._choice.target.software_version,
+        )
+        if self._route.is_resumable:
+            self._context.origins.record(
+                self._exchange.metadata.attempt_id, self._origin
+            )
 
     def _abort_attempt(self, reason: str) -> None:
         self._attempt.cancel()
@@ -435,9 +473,9 @@
         )
 
     def _has_untried_target(self) -> bool:
-        ready = self._context.view.ready_targets(self._service.name)
         return any(
-            target.target_id not in self._tried_target_ids for target in ready
+            target.target_id not in self._tried_target_ids
+            for target in self._ready_targets()
         )
 
     def _try_acquire_retry(self) -> bool:
--- a/packages/bambooglade/bambooglade/gateway/error_responses.py
+++ b/packages/bambooglade/bambooglade/gateway/error_responses.py
@@ -29,6 +29,9 @@
 
 
 _RETRY_LATER = "Retry after the time in the Retry-After header."
+_RESTART_OR_RETRY = (
+    "Begin the stream anew, or retry after the time in the Retry-After header."
+)
 _CHECK_BEFORE_RETRY = "Check whether the request ran before retrying it."
 
 
@@ -49,6 +52,7 @@
     BROKEN = "broken", 502, _CHECK_BEFORE_RETRY
     NOT_READY = "not_ready", 503, _RETRY_LATER
     NO_TARGET = "no_target", 503, _RETRY_LATER
+    STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown", 503, _RESTART_OR_RETRY
     OVERLOADED = "overloaded", 503, _RETRY_LATER
     CONGESTED = "congested", 503, _RETRY_LATER
     RIGHTS_UNREACHABLE = "rights_unreachable", 503, _RETRY_LATER
--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -14,6 +14,7 @@
 from bambooglade.gateway import dispatching
 from bambooglade.gateway import error_responses
 from bambooglade.gateway import metadata as metadata_lib
+from bambooglade.gateway import stream_origins
 from bambooglade.http1 import messages
 from bambooglade.rights import manager as manager_lib
 from bambooglade.router import metrics as metrics_lib
@@ -39,6 +40,7 @@
         "_delivery",
         "_dispatcher",
         "_has_reservation",
+        "_origin",
         "_service",
         "_team",
         "_timer",
@@ -62,6 +64,7 @@
         self._dispatcher: dispatching.Dispatcher | None = None
         self._team: configuration_lib.Team | None = None
         self._service: configuration_lib.Service | None = None
+        self._origin: stream_origins.StreamOrigin | None = None
         self._has_reservation = False
         self._timer = None
         self.route: configuration_lib.Route | None = None
@@ -96,7 +99,10 @@
         self._timer = self._context.loop.call_later(
             self.deadline_at_ms - now_ms, self._deadline_expired
         )
-        self._reserve()
+        if self._is_resumption:
+            self._find_origin()
+        else:
+            self._reserve()
 
     def _unavailable_response(
         self, now_ms: int
@@ -142,14 +148,61 @@
                 f"configuration version {configuration.version} has no team"
                 " with this key",
             )
-        name = _pick_service(self.route, self._context.random_source)
-        self._service = configuration.service_by_name.get(name)
-        if self._service is None:
-            self._service = configuration_lib.Service(
-                name=name, max_connections=1
-            )
+        self._service = configuration.service(
+            _pick_service(self.route, self._context.random_source)
+        )
         return None
 
+    @property
+    def _is_resumption(self) -> bool:
+        """Whether the caller resumes a stream that an earlier request began."""
+        return (
+            self.route.kind is configuration_lib.RouteKind.STREAM
+            and self.metadata.last_event_id is not None
+        )
+
+    def _find_origin(self) -> None:
+        stream_id = self.metadata.stream_id
+        if stream_id is None:
+            self._handle_origin(None)
+            return
+        self._context.origins.find(stream_id).add_done_callback(
+            lambda done: self._handle_origin(done.result())
+        )
+
+    def _handle_origin(self, found: stream_origins.StreamOrigin | None) -> None:
+        """Continues with a resumed stream where it began, or rejects it."""
+        if self.is_ended:
+            return
+        services = self.route.service_names
+        origin = found or self._context.origins.origins.sole_origin(services)
+        self._context.log.event(
+            "stream_origin_found" if origin else "stream_origin_unknown",
+            request=self.metadata.attempt_id,
+            resumes=self.metadata.stream_id,
+            is_recorded=found is not None,
+            service=origin.service if origin else None,
+            software_version=origin.software_version if origin else None,
+        )
+        if origin is None:
+            self.reject_unexecuted(
+                error_responses.ErrorKind.STREAM_ORIGIN_UNKNOWN,
+                "no instance that responds knows where the stream began, and"
+                " the targets of the route differ in their software version",
+            )
+        elif origin.service not in services:
+            self.reject_unexecuted(
+                error_responses.ErrorKind.NO_TARGET,
+                f"the stream began at service {origin.service!r}, to which the"
+                f" route {self.route.name!r} no longer leads",
+            )
+        else:
+            self._origin = origin
+            self._service = self._context.view.configuration.service(
+                origin.service
+            )
+            self._reserve()
+
     @property
     def _prompt(self) -> metadata_lib.Prompt | None:
         return self.metadata.prompt if self.route.has_prompt else None
@@ -211,6 +264,7 @@
             team=self._team,
             prompt=self._prompt,
             delivery=self._delivery,
+            origin=self._origin,
         )
         self._dispatcher.send_next()
 
@@ -221,7 +275,7 @@
         self._reject(
             error_responses.ErrorResponse(
                 error_responses.ErrorKind.OUT_OF_TIME,
-                "the tokens could not be reserved before the deadline",
+                "the request could not be dispatched before the deadline",
             )
         )
 
--- /dev/null
+++ b/packages/bambooglade/bambooglade/gateway/origin_replication.py
@@ -0,0 +1,279 @@
+"""Shares the origins of streams with peers.
+
+A caller may resume a stream at any instance, also after the instance at which
+it began is gone. While the targets of a service differ in version, the origin
+of each of its streams is therefore sent to another instance of each
+availability zone, its holders, and looked up there.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from concurrent import futures
+
+import msgspec
+
+from bambooglade.core import event_log
+from bambooglade.core import hashing
+from bambooglade.discovery import peers as peers_lib
+from bambooglade.discovery import targets as targets_lib
+from bambooglade.eventloop import http_client
+from bambooglade.eventloop import loop as loop_lib
+from bambooglade.eventloop import tasks
+from bambooglade.gateway import stream_origins
+
+RECORD_PATH = "/v1/stream-origins"
+LOOKUP_PATH = "/v1/stream-origins/lookup"
+
+FLUSH_DELAY_MS = 10
+"""Time for which origins are collected before they are sent to the holders."""
+
+CALL_TIMEOUT_MS = 150
+"""Timeout of a call to a holder; peers respond within a few milliseconds."""
+
+SHARD_COUNT = 64
+"""Number of groups of streams that share their holders, and thus messages."""
+
+LOOKUPS_PER_ZONE = 2
+"""Instances of each zone that are asked for an origin.
+
+The instance at which the stream began is no holder itself. Where it ranks
+first, the next one is the holder.
+"""
+
+_OK = 200
+
+
+class OriginRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Origin of one stream, as sent to holders."""
+
+    stream_id: str
+    origin: stream_origins.StreamOrigin
+
+
+class OriginRecords(msgspec.Struct, frozen=True, kw_only=True):
+    """Origins that an instance sends to a holder."""
+
+    records: list[OriginRecord]
+    sender: peers_lib.Peer
+
+
+class OriginLookup(msgspec.Struct, frozen=True, kw_only=True):
+    """Question to a holder for the origin of one stream."""
+
+    stream_id: str
+
+
+class OriginLookupResponse(msgspec.Struct, frozen=True, kw_only=True):
+    """Response of a holder; None if the holder doesn't know the stream."""
+
+    origin: stream_origins.StreamOrigin | None = None
+
+
+class OriginReplicator:
+    """Records origins of streams at their holders, and looks them up there.
+
+    Args:
+        loop: The event loop.
+        client: HTTP client for calls to peers.
+        peers: Returns the other known instances.
+        local_instance: Entry of this instance.
+        log: Records holders without a response.
+
+    Attributes:
+        origins: Origins that are known to this instance.
+    """
+
+    __slots__ = (
+        "_client",
+        "_is_flush_scheduled",
+        "_local_instance",
+        "_log",
+        "_loop",
+        "_peers",
+        "_unsent",
+        "origins",
+    )
+
+    def __init__(
+        self,
+        loop: loop_lib.EventLoop,
+        client: http_client.HttpClient,
+        *,
+        peers: Callable[[], list[peers_lib.Peer]],
+        local_instance: peers_lib.Peer,
+        log: event_log.EventLog,
+    ) -> None:
+        self._loop = loop
+        self._client = client
+        self._peers = peers
+        self._local_instance = local_instance
+        self._log = log
+        self._unsent: collections.deque[OriginRecord] = collections.deque(
+            maxlen=stream_origins.MAX_ORIGINS
+        )
+        self._is_flush_scheduled = False
+        self.origins = stream_origins.StreamOrigins()
+
+    def record(
+        self, stream_id: str, origin: stream_origins.StreamOrigin
+    ) -> None:
+        """Records where a stream began, here and at the holders."""
+        self.origins.record(stream_id, origin, now_ms=self._loop.now_ms())
+        self._unsent.append(OriginRecord(stream_id=stream_id, origin=origin))
+        self._schedule_flush(origin.service)
+
+    def observe(
+        self, target_by_id: dict[str, targets_lib.RegisteredTarget]
+    ) -> None:
+        """Records the versions of the registered targets.
+
+        When a second version of a service appears, the origins of its earlier
+        streams are sent as well.
+        """
+        self.origins.observe(target_by_id.values(), now_ms=self._loop.now_ms())
+        for service in {record.origin.service for record in self._unsent}:
+            self._schedule_flush(service)
+
+    def find(self, stream_id: str) -> futures.Future:
+        """Looks up where a stream began.
+
+        Returns:
+            A future with the `StreamOrigin`, or None if neither this instance
+            nor a holder that responds knows it.
+        """
+        found: futures.Future = futures.Future()
+        known = self.origins.find(stream_id, now_ms=self._loop.now_ms())
+        holders = self._ranked_holders(stream_id, LOOKUPS_PER_ZONE)
+        if known is not None or not holders:
+            tasks.complete(found, known)
+            return found
+        missing = {holder.name for holder in holders}
+
+        def handle(
+            holder: peers_lib.Peer, response: http_client.Response | None
+        ) -> None:
+            origin = self._decode_lookup(holder, response)
+            missing.discard(holder.name)
+            if origin is not None or not missing:
+                tasks.complete(found, origin)
+
+        body = msgspec.json.encode(OriginLookup(stream_id=stream_id))
+        for holder in holders:
+            self._call(holder, LOOKUP_PATH, body).add_done_callback(
+                lambda done, holder=holder: handle(holder, done.result())
+            )
+        return found
+
+    def apply_records(self, message: OriginRecords) -> None:
+        """Records the origins that a peer sent."""
+        now_ms = self._loop.now_ms()
+        for record in message.records:
+            self.origins.record(record.stream_id, record.origin, now_ms=now_ms)
+
+    def respond_to_lookup(self, lookup: OriginLookup) -> OriginLookupResponse:
+        """Returns the origin that this instance knows."""
+        return OriginLookupResponse(
+            origin=self.origins.find(
+                lookup.stream_id, now_ms=self._loop.now_ms()
+            )
+        )
+
+    def _schedule_flush(self, service: str) -> None:
+        if not self._is_flush_scheduled and self.origins.has_several_versions(
+            service
+        ):
+            self._is_flush_scheduled = True
+            self._loop.call_later(FLUSH_DELAY_MS, self._flush)
+
+    def _flush(self) -> None:
+        """Sends the origins of services with several versions."""
+        self._is_flush_scheduled = False
+        now_ms = self._loop.now_ms()
+        records, self._unsent = (
+            self._unsent,
+            collections.deque(maxlen=stream_origins.MAX_ORIGINS),
+        )
+        records_by_holder: dict[peers_lib.Peer, list[OriginRecord]] = (
+            collections.defaultdict(list)
+        )
+        for record in records:
+            if self.origins.find(record.stream_id, now_ms=now_ms) is None:
+                continue
+            if not self.origins.has_several_versions(record.origin.service):
+                self._unsent.append(record)
+                continue
+            for holder in self._ranked_holders(record.stream_id, 1):
+                records_by_holder[holder].append(record)
+        for holder, held in records_by_holder.items():
+            self._send(holder, held)
+
+    def _send(
+        self, holder: peers_lib.Peer, records: list[OriginRecord]
+    ) -> None:
+        message = OriginRecords(records=records, sender=self._local_instance)
+        call = self._call(holder, RECORD_PATH, msgspec.json.encode(message))
+        call.add_done_callback(
+            lambda done: self._log_failed_call(
+                holder, done.result(), records=len(records)
+            )
+        )
+
+    def _ranked_holders(
+        self, stream_id: str, count_per_zone: int
+    ) -> list[peers_lib.Peer]:
+        shard = hashing.shard_of(stream_id, shard_count=SHARD_COUNT)
+        ranked_by_zone = peers_lib.rank_by_zone(
+            f"stream/{shard}", self._peers()
+        )
+        return [
+            holder
+            for ranked in ranked_by_zone.values()
+            for holder in ranked[:count_per_zone]
+        ]
+
+    def _call(
+        self, holder: peers_lib.Peer, path: str, body: bytes
+    ) -> futures.Future:
+        return self._client.call(
+            holder.address,
+            method="POST",
+            target=path,
+            body=body,
+            timeout_ms=CALL_TIMEOUT_MS,
+        )
+
+    def _decode_lookup(
+        self, holder: peers_lib.Peer, response: http_client.Response | None
+    ) -> stream_origins.StreamOrigin | None:
+        if response is None or response.status != _OK:
+            self._log_failed_call(holder, response, records=0)
+            return None
+        try:
+            return msgspec.json.decode(
+                response.body, type=OriginLookupResponse
+            ).origin
+        except msgspec.DecodeError as error:
+            self._log.event(
+                "peer_answer_malformed", peer=holder.name, error=error
+            )
+            return None
+
+    def _log_failed_call(
+        self,
+        holder: peers_lib.Peer,
+        response: http_client.Response | None,
+        *,
+        records: int,
+    ) -> None:
+        if response is None or response.status != _OK:
+            self._log.event(
+                "origin_holder_failed",
+                peer=holder.name,
+                status=response.status if response else None,
+                unsent_origins=records or None,
+            )
+
+    def __repr__(self) -> str:
+        return f"OriginReplicator({self.origins!r})"
--- a/packages/bambooglade/bambooglade/gateway/peer_api.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_api.py
@@ -13,19 +13,21 @@
 from bambooglade.eventloop import http_server
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
+from bambooglade.gateway import origin_replication
 from bambooglade.http1 import messages
 from bambooglade.rights import lending
 from bambooglade.rights import manager as manager_lib
 
 
 class PeerApi:
-    """Serves the view of the fleet and loans of rights to peers.
+    """Serves the view of the fleet, loans and origins of streams to peers.
 
     Args:
         view: View of configuration and targets of this instance.
         peers: The known peers.
         local_instance: This instance as a peer.
         rights: Rights of this instance, from which loans are granted.
+        origins: Origins of streams, some of which this instance holds.
         log: Records loans.
         loop: The event loop.
     """
@@ -35,6 +37,7 @@
         "_local_instance",
         "_log",
         "_loop",
+        "_origins",
         "_peers",
         "_rights",
         "_view",
@@ -47,6 +50,7 @@
         peers: peers_lib.PeerList,
         local_instance: peers_lib.Peer,
         rights: manager_lib.RightsManager,
+        origins: origin_replication.OriginReplicator,
         log: event_log.EventLog,
         loop: loop_lib.EventLoop,
     ) -> None:
@@ -54,6 +58,7 @@
         self._peers = peers
         self._local_instance = local_instance
         self._rights = rights
+        self._origins = origins
         self._log = log
         self._loop = loop
         self._change_waiters: list[futures.Future] = []
@@ -67,6 +72,8 @@
             view_messages.VIEW_PATH: self._handle_view,
             lending.LOAN_PATH: self._handle_loan,
             lending.REPAYMENT_PATH: self._handle_repayment,
+            origin_replication.RECORD_PATH: self._handle_origins,
+            origin_replication.LOOKUP_PATH: self._handle_origin_lookup,
         }
         handler = handlers.get(request.path.decode("latin-1"))
         if handler is None or request.method != b"POST":
@@ -126,6 +133,19 @@
         self._rights.apply_repayment(request.tokens_by_team)
         return http_server.Reply(200, b"{}")
 
+    def _handle_origins(self, body: bytes) -> http_server.Reply:
+        message = msgspec.json.decode(
+            body, type=origin_replication.OriginRecords
+        )
+        self._peers.mark_seen([message.sender], now_ms=self._loop.now_ms())
+        self._origins.apply_records(message)
+        return http_server.Reply(200, b"{}")
+
+    def _handle_origin_lookup(self, body: bytes) -> http_server.Reply:
+        lookup = msgspec.json.decode(body, type=origin_replication.OriginLookup)
+        response = self._origins.respond_to_lookup(lookup)
+        return http_server.Reply(200, msgspec.json.encode(response))
+
     def _lend(self, request: lending.LoanRequest) -> tasks.Task:
         lent = yield self._rights.lend(request.team, request.tokens)
         available = self._rights.available_tokens(request.team)
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -25,6 +25,7 @@
 from bambooglade.gateway import connection_pool
 from bambooglade.gateway import context as context_lib
 from bambooglade.gateway import frontend as frontend_lib
+from bambooglade.gateway import origin_replication
 from bambooglade.gateway import peer_api
 from bambooglade.gateway import settings as settings_lib
 from bambooglade.gateway import target_selector as target_selector_lib
@@ -96,6 +97,14 @@
             link_mbps=settings.link_mbps,
         )
         self.rights = self._new_rights_manager(store, client)
+        self._origins = origin_replication.OriginReplicator(
+            loop,
+            client,
+            peers=self.known_peers,
+            local_instance=self._local_instance,
+            log=log,
+        )
+        self.view.listeners.append(self._observe_versions)
         self._metrics = metrics_lib.Metrics()
         self._congestion = congestion_lib.CongestionDetector()
         self._was_congested = False
@@ -153,6 +162,7 @@
                 connected=self._record_connect_time,
             ),
             congestion=self._congestion,
+            origins=self._origins,
             rights=self.rights,
             metrics=self._metrics,
             log=self._log,
@@ -224,6 +234,9 @@
         """Returns the other instances that were seen recently."""
         return self._peers.recent(now_ms=self.loop.now_ms())
 
+    def _observe_versions(self) -> None:
+        self._origins.observe(self.view.target_by_id)
+
     def _fleet_size(self) -> int:
         return self._peers.fleet_size(self.loop.now_ms())
 
@@ -259,6 +272,7 @@
             peers=self._peers,
             local_instance=self._local_instance,
             rights=self.rights,
+            origins=self._origins,
             log=self._log,
             loop=self.loop,
         )
@@ -298,6 +312,7 @@
     def _run_maintenance(self) -> None:
         now_ms = self.loop.now_ms()
         self.view.expire_lapsed_targets(now_ms)
+        self._observe_versions()
         self._context.pool.close_idle(now_ms=now_ms)
         self._context.target_selector.evict_missing(set(self.view.target_by_id))
         self._draw_for_changed_teams()
--- /dev/null
+++ b/packages/bambooglade/bambooglade/gateway/stream_origins.py
@@ -0,0 +1,145 @@
+"""Service and software version at which recent streams began; without I/O.
+
+What two software versions of a service write doesn't fit together, and targets
+don't check it. A stream therefore goes on only where it began.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+import msgspec
+
+from bambooglade.discovery import targets as targets_lib
+
+RETENTION_MS = 60_000
+"""Time for which origins and versions are kept.
+
+It is longer than the deadlines of streams, within which callers resume them.
+"""
+
+MAX_ORIGINS = 20_000
+"""Maximum number of origins that are kept; the oldest are evicted."""
+
+MAX_STREAM_ID_CHARS = 200
+"""Longest id whose origin is kept; callers choose the ids."""
+
+
+class StreamOrigin(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a stream began.
+
+    Attributes:
+        service: Name of the service.
+        software_version: Version of the target's software.
+    """
+
+    service: str
+    software_version: str
+
+
+class StreamOrigins:
+    """Origins of recent streams, and the software versions of services.
+
+    See Also:
+        bambooglade.gateway.origin_replication: shares origins with peers.
+
+    Examples:
+        >>> origins = StreamOrigins()
+        >>> origin = StreamOrigin(service="jury", software_version="v1")
+        >>> origins.record("a1", origin, now_ms=0)
+        >>> origins.find("a1", now_ms=RETENTION_MS) == origin
+        True
+        >>> origins.find("a1", now_ms=RETENTION_MS + 1)
+    """
+
+    __slots__ = ("_origin_by_stream_id", "_seen_at_ms_by_service_and_version")
+
+    def __init__(self) -> None:
+        self._origin_by_stream_id: collections.OrderedDict[
+            str, tuple[StreamOrigin, int]
+        ] = collections.OrderedDict()
+        self._seen_at_ms_by_service_and_version: dict[str, dict[str, int]] = (
+            collections.defaultdict(dict)
+        )
+
+    def record(
+        self, stream_id: str, origin: StreamOrigin, *, now_ms: int
+    ) -> None:
+        """Records where a stream began.
+
+        Args:
+            stream_id: Id of the caller's request that received its first event.
+            origin: Where it began.
+            now_ms: Current time.
+        """
+        if len(stream_id) > MAX_STREAM_ID_CHARS:
+            return
+        self._origin_by_stream_id[stream_id] = origin, now_ms
+        self._origin_by_stream_id.move_to_end(stream_id)
+        if len(self._origin_by_stream_id) > MAX_ORIGINS:
+            self._origin_by_stream_id.popitem(last=False)
+
+    def find(self, stream_id: str, *, now_ms: int) -> StreamOrigin | None:
+        """Returns where a stream began; None if it is unknown or expired."""
+        origin, recorded_at_ms = self._origin_by_stream_id.get(
+            stream_id, (None, 0)
+        )
+        return origin if now_ms - recorded_at_ms <= RETENTION_MS else None
+
+    def observe(
+        self, targets: Iterable[targets_lib.RegisteredTarget], *, now_ms: int
+    ) -> None:
+        """Records the versions of the registered targets, and evicts old ones.
+
+        Args:
+            targets: All registered targets, including draining ones.
+            now_ms: Current time.
+        """
+        for target in targets:
+            seen_at_ms = self._seen_at_ms_by_service_and_version[target.service]
+            seen_at_ms[target.software_version] = now_ms
+        for (
+            service,
+            seen_at_ms,
+        ) in self._seen_at_ms_by_service_and_version.items():
+            self._seen_at_ms_by_service_and_version[service] = {
+                version: at_ms
+                for version, at_ms in seen_at_ms.items()
+                if now_ms - at_ms <= RETENTION_MS
+            }
+        for stream_id in list(self._expired(now_ms)):
+            del self._origin_by_stream_id[stream_id]
+
+    def has_several_versions(self, service: str) -> bool:
+        """Returns whether recent targets of a service differ in version."""
+        return len(self._recent_versions(service)) > 1
+
+    def sole_origin(self, services: Iterable[str]) -> StreamOrigin | None:
+        """Returns the only place where a stream of a route can have begun.
+
+        Args:
+            services: The services of the route.
+
+        Returns:
+            None if there are several services, or if recent targets of the
+            service differ in version.
+        """
+        names = list(services)
+        if len(names) != 1 or len(self._recent_versions(names[0])) != 1:
+            return None
+        (version,) = self._recent_versions(names[0])
+        return StreamOrigin(service=names[0], software_version=version)
+
+    def _recent_versions(self, service: str) -> Iterable[str]:
+        return self._seen_at_ms_by_service_and_version.get(service, {})
+
+    def _expired(self, now_ms: int) -> Iterator[str]:
+        for stream_id, (_, at_ms) in self._origin_by_stream_id.items():
+            if now_ms - at_ms <= RETENTION_MS:
+                return
+            yield stream_id
+
+    def __repr__(self) -> str:
+        return f"StreamOrigins(count={len(self._origin_by_stream_id)})"
--- /dev/null
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_stream_origins.py
@@ -0,0 +1,66 @@
+"""Tests of `bambooglade.gateway.stream_origins`."""
+
+from __future__ import annotations
+
+import pytest
+
+from bambooglade.discovery import targets as targets_lib
+from bambooglade.gateway import stream_origins
+
+ORIGIN = stream_origins.StreamOrigin(service="jury", software_version="v1")
+RETENTION_MS = stream_origins.RETENTION_MS
+
+
+def target(version: str, *, service: str = "jury"):
+    return targets_lib.RegisteredTarget(
+        target_id=f"{service}-{version}",
+        service=service,
+        address=("10.0.0.1", 1),
+        availability_zone="z",
+        slots=1,
+        software_version=version,
+    )
+
+
+@pytest.mark.parametrize(
+    ("seen", "services", "now_ms", "is_sole"),
+    [
+        ({"v1": 0}, ["jury"], 0, True),
+        ({"v1": 0, "v2": 0}, ["jury"], 0, False),
+        ({"v2": 0, "v1": RETENTION_MS}, ["jury"], RETENTION_MS, False),
+        ({"v2": 0, "v1": RETENTION_MS + 1}, ["jury"], RETENTION_MS + 1, True),
+        ({"v1": 0}, ["jury", "panel"], 0, False),
+        ({}, ["jury"], 0, False),
+    ],
+)
+def test_sole_origin_needs_one_service_and_one_recent_version(
+    seen, services, now_ms, is_sole
+):
+    origins = stream_origins.StreamOrigins()
+    for version, at_ms in seen.items():
+        origins.observe([target(version)], now_ms=at_ms)
+    origins.observe([], now_ms=now_ms)
+    assert origins.sole_origin(services) == (ORIGIN if is_sole else None)
+
+
+def test_oldest_origins_are_evicted(monkeypatch):
+    monkeypatch.setattr(stream_origins, "MAX_ORIGINS", 2)
+    origins = stream_origins.StreamOrigins()
+    for stream_id in ("a", "b", "a", "c"):
+        origins.record(stream_id, ORIGIN, now_ms=0)
+    found = [origins.find(s, now_ms=0) is not None for s in ("a", "b", "c")]
+    assert found == [True, False, True]
+
+
+def test_origin_of_an_overlong_id_is_not_kept():
+    origins = stream_origins.StreamOrigins()
+    origins.record("a" * 16_000, ORIGIN, now_ms=0)
+    assert repr(origins) == "StreamOrigins(count=0)"
+
+
+def test_expired_origins_are_removed():
+    origins = stream_origins.StreamOrigins()
+    origins.record("a", ORIGIN, now_ms=0)
+    origins.record("b", ORIGIN, now_ms=1)
+    origins.observe([], now_ms=RETENTION_MS + 1)
+    assert repr(origins) == "StreamOrigins(count=1)"
--- a/packages/bambooglade/bambooglade/rights/homes.py
+++ b/packages/bambooglade/bambooglade/rights/homes.py
@@ -78,18 +78,16 @@
     def _zone_homes(
         self, team: str, peers: list[peers_lib.Peer]
     ) -> list[peers_lib.Peer]:
-        by_zone: dict[str, dict[str, peers_lib.Peer]] = {}
-        for peer in [self._local_instance, *peers]:
-            members = by_zone.setdefault(peer.availability_zone, {})
-            members[peer.name] = peer
         shard_count = max(1, self._team_count() // TEAMS_PER_SHARD)
         shard = hashing.shard_of(team, shard_count=shard_count)
+        ranked_by_zone = peers_lib.rank_by_zone(
+            f"home/{shard}", [self._local_instance, *peers]
+        )
         local_zone = self._local_instance.availability_zone
-        zones = sorted(by_zone, key=lambda zone: (zone != local_zone, zone))
-        return [
-            by_zone[zone][hashing.rendezvous(f"home/{shard}", by_zone[zone])[0]]
-            for zone in zones
-        ]
+        zones = sorted(
+            ranked_by_zone, key=lambda zone: (zone != local_zone, zone)
+        )
+        return [ranked_by_zone[zone][0] for zone in zones]
 
     def is_local(self, team: str) -> bool:
         """Returns whether this instance is a home of the team."""
