Continue a chat only at the software version that began it

Change: an engine states its version in the header X-Software-Version. The attempt that brings the first token fixes the version of the chat. Engines that stated another version last are not chosen for the next attempt, and one whose response states another is left before a token of it is used, which counts neither for nor against it. Engines that state none go on with each other's chats as before.

Evidence: three of the four cases of test_chat_goes_on_only_at_the_version_that_began_it failed without the change to the router (texts of v1 and v2, or of v1 and an unknown version, joined) and pass with it.

--- a/packages/bambooglade-standins/bambooglade_standins/engine/app.py
+++ b/packages/bambooglade-standins/bambooglade_standins/engine/app.py
@@ -36,6 +36,7 @@
         prefill_ms_per_block: Time per block of the prompt that is not cached.
         load_lag_ms: Age of the load report.
         checks_fencing: Whether orders with an old epoch are refused.
+        software_version: Version that responses state; empty for none.
     """
 
     target_id: str = "engine-1"
@@ -46,6 +47,7 @@
     prefill_ms_per_block: float = 0.0
     load_lag_ms: int = 500
     checks_fencing: bool = True
+    software_version: str = ""
 
 
 class EngineApp(standin_app.StandinApp):
@@ -106,7 +108,12 @@
             return _collected(stream)
         events = (sse.encode(msgspec.json.encode(chunk)) for chunk in stream)
         body = _with_end(events, truncated=faults.truncated)
-        return wrappers.Response(body, content_type="text/event-stream")
+        response = wrappers.Response(body, content_type="text/event-stream")
+        if self.options.software_version:
+            response.headers["X-Software-Version"] = (
+                self.options.software_version
+            )
+        return response
 
     def _stream(
         self,
--- a/packages/bambooglade/bambooglade/router/dispatch.py
+++ b/packages/bambooglade/bambooglade/router/dispatch.py
@@ -26,6 +26,7 @@
 KEY_HEADER = "Idempotency-Key"
 ATTEMPT_HEADER = "X-Request-Id"
 LEAVING_HEADER = "x-leaving"
+SOFTWARE_VERSION_HEADER = "x-software-version"
 
 
 class Job(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,6 +102,7 @@
         *,
         blocks: tuple[str, ...],
         tried: list[identifiers.TargetId],
+        software_version: str | None = None,
     ) -> target_lib.Target | None:
         """Chooses a target, preferring targets that are not in `tried`.
 
@@ -111,14 +113,25 @@
             job: The job.
             blocks: Hashes of the prompt's prefixes, for cache affinity.
             tried: Targets of earlier attempts; modified as described.
+            software_version: Version that the target needs; None for any.
 
         Returns:
             The target, or None if no target is available.
         """
-        choice = self.directory.choose(job.service, blocks=blocks, tried=tried)
+        choice = self.directory.choose(
+            job.service,
+            blocks=blocks,
+            tried=tried,
+            software_version=software_version,
+        )
         if choice.target is None and tried:
             tried.clear()
-            choice = self.directory.choose(job.service, blocks=blocks, tried=())
+            choice = self.directory.choose(
+                job.service,
+                blocks=blocks,
+                tried=(),
+                software_version=software_version,
+            )
         self._record_choice(job, choice)
         return choice.target
 
@@ -158,6 +171,17 @@
                 target.target_id, target.url, leaving.Source.TARGET
             )
 
+    def record_software_version(
+        self, target: target_lib.Target, head: messages.ResponseHead
+    ) -> str:
+        """Records and returns the software version in the response headers.
+
+        It is empty if the target states none.
+        """
+        version = head.header(SOFTWARE_VERSION_HEADER)
+        self.directory.record_software_version(target.target_id, version)
+        return version
+
     def attempt_headers(
         self, job: Job, attempt_id: str, remaining_ms: int
     ) -> tuple[messages.Header, ...]:
--- a/packages/bambooglade/bambooglade/router/dispatch_chat.py
+++ b/packages/bambooglade/bambooglade/router/dispatch_chat.py
@@ -1,4 +1,8 @@
-"""Runs a chat at engines, and resumes it when a stream breaks."""
+"""Runs a chat at engines, and resumes it when a stream breaks.
+
+A stream goes on only at the software version that began it, since what two
+versions write doesn't fit together.
+"""
 
 from __future__ import annotations
 
@@ -50,6 +54,7 @@
         "_may_have_run",
         "_priority",
         "_reason",
+        "_software_version",
         "_tried",
         "failure",
         "target_id",
@@ -72,6 +77,7 @@
         self._blocks = tuple(affinity.block_hashes(chat.prompt))
         self._tried: list[identifiers.TargetId] = []
         self._may_have_run = False
+        self._software_version: str | None = None
         self._reason = "No target is available for the service."
         self.token_texts: list[str] = []
         self.usage: stream_validation.Usage | None = None
@@ -98,7 +104,10 @@
             if not self._can_attempt(number):
                 break
             target = self._context.choose(
-                self._job, blocks=self._blocks, tried=self._tried
+                self._job,
+                blocks=self._blocks,
+                tried=self._tried,
+                software_version=self._software_version,
             )
             if target is None:
                 break
@@ -220,21 +229,28 @@
     def _stream(
         self, target: target_lib.Target, attempt_id: str
     ) -> Generator[engine_stream.Token, None, engine_stream.AttemptResult]:
+        version = ""
+
+        def handle_head(head: messages.ResponseHead) -> str:
+            nonlocal version
+            self._context.record_leaving_header(target, head)
+            version = self._context.record_software_version(target, head)
+            return self._version_conflict(version)
+
         stream = engine_stream.EngineStream(
             client=self._context.client,
             clock=self._context.clock,
             validator=stream_validation.StreamValidator(
                 attempt_id, next_seq=len(self.token_texts)
             ),
-            on_head=lambda head: self._context.record_leaving_header(
-                target, head
-            ),
+            on_head=handle_head,
             is_abandoned=self._job.is_caller_gone,
         )
         attempt = stream.run(self._build_request(target, attempt_id))
         try:
             while True:
                 token = next(attempt)
+                self._software_version = version
                 self.token_texts.append(token.text)
                 yield token
         except StopIteration as stop:
@@ -242,6 +258,14 @@
         finally:
             attempt.close()
 
+    def _version_conflict(self, version: str) -> str:
+        if self._software_version in (None, version):
+            return ""
+        return (
+            f"software version {version!r}, but the stream began at"
+            f" {self._software_version!r}"
+        )
+
     def _build_request(
         self, target: target_lib.Target, attempt_id: str
     ) -> messages.Request:
--- a/packages/bambooglade/bambooglade/router/engine_stream.py
+++ b/packages/bambooglade/bambooglade/router/engine_stream.py
@@ -64,7 +64,8 @@
         client: Sends the request.
         clock: Source of the current time.
         validator: Classifies each event.
-        on_head: Called with the head of the response.
+        on_head: Called with the head of the response; returns why its tokens
+            can't be used, or an empty text.
         is_abandoned: Returns whether the response is no longer needed; polled
             during the transfer.
     """
@@ -77,6 +78,7 @@
         "_is_abandoned",
         "_is_stalled",
         "_on_head",
+        "_refusal",
         "_status",
         "_token_count",
         "_transfer_result",
@@ -92,13 +94,14 @@
         client: client_lib.HttpClient,
         clock: clocks.Clock,
         validator: stream_validation.StreamValidator,
-        on_head: Callable[[messages.ResponseHead], None],
+        on_head: Callable[[messages.ResponseHead], str],
         is_abandoned: Callable[[], bool],
     ) -> None:
         self._client = client
         self._clock = clock
         self._validator = validator
         self._on_head = on_head
+        self._refusal = ""
         self._is_abandoned = is_abandoned
         self._wait_started_ms = clock.now_ms()
         self._has_last_token = False
@@ -169,8 +172,8 @@
                 yield part
                 continue
             self._status = part.status
-            self._on_head(part)
-            if part.status != _OK:
+            self._refusal = self._on_head(part)
+            if part.status != _OK or self._refusal:
                 return
 
     def _record_event_time(self) -> None:
@@ -203,6 +206,10 @@
             return AttemptResult(outcome=fault)
         if self._status not in (0, _OK):
             return AttemptResult(outcome=f"status {self._status}")
+        if self._refusal:
+            return AttemptResult(
+                outcome=self._refusal, is_locally_cancelled=True
+            )
         failure = self._transfer_result.err() if self._transfer_result else None
         if failure is None:
             return AttemptResult(outcome="truncated response")
--- a/packages/bambooglade/bambooglade/router/target_directory.py
+++ b/packages/bambooglade/bambooglade/router/target_directory.py
@@ -58,6 +58,7 @@
         "_load",
         "_lock",
         "_prefixes",
+        "_software_version_by_target",
         "_table",
         "_turn_counter",
         "_weights",
@@ -85,6 +86,7 @@
         self._breakers = breaker.CircuitBreakers()
         self._budget = retry_budget.RetryBudget()
         self._weights = weights.WeightCache(instance_id=instance_id)
+        self._software_version_by_target: dict[identifiers.TargetId, str] = {}
         self._leaving = leaving_targets or leaving.LeavingTargets()
 
     def choose(
@@ -93,6 +95,7 @@
         *,
         blocks: Sequence[str],
         tried: Sequence[identifiers.TargetId],
+        software_version: str | None = None,
     ) -> chooser.Choice:
         """Chooses a target for a request.
 
@@ -100,8 +103,16 @@
             service: The service.
             blocks: Hashes of the prompt's blocks; see `affinity.block_hashes`.
             tried: Targets that have already failed for this request.
+            software_version: Version that the target needs, because it goes on
+                with a stream; None for any. A target whose version is not known
+                yet may be chosen.
         """
-        candidates = self.candidates(service, blocks=blocks, tried=tried)
+        candidates = self.candidates(
+            service,
+            blocks=blocks,
+            tried=tried,
+            software_version=software_version,
+        )
         return chooser.choose(
             candidates, self._availability_zone, turn=next(self._turn_counter)
         )
@@ -112,6 +123,7 @@
         *,
         blocks: Sequence[str] = (),
         tried: Sequence[identifiers.TargetId] = (),
+        software_version: str | None = None,
     ) -> list[chooser.Candidate]:
         """Returns all targets of a service with their ratings; see `choose`."""
         now_ms = self._clock.now_ms()
@@ -132,7 +144,8 @@
                     ),
                     excluded=self._exclusion(
                         target, tried, open_target_ids, now_ms
-                    ),
+                    )
+                    or self._version_conflict(target, software_version),
                 )
                 for target in targets
             ]
@@ -218,6 +231,13 @@
         with self._lock:
             self._leaving.record(notice, source, self._clock.now_ms())
 
+    def record_software_version(
+        self, target_id: identifiers.TargetId, version: str
+    ) -> None:
+        """Records the software version that a target stated last."""
+        with self._lock:
+            self._software_version_by_target[target_id] = version
+
     def apply_cache_events(
         self,
         target_id: identifiers.TargetId,
@@ -305,5 +325,13 @@
             return "circuit open"
         return ""
 
+    def _version_conflict(
+        self, target: target_lib.Target, software_version: str | None
+    ) -> str:
+        known = self._software_version_by_target.get(target.target_id)
+        if None in (known, software_version) or known == software_version:
+            return ""
+        return "other software version"
+
     def __repr__(self) -> str:
         return f"TargetDirectory(availability_zone={self._availability_zone!r})"
--- a/packages/bambooglade/bambooglade/router/tests/test_dispatch_chat.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_dispatch_chat.py
@@ -135,6 +135,46 @@
     assert tokens == [5, TOKENS - 5]
 
 
+@pytest.mark.parametrize(
+    ("versions", "is_complete"),
+    [
+        (("v1", "v2", "v1"), True),
+        (("v1", "v2", "v2"), False),
+        (("v1", "", ""), False),
+        (("", "", ""), True),
+    ],
+)
+def test_chat_goes_on_only_at_the_version_that_began_it(versions, is_complete):
+    version_by_target = dict(zip(("e1", "e2", "e3"), versions, strict=True))
+    engines = {
+        target_id: start_engine(
+            target_id,
+            faults=faults_lib.Faults(die_at_token=5)
+            if target_id == "e1"
+            else None,
+            software_version=version,
+        )[0]
+        for target_id, version in version_by_target.items()
+    }
+    with caller_api_harness.running_harness(
+        engines, caller_api_harness.MODEL
+    ) as harness:
+        response = harness.send(
+            "POST",
+            "/v1/chat/completions",
+            body=chat_body(),
+            Idempotency_Key="k1",
+        )
+        decisions = harness.ring.decisions(identifiers.RequestKey("k1"))
+    versions_with_tokens = {
+        version_by_target[decision.target_id]
+        for decision in decisions
+        if getattr(decision, "tokens", 0)
+    }
+    assert versions_with_tokens == {versions[0]}
+    assert response.body.endswith(sse.encode(sse.DONE)) is is_complete
+
+
 @pytest.mark.parametrize(
     ("faults", "ran"),
     [
--- a/packages/bambooglade/bambooglade/router/tests/test_engine_stream.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_engine_stream.py
@@ -58,7 +58,7 @@
         client=client,
         clock=clock,
         validator=stream_validation.StreamValidator("a1", next_seq=0),
-        on_head=lambda head: None,
+        on_head=lambda head: "",
         is_abandoned=lambda: False,
     )
     yield attempt.run(
@@ -154,7 +154,7 @@
             client=client_lib.HttpClient(),
             clock=clocks.Clock(),
             validator=stream_validation.StreamValidator("a1", next_seq=0),
-            on_head=lambda head: None,
+            on_head=lambda head: "",
             is_abandoned=lambda: False,
         )
         request = messages.Request(method="POST", url=url, body=b"{}")
