--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/invariants.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/invariants.py
@@ -25,7 +25,7 @@
 """Maximum runs of a repeatable request, as configured for its route."""
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
-_END_OF_EVENT = b"\n\n"
+END_OF_EVENT = b"\n\n"
 
 
 class InvariantViolationError(AssertionError):
@@ -51,6 +51,7 @@
         self._now_ms = now_ms
         self._runs_by_attempt: collections.Counter[str] = collections.Counter()
         self._events_by_attempt: dict[str, int] = {}
+        self._version_by_stream: dict[str, str] = {}
         self._departed_at_ms_by_engine: dict[str, int] = {}
         self._revoked_at_ms: int | None = None
         self._disturbed_at_ms = 0
@@ -92,16 +93,47 @@
                 f"{attempt} reached draining engine {engine}"
             )
 
+    def record_stream_version(
+        self, stream_id: str, version: str, *, is_continued: bool
+    ) -> None:
+        """Records the software version of an engine that runs a stream.
+
+        Args:
+            stream_id: Id of the request that began the stream.
+            version: Software version of the engine.
+            is_continued: Whether the caller already has events of the stream.
+        """
+        began_at = self._version_by_stream.setdefault(stream_id, version)
+        if not is_continued:
+            self._version_by_stream[stream_id] = version
+        elif began_at != version:
+            self._violations.append(
+                f"{stream_id} began at {began_at} and goes on at {version}"
+            )
+
     def record_delivery(self, attempt: str, caller: harness_lib.Caller) -> None:
         """Records how many events of a stream a caller has received."""
         if attempt in self._events_by_attempt:
-            events = caller.body.count(_END_OF_EVENT)
+            events = caller.body.count(END_OF_EVENT)
             self._events_by_attempt[attempt] = events
 
     def check_response(
-        self, attempt: str, path: str, caller: harness_lib.Caller
+        self,
+        attempt: str,
+        path: str,
+        caller: harness_lib.Caller,
+        *,
+        received_events: int = 0,
     ) -> None:
-        """Checks a finished response."""
+        """Checks a finished response.
+
+        Args:
+            attempt: Id of the request.
+            path: Its path.
+            caller: The caller, with the response.
+            received_events: Number of events of the stream that the caller had
+                received before.
+        """
         runs = self._runs_by_attempt[attempt]
         if (
             caller.status in NOT_EXECUTED_STATUSES
@@ -113,7 +145,8 @@
             return
         expected = b"answer-of-" + attempt.encode()
         if path != PLAIN_PATH:
-            expected = b"".join(map(engine_lib.event, range(1, EVENTS + 1)))
+            numbers = range(received_events + 1, EVENTS + 1)
+            expected = b"".join(map(engine_lib.event, numbers))
         if caller.body != expected:
             self._violations.append(
                 f"{attempt} received wrong body {caller.body!r}"
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/soak.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/soak.py
@@ -8,6 +8,7 @@
 - A call that must not be repeated is executed at most once.
 - A request that is refused as not executed was not executed.
 - Responses are complete and belong to the caller's own request.
+- A stream goes on only at the software version that began it.
 - A team uses no more tokens than it prepaid.
 - Once gateways have had time to apply the change, a revoked key is refused and
   a draining engine receives no requests.
@@ -48,6 +49,9 @@
 PATHS = (invariants_lib.PLAIN_PATH, "/stream/x", invariants_lib.REPEATABLE_PATH)
 START_BOUND_MS = 10_000
 PREPAID_STEP_TOKENS = 20_000
+VERSIONS = ("v1", "v2")
+"""Software versions of the engines, in turn."""
+
 SPARE_KEY = b"key-that-is-revoked"
 RECOVERY_MS = 6_000
 """Time limit after the last fault for serving requests again."""
@@ -71,6 +75,8 @@
             self._loop.now_ms, prepaid_tokens=PREPAID_TOKENS
         )
         self._path_by_attempt: dict[str, str] = {}
+        self._received_by_attempt: dict[str, int] = {}
+        self._version_by_engine: dict[str, str] = {}
         self._callers: dict[str, tuple[harness_lib.Caller, bool]] = {}
         self._statuses: collections.Counter[object] = collections.Counter()
         self._sequence = iter(range(10**9))
@@ -145,6 +151,7 @@
     def _start(self) -> None:
         self._configure()
         for number in range(3):
+            self._version_by_engine[f"j{number}"] = VERSIONS[number % 2]
             self._add_engine(f"p{number}", "portal", self._respond)
             self._add_engine(f"j{number}", "jury", self._stream_events)
         seeds = [
@@ -199,7 +206,12 @@
         address, service = self._address_by_engine[name]
         self._store.put_now(
             f"servers/{name}",
-            harness_lib.engine_registration(address, service, state=state),
+            harness_lib.engine_registration(
+                address,
+                service,
+                state=state,
+                version=self._version_by_engine.get(name, VERSIONS[0]),
+            ),
         )
 
     def _drain_engine(self) -> None:
@@ -230,6 +242,11 @@
 
     def _stream_events(self, call: engine_lib.Call) -> None:
         attempt = self._record_run(call, has_prompt=True)
+        self._invariants.record_stream_version(
+            call.request.get(b"resumes").decode() or attempt,
+            self._version_by_engine[call.engine.name],
+            is_continued=call.request.has(b"last-event-id"),
+        )
         first = int(call.request.get(b"last-event-id") or 0) + 1
         events = invariants_lib.EVENTS
         is_broken = first <= events and self._random.randrange(15) == 0
@@ -250,18 +267,33 @@
 
     def _request(self, *, reschedules: bool = True) -> None:
         path = self._random.choice(PATHS)
-        attempt = f"s{next(self._sequence)}"
         key = self._random.choice([harness_lib.KEY] * 3 + [SPARE_KEY])
+        gateway = self._random.choice(self._gateways)
+        self._send(path, key, gateway)
+        self._collect_responses()
+        if reschedules:
+            self._loop.call_later(REQUEST_PAUSE_MS, self._request)
+
+    def _send(
+        self,
+        path: str,
+        key: bytes,
+        gateway: gateway_process.GatewayProcess,
+        *,
+        extra: messages.HeaderFields = (),
+    ) -> str:
+        """Sends a request with a new id, and returns the id."""
+        attempt = f"s{next(self._sequence)}"
         fields = [
             (b"Host", harness_lib.HOST),
             (b"X-Bambooglade-Attempt-Id", attempt.encode()),
             (b"X-Bambooglade-Deadline-Ms", b"1500"),
             (b"Authorization", b"Token " + key),
+            *extra,
         ]
         if path != invariants_lib.PLAIN_PATH:
             prompt = invariants_lib.PROMPT.encode()
             fields.append((b"X-Bambooglade-Token-Usage", prompt))
-        gateway = self._random.choice(self._gateways)
         caller = harness_lib.Caller(self._loop, gateway.addresses[0])
         caller.send(
             messages.encode_request(
@@ -273,9 +305,27 @@
         )
         self._path_by_attempt[attempt] = path
         self._callers[attempt] = caller, must_refuse
-        self._collect_responses()
-        if reschedules:
-            self._loop.call_later(REQUEST_PAUSE_MS, self._request)
+        return attempt
+
+    def _resume(self, attempt: str, caller: harness_lib.Caller) -> None:
+        """Resumes a stream that broke off, at the next gateway."""
+        events = caller.body.count(invariants_lib.END_OF_EVENT)
+        if caller.status != 200 or caller.is_complete or not events:
+            return
+        if attempt in self._received_by_attempt:
+            return
+        number = int(attempt[1:]) % len(self._gateways)
+        extra = [
+            (b"Last-Event-Id", b"%d" % events),
+            (b"Resumes", attempt.encode()),
+        ]
+        resumed = self._send(
+            invariants_lib.REPEATABLE_PATH,
+            harness_lib.KEY,
+            self._gateways[number],
+            extra=extra,
+        )
+        self._received_by_attempt[resumed] = events
 
     def _collect_responses(self) -> None:
         for attempt, (caller, must_refuse) in list(self._callers.items()):
@@ -283,11 +333,17 @@
             if not caller.is_finished:
                 continue
             del self._callers[attempt]
-            self._statuses[caller.status] += 1
+            received = self._received_by_attempt.get(attempt, 0)
+            outcome = f"resumed {caller.status}" if received else caller.status
+            self._statuses[outcome] += 1
             if must_refuse and caller.status == 200:
                 self._invariants.record_revoked_key_served(attempt)
             path = self._path_by_attempt[attempt]
-            self._invariants.check_response(attempt, path, caller)
+            self._invariants.check_response(
+                attempt, path, caller, received_events=received
+            )
+            if path == invariants_lib.REPEATABLE_PATH:
+                self._resume(attempt, caller)
             caller.close()
 
     def _check(self) -> None:
