Drop expired origins of streams that were never sent

While a service has one version, origins wait for a second one to appear. They were bounded by number only, so that an instance of a quiet service kept some thousand of them for good. They are dropped after the retention time now.

Tests of the replication without a network: when origins are sent, to how many instances, how a lookup ends, and that each reader asks a holder, whichever instance the stream began at. The case of an expired origin passes before as well, since such a record was never sent; the change bounds the memory only.

--- a/packages/bambooglade/bambooglade/gateway/origin_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/origin_replication.py
@@ -132,7 +132,10 @@
         When a second version of a service appears, the origins of its earlier
         streams are sent as well.
         """
-        self.origins.observe(target_by_id.values(), now_ms=self._loop.now_ms())
+        now_ms = self._loop.now_ms()
+        self.origins.observe(target_by_id.values(), now_ms=now_ms)
+        while self._unsent and not self._is_known(self._unsent[0], now_ms):
+            self._unsent.popleft()
         for service in {record.origin.service for record in self._unsent}:
             self._schedule_flush(service)
 
@@ -199,7 +202,7 @@
             collections.defaultdict(list)
         )
         for record in records:
-            if self.origins.find(record.stream_id, now_ms=now_ms) is None:
+            if not self._is_known(record, now_ms):
                 continue
             if not self.origins.has_several_versions(record.origin.service):
                 self._unsent.append(record)
@@ -209,6 +212,9 @@
         for holder, held in records_by_holder.items():
             self._send(holder, held)
 
+    def _is_known(self, record: OriginRecord, now_ms: int) -> bool:
+        return self.origins.find(record.stream_id, now_ms=now_ms) is not None
+
     def _send(
         self, holder: peers_lib.Peer, records: list[OriginRecord]
     ) -> None:
--- /dev/null
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_origin_replication.py
@@ -0,0 +1,169 @@
+"""Tests of `bambooglade.gateway.origin_replication`."""
+
+from __future__ import annotations
+
+from concurrent import futures
+
+import msgspec
+import pytest
+
+from bambooglade.core import event_log
+from bambooglade.discovery import peers as peers_lib
+from bambooglade.discovery import targets as targets_lib
+from bambooglade.eventloop import http_client
+from bambooglade.gateway import origin_replication
+from bambooglade.gateway import stream_origins
+from bambooglade_standins.users_platform import virtual_loop
+
+ORIGIN = stream_origins.StreamOrigin(service="jury", software_version="v1")
+ZONES = ("z1", "z2")
+
+
+class StubClient:
+    """Records calls, whose responses the test sets."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[tuple[str, int], str, bytes]] = []
+        self.responses: list[futures.Future] = []
+
+    def call(self, address, *, method, target, body, timeout_ms):
+        del method, timeout_ms
+        self.calls.append((address, target, body))
+        self.responses.append(futures.Future())
+        return self.responses[-1]
+
+
+def peer(number: int) -> peers_lib.Peer:
+    return peers_lib.Peer(
+        name=f"i{number}",
+        incarnation="1",
+        host=f"10.0.0.{number}",
+        port=1,
+        availability_zone=ZONES[number % len(ZONES)],
+    )
+
+
+def target(version: str) -> targets_lib.RegisteredTarget:
+    return targets_lib.RegisteredTarget(
+        target_id=f"t-{version}",
+        service="jury",
+        address=("10.1.0.1", 1),
+        availability_zone="z1",
+        slots=1,
+        software_version=version,
+    )
+
+
+@pytest.fixture
+def loop():
+    return virtual_loop.VirtualLoop()
+
+
+@pytest.fixture
+def client():
+    return StubClient()
+
+
+@pytest.fixture
+def replicator(loop, client):
+    return origin_replication.OriginReplicator(
+        loop,
+        client,
+        peers=lambda: [peer(number) for number in range(1, 9)],
+        local_instance=peer(0),
+        log=event_log.EventLog(loop.clock),
+    )
+
+
+def observe(replicator, *versions: str) -> None:
+    replicator.observe({version: target(version) for version in versions})
+
+
+@pytest.mark.parametrize(
+    ("versions_before", "versions_after", "waited_ms", "is_sent"),
+    [
+        (["v1"], ["v1"], 0, False),
+        (["v1", "v2"], ["v1", "v2"], 0, True),
+        (["v1"], ["v1", "v2"], 0, True),
+        (["v1"], ["v1", "v2"], stream_origins.RETENTION_MS + 1, False),
+    ],
+)
+def test_origin_is_sent_to_one_instance_a_zone_if_versions_differ(
+    replicator,
+    loop,
+    client,
+    versions_before,
+    versions_after,
+    waited_ms,
+    is_sent,
+):
+    observe(replicator, *versions_before)
+    replicator.record("a1", ORIGIN)
+    loop.advance(waited_ms)
+    observe(replicator, *versions_after)
+    loop.advance(origin_replication.FLUSH_DELAY_MS)
+    observe(replicator, *versions_after)
+    loop.advance(origin_replication.FLUSH_DELAY_MS)
+    assert len(client.calls) == (len(ZONES) if is_sent else 0)
+    for _, path, body in client.calls:
+        message = msgspec.json.decode(
+            body, type=origin_replication.OriginRecords
+        )
+        assert path == origin_replication.RECORD_PATH
+        assert [r.stream_id for r in message.records] == ["a1"]
+
+
+KNOWN = http_client.Response(
+    200, b'{"origin":{"service":"jury","software_version":"v1"}}'
+)
+UNKNOWN = http_client.Response(200, b'{"origin":null}')
+MALFORMED = http_client.Response(200, b'{"origin":')
+UNSUPPORTED = http_client.Response(404, b"")
+
+
+@pytest.mark.parametrize(
+    ("responses", "found"),
+    [
+        ([KNOWN], ORIGIN),
+        ([None, KNOWN], ORIGIN),
+        ([UNKNOWN, MALFORMED, UNSUPPORTED, KNOWN], ORIGIN),
+        ([UNKNOWN, None, MALFORMED, UNSUPPORTED], None),
+    ],
+)
+def test_lookup_ends_with_the_first_origin_or_the_last_response(
+    replicator, client, responses, found
+):
+    lookup = replicator.find("a1")
+    assert len(client.calls) == len(ZONES) * origin_replication.LOOKUPS_PER_ZONE
+    for pending, response in zip(client.responses, responses, strict=False):
+        assert not lookup.done()
+        pending.set_result(response)
+    assert lookup.result(timeout=0) == found
+
+
+def test_holder_and_reader_agree_while_the_origin_ranks_first(client, loop):
+    """Whichever instance records the stream, every other one asks a holder."""
+    members = [peer(number) for number in range(9)]
+
+    def new_replicator(local_instance):
+        return origin_replication.OriginReplicator(
+            loop,
+            client,
+            peers=lambda: [m for m in members if m != local_instance],
+            local_instance=local_instance,
+            log=event_log.EventLog(loop.clock),
+        )
+
+    for origin in members:
+        for number in range(20):
+            client.calls.clear()
+            writer = new_replicator(origin)
+            observe(writer, "v1", "v2")
+            writer.record(f"a{number}", ORIGIN)
+            loop.advance(origin_replication.FLUSH_DELAY_MS)
+            holders = {address for address, _, _ in client.calls}
+            for reader in members:
+                client.calls.clear()
+                new_replicator(reader).find(f"a{number}")
+                asked = {address for address, _, _ in client.calls}
+                assert holders & {*asked, reader.address}
