Move the check of truncated streams and of origins to where they belong

The dispatcher counted events to tell a truncated stream, and the exchange knew how origins are found. No change of behaviour; the log line of a lookup keeps its fields.

--- a/packages/bambooglade/bambooglade/gateway/delivery.py
+++ b/packages/bambooglade/bambooglade/gateway/delivery.py
@@ -53,6 +53,7 @@
     """
 
     __slots__ = (
+        "_events_before_response",
         "_first_event_at_ms",
         "_responder",
         "_splitter",
@@ -63,6 +64,7 @@
         self._responder = responder
         self._splitter = event_stream.EventSplitter()
         self._first_event_at_ms: int | None = None
+        self._events_before_response = 0
         self.is_started = False
 
     @property
@@ -75,11 +77,6 @@
         """Id of the last event that was sent; None before the first."""
         return self._splitter.last_event_id
 
-    @property
-    def is_inside_event(self) -> bool:
-        """Whether the received bytes end inside an event."""
-        return self._splitter.is_inside_event
-
     @property
     def partial_event_bytes(self) -> int:
         """Number of received bytes of an event that is not complete yet."""
@@ -97,7 +94,8 @@
         self._responder.respond(head.status, _forwarded_fields(head), body)
 
     def start_stream(self, head: messages.ResponseHead) -> None:
-        """Sends the head of a stream, unless it was sent before."""
+        """Begins with a target's stream; the first one's head is sent."""
+        self._events_before_response = self.event_count
         if not self.is_started:
             self.is_started = True
             self._responder.start_stream(head.status, _forwarded_fields(head))
@@ -112,6 +110,22 @@
         self._responder.send_part(complete)
         return True
 
+    def find_truncation(self, framing: messages.Framing) -> str:
+        """Returns how a target's stream was truncated; empty if it is complete.
+
+        The end of the framing doesn't show it: a target that breaks off a
+        stream may still end its chunks or close its connection regularly.
+
+        Args:
+            framing: Framing of the stream, which has ended.
+        """
+        if self._splitter.is_inside_event:
+            return "the stream ended inside an event"
+        has_events = self.event_count > self._events_before_response
+        if framing is messages.Framing.UNTIL_CLOSE and not has_events:
+            return "the connection was closed before the first event"
+        return ""
+
     def end_stream(self) -> None:
         """Sends the line breaks after the last event, and the end."""
         if self._splitter.pending:
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -68,7 +68,6 @@
         "_choice",
         "_context",
         "_delivery",
-        "_events_before_attempt",
         "_exchange",
         "_is_first_byte_recorded",
         "_metadata",
@@ -110,7 +109,6 @@
         self._body: list[bytes] = []
         self._tried_target_ids: set[str] = set()
         self._sent_at_ms = 0
-        self._events_before_attempt = 0
         self._is_first_byte_recorded = False
         self._possible_runs = 0
         self.attempts = 0
@@ -161,7 +159,6 @@
         self._tried_target_ids.add(self.target_id)
         self.attempts += 1
         self._sent_at_ms = now_ms
-        self._events_before_attempt = self._delivery.event_count
         self._is_first_byte_recorded = False
         self._body = []
         self._metadata = None
@@ -366,7 +363,11 @@
         self.may_have_run = True
         self._possible_runs += 1
         if self._is_verified_success(head):
-            truncation = self._find_truncation(head)
+            truncation = (
+                self._delivery.find_truncation(head.framing)
+                if self._is_stream(head)
+                else ""
+            )
             if truncation:
                 self._handle_broken_response(truncation)
                 return
@@ -380,21 +381,6 @@
         else:
             self._handle_error_status(head)
 
-    def _find_truncation(self, head: messages.ResponseHead) -> str:
-        """Returns how a stream was truncated; empty if it is complete.
-
-        The end of the framing doesn't show it: a target that breaks off a
-        stream may still end its chunks or close its connection regularly.
-        """
-        if not self._is_stream(head):
-            return ""
-        if self._delivery.is_inside_event:
-            return "the stream ended inside an event"
-        has_events = self._delivery.event_count > self._events_before_attempt
-        if head.framing is messages.Framing.UNTIL_CLOSE and not has_events:
-            return "the connection was closed before the first event"
-        return ""
-
     def _deliver_success(self, head: messages.ResponseHead) -> None:
         if self._is_stream(head):
             self._delivery.end_stream()
--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -162,35 +162,25 @@
         )
 
     def _find_origin(self) -> None:
-        stream_id = self.metadata.stream_id
-        if stream_id is None:
-            self._handle_origin(None)
-            return
-        self._context.origins.find(stream_id).add_done_callback(
-            lambda done: self._handle_origin(done.result())
-        )
-
-    def _handle_origin(self, found: stream_origins.StreamOrigin | None) -> None:
+        self._context.origins.resolve(
+            self.metadata.attempt_id,
+            stream_id=self.metadata.stream_id,
+            services=self.route.service_names,
+        ).add_done_callback(lambda done: self._handle_origin(done.result()))
+
+    def _handle_origin(
+        self, origin: stream_origins.StreamOrigin | None
+    ) -> None:
         """Continues with a resumed stream where it began, or rejects it."""
         if self.is_ended:
             return
-        services = self.route.service_names
-        origin = found or self._context.origins.origins.sole_origin(services)
-        self._context.log.event(
-            "stream_origin_found" if origin else "stream_origin_unknown",
-            request=self.metadata.attempt_id,
-            resumes=self.metadata.stream_id,
-            is_recorded=found is not None,
-            service=origin.service if origin else None,
-            software_version=origin.software_version if origin else None,
-        )
         if origin is None:
             self.reject_unexecuted(
                 error_responses.ErrorKind.STREAM_ORIGIN_UNKNOWN,
                 "no instance that responds knows where the stream began, and"
                 " the targets of the route differ in their software version",
             )
-        elif origin.service not in services:
+        elif origin.service not in self.route.service_names:
             self.reject_unexecuted(
                 error_responses.ErrorKind.NO_TARGET,
                 f"the stream began at service {origin.service!r}, to which the"
--- a/packages/bambooglade/bambooglade/gateway/origin_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/origin_replication.py
@@ -10,7 +10,9 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Sequence
 from concurrent import futures
+import functools
 
 import msgspec
 
@@ -139,6 +141,45 @@
         for service in {record.origin.service for record in self._unsent}:
             self._schedule_flush(service)
 
+    def resolve(
+        self,
+        attempt_id: str,
+        *,
+        stream_id: str | None,
+        services: Sequence[str],
+    ) -> futures.Future:
+        """Finds out where a stream began that a caller resumes.
+
+        Args:
+            attempt_id: Id of the request that resumes it, for the log.
+            stream_id: Id of the request that received its first event; None if
+                the caller states none.
+            services: The services of the route.
+
+        Returns:
+            A future with the `StreamOrigin`, or None if it is unknown. An
+            origin that nobody recorded is the only one possible, if there is
+            only one.
+        """
+        return tasks.spawn(self._resolve(attempt_id, stream_id, services))
+
+    def _resolve(
+        self, attempt_id: str, stream_id: str | None, services: Sequence[str]
+    ) -> tasks.Task:
+        found = None
+        if stream_id is not None:
+            found = yield self.find(stream_id)
+        origin = found or self.origins.sole_origin(services)
+        self._log.event(
+            "stream_origin_found" if origin else "stream_origin_unknown",
+            request=attempt_id,
+            resumes=stream_id,
+            is_recorded=found is not None,
+            service=origin.service if origin else None,
+            software_version=origin.software_version if origin else None,
+        )
+        return origin
+
     def find(self, stream_id: str) -> futures.Future:
         """Looks up where a stream began.
 
@@ -154,19 +195,17 @@
             return found
         missing = {holder.name for holder in holders}
 
-        def handle(
-            holder: peers_lib.Peer, response: http_client.Response | None
-        ) -> None:
-            origin = self._decode_lookup(holder, response)
+        def complete(holder: peers_lib.Peer, done: futures.Future) -> None:
+            """Completes with the first origin, or after the last response."""
+            origin = self._decode_lookup(holder, done.result())
             missing.discard(holder.name)
             if origin is not None or not missing:
                 tasks.complete(found, origin)
 
         body = msgspec.json.encode(OriginLookup(stream_id=stream_id))
         for holder in holders:
-            self._call(holder, LOOKUP_PATH, body).add_done_callback(
-                lambda done, holder=holder: handle(holder, done.result())
-            )
+            call = self._call(holder, LOOKUP_PATH, body)
+            call.add_done_callback(functools.partial(complete, holder))
         return found
 
     def apply_records(self, message: OriginRecords) -> None:
