Record an engine's software version from its answers only

Found on reading the change: a refusal of an engine carries no version, and was recorded as one without a version. The engine was then left out when a chat of its own version had to go on, until its next answer.

test_refusal_without_a_version_does_not_exclude_an_engine failed before (the chat ended with an error event) and passes now. Two texts say more plainly what they mean.

--- a/packages/bambooglade/bambooglade/discovery/peers.py
+++ b/packages/bambooglade/bambooglade/discovery/peers.py
@@ -53,7 +53,7 @@
 
     Args:
         key: Key of the rendezvous hashing.
-        instances: All known instances, this one included.
+        instances: The instances to rank.
     """
     by_zone: dict[str, dict[str, Peer]] = {}
     for instance in instances:
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -202,7 +202,7 @@
             return reason
         return (
             f"the stream began at version {self._origin.software_version!r}"
-            f" of the software, which no other target has ({reason})"
+            f" of the software, which no target that is left has ({reason})"
         )
 
     def _send(
--- a/packages/bambooglade/bambooglade/router/dispatch.py
+++ b/packages/bambooglade/bambooglade/router/dispatch.py
@@ -27,6 +27,7 @@
 ATTEMPT_HEADER = "X-Request-Id"
 LEAVING_HEADER = "x-leaving"
 SOFTWARE_VERSION_HEADER = "x-software-version"
+_OK = 200
 
 
 class Job(msgspec.Struct, frozen=True, kw_only=True):
@@ -176,9 +177,12 @@
     ) -> str:
         """Records and returns the software version in the response headers.
 
-        It is empty if the target states none.
+        It is empty if the target states none. Refusals, which may come from in
+        front of the target, are not recorded.
         """
         version = head.header(SOFTWARE_VERSION_HEADER)
+        if head.status != _OK:
+            return version
         self.directory.record_software_version(target.target_id, version)
         return version
 
--- a/packages/bambooglade/bambooglade/router/tests/test_dispatch_chat.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_dispatch_chat.py
@@ -175,6 +175,29 @@
     assert response.body.endswith(sse.encode(sse.DONE)) is is_complete
 
 
+def test_refusal_without_a_version_does_not_exclude_an_engine():
+    faults_by_target = {
+        "e1": faults_lib.Faults(die_at_token=5),
+        "e2": FAULTS_BY_NAME["refused"],
+    }
+    engines = {
+        target_id: start_engine(
+            target_id, faults=faults, software_version="v1"
+        )[0]
+        for target_id, faults in faults_by_target.items()
+    }
+    with caller_api_harness.running_harness(
+        engines, caller_api_harness.MODEL
+    ) as harness:
+        response = harness.send(
+            "POST",
+            "/v1/chat/completions",
+            body=chat_body(),
+            Idempotency_Key="k1",
+        )
+    assert text_of(response.body) == COMPLETE_TEXT
+
+
 @pytest.mark.parametrize(
     ("faults", "ran"),
     [
