Keep a removed target only until the recovery from an outage ends

Cause: after an outage of the store the removal of a target counts as a lapse of its entry, so that the target is kept for a while. The grace began at the removal, even at the end of the 2.5 s after the outage, ended at a round of maintenance up to 0.5 s late, and an interruption of 0.3 s started the 2.5 s anew.

Change: the grace ends with the recovery, 2 s after an outage, and only an outage of a second or more has one, since entries do not lapse in less.

--- a/packages/bambooglade/bambooglade/discovery/store_watcher.py
+++ b/packages/bambooglade/bambooglade/discovery/store_watcher.py
@@ -189,7 +189,7 @@
                 at_revision=first_revision,
                 now_ms=self._loop.now_ms(),
                 source="store",
-                is_after_outage=self._is_recently_recovered(),
+                recovery_ends_at_ms=self._contact.recovery_ends_at_ms,
             )
             self._view.targets_checked_at_ms = self._loop.now_ms()
         else:
@@ -220,7 +220,7 @@
                 response,
                 now_ms=self._loop.now_ms(),
                 source="store",
-                is_after_outage=self._is_recently_recovered(),
+                recovery_ends_at_ms=self._contact.recovery_ends_at_ms,
             )
             self._view.targets_checked_at_ms = self._loop.now_ms()
         else:
@@ -237,9 +237,6 @@
             at_revision, now_ms=self._loop.now_ms()
         )
 
-    def _is_recently_recovered(self) -> bool:
-        return self._contact.recently_recovered(now_ms=self._loop.now_ms())
-
     def _record_response(self, response: store_api.Response) -> bool:
         now_ms = self._loop.now_ms()
         if isinstance(response, store_api.Items):
--- a/packages/bambooglade/bambooglade/discovery/tests/test_view.py
+++ b/packages/bambooglade/bambooglade/discovery/tests/test_view.py
@@ -49,14 +49,14 @@
     return store_api.Item(f"targets/{name}", value, revision)
 
 
-def apply_changes(view, *items, now_ms=0, is_after_outage=False):
+def apply_changes(view, *items, now_ms=0, recovery_ends_at_ms=0):
     view.apply_target_changes(
         store_api.Items(
             list(items), at_revision=max(i.revision for i in items)
         ),
         now_ms=now_ms,
         source="test",
-        is_after_outage=is_after_outage,
+        recovery_ends_at_ms=recovery_ends_at_ms,
     )
 
 
@@ -122,7 +122,9 @@
 @pytest.mark.parametrize("reappears", [True, False])
 def test_entry_that_expired_in_an_outage_has_a_grace_period(view, reappears):
     apply_changes(view, target("a", 1))
-    apply_changes(view, target("a", 2, None), now_ms=100, is_after_outage=True)
+    apply_changes(
+        view, target("a", 2, None), now_ms=100, recovery_ends_at_ms=2_000
+    )
     assert ready_ids(view) == ["a"]
     if reappears:
         apply_changes(view, target("a", 3), now_ms=200)
@@ -130,6 +132,30 @@
     assert ready_ids(view) == (["a"] if reappears else [])
 
 
+@pytest.mark.parametrize(
+    ("removed_at_ms", "ready_at_ms", "is_ready"),
+    [
+        (100, 1_599, True),
+        (1_500, 1_999, True),
+        (1_500, 2_000, False),
+        (1_999, 2_000, False),
+        (2_000, 2_000, False),
+    ],
+)
+def test_target_removed_after_an_outage_is_kept_until_the_recovery_ends(
+    view, removed_at_ms, ready_at_ms, is_ready
+):
+    apply_changes(view, target("a", 1))
+    apply_changes(
+        view,
+        target("a", 2, None),
+        now_ms=removed_at_ms,
+        recovery_ends_at_ms=2_000,
+    )
+    view.expire_lapsed_targets(ready_at_ms)
+    assert ready_ids(view) == (["a"] if is_ready else [])
+
+
 def test_removed_target_is_not_ready(view):
     apply_changes(view, target("a", 1), target("b", 2))
     view.remove_target("a", reason="misdirected")
--- a/packages/bambooglade/bambooglade/discovery/view.py
+++ b/packages/bambooglade/bambooglade/discovery/view.py
@@ -20,8 +20,9 @@
 LAPSED_TARGET_GRACE_MS = 1_500
 """Grace period for a target whose entry expired during an outage of the store.
 
-The target stays in use for this time. Targets that still run rewrite their
-entries within about 2 s.
+The target stays in use for this time, but not beyond the end of the recovery.
+Targets that still run rewrite their entries within about 2 s of the end of the
+outage.
 """
 
 MAX_TOMBSTONES = 4_096
@@ -196,7 +197,7 @@
         *,
         now_ms: int,
         source: str,
-        is_after_outage: bool = False,
+        recovery_ends_at_ms: int = 0,
     ) -> None:
         """Applies changes of target entries after the current revision.
 
@@ -204,12 +205,13 @@
             changes: Items that were written or deleted.
             now_ms: Current time.
             source: Origin of the changes, for the log.
-            is_after_outage: Whether entries may have expired in an outage of
-                the store although their targets still run.
+            recovery_ends_at_ms: Time until which an entry may be missing that
+                expired in an outage of the store although its target still
+                runs; 0 if there was none.
         """
         changes_before = self._change_count
         for item in changes.items:
-            self._apply_target_item(item, now_ms, source, is_after_outage)
+            self._apply_target_item(item, now_ms, source, recovery_ends_at_ms)
         self.targets_revision = max(self.targets_revision, changes.at_revision)
         if self._change_count != changes_before:
             self._rebuild_index()
@@ -222,7 +224,7 @@
         at_revision: int,
         now_ms: int,
         source: str,
-        is_after_outage: bool = False,
+        recovery_ends_at_ms: int = 0,
     ) -> None:
         """Applies a complete list of target entries as of a revision.
 
@@ -234,7 +236,7 @@
             at_revision: Revision of the store as of which the list is complete.
             now_ms: Current time.
             source: Origin of the list, for the log.
-            is_after_outage: As for `apply_target_changes`.
+            recovery_ends_at_ms: As for `apply_target_changes`.
         """
         if at_revision < self.targets_revision:
             return
@@ -253,7 +255,7 @@
             changes,
             now_ms=now_ms,
             source=source,
-            is_after_outage=is_after_outage,
+            recovery_ends_at_ms=recovery_ends_at_ms,
         )
 
     def expire_lapsed_targets(self, now_ms: int) -> None:
@@ -284,7 +286,7 @@
         item: store_api.Item,
         now_ms: int,
         source: str,
-        is_after_outage: bool,
+        recovery_ends_at_ms: int,
     ) -> None:
         current = self._item_by_key.get(item.key)
         current_revision = current.revision if current is not None else 0
@@ -297,9 +299,10 @@
             self._changed_at_revision_by_key.pop(item.key, None)
             self._change_count += 1
             self._add_tombstone(item)
-            if is_after_outage and target_id in self.target_by_id:
-                until_ms = now_ms + LAPSED_TARGET_GRACE_MS
-                self._grace_until_ms_by_id[target_id] = until_ms
+            if now_ms < recovery_ends_at_ms and target_id in self.target_by_id:
+                self._grace_until_ms_by_id[target_id] = min(
+                    now_ms + LAPSED_TARGET_GRACE_MS, recovery_ends_at_ms
+                )
             else:
                 self._remove(target_id, source=source)
             return
--- a/packages/bambooglade/bambooglade/store/dependency_monitor.py
+++ b/packages/bambooglade/bambooglade/store/dependency_monitor.py
@@ -4,9 +4,15 @@
 
 from bambooglade.core import event_log
 
-RECOVERY_PERIOD_MS = 2_500
+RECOVERY_PERIOD_MS = 2_000
 """Time after an outage in which entries may still be re-registering."""
 
+MIN_LAPSE_OUTAGE_MS = 1_000
+"""Shortest outage in which entries may lapse.
+
+Their owners renew them about once a second.
+"""
+
 
 class DependencyMonitor:
     """Tracks whether calls to one dependency succeed.
@@ -16,6 +22,11 @@
         log: Receives an event when the dependency becomes unavailable and when
             it is available again.
 
+    Attributes:
+        last_response_ms: Time of the last usable response; None before it.
+        recovery_ends_at_ms: Time until which entries that lapsed in the last
+            outage may still come back; 0 before the first outage.
+
     Examples:
         >>> from bambooglade.core import clock
         >>> monitor = DependencyMonitor("store",
@@ -23,25 +34,25 @@
         >>> monitor.record_failure(now_ms=10, reason="timeout")
         >>> monitor.is_unavailable
         True
-        >>> monitor.record_success(now_ms=20)
-        >>> monitor.is_unavailable, monitor.recently_recovered(now_ms=30)
-        (False, True)
+        >>> monitor.record_success(now_ms=2_010)
+        >>> monitor.is_unavailable, monitor.recovery_ends_at_ms
+        (False, 4010)
     """
 
     __slots__ = (
         "_log",
         "_name",
-        "_recovered_at_ms",
         "_unavailable_since_ms",
         "last_response_ms",
+        "recovery_ends_at_ms",
     )
 
     def __init__(self, name: str, *, log: event_log.EventLog) -> None:
         self._name = name
         self._log = log
         self._unavailable_since_ms: int | None = None
-        self._recovered_at_ms: int | None = None
         self.last_response_ms: int | None = None
+        self.recovery_ends_at_ms = 0
 
     @property
     def is_unavailable(self) -> bool:
@@ -51,14 +62,15 @@
     def record_success(self, *, now_ms: int) -> None:
         """Records a usable response."""
         self.last_response_ms = now_ms
-        if self._unavailable_since_ms is not None:
-            self._log.event(
-                "dependency_back",
-                dependency=self._name,
-                lost_for_ms=now_ms - self._unavailable_since_ms,
-            )
-            self._unavailable_since_ms = None
-            self._recovered_at_ms = now_ms
+        if self._unavailable_since_ms is None:
+            return
+        lost_for_ms = now_ms - self._unavailable_since_ms
+        self._unavailable_since_ms = None
+        self._log.event(
+            "dependency_back", dependency=self._name, lost_for_ms=lost_for_ms
+        )
+        if lost_for_ms >= MIN_LAPSE_OUTAGE_MS:
+            self.recovery_ends_at_ms = now_ms + RECOVERY_PERIOD_MS
 
     def record_failure(self, *, now_ms: int, reason: str) -> None:
         """Records a call without a usable response."""
@@ -71,13 +83,6 @@
                 last_answer_ms=self.last_response_ms,
             )
 
-    def recently_recovered(self, *, now_ms: int) -> bool:
-        """Returns whether an outage ended at most `RECOVERY_PERIOD_MS` ago."""
-        return (
-            self._recovered_at_ms is not None
-            and now_ms - self._recovered_at_ms <= RECOVERY_PERIOD_MS
-        )
-
     def __repr__(self) -> str:
         return (
             f"DependencyMonitor({self._name!r}, "
