Let the stream outlast the rejection of new requests in the test of a stop

The test of a graceful stop failed once under load: a late request got no status instead of 503. Cause: the stream that keeps the gateway alive meanwhile ended at the timeout of its route, 3 s after its start, and with it the stop; the late request came 2.8 s after the stop began. A stall of 0.2 to 0.3 s was enough; with 3.2 s in place of 2.8 the test failed on an idle machine too.

The route has 8 s in this test now.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_process.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_process.py
@@ -56,6 +56,8 @@
 
 
 def test_graceful_stop_finishes_requests_in_flight(harness):
+    # The stream has to last beyond the rejection of new requests.
+    harness.configure(harness_lib.configuration(version=2, timeout_ms=8_000))
     gateway = harness.start_gateway()
     calls: list[engine_lib.Call] = []
     harness.engine_by_name["j1"].script.append(calls.append)
