Write the stacks of all threads when a stop of the router is overdue

The binary now has the interpreter write the stacks of all threads to the standard error 5 s after the end of the drain, if the process still runs then, and the tests with separate processes print the log of a process that does not end in time.

The fault itself is not mended: reading the code did not show it.

--- a/packages/bambooglade/bambooglade/router/main.py
+++ b/packages/bambooglade/bambooglade/router/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import faulthandler
 import signal
 import sys
 import threading
@@ -14,6 +15,13 @@
 from bambooglade.router import settings_reader
 
 EXIT_SETTINGS_INVALID = 2
+OVERDUE_STOP_S = 5
+"""Time after the end of the drain at which a stop is overdue.
+
+The stacks of all threads are then written to the standard error, once.
+"""
+
+_MS_PER_S = 1_000
 
 _SETTINGS = flags.DEFINE_string(
     "settings", None, "TOML file with the settings of this instance."
@@ -33,12 +41,16 @@
     if loaded.is_err():
         print(loaded.unwrap_err(), file=sys.stderr)
         sys.exit(EXIT_SETTINGS_INVALID)
-    router = process.RouterProcess(loaded.unwrap())
+    settings = loaded.unwrap()
+    router = process.RouterProcess(settings)
     stop_requested = threading.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, lambda *_: stop_requested.set())
     router.start()
     stop_requested.wait()
+    faulthandler.dump_traceback_later(
+        settings.limits.drain_bound_ms / _MS_PER_S + OVERDUE_STOP_S
+    )
     router.stop()
 
 
--- a/packages/bambooglade/bambooglade/router/tests/separate_processes.py
+++ b/packages/bambooglade/bambooglade/router/tests/separate_processes.py
@@ -62,7 +62,12 @@
         self._child.send_signal(signal_number)
 
     def wait(self, timeout_s=20.0):
-        return self._child.wait(timeout_s)
+        try:
+            return self._child.wait(timeout_s)
+        except subprocess.TimeoutExpired as error:
+            raise AssertionError(
+                self.log.read_text(errors="replace")
+            ) from error
 
     def end(self):
         if self._child.poll() is None:
