Share the origin of a stream also where its route has several services

Found on reading the change: the origin of a stream went to other instances only while the targets of its service differed in version. On a split route with one version a service, a caller that resumed a stream after the first instance was gone was refused, since nobody else knew at which service it had begun.

An origin is sent now whenever the route and the versions leave more than one possible. test_stream_of_a_split_route_is_resumed_after_its_instance_is_gone failed before (503 stream_origin_unknown) and passes now, and so does a row of test_origin_replication.py. Origins that wait for a second version and those that are due are kept apart, which makes the sending simpler.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_stream_versions.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_stream_versions.py
@@ -212,3 +212,23 @@
     for _ in range(3):
         assert resume_stream(harness).status == status
     assert "p1" not in called_engines(harness)
+
+
+def test_stream_of_a_split_route_is_resumed_after_its_instance_is_gone(harness):
+    harness.configure(split_configuration({"panel": 1, "jury": 1}, version=2))
+    add_engines(harness, {"j1": "v1"})
+    add_engines(harness, {"p1": "v1"}, service="panel")
+    start_gateways(harness, 2)
+    for engine in harness.engine_by_name.values():
+        engine.script.append(send_two_events)
+    caller = harness.start_call("/resume/1", prompt="100,50")
+    harness.run_until(lambda: engine_lib.event(2) in caller.body)
+    (first,) = called_engines(harness)
+    caller.close()
+    harness.run_for(100)
+    harness.gateways[0].close()
+    for engine in harness.engine_by_name.values():
+        engine.script.clear()
+    for _ in range(3):
+        assert resume_stream(harness).body == events(3, EVENTS)
+    assert set(called_engines(harness)) == {first}
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -315,7 +315,9 @@
         )
         if self._route.is_resumable:
             self._context.origins.record(
-                self._exchange.metadata.attempt_id, self._origin
+                self._exchange.metadata.attempt_id,
+                self._origin,
+                services=self._route.service_names,
             )
 
     def _abort_attempt(self, reason: str) -> None:
--- a/packages/bambooglade/bambooglade/gateway/origin_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/origin_replication.py
@@ -1,9 +1,10 @@
 """Shares the origins of streams with peers.
 
 A caller may resume a stream at any instance, also after the instance at which
-it began is gone. While the targets of a service differ in version, the origin
-of each of its streams is therefore sent to another instance of each
-availability zone, its holders, and looked up there.
+it began is gone. Where its origin can't be told otherwise, because the route
+has several services or the targets of the service differ in version, it is
+therefore sent to another instance of each availability zone, its holders, and
+looked up there.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 from collections.abc import Sequence
 from concurrent import futures
 import functools
+import itertools
 
 import msgspec
 
@@ -89,12 +91,12 @@
 
     __slots__ = (
         "_client",
-        "_is_flush_scheduled",
+        "_due",
         "_local_instance",
         "_log",
         "_loop",
         "_peers",
-        "_unsent",
+        "_waiting",
         "origins",
     )
 
@@ -112,19 +114,33 @@
         self._peers = peers
         self._local_instance = local_instance
         self._log = log
-        self._unsent: collections.deque[OriginRecord] = collections.deque(
+        # Origins that are sent if a second version of their service appears.
+        self._waiting: collections.deque[OriginRecord] = collections.deque(
             maxlen=stream_origins.MAX_ORIGINS
         )
-        self._is_flush_scheduled = False
+        self._due: list[OriginRecord] = []
         self.origins = stream_origins.StreamOrigins()
 
     def record(
-        self, stream_id: str, origin: stream_origins.StreamOrigin
+        self,
+        stream_id: str,
+        origin: stream_origins.StreamOrigin,
+        *,
+        services: Sequence[str],
     ) -> None:
-        """Records where a stream began, here and at the holders."""
+        """Records where a stream began, here and, if needed, at the holders.
+
+        Args:
+            stream_id: Id of the caller's request that received its first event.
+            origin: Where it began.
+            services: The services of the route.
+        """
         self.origins.record(stream_id, origin, now_ms=self._loop.now_ms())
-        self._unsent.append(OriginRecord(stream_id=stream_id, origin=origin))
-        self._schedule_flush(origin.service)
+        record = OriginRecord(stream_id=stream_id, origin=origin)
+        if len(services) > 1 or self._has_several_versions(record):
+            self._schedule([record])
+        else:
+            self._waiting.append(record)
 
     def observe(
         self, target_by_id: dict[str, targets_lib.RegisteredTarget]
@@ -136,10 +152,17 @@
         """
         now_ms = self._loop.now_ms()
         self.origins.observe(target_by_id.values(), now_ms=now_ms)
-        while self._unsent and not self._is_known(self._unsent[0], now_ms):
-            self._unsent.popleft()
-        for service in {record.origin.service for record in self._unsent}:
-            self._schedule_flush(service)
+        while self._waiting and not self._is_known(self._waiting[0], now_ms):
+            self._waiting.popleft()
+        due = list(filter(self._has_several_versions, self._waiting))
+        if due:
+            self._schedule(due)
+            waiting = itertools.filterfalse(
+                self._has_several_versions, self._waiting
+            )
+            self._waiting = collections.deque(
+                waiting, maxlen=stream_origins.MAX_ORIGINS
+            )
 
     def resolve(
         self,
@@ -222,35 +245,26 @@
             )
         )
 
-    def _schedule_flush(self, service: str) -> None:
-        if not self._is_flush_scheduled and self.origins.has_several_versions(
-            service
-        ):
-            self._is_flush_scheduled = True
+    def _schedule(self, records: list[OriginRecord]) -> None:
+        if not self._due:
             self._loop.call_later(FLUSH_DELAY_MS, self._flush)
+        self._due += records
 
     def _flush(self) -> None:
-        """Sends the origins of services with several versions."""
-        self._is_flush_scheduled = False
-        now_ms = self._loop.now_ms()
-        records, self._unsent = (
-            self._unsent,
-            collections.deque(maxlen=stream_origins.MAX_ORIGINS),
-        )
+        """Sends the origins that are due, in one message to each holder."""
+        due, self._due = self._due, []
         records_by_holder: dict[peers_lib.Peer, list[OriginRecord]] = (
             collections.defaultdict(list)
         )
-        for record in records:
-            if not self._is_known(record, now_ms):
-                continue
-            if not self.origins.has_several_versions(record.origin.service):
-                self._unsent.append(record)
-                continue
+        for record in due:
             for holder in self._ranked_holders(record.stream_id, 1):
                 records_by_holder[holder].append(record)
         for holder, held in records_by_holder.items():
             self._send(holder, held)
 
+    def _has_several_versions(self, record: OriginRecord) -> bool:
+        return self.origins.has_several_versions(record.origin.service)
+
     def _is_known(self, record: OriginRecord, now_ms: int) -> bool:
         return self.origins.find(record.stream_id, now_ms=now_ms) is not None
 
--- a/packages/bambooglade/bambooglade/gateway/tests/test_origin_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_origin_replication.py
@@ -17,6 +17,7 @@
 
 ORIGIN = stream_origins.StreamOrigin(service="jury", software_version="v1")
 ZONES = ("z1", "z2")
+EXPIRED_MS = stream_origins.RETENTION_MS + 1
 
 
 class StubClient:
@@ -80,25 +81,33 @@
 
 
 @pytest.mark.parametrize(
-    ("versions_before", "versions_after", "waited_ms", "is_sent"),
+    ("services", "versions_before", "versions_after", "waited_ms", "is_sent"),
     [
-        (["v1"], ["v1"], 0, False),
-        (["v1", "v2"], ["v1", "v2"], 0, True),
-        (["v1"], ["v1", "v2"], 0, True),
-        (["v1"], ["v1", "v2"], stream_origins.RETENTION_MS + 1, False),
+        (["jury"], ["v1"], ["v1"], 0, False),
+        (["jury"], ["v1", "v2"], ["v1", "v2"], 0, True),
+        (["jury"], ["v1"], ["v1", "v2"], 0, True),
+        (
+            ["jury"],
+            ["v1"],
+            ["v1", "v2"],
+            stream_origins.RETENTION_MS + 1,
+            False,
+        ),
+        (["jury", "panel"], ["v1"], ["v1"], 0, True),
     ],
 )
-def test_origin_is_sent_to_one_instance_a_zone_if_versions_differ(
+def test_origin_is_sent_to_one_instance_a_zone_if_it_is_ambiguous(
     replicator,
     loop,
     client,
+    services,
     versions_before,
     versions_after,
     waited_ms,
     is_sent,
 ):
     observe(replicator, *versions_before)
-    replicator.record("a1", ORIGIN)
+    replicator.record("a1", ORIGIN, services=services)
     loop.advance(waited_ms)
     observe(replicator, *versions_after)
     loop.advance(origin_replication.FLUSH_DELAY_MS)
@@ -159,7 +168,7 @@
             client.calls.clear()
             writer = new_replicator(origin)
             observe(writer, "v1", "v2")
-            writer.record(f"a{number}", ORIGIN)
+            writer.record(f"a{number}", ORIGIN, services=["jury"])
             loop.advance(origin_replication.FLUSH_DELAY_MS)
             holders = {address for address, _, _ in client.calls}
             for reader in members:
