Log the era of the store and the notice of a target that leaves

The logs could not tell the hypotheses apart: no event named the era of the store, or that a response states that its target leaves.

The adapter decodes both fields. store_era_changed names the new and the former era; target_leaving names the request whose response showed it. Nothing acts on them yet. The emulated store can return from an older copy and states its era.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/memory_store.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/memory_store.py
@@ -9,9 +9,11 @@
 from concurrent import futures
 import enum
 
+from bambooglade.core import event_log
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
 from bambooglade.store import store_api
+from bambooglade.store import store_era
 
 RESPONSE_DELAY_MS = 4
 """Response time given in the data sheet of the platform."""
@@ -33,6 +35,28 @@
     DELAY_WRITES = enum.auto()
 
 
+class StoreCopy:
+    """Copy of the contents of a `MemoryStore`, for `MemoryStore.restore`."""
+
+    __slots__ = ("item_by_key", "lease_by_key", "revision", "ttl_ms_by_lease")
+
+    def __init__(
+        self,
+        *,
+        item_by_key: dict[str, store_api.Item],
+        lease_by_key: dict[str, int],
+        ttl_ms_by_lease: dict[int, int],
+        revision: int,
+    ) -> None:
+        self.item_by_key = item_by_key
+        self.lease_by_key = lease_by_key
+        self.ttl_ms_by_lease = ttl_ms_by_lease
+        self.revision = revision
+
+    def __repr__(self) -> str:
+        return f"StoreCopy(revision={self.revision})"
+
+
 class MemoryStore:
     """A linearizable key-value store on an event loop.
 
@@ -45,6 +69,8 @@
         response_delay_ms: Response time.
         call_count: Number of calls so far.
         revision: Revision of the latest change.
+        era_number: Era of the store; each restore begins one.
+        era: Era that in-process clients have observed.
     """
 
     def __init__(self, loop: loop_lib.EventLoop) -> None:
@@ -56,6 +82,8 @@
         self._history: list[store_api.Item] = []
         self._history_start_revision = 0
         self._watches: list[tuple[str, int, futures.Future]] = []
+        self.era_number = 1
+        self.era = store_era.StoreEra(event_log.EventLog(loop.clock))
         self.fault = Fault.NONE
         self.write_delay_ms = 3_000
         self.response_delay_ms = RESPONSE_DELAY_MS
@@ -89,6 +117,40 @@
         for _, _, future in watches:
             tasks.complete(future, store_api.HistoryLost())
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of the contents, with the leases that exist."""
+        return StoreCopy(
+            item_by_key=dict(self._item_by_key),
+            lease_by_key=dict(self._lease_by_key),
+            ttl_ms_by_lease={
+                lease: self._ttl_ms_by_lease[lease]
+                for lease in self._expiry_timer_by_lease
+            },
+            revision=self.revision,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Returns to an older copy: all writes since are lost, leases too.
+
+        Revisions and leases are given out again. Watches are cut.
+        """
+        for timer in self._expiry_timer_by_lease.values():
+            timer.cancel()
+        self._expiry_timer_by_lease.clear()
+        self._item_by_key = dict(copy.item_by_key)
+        self._lease_by_key = dict(copy.lease_by_key)
+        self._ttl_ms_by_lease = dict(copy.ttl_ms_by_lease)
+        self.revision = copy.revision
+        self._history = [
+            item for item in self._history if item.revision <= copy.revision
+        ]
+        self.era_number += 1
+        for lease_id in copy.ttl_ms_by_lease:
+            self._extend(lease_id)
+        watches, self._watches = self._watches, []
+        for _, _, future in watches:
+            tasks.complete(future, store_api.NoResponse())
+
     def read(self, key: str) -> futures.Future:
         """Reads one key."""
         return self._respond(
@@ -124,7 +186,8 @@
             return self._respond(store_api.NotFound)
         self.call_count += 1
         future: futures.Future = futures.Future()
-        if after_revision < self._history_start_revision:
+        if not self._history_start_revision <= after_revision <= self.revision:
+            self._observe_era()
             tasks.complete(future, store_api.HistoryLost())
             return future
         self._watches.append((prefix, after_revision, future))
@@ -147,7 +210,7 @@
         """Grants a lease."""
 
         def grant() -> store_api.LeaseGranted:
-            lease_id = len(self._ttl_ms_by_lease) + 1
+            lease_id = max(self._ttl_ms_by_lease, default=0) + 1
             self._ttl_ms_by_lease[lease_id] = ttl_ms
             self._extend(lease_id)
             return store_api.LeaseGranted(lease_id, ttl_ms)
@@ -194,11 +257,18 @@
             tasks.complete(future, store_api.NoResponse())
         else:
             self._loop.call_later(
-                self.response_delay_ms,
-                lambda: tasks.complete(future, execute()),
+                self.response_delay_ms, self._execute, execute, future
             )
         return future
 
+    def _execute(self, execute, future: futures.Future) -> None:
+        response = execute()
+        self._observe_era()
+        tasks.complete(future, response)
+
+    def _observe_era(self) -> None:
+        self.era.observe(self.era_number, source="store")
+
     def _commit_now(self, writes: list[store_api.Write]) -> store_api.Response:
         for write in writes:
             current = self._item_by_key.get(write.key)
@@ -267,6 +337,7 @@
             if self.fault is Fault.UNRESPONSIVE:
                 tasks.complete(future, store_api.NoResponse())
             else:
+                self._observe_era()
                 tasks.complete(
                     future, self._changes_after(prefix, after_revision)
                 )
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
@@ -21,6 +21,7 @@
 from bambooglade.platform import codec
 from bambooglade.store import dependency_monitor
 from bambooglade.store import store_api
+from bambooglade.store import store_era
 from bambooglade_standins.users_platform import memory_store
 from bambooglade_standins.users_platform import platform_harness
 from bambooglade_standins.users_platform import virtual_loop
@@ -40,10 +41,14 @@
         is_partitioned: Whether calls get no response.
         call_count: Number of calls so far.
         max_watch_items: Largest number of items returned by one watch.
+        era: Era of the store that the instance has observed.
     """
 
-    def __init__(self, fleet: SimulatedRelayFleet) -> None:
+    def __init__(
+        self, fleet: SimulatedRelayFleet, log: event_log.EventLog
+    ) -> None:
         self._fleet = fleet
+        self.era = store_era.StoreEra(log)
         self.is_partitioned = False
         self.call_count = 0
         self.max_watch_items = 0
@@ -87,13 +92,19 @@
     def _call(self, execute, timeout_ms: int) -> futures.Future:
         self.call_count += 1
         if not self.is_partitioned:
-            return execute()
+            result = execute()
+            result.add_done_callback(self._observe_era)
+            return result
         response: futures.Future = futures.Future()
         self._fleet.loop.call_later(
             timeout_ms, tasks.complete, response, store_api.NoResponse()
         )
         return response
 
+    def _observe_era(self, done: futures.Future) -> None:
+        if not isinstance(done.result(), store_api.NoResponse):
+            self.era.observe(self._fleet.store.era_number, source="store")
+
 
 class InProcessHttpClient:
     """HTTP client that calls instances directly, with round-trip latency.
@@ -161,7 +172,7 @@
         self.is_running = True
         log = event_log.EventLog(fleet.loop.clock, instance=self.name)
         random_source = random.Random(number)
-        self.store_link = StoreLink(fleet)
+        self.store_link = StoreLink(fleet, log)
         self.store_monitor = dependency_monitor.DependencyMonitor(
             "store", log=log
         )
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/store_server.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/store_server.py
@@ -47,10 +47,17 @@
     def _respond(self, request: messages.Request) -> futures.Future:
         reply: futures.Future = futures.Future()
         self._call(request).add_done_callback(
-            lambda done: tasks.complete(reply, _reply(done.result()))
+            lambda done: tasks.complete(reply, self._encode(done.result()))
         )
         return reply
 
+    def _encode(self, response: store_api.Response) -> http_server.Reply | None:
+        reply = _reply(response)
+        if reply is not None:
+            era = b"%d" % self.store.era_number
+            reply.fields = ((b"Store-Era", era),)
+        return reply
+
     def _call(self, request: messages.Request) -> futures.Future:
         path = request.path.decode()
         query = dict(parse.parse_qsl(request.target.decode().partition("?")[2]))
--- a/packages/bambooglade/bambooglade/eventloop/http_client.py
+++ b/packages/bambooglade/bambooglade/eventloop/http_client.py
@@ -33,13 +33,22 @@
 
 
 class Response:
-    """A complete response."""
+    """A complete response.
 
-    __slots__ = ("body", "status")
+    Attributes:
+        status: HTTP status.
+        body: The whole body.
+        head: Header fields of the response.
+    """
+
+    __slots__ = ("body", "head", "status")
 
-    def __init__(self, status: int, body: bytes) -> None:
+    def __init__(
+        self, status: int, body: bytes, head: messages.Head | None = None
+    ) -> None:
         self.status = status
         self.body = body
+        self.head = head or messages.Head([])
 
     def __repr__(self) -> str:
         return f"Response(status={self.status}, bytes={len(self.body)})"
@@ -211,9 +220,8 @@
     def _finish_if_ended(self) -> None:
         state = self._parser.state
         if state is response_parser.ResponseState.COMPLETE:
-            self._finish(
-                Response(self._parser.head.status, b"".join(self._body))
-            )
+            head = self._parser.head
+            self._finish(Response(head.status, b"".join(self._body), head))
         elif state is response_parser.ResponseState.MALFORMED:
             self._connection.close()
             self._finish(None)
--- a/packages/bambooglade/bambooglade/eventloop/http_server.py
+++ b/packages/bambooglade/bambooglade/eventloop/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 from concurrent import futures
 import socket
 
@@ -20,9 +21,16 @@
 
 
 class Reply:
-    """A response: status, body and content type."""
+    """A response.
 
-    __slots__ = ("body", "content_type", "status")
+    Attributes:
+        status: HTTP status.
+        body: The whole body.
+        content_type: Type of the body.
+        fields: Further header fields.
+    """
+
+    __slots__ = ("body", "content_type", "fields", "status")
 
     def __init__(
         self,
@@ -33,6 +41,7 @@
         self.status = status
         self.body = body
         self.content_type = content_type
+        self.fields: Sequence[tuple[bytes, bytes]] = ()
 
 
 Handler = Callable[[messages.Request], Reply | futures.Future]
@@ -143,7 +152,10 @@
         if reply is None:
             self.close()
             return
-        fields = [(b"Content-Type", reply.content_type.encode())]
+        fields = [
+            (b"Content-Type", reply.content_type.encode()),
+            *reply.fields,
+        ]
         if request.expects_close:
             fields.append((b"Connection", b"close"))
         self._connection.send(
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -338,6 +338,13 @@
             self._metadata.max_requests_per_s,
             request_id=self._exchange.metadata.attempt_id,
         )
+        if self._metadata.is_leaving and not self._metadata.is_misdirected:
+            self._context.log.event(
+                "target_leaving",
+                request=self._exchange.metadata.attempt_id,
+                target=self.target_id,
+                source="response",
+            )
         if self._metadata.load is not None:
             self._context.target_selector.record_load(
                 self.target_id, self._metadata.load, now_ms=now_ms
--- a/packages/bambooglade/bambooglade/gateway/metadata.py
+++ b/packages/bambooglade/bambooglade/gateway/metadata.py
@@ -166,11 +166,13 @@
             open; None if it is unknown.
         max_requests_per_s: Requests per second that the target accepts from
             all instances together; None if it states no limit.
+        is_leaving: Whether the target states that it is about to stop.
     """
 
     __slots__ = (
         "has_content_encoding",
         "idle_timeout_ms",
+        "is_leaving",
         "is_misdirected",
         "is_not_executed",
         "is_signed",
@@ -188,6 +190,7 @@
         load: ReportedLoad | None = None,
         idle_timeout_ms: int | None = None,
         max_requests_per_s: float | None = None,
+        is_leaving: bool = False,
     ) -> None:
         self.is_not_executed = is_not_executed
         self.is_misdirected = is_misdirected
@@ -196,3 +199,4 @@
         self.load = load
         self.idle_timeout_ms = idle_timeout_ms
         self.max_requests_per_s = max_requests_per_s
+        self.is_leaving = is_leaving
--- a/packages/bambooglade/bambooglade/platform/headers.py
+++ b/packages/bambooglade/bambooglade/platform/headers.py
@@ -34,6 +34,7 @@
 _LOAD = b"x-bambooglade-engine-load"
 # Requests per second that the engine takes from all instances together.
 _REQUEST_LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
 _DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 _FLEET_FIELDS = frozenset(
@@ -136,6 +137,7 @@
         load=_load(head.get(_LOAD)),
         idle_timeout_ms=_idle_timeout_ms(head.get(b"keep-alive")),
         max_requests_per_s=_request_limit(head.get(_REQUEST_LIMIT)),
+        is_leaving=head.get(_LEAVING).strip() == b"1",
     )
 
 
--- a/packages/bambooglade/bambooglade/platform/store.py
+++ b/packages/bambooglade/bambooglade/platform/store.py
@@ -19,6 +19,7 @@
 from bambooglade.eventloop import http_client
 from bambooglade.eventloop import tasks
 from bambooglade.store import store_api
+from bambooglade.store import store_era
 
 CALL_TIMEOUT_MS = 1_000
 """Time-out of one call; an undisturbed service responds within milliseconds."""
@@ -32,6 +33,8 @@
 _CONFLICTED = 412
 _FIRST_SERVER_ERROR = 500
 
+_ERA = b"store-era"
+
 Wire = TypeVar("Wire")
 
 
@@ -94,9 +97,12 @@
         client: HTTP client that sends the calls.
         address: IP address and port of the store.
         log: Records responses that can't be decoded.
+
+    Attributes:
+        era: Era of the store, as its responses state it.
     """
 
-    __slots__ = ("_address", "_client", "_log")
+    __slots__ = ("_address", "_client", "_log", "era")
 
     def __init__(
         self,
@@ -108,6 +114,7 @@
         self._client = client
         self._address = address
         self._log = log
+        self.era = store_era.StoreEra(log)
 
     def set_address(self, address: tuple[str, int]) -> None:
         """Sets the address of the following calls."""
@@ -262,6 +269,7 @@
     ) -> store_api.Response:
         if response is None:
             return store_api.NoResponse()
+        self.era.observe(response.head.integer(_ERA), source="store")
         if response.status != _OK and response.status not in accepts:
             return store_api.Refused(response.status)
         try:
--- a/packages/bambooglade/bambooglade/store/store_api.py
+++ b/packages/bambooglade/bambooglade/store/store_api.py
@@ -10,6 +10,8 @@
 from typing import Protocol
 from typing import TypeAlias
 
+from bambooglade.store import store_era
+
 
 class Item:
     """A key with its value.
@@ -178,7 +180,14 @@
 
 
 class TransactionalStore(Protocol):
-    """The key-value service; each call returns a future with a `Response`."""
+    """The key-value service; each call returns a future with a `Response`.
+
+    Attributes:
+        era: Era of the service; a new one ends what its revisions and leases
+            meant.
+    """
+
+    era: store_era.StoreEra
 
     def read(self, key: str) -> futures.Future:
         """Reads one key."""
