Show that a restored store and a leaving target are not noticed

A store that returns from a copy 4 s old, at 6 and 24 instances on virtual time: changes are not applied until the revision has passed its former value, targets that registered in the lost seconds are gone at once or never, leases are lost, and rights are granted twice, so that more is spent than was prepaid. Targets that state in all responses that they leave get requests on all four kinds of routes, whether they respond, decline or fail.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/memory_store.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/memory_store.py
@@ -8,6 +8,7 @@
 
 from concurrent import futures
 import enum
+import functools
 
 from bambooglade.core import event_log
 from bambooglade.eventloop import loop as loop_lib
@@ -70,7 +71,6 @@
         call_count: Number of calls so far.
         revision: Revision of the latest change.
         era_number: Era of the store; each restore begins one.
-        era: Era that in-process clients have observed.
     """
 
     def __init__(self, loop: loop_lib.EventLoop) -> None:
@@ -83,7 +83,6 @@
         self._history_start_revision = 0
         self._watches: list[tuple[str, int, futures.Future]] = []
         self.era_number = 1
-        self.era = store_era.StoreEra(event_log.EventLog(loop.clock))
         self.fault = Fault.NONE
         self.write_delay_ms = 3_000
         self.response_delay_ms = RESPONSE_DELAY_MS
@@ -187,7 +186,6 @@
         self.call_count += 1
         future: futures.Future = futures.Future()
         if not self._history_start_revision <= after_revision <= self.revision:
-            self._observe_era()
             tasks.complete(future, store_api.HistoryLost())
             return future
         self._watches.append((prefix, after_revision, future))
@@ -257,18 +255,11 @@
             tasks.complete(future, store_api.NoResponse())
         else:
             self._loop.call_later(
-                self.response_delay_ms, self._execute, execute, future
+                self.response_delay_ms,
+                lambda: tasks.complete(future, execute()),
             )
         return future
 
-    def _execute(self, execute, future: futures.Future) -> None:
-        response = execute()
-        self._observe_era()
-        tasks.complete(future, response)
-
-    def _observe_era(self) -> None:
-        self.era.observe(self.era_number, source="store")
-
     def _commit_now(self, writes: list[store_api.Write]) -> store_api.Response:
         for write in writes:
             current = self._item_by_key.get(write.key)
@@ -337,10 +328,41 @@
             if self.fault is Fault.UNRESPONSIVE:
                 tasks.complete(future, store_api.NoResponse())
             else:
-                self._observe_era()
                 tasks.complete(
                     future, self._changes_after(prefix, after_revision)
                 )
 
     def __repr__(self) -> str:
         return f"MemoryStore(revision={self.revision}, fault={self.fault})"
+
+
+class StoreClient:
+    """In-process client of a `MemoryStore` with the interface of the store.
+
+    Args:
+        store: The store.
+        log: Receives an event when the era changes.
+
+    Attributes:
+        era: Era of the store that this client has observed.
+    """
+
+    def __init__(self, store: MemoryStore, log: event_log.EventLog) -> None:
+        self._store = store
+        self.era = store_era.StoreEra(log)
+
+    def __getattr__(self, name: str):
+        """Returns a call of the store that observes the era at its end."""
+        return functools.partial(self._call, getattr(self._store, name))
+
+    def _call(self, call, *args, **kwargs) -> futures.Future:
+        response = call(*args, **kwargs)
+        response.add_done_callback(self._observe_era)
+        return response
+
+    def _observe_era(self, done: futures.Future) -> None:
+        if not isinstance(done.result(), store_api.NoResponse):
+            self.era.observe(self._store.era_number, source="store")
+
+    def __repr__(self) -> str:
+        return f"StoreClient({self._store!r})"
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
@@ -21,7 +21,6 @@
 from bambooglade.platform import codec
 from bambooglade.store import dependency_monitor
 from bambooglade.store import store_api
-from bambooglade.store import store_era
 from bambooglade_standins.users_platform import memory_store
 from bambooglade_standins.users_platform import platform_harness
 from bambooglade_standins.users_platform import virtual_loop
@@ -48,14 +47,15 @@
         self, fleet: SimulatedRelayFleet, log: event_log.EventLog
     ) -> None:
         self._fleet = fleet
-        self.era = store_era.StoreEra(log)
+        self._client = memory_store.StoreClient(fleet.store, log)
+        self.era = self._client.era
         self.is_partitioned = False
         self.call_count = 0
         self.max_watch_items = 0
 
     def read_prefix(self, prefix: str, *, after_key: str = "") -> object:
         """Reads a page; times out while partitioned."""
-        store = self._fleet.store
+        store = self._client
         return self._call(
             lambda: store.read_prefix(prefix, after_key=after_key), 1_000
         )
@@ -64,7 +64,7 @@
         self, prefix: str, *, after_revision: int, wait_ms: int
     ) -> futures.Future:
         """Waits for changes; times out while partitioned."""
-        store = self._fleet.store
+        store = self._client
         response = self._call(
             lambda: store.watch(
                 prefix, after_revision=after_revision, wait_ms=wait_ms
@@ -78,7 +78,7 @@
         self, writes: list[store_api.Write], *, timeout_ms: int
     ) -> futures.Future:
         """Applies writes; times out while partitioned."""
-        store = self._fleet.store
+        store = self._client
         return self._call(
             lambda: store.commit(writes, timeout_ms=timeout_ms), timeout_ms
         )
@@ -92,19 +92,13 @@
     def _call(self, execute, timeout_ms: int) -> futures.Future:
         self.call_count += 1
         if not self.is_partitioned:
-            result = execute()
-            result.add_done_callback(self._observe_era)
-            return result
+            return execute()
         response: futures.Future = futures.Future()
         self._fleet.loop.call_later(
             timeout_ms, tasks.complete, response, store_api.NoResponse()
         )
         return response
 
-    def _observe_era(self, done: futures.Future) -> None:
-        if not isinstance(done.result(), store_api.NoResponse):
-            self.era.observe(self._fleet.store.era_number, source="store")
-
 
 class InProcessHttpClient:
     """HTTP client that calls instances directly, with round-trip latency.
@@ -311,11 +305,13 @@
         value = platform_harness.configuration(version=version)
         self.store.put_now("op/config", value)
 
-    def register(self, name: str, *, state: str, sequence: int = 0) -> None:
+    def register(
+        self, name: str, *, state: str, sequence: int = 0, started_at_ms=1
+    ) -> None:
         """Writes the registration of a target to the store."""
         entry = (
             '{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,'
-            f'"state":"{state}","sequence":{sequence}}}'
+            f'"state":"{state}","sequence":{sequence},"born":{started_at_ms}}}'
         )
         self.store.put_now(f"servers/{name}", entry.encode())
 
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_rights_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_rights_fleet.py
@@ -103,7 +103,7 @@
         )
         self.rights_manager = manager_lib.RightsManager(
             fleet.loop,
-            fleet.store,
+            memory_store.StoreClient(fleet.store, log),
             InProcessLendingClient(fleet, name),
             instance_address=f"{name}@10.0.0.1",
             incarnation=str(incarnation),
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_leaving_targets.py
@@ -0,0 +1,131 @@
+"""Tests of targets that state in their responses that they leave."""
+
+from __future__ import annotations
+
+import pytest
+
+from bambooglade_standins.users_platform import engine as engine_lib
+from bambooglade_standins.users_platform import platform_harness as harness_lib
+
+LEAVING = (b"Server-Leaving", b"1")
+PREFIX = (b"X-Bambooglade-Prefix-Hash", b"aa:50,bb:50")
+
+
+@pytest.fixture
+def harness():
+    built = harness_lib.PlatformHarness()
+    built.configure(harness_lib.configuration(prepaid=None))
+    for number in range(3):
+        built.add_engine(f"p{number}", "portal")
+        built.add_engine(
+            f"j{number}", "jury", default=engine_lib.stream_events(3)
+        )
+    built.start_gateway()
+    yield built
+    built.close()
+
+
+def send(harness, path: str, count: int = 12, gateway: int = 0) -> list[int]:
+    has_prompt = not path.startswith(("/plain", "/status"))
+    return [
+        harness.call(
+            path,
+            prompt="100,50" if has_prompt else None,
+            extra=[PREFIX] if has_prompt else (),
+            gateway=gateway,
+        ).status
+        for _ in range(count)
+    ]
+
+
+def engines_of(harness, path: str) -> list[engine_lib.Engine]:
+    prefix = "p" if path.startswith(("/plain", "/status")) else "j"
+    return [
+        engine
+        for name, engine in harness.engine_by_name.items()
+        if name.startswith(prefix)
+    ]
+
+
+def respond_normally(engine) -> None:
+    del engine
+
+
+def decline_all(engine) -> None:
+    engine.default = lambda call: call.decline()
+
+
+def fail_all(engine) -> None:
+    engine.default = lambda call: call.respond(b"broken", 500)
+
+
+@pytest.mark.parametrize(
+    "path", ["/plain/1", "/status/1", "/stream/1", "/resume/1"]
+)
+@pytest.mark.parametrize("response", [respond_normally, decline_all, fail_all])
+def test_no_request_reaches_a_target_that_said_it_leaves(
+    harness, path, response
+):
+    send(harness, path, 3)
+    engines = engines_of(harness, path)
+    leaving = max(engines, key=lambda engine: len(engine.requests))
+    leaving.extra_fields = [LEAVING]
+    response(leaving)
+    before = len(leaving.requests)
+    statuses = send(harness, path, 30)
+    assert len(leaving.requests) <= before + 1
+    assert statuses[3:] == [200] * 27
+
+
+def test_request_is_refused_at_once_if_all_targets_leave(harness):
+    for engine in engines_of(harness, "/status/1"):
+        engine.extra_fields = [LEAVING]
+    send(harness, "/status/1", 3)
+    started_ms = harness.loop.now_ms()
+    assert send(harness, "/status/1", 1) == [503]
+    assert harness.loop.now_ms() - started_ms < 200
+
+
+def test_new_run_of_a_target_that_left_is_used(harness):
+    engines = engines_of(harness, "/status/1")
+    for engine in engines:
+        engine.extra_fields = [LEAVING]
+    send(harness, "/status/1", 3)
+    engines[0].extra_fields = []
+    harness.restart_engine(engines[0])
+    assert send(harness, "/status/1", 3) == [200] * 3
+
+
+@pytest.mark.parametrize("value", [b"0", b"", b"true", b"11", b"\xff"])
+def test_other_values_of_the_notice_are_ignored(harness, value):
+    engines = engines_of(harness, "/status/1")
+    for engine in engines:
+        engine.extra_fields = [(b"Server-Leaving", value)]
+    assert send(harness, "/status/1", 6) == [200] * 6
+
+
+def test_another_target_at_the_address_does_not_speak_for_this_one(harness):
+    for engine in engines_of(harness, "/status/1"):
+        engine.script.append(
+            lambda call: call.respond(b"", 421, extra=[LEAVING])
+        )
+    send(harness, "/status/1", 3)
+    for engine in engines_of(harness, "/status/1"):
+        harness.register(engine.name, "portal", version="v2")
+    harness.run_for(1_500)
+    assert send(harness, "/status/1", 3) == [200] * 3
+
+
+def test_notice_reaches_an_instance_cut_off_from_the_store(harness):
+    harness.seeds = (harness.gateways[0].settings.peer_address,)
+    harness.start_gateway("edge-2")
+    engines = engines_of(harness, "/status/1")
+    harness.run_for(500)
+    harness.refuse_store_connections(1)
+    for engine in engines:
+        engine.extra_fields = [LEAVING]
+    send(harness, "/status/1", 3, gateway=0)
+    harness.run_for(4_500)
+    counts = [len(engine.requests) for engine in engines]
+    assert send(harness, "/status/1", 3, gateway=1) == [503] * 3
+    assert [len(engine.requests) for engine in engines] == counts
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_watcher.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_watcher.py
@@ -27,13 +27,14 @@
         self.loop = virtual_loop.VirtualLoop()
         self.store = memory_store.MemoryStore(self.loop)
         self.log = event_log.EventLog(self.loop.clock)
+        self.client = memory_store.StoreClient(self.store, self.log)
         self.view = view_lib.FleetView(codec.PlatformCodec(), log=self.log)
         self.store_monitor = dependency_monitor.DependencyMonitor(
             "store", log=self.log
         )
         store_watcher_lib.StoreWatcher(
             self.loop,
-            self.store,
+            self.client,
             self.view,
             codec=codec.PlatformCodec(),
             relays=relays_lib.RelaySelector(
@@ -164,7 +165,7 @@
         peers = peers_lib.PeerList(name)
         registration = registration_lib.Registration(
             harness.loop,
-            harness.store,
+            harness.client,
             local_instance=own,
             peers=peers,
             contact=harness.store_monitor,
