Send nothing to a target once one of its responses states that it leaves

Cause: the gateway did not read the notice in the response, and relied on the target's entry in the store, which may say ready for long or not be readable.

The view keeps the runs that leave, by id and start, so that all paths to a target exclude it: choice, retry, resumption, session affinity. A later run under the same id is used. The instance tells its peers within 20 ms, through the relays in a large fleet, and names the runs in the exchange of views. The sending part of the request limits moved to PeerBroadcast, which both use.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
@@ -14,6 +14,7 @@
 from bambooglade.eventloop import http_client
 from bambooglade.eventloop import http_server
 from bambooglade.eventloop import tasks
+from bambooglade.gateway import leaving_replication
 from bambooglade.gateway import limit_replication
 from bambooglade.gateway import peer_api
 from bambooglade.gateway import prompt_quarantine
@@ -210,6 +211,16 @@
             log=log,
             random_source=random_source,
         )
+        self.leaving = leaving_replication.LeavingReplicator(
+            fleet.loop,
+            self.client,
+            self.view,
+            peers=lambda: self.peers.recent(now_ms=fleet.loop.now_ms()),
+            relays=self.relays,
+            contact=self.store_monitor,
+            local_instance=self.local_instance,
+            log=log,
+        )
         self.peer_puller = peer_puller.PeerPuller(
             fleet.loop,
             self.client,
@@ -218,6 +229,7 @@
             relays=self.relays,
             read_configuration=self.store_watcher.read_configuration,
             quarantine=self.quarantine,
+            leaving=self.leaving,
             local_instance=self.local_instance,
             seeds=(),
             contact=self.store_monitor,
@@ -232,6 +244,7 @@
             origins=None,
             quarantine=self.quarantine,
             limits=self.limits,
+            leaving=self.leaving,
             log=log,
             loop=fleet.loop,
         )
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_leaving_targets.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_leaving_targets.py
@@ -5,7 +5,9 @@
 import pytest
 
 from bambooglade_standins.users_platform import engine as engine_lib
+from bambooglade_standins.users_platform import memory_store
 from bambooglade_standins.users_platform import platform_harness as harness_lib
+from bambooglade_standins.users_platform import simulated_relay_fleet
 
 LEAVING = (b"Server-Leaving", b"1")
 PREFIX = (b"X-Bambooglade-Prefix-Hash", b"aa:50,bb:50")
@@ -129,3 +131,19 @@
     counts = [len(engine.requests) for engine in engines]
     assert send(harness, "/status/1", 3, gateway=1) == [503] * 3
     assert [len(engine.requests) for engine in engines] == counts
+
+
+@pytest.mark.parametrize("instances", [6, 24, 60])
+@pytest.mark.parametrize("is_store_away", [False, True])
+def test_all_instances_learn_that_a_target_leaves(instances, is_store_away):
+    fleet = simulated_relay_fleet.SimulatedRelayFleet(instances)
+    fleet.register("a", state="ready", started_at_ms=5)
+    fleet.loop.advance(simulated_relay_fleet.CHANGE_BOUND_MS)
+    if is_store_away:
+        fleet.store.fault = memory_store.Fault.UNRESPONSIVE
+        fleet.loop.advance(4_000)
+    told = fleet.instances[3]
+    (target,) = told.view.ready_targets("s")
+    told.leaving.record(target, request_id="r")
+    fleet.loop.advance(100)
+    assert not any(i.view.ready_targets("s") for i in fleet.instances)
--- a/packages/bambooglade/bambooglade/discovery/peer_puller.py
+++ b/packages/bambooglade/bambooglade/discovery/peer_puller.py
@@ -18,6 +18,7 @@
 from bambooglade.core import event_log
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import relays as relays_lib
+from bambooglade.discovery import targets as targets_lib
 from bambooglade.discovery import view as view_lib
 from bambooglade.discovery import view_messages
 from bambooglade.eventloop import http_client
@@ -66,6 +67,16 @@
         ...
 
 
+class LeavingExchange(Protocol):
+    """The part of `LeavingReplicator` that learns from peers."""
+
+    def apply_runs(
+        self, runs: list[targets_lib.TargetRun], *, source: str
+    ) -> None:
+        """Marks targets as leaving that a peer names."""
+        ...
+
+
 class PeerPuller:
     """Pulls updates from the relay, or from any peer during a store outage.
 
@@ -78,6 +89,7 @@
         read_configuration: Reads the configuration from the store; returns a
             future that completes when the read has ended.
         quarantine: Receives the crash suspicions of peers.
+        leaving: Receives the targets that peers know to be leaving.
         local_instance: Entry of this instance, sent to peers.
         seeds: Addresses to query while no peers are known.
         contact: Tracks whether the store is reachable.
@@ -90,6 +102,7 @@
         "_client",
         "_contact",
         "_is_stopped",
+        "_leaving",
         "_local_instance",
         "_log",
         "_loop",
@@ -112,6 +125,7 @@
         relays: relays_lib.RelaySelector,
         read_configuration: Callable[[], futures.Future],
         quarantine: SuspicionExchange,
+        leaving: LeavingExchange,
         local_instance: peers_lib.Peer,
         seeds: tuple[tuple[str, int], ...],
         contact: dependency_monitor.DependencyMonitor,
@@ -125,6 +139,7 @@
         self._relays = relays
         self._read_configuration = read_configuration
         self._quarantine = quarantine
+        self._leaving = leaving
         self._local_instance = local_instance
         self._seeds = seeds
         self._contact = contact
@@ -250,6 +265,7 @@
         now_ms = self._loop.now_ms()
         source = f"peer:{address[0]}"
         self._peers.mark_seen(response.peers, now_ms=now_ms)
+        self._leaving.apply_runs(response.leaving, source=source)
         if response.suspicions is not None:
             self._quarantine.reconcile(
                 response.suspicions, response.suspicions_digest, address
--- a/packages/bambooglade/bambooglade/discovery/targets.py
+++ b/packages/bambooglade/bambooglade/discovery/targets.py
@@ -2,6 +2,20 @@
 
 from __future__ import annotations
 
+import msgspec
+
+
+class TargetRun(msgspec.Struct, frozen=True, array_like=True):
+    """One run of a target; successive runs may share its id.
+
+    Attributes:
+        target_id: Id of the target.
+        started_at_ms: Start of the run in ms since the epoch; 0 if unknown.
+    """
+
+    target_id: str
+    started_at_ms: int = 0
+
 
 class RegisteredTarget:
     """Entry that a target has registered.
@@ -56,6 +70,11 @@
         self.cold_remaining_ms = cold_remaining_ms
         self.software_version = software_version
 
+    @property
+    def run(self) -> TargetRun:
+        """The run of the target that registered this entry."""
+        return TargetRun(self.target_id, self.started_at_ms)
+
     def is_equivalent_to(self, other: RegisteredTarget | None) -> bool:
         """Returns whether both entries lead to the same routing decisions.
 
--- a/packages/bambooglade/bambooglade/discovery/view.py
+++ b/packages/bambooglade/bambooglade/discovery/view.py
@@ -31,6 +31,12 @@
 They cover several hours of changes.
 """
 
+MAX_LEAVING_TARGETS = 4_096
+"""Maximum number of targets that are remembered as leaving.
+
+The oldest are evicted; their entries have left the store long before.
+"""
+
 
 class FleetView:
     """Newest known configuration and targets.
@@ -62,6 +68,7 @@
         "_compacted_revision",
         "_grace_until_ms_by_id",
         "_item_by_key",
+        "_leaving_started_at_ms_by_id",
         "_log",
         "_targets_by_service",
         "_tombstone_by_key",
@@ -88,6 +95,9 @@
         self._change_count = 0
         self._changed_at_revision_by_key: dict[str, int] = {}
         self._grace_until_ms_by_id: dict[str, int] = {}
+        self._leaving_started_at_ms_by_id: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self._targets_by_service: dict[
             str, list[targets_lib.RegisteredTarget]
         ] = {}
@@ -281,6 +291,43 @@
             self._remove(target_id, source=reason)
             self._rebuild_index()
 
+    def record_leaving(self, run: targets_lib.TargetRun) -> bool:
+        """Records that a run of a target is leaving.
+
+        It gets no requests from then on, whatever its entry says. A later run
+        under the same id does.
+
+        Args:
+            run: The run that states that it leaves.
+
+        Returns:
+            Whether this was not known before.
+        """
+        known = self._leaving_started_at_ms_by_id.get(run.target_id, -1)
+        if known >= run.started_at_ms:
+            return False
+        self._leaving_started_at_ms_by_id[run.target_id] = run.started_at_ms
+        self._leaving_started_at_ms_by_id.move_to_end(run.target_id)
+        if len(self._leaving_started_at_ms_by_id) > MAX_LEAVING_TARGETS:
+            self._leaving_started_at_ms_by_id.popitem(last=False)
+        self._rebuild_index()
+        return True
+
+    def leaving_runs(self) -> list[targets_lib.TargetRun]:
+        """Returns the registered runs that are leaving, for peers."""
+        return [
+            target.run
+            for target_id in self._leaving_started_at_ms_by_id
+            if (target := self.target_by_id.get(target_id)) is not None
+            and self._is_leaving(target)
+        ]
+
+    def _is_leaving(self, target: targets_lib.RegisteredTarget) -> bool:
+        leaving_started_at_ms = self._leaving_started_at_ms_by_id.get(
+            target.target_id, -1
+        )
+        return target.started_at_ms <= leaving_started_at_ms
+
     def _apply_target_item(
         self,
         item: store_api.Item,
@@ -363,6 +410,9 @@
 
     def _remove(self, target_id: str, *, source: str) -> None:
         self._grace_until_ms_by_id.pop(target_id, None)
+        if self._leaving_started_at_ms_by_id.get(target_id) == 0:
+            # Runs without a start can't be told apart by it.
+            del self._leaving_started_at_ms_by_id[target_id]
         if self.target_by_id.pop(target_id, None) is not None:
             self._log.event("target_gone", target=target_id, source=source)
 
@@ -370,7 +420,7 @@
         by_service: dict[str, list[targets_lib.RegisteredTarget]] = {}
         for target_id in sorted(self.target_by_id):
             target = self.target_by_id[target_id]
-            if not target.is_draining:
+            if not target.is_draining and not self._is_leaving(target):
                 by_service.setdefault(target.service, []).append(target)
         self._targets_by_service = by_service
 
--- a/packages/bambooglade/bambooglade/discovery/view_messages.py
+++ b/packages/bambooglade/bambooglade/discovery/view_messages.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from bambooglade.discovery import peers as peers_lib
+from bambooglade.discovery import targets as targets_lib
 from bambooglade.discovery import view as view_lib
 from bambooglade.store import store_api
 from bambooglade.targets import crash_suspicions
@@ -87,6 +88,7 @@
         suspicions: All crash suspicions of the peer; None if the requester
             knows the same ones.
         suspicions_digest: Digest of the crash suspicions of the peer.
+        leaving: Registered targets that the peer knows to be leaving.
     """
 
     configuration: CompressedItem | None = None
@@ -99,6 +101,7 @@
     peers: list[peers_lib.Peer] = []
     suspicions: list[crash_suspicions.Suspicion] | None = None
     suspicions_digest: int = 0
+    leaving: list[targets_lib.TargetRun] = []
 
 
 def has_updates(request: ViewRequest, view: view_lib.FleetView) -> bool:
@@ -165,6 +168,7 @@
             else None
         ),
         suspicions_digest=suspicions.digest,
+        leaving=view.leaving_runs(),
     )
 
 
--- a/packages/bambooglade/bambooglade/gateway/context.py
+++ b/packages/bambooglade/bambooglade/gateway/context.py
@@ -12,6 +12,7 @@
 from bambooglade.gateway import codec as codec_lib
 from bambooglade.gateway import congestion as congestion_lib
 from bambooglade.gateway import connection_pool
+from bambooglade.gateway import leaving_replication
 from bambooglade.gateway import limit_replication
 from bambooglade.gateway import origin_replication
 from bambooglade.gateway import prompt_quarantine
@@ -46,6 +47,7 @@
         origins: Origins of recent streams, shared with peers.
         quarantine: Prompt parts on which targets crash, shared with peers.
         limits: Request limits of targets, shared with peers.
+        leaving: Targets that leave, shared with peers.
         unanswered: Dispatchers of prompts without a response so far.
         rights: Rights to spend tokens of the teams' prepaid budgets.
         metrics: Counters of this instance.
@@ -59,6 +61,7 @@
         "codec",
         "congestion",
         "is_rejecting_requests",
+        "leaving",
         "limits",
         "log",
         "loop",
@@ -87,6 +90,7 @@
         origins: origin_replication.OriginReplicator,
         quarantine: prompt_quarantine.PromptQuarantine,
         limits: limit_replication.LimitReplicator,
+        leaving: leaving_replication.LeavingReplicator,
         rights: manager_lib.RightsManager,
         metrics: metrics_lib.Metrics,
         log: event_log.EventLog,
@@ -104,6 +108,7 @@
         self.origins = origins
         self.quarantine = quarantine
         self.limits = limits
+        self.leaving = leaving
         self.unanswered: set[UnansweredPrompt] = set()
         self.rights = rights
         self.metrics = metrics
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -339,11 +339,9 @@
             request_id=self._exchange.metadata.attempt_id,
         )
         if self._metadata.is_leaving and not self._metadata.is_misdirected:
-            self._context.log.event(
-                "target_leaving",
-                request=self._exchange.metadata.attempt_id,
-                target=self.target_id,
-                source="response",
+            self._context.leaving.record(
+                self._choice.target,
+                request_id=self._exchange.metadata.attempt_id,
             )
         if self._metadata.load is not None:
             self._context.target_selector.record_load(
--- a/packages/bambooglade/bambooglade/gateway/limit_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/limit_replication.py
@@ -10,8 +10,6 @@
 from collections.abc import Iterable
 import random
 
-import msgspec
-
 from bambooglade.core import event_log
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import relays as relays_lib
@@ -19,6 +17,7 @@
 from bambooglade.eventloop import http_client
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
+from bambooglade.gateway import peer_broadcast
 from bambooglade.store import dependency_monitor
 from bambooglade.targets import request_limits
 
@@ -27,9 +26,6 @@
 FLUSH_DELAY_MS = 20
 """Time for which changed limits are collected before they are sent to peers."""
 
-CALL_TIMEOUT_MS = 300
-"""Timeout of a call to a peer; peers respond within a few milliseconds."""
-
 SHARE_MS_PER_INSTANCE = 50
 """Shortest interval between two repetitions, for each instance of the fleet.
 
@@ -40,18 +36,14 @@
 """Time for which the fleet is taken as unchanged, and the ranks in it."""
 
 
-class LimitMessage(msgspec.Struct, frozen=True, kw_only=True):
+class LimitMessage(peer_broadcast.BroadcastMessage, frozen=True, kw_only=True):
     """Observed limits, sent to a peer.
 
     Attributes:
         notices: The observations.
-        sender: The instance that sends the message.
-        is_forwarded: Whether a relay forwards it within its zone.
     """
 
     notices: list[request_limits.LimitNotice]
-    sender: peers_lib.Peer
-    is_forwarded: bool = False
 
 
 class LimitReplicator:
@@ -72,8 +64,7 @@
     """
 
     __slots__ = (
-        "_client",
-        "_contact",
+        "_broadcast",
         "_fleet",
         "_fleet_read_at_ms",
         "_is_flush_due",
@@ -84,7 +75,6 @@
         "_peers",
         "_random",
         "_rank_by_id",
-        "_relays",
         "limits",
     )
 
@@ -101,10 +91,15 @@
         random_source: random.Random,
     ) -> None:
         self._loop = loop
-        self._client = client
+        self._broadcast = peer_broadcast.PeerBroadcast(
+            client,
+            path=PATH,
+            peers=peers,
+            relays=relays,
+            contact=contact,
+            local_instance=local_instance,
+        )
         self._peers = peers
-        self._relays = relays
-        self._contact = contact
         self._local_instance = local_instance
         self._log = log
         self._random = random_source
@@ -168,13 +163,7 @@
                     age_ms=notice.age_ms,
                     source=f"peer:{message.sender.name}",
                 )
-        if self._relays.uses_relays() and not message.is_forwarded:
-            zone = self._local_instance.availability_zone
-            self._send(
-                message.notices,
-                [p for p in self._peers() if p.availability_zone == zone],
-                is_forwarded=True,
-            )
+        self._broadcast.forward(message)
 
     def evict_missing(self, known: set[str]) -> None:
         """Evicts the limits of targets that are not registered any more."""
@@ -210,31 +199,8 @@
     def _share(self, notices: Iterable[request_limits.LimitNotice]) -> None:
         due = list(notices)
         if due:
-            peers = self._relays.peers_to_inform(
-                is_store_reachable=not self._contact.is_unavailable
-            )
-            self._send(due, peers, is_forwarded=not self._relays.uses_relays())
-
-    def _send(
-        self,
-        notices: list[request_limits.LimitNotice],
-        peers: Iterable[peers_lib.Peer],
-        *,
-        is_forwarded: bool,
-    ) -> None:
-        message = LimitMessage(
-            notices=notices,
-            sender=self._local_instance,
-            is_forwarded=is_forwarded,
-        )
-        body = msgspec.json.encode(message)
-        for peer in peers:
-            self._client.call(
-                peer.address,
-                method="POST",
-                target=PATH,
-                body=body,
-                timeout_ms=CALL_TIMEOUT_MS,
+            self._broadcast.publish(
+                LimitMessage(notices=due, sender=self._local_instance)
             )
 
     def _rank_of(self, target_id: str) -> request_limits.SenderRank:
--- a/packages/bambooglade/bambooglade/gateway/peer_api.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_api.py
@@ -13,6 +13,7 @@
 from bambooglade.eventloop import http_server
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
+from bambooglade.gateway import leaving_replication
 from bambooglade.gateway import limit_replication
 from bambooglade.gateway import origin_replication
 from bambooglade.gateway import prompt_quarantine
@@ -32,12 +33,14 @@
         origins: Origins of streams, some of which this instance holds.
         quarantine: Crash suspicions of this instance.
         limits: Request limits of targets that this instance knows.
+        leaving: Targets that leave, as this instance knows.
         log: Records loans.
         loop: The event loop.
     """
 
     __slots__ = (
         "_change_waiters",
+        "_leaving",
         "_limits",
         "_local_instance",
         "_log",
@@ -59,6 +62,7 @@
         origins: origin_replication.OriginReplicator,
         quarantine: prompt_quarantine.PromptQuarantine,
         limits: limit_replication.LimitReplicator,
+        leaving: leaving_replication.LeavingReplicator,
         log: event_log.EventLog,
         loop: loop_lib.EventLoop,
     ) -> None:
@@ -69,6 +73,7 @@
         self._origins = origins
         self._quarantine = quarantine
         self._limits = limits
+        self._leaving = leaving
         self._log = log
         self._loop = loop
         self._change_waiters: list[futures.Future] = []
@@ -87,6 +92,7 @@
             origin_replication.LOOKUP_PATH: self._handle_origin_lookup,
             prompt_quarantine.PATH: self._handle_suspicions,
             limit_replication.PATH: self._handle_limits,
+            leaving_replication.PATH: self._handle_leaving,
         }
         handler = handlers.get(request.path.decode("latin-1"))
         if handler is None or request.method != b"POST":
@@ -181,6 +187,14 @@
         self._limits.apply_message(message)
         return http_server.Reply(200, b"{}")
 
+    def _handle_leaving(self, body: bytes) -> http_server.Reply:
+        message = msgspec.json.decode(
+            body, type=leaving_replication.LeavingMessage
+        )
+        self._peers.mark_seen([message.sender], now_ms=self._loop.now_ms())
+        self._leaving.apply_message(message)
+        return http_server.Reply(200, b"{}")
+
     def _lend(self, request: lending.LoanRequest) -> tasks.Task:
         lent = yield self._rights.lend(request.team, request.tokens)
         available = self._rights.available_tokens(request.team)
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -25,6 +25,7 @@
 from bambooglade.gateway import connection_pool
 from bambooglade.gateway import context as context_lib
 from bambooglade.gateway import frontend as frontend_lib
+from bambooglade.gateway import leaving_replication
 from bambooglade.gateway import limit_replication
 from bambooglade.gateway import origin_replication
 from bambooglade.gateway import peer_api
@@ -133,6 +134,16 @@
             log=log,
             random_source=self._random_source,
         )
+        self.leaving = leaving_replication.LeavingReplicator(
+            loop,
+            client,
+            self.view,
+            peers=self.known_peers,
+            relays=self._relays,
+            contact=self._contact,
+            local_instance=self._local_instance,
+            log=log,
+        )
         self.quarantine.listeners.append(self._cancel_quarantined)
         self._metrics = metrics_lib.Metrics()
         self._congestion = congestion_lib.CongestionDetector()
@@ -194,6 +205,7 @@
             origins=self._origins,
             quarantine=self.quarantine,
             limits=self.limits,
+            leaving=self.leaving,
             rights=self.rights,
             metrics=self._metrics,
             log=self._log,
@@ -232,6 +244,7 @@
             relays=self._relays,
             read_configuration=follower.read_configuration,
             quarantine=self.quarantine,
+            leaving=self.leaving,
             local_instance=self._local_instance,
             seeds=self.settings.seed_addresses,
             contact=self._contact,
@@ -317,6 +330,7 @@
             origins=self._origins,
             quarantine=self.quarantine,
             limits=self.limits,
+            leaving=self.leaving,
             log=self._log,
             loop=self.loop,
         )
--- a/packages/bambooglade/bambooglade/platform/headers.py
+++ b/packages/bambooglade/bambooglade/platform/headers.py
@@ -137,7 +137,7 @@
         load=_load(head.get(_LOAD)),
         idle_timeout_ms=_idle_timeout_ms(head.get(b"keep-alive")),
         max_requests_per_s=_request_limit(head.get(_REQUEST_LIMIT)),
-        is_leaving=head.get(_LEAVING).strip() == b"1",
+        is_leaving=b"1" in head.tokens(_LEAVING),
     )
 
 
