Apply changes of configuration and targets after the store was restored

Cause: revisions were taken for time. After the store returns from an older copy they are lower, so that lists, items and deletions were ignored until the counter had passed its former value; where a watched revision existed again, the response lacked changes without any sign of it.

Configurations are ordered by their version, which operators raise with each change; revisions only within one era. In a new era the view is listed again and stays in force until something newer is written: a draining target stays out, an entry of a run that had been removed does not bring it back, and what is missing in the copy gets 2 s to be written again. Instances name the era in the exchange of views, so that one that is cut off from the store learns it from its peers. Instances of the former build are served as before.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
@@ -225,6 +225,7 @@
             fleet.loop,
             self.client,
             self.view,
+            era=self.store_link.era,
             peers=self.peers,
             relays=self.relays,
             read_configuration=self.store_watcher.read_configuration,
@@ -238,6 +239,7 @@
         )
         self.api = peer_api.PeerApi(
             view=self.view,
+            era=self.store_link.era,
             peers=self.peers,
             local_instance=self.local_instance,
             rights=None,
--- a/packages/bambooglade/bambooglade/discovery/peer_puller.py
+++ b/packages/bambooglade/bambooglade/discovery/peer_puller.py
@@ -26,6 +26,7 @@
 from bambooglade.eventloop import tasks
 from bambooglade.store import dependency_monitor
 from bambooglade.store import store_api
+from bambooglade.store import store_era
 from bambooglade.targets import crash_suspicions
 
 PULL_TIMEOUT_MS = 500
@@ -84,6 +85,7 @@
         loop: The event loop.
         client: HTTP client for calls to peers.
         view: View that receives the updates.
+        era: Era of the store, which peers may have observed first.
         peers: Known peers; receives the peers in responses.
         relays: Selects the relay.
         read_configuration: Reads the configuration from the store; returns a
@@ -101,6 +103,7 @@
     __slots__ = (
         "_client",
         "_contact",
+        "_era",
         "_is_stopped",
         "_leaving",
         "_local_instance",
@@ -121,6 +124,7 @@
         client: http_client.HttpClient,
         view: view_lib.FleetView,
         *,
+        era: store_era.StoreEra,
         peers: peers_lib.PeerList,
         relays: relays_lib.RelaySelector,
         read_configuration: Callable[[], futures.Future],
@@ -135,6 +139,7 @@
         self._loop = loop
         self._client = client
         self._view = view
+        self._era = era
         self._peers = peers
         self._relays = relays
         self._read_configuration = read_configuration
@@ -188,7 +193,9 @@
             reads_store=True,
             timeout_ms=wait_ms + round(RELAY_GRACE_FRACTION * stale_after_ms),
         )
-        age_ms = response.checked_ms_ago if response is not None else None
+        age_ms = None
+        if response is not None and self._is_of_newest_era(response, relay):
+            age_ms = response.checked_ms_ago
         if age_ms is None or age_ms > stale_after_ms:
             self._relays.back_off(
                 relay,
@@ -201,12 +208,29 @@
         checked_at_ms = self._loop.now_ms() - age_ms - network_ms
         self._apply_response(response, relay.address)
         self._view.targets_checked_at_ms = checked_at_ms
-        known = self._view.configuration_item
-        if known is None or known.revision < response.configuration_revision:
+        if self._lacks_configuration(response):
             yield self._read_configuration()
         else:
             self._view.configuration_checked_at_ms = checked_at_ms
 
+    def _is_of_newest_era(
+        self, response: view_messages.ViewResponse, peer: peers_lib.Peer
+    ) -> bool:
+        return self._era.observe(
+            response.store_era, source=f"peer:{peer.address[0]}"
+        )
+
+    def _lacks_configuration(
+        self, response: view_messages.ViewResponse
+    ) -> bool:
+        """Returns whether the responding peer has a newer configuration."""
+        known = self._view.configuration_item
+        if known is None:
+            return True
+        if response.configuration_version is None:
+            return known.revision < response.configuration_revision
+        return self._view.configuration.version < response.configuration_version
+
     def _random_peer_address(self) -> tuple[str, int] | None:
         known = [
             p.address for p in self._peers.recent(now_ms=self._loop.now_ms())
@@ -239,6 +263,10 @@
             wait_ms=wait_ms,
             reads_store=reads_store,
             suspicions_digest=self._quarantine.suspicions.digest,
+            store_era=self._era.number,
+            configuration_version=(
+                self._view.configuration.version if item else None
+            ),
         )
         http_response: http_client.Response | None = yield self._client.call(
             address,
@@ -264,6 +292,7 @@
     ) -> None:
         now_ms = self._loop.now_ms()
         source = f"peer:{address[0]}"
+        is_newest_era = self._era.observe(response.store_era, source=source)
         self._peers.mark_seen(response.peers, now_ms=now_ms)
         self._leaving.apply_runs(response.leaving, source=source)
         if response.suspicions is not None:
@@ -271,8 +300,12 @@
                 response.suspicions, response.suspicions_digest, address
             )
         if response.configuration is not None:
-            self._apply_configuration(response.configuration, source)
-        if response.targets is None:
+            self._apply_configuration(
+                response.configuration,
+                source,
+                has_revision=is_newest_era,
+            )
+        if response.targets is None or not is_newest_era:
             return
         items = [view_messages.decode_item(known) for known in response.targets]
         if response.are_all_targets:
@@ -290,13 +323,26 @@
             )
 
     def _apply_configuration(
-        self, compressed: view_messages.CompressedItem, source: str
+        self,
+        compressed: view_messages.CompressedItem,
+        source: str,
+        *,
+        has_revision: bool,
     ) -> None:
+        """Applies the configuration of a peer.
+
+        Args:
+            compressed: The configuration.
+            source: The peer, for the log.
+            has_revision: Whether its revision is of the newest era.
+        """
         try:
             item = view_messages.decompress_item(compressed)
         except zlib.error as error:
             self._log.event("peer_answer_malformed", peer=source, error=error)
             return
+        if not has_revision:
+            item = store_api.Item(item.key, item.value, 0)
         self._view.apply_configuration(item, source=source)
 
     def __repr__(self) -> str:
--- a/packages/bambooglade/bambooglade/discovery/store_watcher.py
+++ b/packages/bambooglade/bambooglade/discovery/store_watcher.py
@@ -94,6 +94,10 @@
         self._contact = contact
         self._random = random_source
         self._is_stopped = False
+        store.era.listeners.append(self._begin_era)
+
+    def _begin_era(self) -> None:
+        self._view.begin_era(now_ms=self._loop.now_ms())
 
     def start(self) -> None:
         """Starts to watch the configuration and the targets."""
@@ -169,20 +173,20 @@
         return tasks.sleep(self._loop, mean_ms * (0.5 + self._random.random()))
 
     def _read_all(self, prefix: str, is_targets: bool) -> tasks.Task:
-        """Reads all pages; returns whether the store responded."""
-        items: list[store_api.Item] = []
-        after_key, first_revision = "", 0
-        while True:
-            response = yield self._store.read_prefix(
-                prefix, after_key=after_key
-            )
-            if not self._record_response(response):
+        """Reads all pages; returns whether the store responded.
+
+        Pages of two eras don't belong together, and what was asked for in an
+        earlier era is read again.
+        """
+        era, items, first_revision = -1, [], 0
+        while era != self._store.era.number:
+            era = self._store.era.number
+            pages = yield from self._read_pages(prefix)
+            if pages is None:
                 return False
-            items += response.items
-            first_revision = first_revision or response.at_revision
-            if not response.has_more or not response.items:
+            items, first_revision = pages
+            if era == 0:
                 break
-            after_key = response.items[-1].key
         if is_targets:
             self._view.apply_target_list(
                 items,
@@ -196,10 +200,31 @@
             self._apply_configuration(items, first_revision)
         return True
 
+    def _read_pages(self, prefix: str) -> tasks.Task:
+        """Returns all items and the revision of the first page; or None."""
+        items: list[store_api.Item] = []
+        after_key, first_revision = "", 0
+        while True:
+            response = yield self._store.read_prefix(
+                prefix, after_key=after_key
+            )
+            if not self._record_response(response):
+                return None
+            items += response.items
+            first_revision = first_revision or response.at_revision
+            if not response.has_more or not response.items:
+                return items, first_revision
+            after_key = response.items[-1].key
+
     def _watch(
         self, prefix: str, revision: int, is_targets: bool
     ) -> tasks.Task:
-        """Watches once; returns whether the store responded."""
+        """Watches once; returns whether the store responded.
+
+        In a new era, the revision after which was watched may exist again, so
+        that the response lacks changes without any sign of it.
+        """
+        era = self._store.era.number
         wait_ms = WATCH_TIMEOUT_MS
         if self._relays.uses_relays():
             wait_ms = round(
@@ -215,6 +240,8 @@
             return (yield tasks.spawn(self._read_all(prefix, is_targets)))
         if not self._record_response(response):
             return False
+        if era not in (0, self._store.era.number):
+            return (yield tasks.spawn(self._read_all(prefix, is_targets)))
         if is_targets:
             self._view.apply_target_changes(
                 response,
--- a/packages/bambooglade/bambooglade/discovery/view.py
+++ b/packages/bambooglade/bambooglade/discovery/view.py
@@ -1,8 +1,10 @@
 """View of an instance of the configuration and the targets.
 
-Every item carries its revision in the store. An older item never replaces a
-newer one, whether it comes from the store or from a peer. This module does no
-I/O.
+An older item never replaces a newer one, whether it comes from the store or
+from a peer. Configurations are ordered by their version, and targets by the
+revision of their entry. Revisions hold for one era of the store: after it has
+returned from an older copy, its contents are listed again, and what was known
+before and is missing there stays in force. This module does no I/O.
 """
 
 from __future__ import annotations
@@ -25,6 +27,10 @@
 outage.
 """
 
+RESTORE_RECOVERY_MS = 2_000
+"""Time after the store has returned from an older copy in which targets may
+still be writing their lost entries again."""
+
 MAX_TOMBSTONES = 4_096
 """Maximum number of deleted keys whose revisions are kept.
 
@@ -38,6 +44,21 @@
 """
 
 
+class _Tombstone:
+    """A deleted entry.
+
+    Attributes:
+        revision: Revision of the deletion; 0 if it was in an earlier era.
+        started_at_ms: Start of the run whose entry was deleted; 0 if unknown.
+    """
+
+    __slots__ = ("revision", "started_at_ms")
+
+    def __init__(self, *, revision: int, started_at_ms: int) -> None:
+        self.revision = revision
+        self.started_at_ms = started_at_ms
+
+
 class FleetView:
     """Newest known configuration and targets.
 
@@ -67,9 +88,11 @@
         "_codec",
         "_compacted_revision",
         "_grace_until_ms_by_id",
+        "_has_targets",
         "_item_by_key",
         "_leaving_started_at_ms_by_id",
         "_log",
+        "_restore_ends_at_ms",
         "_targets_by_service",
         "_tombstone_by_key",
         "configuration",
@@ -88,9 +111,11 @@
         self._codec = codec
         self._log = log
         self._item_by_key: dict[str, store_api.Item] = {}
-        self._tombstone_by_key: collections.OrderedDict[str, int] = (
+        self._tombstone_by_key: collections.OrderedDict[str, _Tombstone] = (
             collections.OrderedDict()
         )
+        self._has_targets = False
+        self._restore_ends_at_ms = 0
         self._compacted_revision = 0
         self._change_count = 0
         self._changed_at_revision_by_key: dict[str, int] = {}
@@ -119,7 +144,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the view is complete enough to serve requests."""
-        return self.configuration is not None and self.targets_revision > 0
+        return self.configuration is not None and self._has_targets
 
     def target_items(self) -> list[store_api.Item]:
         """Returns the items of all targets, for peers."""
@@ -141,9 +166,9 @@
             if self._changed_at_revision_by_key.get(key, 0) > after_revision
         ]
         deleted = [
-            store_api.Item(key, None, revision)
-            for key, revision in self._tombstone_by_key.items()
-            if revision > after_revision
+            store_api.Item(key, None, tombstone.revision)
+            for key, tombstone in self._tombstone_by_key.items()
+            if tombstone.revision > after_revision
         ]
         return changed + deleted
 
@@ -155,9 +180,40 @@
         """Returns the targets of a service that accept new requests."""
         return self._targets_by_service.get(service, [])
 
+    def begin_era(self, *, now_ms: int) -> None:
+        """Prepares for the contents of a store that is back from a copy.
+
+        All revisions are forgotten, so that the contents are listed again.
+        Until then, and as long as nothing newer is written, the view stays as
+        it is: the configuration, and targets that leave or have left. Targets
+        that are missing in the copy get a grace period.
+
+        Args:
+            now_ms: Current time.
+        """
+        self.targets_revision = self.configuration_revision = 0
+        self._compacted_revision = 0
+        self._changed_at_revision_by_key.clear()
+        self._restore_ends_at_ms = now_ms + RESTORE_RECOVERY_MS
+        for key, item in self._item_by_key.items():
+            self._item_by_key[key] = store_api.Item(key, item.value, 0)
+        if self.configuration_item is not None:
+            self.configuration_item = store_api.Item(
+                self.configuration_item.key, self.configuration_item.value, 0
+            )
+        for tombstone in self._tombstone_by_key.values():
+            tombstone.revision = 0
+        for target in list(self.target_by_id.values()):
+            if target.is_draining:
+                self.record_leaving(target.run)
+
     def apply_configuration(self, item: store_api.Item, *, source: str) -> bool:
         """Applies a configuration if it is newer than the current one.
 
+        Operators raise the version with each change, also with one that
+        returns to earlier contents. A lower version is therefore always an
+        older one, whatever its revision.
+
         Args:
             item: Item with the encoded configuration.
             source: Origin of the item, for the log.
@@ -166,9 +222,10 @@
             Whether the configuration was applied.
         """
         current = self.configuration_item
-        if item.value is None or (
-            current is not None and item.revision <= current.revision
-        ):
+        if item.value is None:
+            return False
+        if current is not None and item.value == current.value:
+            self._confirm_item(item)
             return False
         try:
             decoded = self._codec.decode_configuration(item.value)
@@ -181,11 +238,17 @@
                 remedy="the last valid configuration stays in force",
             )
             return False
+        if self._is_outdated(decoded.version, item.revision):
+            self._log.event(
+                "configuration_outdated",
+                version=decoded.version,
+                known_version=self.configuration.version,
+                revision=item.revision,
+                source=source,
+            )
+            return False
         self.configuration = decoded
-        self.configuration_item = item
-        self.configuration_revision = max(
-            self.configuration_revision, item.revision
-        )
+        self._confirm_item(item)
         self._log.event(
             "configuration_applied",
             version=decoded.version,
@@ -196,6 +259,24 @@
         self._notify_listeners()
         return True
 
+    def _confirm_item(self, item: store_api.Item) -> None:
+        known = self.configuration_item
+        if (
+            known is None
+            or item.value != known.value
+            or (item.revision > known.revision)
+        ):
+            self.configuration_item = item
+        self.configuration_revision = max(
+            self.configuration_revision, item.revision
+        )
+
+    def _is_outdated(self, version: int, revision: int) -> bool:
+        if self.configuration is None:
+            return False
+        known = self.configuration.version, self.configuration_item.revision
+        return (version, revision) <= known
+
     def confirm_configuration(self, revision: int, *, now_ms: int) -> None:
         """Records that the configuration is the newest as of a revision."""
         self.configuration_revision = max(self.configuration_revision, revision)
@@ -219,10 +300,12 @@
                 expired in an outage of the store although its target still
                 runs; 0 if there was none.
         """
+        recovery_ends_at_ms = max(recovery_ends_at_ms, self._restore_ends_at_ms)
         changes_before = self._change_count
         for item in changes.items:
             self._apply_target_item(item, now_ms, source, recovery_ends_at_ms)
         self.targets_revision = max(self.targets_revision, changes.at_revision)
+        self._has_targets = self._has_targets or self.targets_revision > 0
         if self._change_count != changes_before:
             self._rebuild_index()
             self._notify_listeners()
@@ -254,6 +337,8 @@
             self._compacted_revision, at_revision - 1
         )
         items = list(listed)
+        if self.targets_revision == 0:
+            self._retire_removed_runs(items)
         keys = {item.key for item in items}
         missing = [
             store_api.Item(item.key, None, at_revision)
@@ -268,6 +353,22 @@
             recovery_ends_at_ms=recovery_ends_at_ms,
         )
 
+    def _retire_removed_runs(self, items: Iterable[store_api.Item]) -> None:
+        """Keeps out entries of runs that were removed in an earlier era.
+
+        An entry that the run itself writes later has a higher revision.
+        """
+        for item in items:
+            tombstone = self._tombstone_by_key.get(item.key)
+            if tombstone is None or item.key in self._item_by_key:
+                continue
+            try:
+                target = self._codec.decode_target(item.key, item.value)
+            except ValueError:
+                continue
+            if target.started_at_ms <= tombstone.started_at_ms:
+                tombstone.revision = item.revision
+
     def expire_lapsed_targets(self, now_ms: int) -> None:
         """Removes targets whose grace period ended without a new entry."""
         due = [
@@ -337,15 +438,16 @@
     ) -> None:
         current = self._item_by_key.get(item.key)
         current_revision = current.revision if current is not None else 0
-        tombstone = self._tombstone_by_key.get(item.key, 0)
-        if item.revision <= max(current_revision, tombstone):
+        tombstone = self._tombstone_by_key.get(item.key)
+        removed_revision = tombstone.revision if tombstone is not None else 0
+        if item.revision <= max(current_revision, removed_revision):
             return
         target_id = item.key.removeprefix(self._codec.target_prefix)
         if item.value is None:
             self._item_by_key.pop(item.key, None)
             self._changed_at_revision_by_key.pop(item.key, None)
             self._change_count += 1
-            self._add_tombstone(item)
+            self._add_tombstone(item, target_id)
             if now_ms < recovery_ends_at_ms and target_id in self.target_by_id:
                 self._grace_until_ms_by_id[target_id] = min(
                     now_ms + LAPSED_TARGET_GRACE_MS, recovery_ends_at_ms
@@ -401,12 +503,18 @@
         for listener in list(self.listeners):
             listener()
 
-    def _add_tombstone(self, item: store_api.Item) -> None:
-        self._tombstone_by_key[item.key] = item.revision
+    def _add_tombstone(self, item: store_api.Item, target_id: str) -> None:
+        target = self.target_by_id.get(target_id)
+        self._tombstone_by_key[item.key] = _Tombstone(
+            revision=item.revision,
+            started_at_ms=target.started_at_ms if target is not None else 0,
+        )
         self._tombstone_by_key.move_to_end(item.key)
         if len(self._tombstone_by_key) > MAX_TOMBSTONES:
-            _, revision = self._tombstone_by_key.popitem(last=False)
-            self._compacted_revision = max(self._compacted_revision, revision)
+            _, evicted = self._tombstone_by_key.popitem(last=False)
+            self._compacted_revision = max(
+                self._compacted_revision, evicted.revision
+            )
 
     def _remove(self, target_id: str, *, source: str) -> None:
         self._grace_until_ms_by_id.pop(target_id, None)
--- a/packages/bambooglade/bambooglade/discovery/view_messages.py
+++ b/packages/bambooglade/bambooglade/discovery/view_messages.py
@@ -59,6 +59,10 @@
             store, which saves bandwidth on the network link of the peer.
         suspicions_digest: Digest of the crash suspicions that the requester
             knows.
+        store_era: Era of the store to which the revisions belong; 0 if
+            unknown.
+        configuration_version: Version of the requester's configuration; None
+            for none, or from an instance that compares revisions.
     """
 
     configuration_revision: int
@@ -67,6 +71,8 @@
     wait_ms: int = 0
     reads_store: bool = False
     suspicions_digest: int = 0
+    store_era: int = 0
+    configuration_version: int | None = None
 
 
 class ViewResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -89,6 +95,9 @@
             knows the same ones.
         suspicions_digest: Digest of the crash suspicions of the peer.
         leaving: Registered targets that the peer knows to be leaving.
+        store_era: Era of the store to which the revisions belong; 0 if
+            unknown.
+        configuration_version: Version of the configuration; None for none.
     """
 
     configuration: CompressedItem | None = None
@@ -102,19 +111,41 @@
     suspicions: list[crash_suspicions.Suspicion] | None = None
     suspicions_digest: int = 0
     leaving: list[targets_lib.TargetRun] = []
+    store_era: int = 0
+    configuration_version: int | None = None
 
 
-def has_updates(request: ViewRequest, view: view_lib.FleetView) -> bool:
+def has_updates(
+    request: ViewRequest, view: view_lib.FleetView, *, store_era: int
+) -> bool:
     """Returns whether the view has updates for the requester."""
-    item = view.configuration_item
-    if item is not None and item.revision > request.configuration_revision:
+    if _has_newer_configuration(request, view):
         return True
-    if view.targets_revision <= request.targets_revision:
+    known_revision = _known_targets_revision(request, store_era)
+    if view.targets_revision <= known_revision:
+        return False
+    is_complete = view.has_history_since(known_revision)
+    return not is_complete or bool(view.changed_target_items(known_revision))
+
+
+def _has_newer_configuration(
+    request: ViewRequest, view: view_lib.FleetView
+) -> bool:
+    item = view.configuration_item
+    if item is None:
         return False
-    is_complete = view.has_history_since(request.targets_revision)
-    return not is_complete or bool(
-        view.changed_target_items(request.targets_revision)
+    if request.configuration_version is None:
+        known_revision = request.configuration_revision
+        return known_revision == 0 or item.revision > known_revision
+    return view.configuration.version > request.configuration_version
+
+
+def _known_targets_revision(request: ViewRequest, store_era: int) -> int:
+    """Returns the requester's revision; 0 if it is of another era."""
+    is_comparable = 0 in (request.store_era, store_era) or (
+        request.store_era == store_era
     )
+    return request.targets_revision if is_comparable else 0
 
 
 def build_response(
@@ -124,6 +155,7 @@
     suspicions: crash_suspicions.CrashSuspicions,
     *,
     now_ms: int,
+    store_era: int,
     waited_ms: int = 0,
 ) -> ViewResponse:
     """Returns the response to a view request.
@@ -134,17 +166,17 @@
         known_peers: Instances to include in the response.
         suspicions: Crash suspicions of this instance.
         now_ms: Current time.
+        store_era: Era of the store to which the revisions of the view belong.
         waited_ms: Time for which this instance waited for updates.
     """
     item = view.configuration_item
-    is_newer = (
-        item is not None and item.revision > request.configuration_revision
-    )
+    is_newer = _has_newer_configuration(request, view)
+    known_revision = _known_targets_revision(request, store_era)
     targets = None
-    if view.targets_revision > request.targets_revision:
+    if view.targets_revision > known_revision:
         targets = [
             _encode_item(changed)
-            for changed in view.changed_target_items(request.targets_revision)
+            for changed in view.changed_target_items(known_revision)
         ]
     checked_at_ms = view.checked_at_ms
     return ViewResponse(
@@ -155,7 +187,7 @@
         ),
         configuration_revision=item.revision if item is not None else 0,
         targets=targets,
-        are_all_targets=not view.has_history_since(request.targets_revision),
+        are_all_targets=not view.has_history_since(known_revision),
         targets_revision=view.targets_revision,
         checked_ms_ago=None
         if checked_at_ms is None
@@ -169,6 +201,10 @@
         ),
         suspicions_digest=suspicions.digest,
         leaving=view.leaving_runs(),
+        store_era=store_era,
+        configuration_version=(
+            view.configuration.version if item is not None else None
+        ),
     )
 
 
--- a/packages/bambooglade/bambooglade/gateway/peer_api.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_api.py
@@ -20,6 +20,7 @@
 from bambooglade.http1 import messages
 from bambooglade.rights import lending
 from bambooglade.rights import manager as manager_lib
+from bambooglade.store import store_era
 
 
 class PeerApi:
@@ -27,6 +28,7 @@
 
     Args:
         view: View of configuration and targets of this instance.
+        era: Era of the store, which peers may have observed first.
         peers: The known peers.
         local_instance: This instance as a peer.
         rights: Rights of this instance, from which loans are granted.
@@ -40,6 +42,7 @@
 
     __slots__ = (
         "_change_waiters",
+        "_era",
         "_leaving",
         "_limits",
         "_local_instance",
@@ -56,6 +59,7 @@
         self,
         *,
         view: view_lib.FleetView,
+        era: store_era.StoreEra,
         peers: peers_lib.PeerList,
         local_instance: peers_lib.Peer,
         rights: manager_lib.RightsManager,
@@ -67,6 +71,7 @@
         loop: loop_lib.EventLoop,
     ) -> None:
         self._view = view
+        self._era = era
         self._peers = peers
         self._local_instance = local_instance
         self._rights = rights
@@ -112,6 +117,9 @@
         self, request: view_messages.ViewRequest
     ) -> tasks.Task:
         """Responds once there are updates or the requested wait has passed."""
+        self._era.observe(
+            request.store_era, source=f"peer:{request.asker.name}"
+        )
         requested_at_ms = self._loop.now_ms()
         due_ms = requested_at_ms + request.wait_ms
         suspicions = self._quarantine.suspicions
@@ -119,7 +127,9 @@
         # A requester that knows other suspicions gets these with the response,
         # but only a change ends the wait: the two sets may differ for long.
         while (
-            not view_messages.has_updates(request, self._view)
+            not view_messages.has_updates(
+                request, self._view, store_era=self._era.number
+            )
             and suspicions.digest == digest
         ):
             remaining_ms = due_ms - self._loop.now_ms()
@@ -135,6 +145,7 @@
             [*self._peers.recent(now_ms=now_ms), self._local_instance],
             suspicions,
             now_ms=now_ms,
+            store_era=self._era.number,
             waited_ms=now_ms - requested_at_ms,
         )
         return http_server.Reply(200, msgspec.json.encode(response))
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -83,6 +83,7 @@
         self.settings = settings
         self.loop = loop
         self._log = log
+        self._era = store.era
         self._random_source = random.Random(os.urandom(8))
         self._incarnation = f"{self._random_source.getrandbits(48):012x}"
         self._is_draining = False
@@ -240,6 +241,7 @@
             self.loop,
             client,
             self.view,
+            era=store.era,
             peers=self._peers,
             relays=self._relays,
             read_configuration=follower.read_configuration,
@@ -324,6 +326,7 @@
         settings = self.settings
         api = peer_api.PeerApi(
             view=self.view,
+            era=self._era,
             peers=self._peers,
             local_instance=self._local_instance,
             rights=self.rights,
