Register again after the store was restored

What callers would have seen: loans and views from peers that nobody lists.

Cause: an instance went on renewing a lease of the era before. The store gives lease ids out again, so that the instance may renew another one's lease while its own entry is missing.

Evidence: test_instance_is_registered_again_after_a_restore failed before. The lease is forgotten when the era changes; a lease that was granted in the era before is not taken for one of the new era.

--- a/packages/bambooglade/bambooglade/discovery/registration.py
+++ b/packages/bambooglade/bambooglade/discovery/registration.py
@@ -90,6 +90,11 @@
         self._lease_id = 0
         self._is_stopped = False
         self.has_initial_peers = False
+        store.era.listeners.append(self._forget_lease)
+
+    def _forget_lease(self) -> None:
+        """Forgets a lease of an earlier era; its id may be another's now."""
+        self._lease_id = 0
 
     def start(self) -> None:
         """Starts to register this instance and to renew the lease."""
@@ -130,18 +135,22 @@
             response = yield self._store.renew_lease(self._lease_id)
             if isinstance(response, store_api.NotFound):
                 self._lease_id = 0
-            else:
+            elif self._lease_id:
                 return isinstance(response, store_api.Committed)
         response = yield self._store.grant_lease(ttl_ms=LEASE_TTL_MS)
         if not isinstance(response, store_api.LeaseGranted):
             return False
+        era = self._store.era.number
         write = store_api.Write(
             PEER_PREFIX + self._local_instance.name,
             msgspec.json.encode(self._local_instance),
             lease_id=response.lease_id,
         )
         committed = yield self._store.commit([write], timeout_ms=1_000)
-        if isinstance(committed, store_api.Committed):
+        if (
+            isinstance(committed, store_api.Committed)
+            and era == self._store.era.number
+        ):
             self._lease_id = response.lease_id
         return bool(self._lease_id)
 
