Write back rights that a restored store has lost, before any are drawn

What callers would have seen: more spent than was prepaid, and a budget that seems used up although it is not.

Cause: after the store returned from an older copy, instances went on using rights that its ledgers did not hold any more, and the ledgers granted them again; what a stopped instance had given back was lost.

Each instance writes back its own totals, and the newest ledgers that it has seen, which hold those of instances that are gone. A ledger states the era in which it was written and the revision that it was recovered from, so that the latest known state wins while nothing has been drawn; after that, totals only grow. After an outage, ledgers are read again before they are written, because a revision may stand for other contents. A response of an earlier era counts as none.

The fuzz of the rights restores the store from copies now, and finds a build that writes nothing back.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_rights_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_rights_fleet.py
@@ -101,9 +101,10 @@
         self.store_monitor = dependency_monitor.DependencyMonitor(
             "store", log=log
         )
+        self.store = memory_store.StoreClient(fleet.store, log)
         self.rights_manager = manager_lib.RightsManager(
             fleet.loop,
-            memory_store.StoreClient(fleet.store, log),
+            self.store,
             InProcessLendingClient(fleet, name),
             instance_address=f"{name}@10.0.0.1",
             incarnation=str(incarnation),
@@ -175,7 +176,10 @@
         self.instance_by_name[name] = None
 
     def update_store_monitors(self) -> None:
-        """Reports to every instance whether the store is available."""
+        """Reports to every instance whether the store is available.
+
+        Other components call the store, and notice its era with the outage.
+        """
         is_unavailable = self.store.fault in (
             memory_store.Fault.UNRESPONSIVE,
             memory_store.Fault.BUSY,
@@ -189,6 +193,9 @@
                 )
             else:
                 instance.store_monitor.record_success(now_ms=self.loop.now_ms())
+                instance.store.era.observe(
+                    self.store.era_number, source="store"
+                )
 
     def advance(self, delta_ms: int) -> None:
         """Advances virtual time, running every manager each 500 ms."""
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights_fuzz.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_rights_fuzz.py
@@ -88,6 +88,22 @@
         self.fleet.store.fault = memory_store.Fault.NONE
         self.fleet.update_store_monitors()
 
+    @stateful.rule(
+        tokens=strategies.integers(20, 300),
+        requests=strategies.integers(1, 6),
+        away_ms=strategies.sampled_from([500, 2_000]),
+    )
+    def restore_store_from_copy(self, tokens, requests, away_ms):
+        copy = self.fleet.store.copy()
+        for number in range(requests):
+            self.request(NAMES[number % len(NAMES)], tokens)
+            self.fleet.advance(500)
+        self.fleet.store.fault = memory_store.Fault.UNRESPONSIVE
+        self.fleet.advance(away_ms)
+        self.fleet.store.fault = memory_store.Fault.NONE
+        self.fleet.store.restore(copy)
+        self.fleet.update_store_monitors()
+
     @stateful.rule(
         are_peers_cut=strategies.booleans(),
         are_responses_lost=strategies.booleans(),
@@ -154,6 +170,12 @@
     )
 
 
+def recover_nothing(monkeypatch):
+    monkeypatch.setattr(
+        ledger_client.LedgerClient, "_begin_era", lambda self: None
+    )
+
+
 def lend_without_reducing_rights(monkeypatch):
     def lend(self, requested_tokens, *, now_ms, counts_as_demand):
         del now_ms, counts_as_demand
@@ -246,6 +268,7 @@
         return_rights_and_keep_account_open,
         return_surplus_and_keep_it,
         count_returned_rights_twice,
+        recover_nothing,
     ],
 )
 def test_oracle_detects_injected_fault(monkeypatch, fault):
--- a/packages/bambooglade/bambooglade/platform/store.py
+++ b/packages/bambooglade/bambooglade/platform/store.py
@@ -269,7 +269,9 @@
     ) -> store_api.Response:
         if response is None:
             return store_api.NoResponse()
-        self.era.observe(response.head.integer(_ERA), source="store")
+        if not self.era.observe(response.head.integer(_ERA), source="store"):
+            # The store has lost what this response of an earlier era states.
+            return store_api.NoResponse()
         if response.status != _OK and response.status not in accepts:
             return store_api.Refused(response.status)
         try:
--- a/packages/bambooglade/bambooglade/rights/ledger.py
+++ b/packages/bambooglade/bambooglade/rights/ledger.py
@@ -24,6 +24,9 @@
         granted_by_holder: Total granted to each open holder. A holder is one
             process of an instance, `instance@address/incarnation`.
         returned_by_holder: Total returned by each open holder.
+        era: Era of the store in which the ledger was written.
+        recovered_revision: Revision in the era before that the ledger was
+            recovered from; 0 if it was changed in this era since.
 
     Examples:
         >>> ledger = Ledger().with_grant("a/1", 40).with_grant("b/1", 10)
@@ -38,6 +41,8 @@
     closed_tokens: int = 0
     granted_by_holder: dict[str, int] = {}
     returned_by_holder: dict[str, int] = {}
+    era: int = 0
+    recovered_revision: int = 0
 
     @property
     def total_tokens(self) -> int:
@@ -85,7 +90,22 @@
         granted.pop(holder, None)
         returned = dict(self.returned_by_holder)
         returned.pop(holder, None)
-        return Ledger(self.closed_tokens + used_tokens, granted, returned)
+        return msgspec.structs.replace(
+            self,
+            closed_tokens=self.closed_tokens + used_tokens,
+            granted_by_holder=granted,
+            returned_by_holder=returned,
+        )
+
+    def with_totals(
+        self, holder: str, *, granted_tokens: int, returned_tokens: int
+    ) -> Ledger:
+        """Returns the ledger with at least these totals of a holder."""
+        granted = dict(self.granted_by_holder)
+        granted[holder] = max(granted.get(holder, 0), granted_tokens)
+        return msgspec.structs.replace(
+            self, granted_by_holder=granted
+        ).with_returned_total(holder, total_tokens=returned_tokens)
 
     def holders_at(self, instance_address: str) -> list[str]:
         """Returns the holders of an instance: current and earlier processes.
--- a/packages/bambooglade/bambooglade/rights/ledger_client.py
+++ b/packages/bambooglade/bambooglade/rights/ledger_client.py
@@ -11,12 +11,15 @@
 from collections.abc import Iterator
 from concurrent import futures
 
+import msgspec
+
 from bambooglade.core import event_log
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
 from bambooglade.rights import account as account_lib
 from bambooglade.rights import homes as homes_lib
 from bambooglade.rights import ledger as ledger_lib
+from bambooglade.rights import ledger_recovery
 from bambooglade.rights import stock_policy
 from bambooglade.store import dependency_monitor
 from bambooglade.store import store_api
@@ -43,6 +46,9 @@
 from peers, or are refused and retry later.
 """
 
+MAX_SINGLE_READS = 4
+"""Most ledgers that are read one by one; for more, all are read in pages."""
+
 MIN_DRAW_INTERVAL_MS = 1_000
 """Minimum interval between draws that only refill the stock of a team."""
 
@@ -86,7 +92,11 @@
         self._homes = homes
         self._contact = contact
         self._log = log
+        self._recovery = ledger_recovery.LedgerRecovery()
         self._ledger_item_by_team: dict[str, store_api.Item] = {}
+        self._seen_item_by_team: dict[str, store_api.Item] = {}
+        self._outages_before_items = 0
+        self._last_pending_count = 0
         self._free_tokens_by_team: dict[str, int] = {}
         self._committed_returns_by_team: dict[str, int] = {}
         self._exhausted_teams: set[str] = set()
@@ -98,6 +108,30 @@
         self._backoff_until_ms = 0
         self._is_writing = False
         self._is_closed = False
+        store.era.listeners.append(self._begin_era)
+
+    def _begin_era(self) -> None:
+        """Begins to write back what the store has lost."""
+        self._recovery.begin_era(
+            self._store.era.number,
+            seen_by_team=self._seen_item_by_team,
+            teams=[
+                team
+                for team, account in self._account_by_team.items()
+                if account.granted_tokens
+            ],
+            now_ms=self._loop.now_ms(),
+        )
+        self._seen_item_by_team = {}
+        self._ledger_item_by_team.clear()
+        self._committed_returns_by_team.clear()
+        self._exhausted_teams.clear()
+        self._log.event(
+            "ledger_recovery_began",
+            era=self._store.era.number,
+            teams=len(self._recovery.pending_teams),
+        )
+        self.schedule_write()
 
     def is_exhausted(self, team: str) -> bool:
         """Returns whether the ledger had no free rights when last read."""
@@ -112,6 +146,8 @@
         is_backing_off = self._loop.now_ms() < self._backoff_until_ms
         if self._contact.is_unavailable or is_backing_off or self._is_closed:
             return False
+        if not self._recovery.may_draw(team, now_ms=self._loop.now_ms()):
+            return False
         last_draw_ms = self._last_draw_ms_by_team.get(team)
         return (
             team not in self._exhausted_teams
@@ -143,8 +179,14 @@
             tasks.spawn(self._run_writes())
 
     def tick(self) -> None:
-        """Schedules a write if a stock is low or has a surplus."""
-        if not self._contact.is_unavailable and self._teams_to_rebalance():
+        """Schedules a write if a stock or a ledger needs one.
+
+        That is a stock that is low or has a surplus, or a ledger of which the
+        store has lost writes.
+        """
+        if not self._contact.is_unavailable and (
+            self._recovery.pending_teams or self._teams_to_rebalance()
+        ):
             self.schedule_write()
 
     def refresh_team(self, team: str) -> None:
@@ -161,11 +203,17 @@
         try:
             yield tasks.sleep(self._loop, 0)
             yield from self._write_batch()
-            while self._waiting_futures:
+            while self._waiting_futures or self._has_recovered_more():
                 yield from self._write_batch()
         finally:
             self._is_writing = False
 
+    def _has_recovered_more(self) -> bool:
+        """Returns whether the last write left fewer ledgers to recover."""
+        pending = len(self._recovery.pending_teams)
+        previous, self._last_pending_count = self._last_pending_count, pending
+        return 0 < pending < previous
+
     def _write_batch(self) -> tasks.Task:
         waiting, self._waiting_futures = self._waiting_futures, []
         needed = self._needed_tokens_by_team
@@ -182,11 +230,14 @@
             if self._is_closed:
                 return
             teams = self._teams_to_update(needed)[:MAX_LEDGERS_PER_WRITE]
+            era = self._store.era.number
             is_read = yield from self._read_ledgers(teams)
             if not is_read:
                 return
             if self._is_closed:
                 return
+            if era not in (0, self._store.era.number):
+                continue
             is_finished = yield from self._commit(teams, needed)
             if is_finished:
                 return
@@ -197,21 +248,56 @@
         Other instances may have returned rights to an exhausted ledger. Other
         cached ledgers need no read: the write conflicts if one is out of date.
 
+        After an outage all are read: the store may have returned from an older
+        copy and given their revisions to other contents.
+
         Returns:
             Whether all reads succeeded.
         """
+        if self._outages_before_items != self._contact.outage_count:
+            self._outages_before_items = self._contact.outage_count
+            self._ledger_item_by_team.clear()
         for team in self._exhausted_teams.intersection(teams):
             self._ledger_item_by_team.pop(team, None)
         uncached = [t for t in teams if t not in self._ledger_item_by_team]
+        if len(uncached) > MAX_SINGLE_READS:
+            return (yield from self._read_all_ledgers(uncached))
         reads = [self._store.read(ledger_lib.key_of(team)) for team in uncached]
-        for team, future in zip(uncached, reads, strict=True):
+        for future in reads:
             item = yield future
             if not isinstance(item, store_api.Item):
                 self._handle_failure("read ledger", item)
                 return False
-            self._ledger_item_by_team[team] = item
+            self._keep_item(item)
+        return True
+
+    def _read_all_ledgers(self, teams: list[str]) -> tasks.Task:
+        """Reads the ledgers of all teams; returns whether that succeeded."""
+        after_key = ""
+        item_by_team: dict[str, store_api.Item] = {}
+        while True:
+            page = yield self._store.read_prefix(
+                ledger_lib.KEY_PREFIX, after_key=after_key
+            )
+            if not isinstance(page, store_api.Items):
+                self._handle_failure("read ledgers", page)
+                return False
+            item_by_team |= {ledger_lib.team_of(i.key): i for i in page.items}
+            if not page.has_more or not page.items:
+                break
+            after_key = page.items[-1].key
+        for team in teams:
+            self._keep_item(
+                item_by_team.get(team)
+                or store_api.Item(ledger_lib.key_of(team), None, 0)
+            )
         return True
 
+    def _keep_item(self, item: store_api.Item) -> None:
+        team = ledger_lib.team_of(item.key)
+        self._ledger_item_by_team[team] = item
+        self._seen_item_by_team[team] = item
+
     def _teams_to_rebalance(self) -> list[str]:
         now_ms = self._loop.now_ms()
         return [
@@ -256,7 +342,10 @@
             for team, tokens in needed.items()
             if self._account_by_team[team].available_tokens < tokens
         ]
-        return list(dict.fromkeys(underfunded + self._teams_to_rebalance()))
+        pending = self._recovery.pending_teams
+        return list(
+            dict.fromkeys(pending + underfunded + self._teams_to_rebalance())
+        )
 
     def _commit(
         self, teams: list[str], needed: collections.Counter[str]
@@ -309,6 +398,9 @@
         account.record_granted_total(
             ledger.granted_by_holder.get(self._holder, 0)
         )
+        now_ms = self._loop.now_ms()
+        if not self._recovery.may_draw(team, now_ms=now_ms):
+            return self._ledger_after_recovery(team, ledger, prepaid)
         self._return_surplus(team, needed_tokens)
         returned = ledger.with_returned_total(
             self._holder, total_tokens=account.returned_tokens
@@ -323,7 +415,39 @@
         if tokens <= 0 and returned == ledger:
             return None
         closed = self._with_predecessors_closed(team, returned)
-        return closed.with_grant(self._holder, max(0, tokens))
+        return msgspec.structs.replace(
+            closed.with_grant(self._holder, max(0, tokens)),
+            era=self._store.era.number,
+            recovered_revision=0,
+        )
+
+    def _ledger_after_recovery(
+        self, team: str, ledger: ledger_lib.Ledger, prepaid_tokens: int
+    ) -> ledger_lib.Ledger | None:
+        """Returns the ledger with what the store has lost; None if nothing."""
+        item = self._ledger_item_by_team[team]
+        recovered = self._recovery.recover(team, ledger, revision=item.revision)
+        account = self._account_by_team[team]
+        if account.granted_tokens:
+            recovered = recovered.with_totals(
+                self._holder,
+                granted_tokens=account.granted_tokens,
+                returned_tokens=account.returned_tokens,
+            )
+        self._free_tokens_by_team[team] = (
+            prepaid_tokens - recovered.total_tokens
+        )
+        if recovered == ledger:
+            self._recovery.record_recovered(team)
+            return None
+        self._log.event(
+            "ledger_recovered",
+            team=team,
+            era=self._store.era.number,
+            copied_tokens=ledger.total_tokens,
+            ledger_tokens=recovered.total_tokens,
+        )
+        return recovered
 
     def _with_predecessors_closed(
         self, team: str, ledger: ledger_lib.Ledger
@@ -382,9 +506,8 @@
     ) -> None:
         for write in writes:
             team = ledger_lib.team_of(write.key)
-            self._ledger_item_by_team[team] = store_api.Item(
-                write.key, write.value, revision
-            )
+            self._keep_item(store_api.Item(write.key, write.value, revision))
+            self._recovery.record_recovered(team)
             account = self._account_by_team[team]
             previous_tokens = account.granted_tokens
             granted = ledger_by_team[team].granted_by_holder[self._holder]
@@ -410,7 +533,7 @@
 
     def _apply_conflict(self, response: store_api.Conflicted) -> None:
         for item in response.items:
-            self._ledger_item_by_team[ledger_lib.team_of(item.key)] = item
+            self._keep_item(item)
 
     def close(self) -> futures.Future:
         """Closes all accounts and returns their unused rights to the ledgers.
@@ -458,7 +581,9 @@
         """
         for team in teams:
             item = self._ledger_item_by_team[team]
-            ledger = ledger_lib.decode(item.value)
+            ledger = self._recovery.recover(
+                team, ledger_lib.decode(item.value), revision=item.revision
+            )
             used = self._account_by_team[team].used_tokens
             closed = ledger.with_holder_closed(self._holder, used_tokens=used)
             yield store_api.Write(
--- a/packages/bambooglade/bambooglade/store/dependency_monitor.py
+++ b/packages/bambooglade/bambooglade/store/dependency_monitor.py
@@ -24,6 +24,7 @@
 
     Attributes:
         last_response_ms: Time of the last usable response; None before it.
+        outage_count: Number of outages so far.
         recovery_ends_at_ms: Time until which entries that lapsed in the last
             outage may still come back; 0 before the first outage.
 
@@ -44,6 +45,7 @@
         "_name",
         "_unavailable_since_ms",
         "last_response_ms",
+        "outage_count",
         "recovery_ends_at_ms",
     )
 
@@ -52,6 +54,7 @@
         self._log = log
         self._unavailable_since_ms: int | None = None
         self.last_response_ms: int | None = None
+        self.outage_count = 0
         self.recovery_ends_at_ms = 0
 
     @property
@@ -76,6 +79,7 @@
         """Records a call without a usable response."""
         if self._unavailable_since_ms is None:
             self._unavailable_since_ms = now_ms
+            self.outage_count += 1
             self._log.event(
                 "dependency_lost",
                 dependency=self._name,
