Write suspicions again that a restored store has lost

The instances that watch the store list the suspicions again in a new era, and write those that the list lacks. The test fails on the code before, at 6 and 24 instances.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
@@ -155,7 +155,9 @@
 class RelayFleetInstance:
     """One instance: its view and the components that keep it up to date."""
 
-    def __init__(self, fleet: SimulatedRelayFleet, number: int) -> None:
+    def __init__(
+        self, fleet: SimulatedRelayFleet, number: int, seed: int
+    ) -> None:
         self.name = f"i{number:02}"
         self.local_instance = peers_lib.Peer(
             name=self.name,
@@ -166,7 +168,7 @@
         )
         self.is_running = True
         log = event_log.EventLog(fleet.loop.clock, instance=self.name)
-        random_source = random.Random(number)
+        random_source = random.Random(number + 1_000 * seed)
         self.store_link = StoreLink(fleet, log)
         self.store_monitor = dependency_monitor.DependencyMonitor(
             "store", log=log
@@ -269,13 +271,14 @@
 
     Args:
         size: Number of instances.
+        seed: Seed of the jitter in all intervals.
     """
 
-    def __init__(self, size: int) -> None:
+    def __init__(self, size: int, *, seed: int = 0) -> None:
         self.loop = virtual_loop.VirtualLoop()
         self.store = memory_store.MemoryStore(self.loop)
         self.instances = [
-            RelayFleetInstance(self, number) for number in range(size)
+            RelayFleetInstance(self, number, seed) for number in range(size)
         ]
         self.instance_by_address = {
             instance.local_instance.address: instance
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_restore.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_restore.py
@@ -9,6 +9,7 @@
 from bambooglade.core import event_log
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import registration as registration_lib
+from bambooglade.gateway import prompt_quarantine
 from bambooglade.rights import homes
 from bambooglade.rights import ledger as ledger_lib
 from bambooglade.rights import manager as manager_lib
@@ -59,9 +60,10 @@
     fleet.store.restore(copy)
 
 
-@pytest.fixture(params=[6, 24])
+@pytest.fixture(params=[(6, 0), (6, 42), (24, 0), (24, 55)])
 def fleet(request):
-    built = simulated_relay_fleet.SimulatedRelayFleet(request.param)
+    size, seed = request.param
+    built = simulated_relay_fleet.SimulatedRelayFleet(size, seed=seed)
     built.register("a", state="ready")
     built.register("b", state="ready")
     advance(built, BOUND_MS)
@@ -151,6 +153,20 @@
     assert ready_targets(fleet) == {("a", "b")}
 
 
+def test_suspicions_are_written_again_after_a_restore(fleet):
+    reporter = fleet.instances[4]
+    run = reporter.quarantine.suspicions.target_run("a", 1)
+
+    def suspect():
+        reporter.quarantine.record_crash(run, "request", ["part"])
+
+    lose_writes(fleet, suspect)
+    advance(fleet, 3_000)
+    prefix = prompt_quarantine.STORE_PREFIX
+    keys = [key for key in fleet.store.list_keys() if key.startswith(prefix)]
+    assert len(keys) == 1
+
+
 def test_instance_is_registered_again_after_a_restore():
     loop = virtual_loop.VirtualLoop()
     store = memory_store.MemoryStore(loop)
--- a/packages/bambooglade/bambooglade/gateway/prompt_quarantine.py
+++ b/packages/bambooglade/bambooglade/gateway/prompt_quarantine.py
@@ -405,19 +405,29 @@
         )
 
     def _watch_forever(self) -> tasks.Task:
-        """Reads all suspicions, then watches; reads again after a failure."""
-        revision = 0
+        """Reads all suspicions, then watches; reads again after a failure.
+
+        Also in a new era of the store, which may have lost the latest ones.
+        """
+        revision, era = 0, self._store.era.number
         while not self._is_stopped:
             if self._contact.is_unavailable or not self._must_watch_store():
                 yield tasks.sleep(self._loop, IDLE_POLL_INTERVAL_MS)
                 revision = 0
                 continue
-            if revision == 0:
+            is_listing = revision == 0
+            if is_listing:
                 response = yield self._store.read_prefix(STORE_PREFIX)
             else:
                 response = yield from self._watch(revision)
             delay_ms = RETRY_DELAY_MS
-            if isinstance(response, store_api.Items):
+            is_new_era = era not in (0, self._store.era.number)
+            era = self._store.era.number
+            if is_new_era:
+                revision = 0
+            elif isinstance(response, store_api.Items):
+                if is_listing:
+                    self._save_missing(response.items)
                 self._apply_items(response.items)
                 revision = response.at_revision
                 delay_ms = WATCH_INTERVAL_MS
@@ -442,6 +452,18 @@
             )
         return watch.result() if watch.done() else store_api.NoResponse()
 
+    def _save_missing(self, items: Iterable[store_api.Item]) -> None:
+        """Writes the known suspicions that a list from the store lacks."""
+        listed = {item.key.removeprefix(STORE_PREFIX) for item in items}
+        missing = [
+            suspicion.suspicion_id
+            for suspicion in self.suspicions.all_suspicions()
+            if suspicion.suspicion_id not in listed and suspicion.parts
+        ]
+        if missing:
+            self._unsaved_ids.update(dict.fromkeys(missing))
+            self._save_later(SAVE_DELAY_MS)
+
     def _apply_items(self, items: Iterable[store_api.Item]) -> None:
         received = []
         known = {s.suspicion_id: s for s in self.suspicions.all_suspicions()}
