Keep removed targets out also if a peer lists the restored store first

What callers would have met: a target that had left before the restore got requests again.

Cause: the entries of removed runs were retired with the first list of the era only. If that came from a peer, which lists them no more, the store's own list brought them back.

Entries that are as old as the first list are kept out in all lists.

The commit of a ledger that holds no grant of its own raised KeyError in the task that writes ledgers; seen in the log of a long fuzz.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
@@ -156,7 +156,7 @@
     """One instance: its view and the components that keep it up to date."""
 
     def __init__(
-        self, fleet: SimulatedRelayFleet, number: int, seed: int
+        self, fleet: SimulatedRelayFleet, number: int, seed: int = 0
     ) -> None:
         self.name = f"i{number:02}"
         self.local_instance = peers_lib.Peer(
--- a/packages/bambooglade/bambooglade/discovery/view.py
+++ b/packages/bambooglade/bambooglade/discovery/view.py
@@ -87,6 +87,7 @@
         "_changed_at_revision_by_key",
         "_codec",
         "_compacted_revision",
+        "_first_revision",
         "_grace_until_ms_by_id",
         "_has_targets",
         "_item_by_key",
@@ -115,6 +116,7 @@
             collections.OrderedDict()
         )
         self._has_targets = False
+        self._first_revision = 0
         self._restore_ends_at_ms = 0
         self._compacted_revision = 0
         self._change_count = 0
@@ -338,7 +340,8 @@
         )
         items = list(listed)
         if self.targets_revision == 0:
-            self._retire_removed_runs(items)
+            self._first_revision = at_revision
+        self._retire_removed_runs(items)
         keys = {item.key for item in items}
         missing = [
             store_api.Item(item.key, None, at_revision)
@@ -356,11 +359,17 @@
     def _retire_removed_runs(self, items: Iterable[store_api.Item]) -> None:
         """Keeps out entries of runs that were removed in an earlier era.
 
-        An entry that the run itself writes later has a higher revision.
+        An entry that the run itself writes later has a higher revision than
+        the first list of the era.
         """
         for item in items:
             tombstone = self._tombstone_by_key.get(item.key)
-            if tombstone is None or item.key in self._item_by_key:
+            if (
+                tombstone is None
+                or tombstone.revision > 0
+                or item.key in self._item_by_key
+                or item.revision > self._first_revision
+            ):
                 continue
             try:
                 target = self._codec.decode_target(item.key, item.value)
--- a/packages/bambooglade/bambooglade/rights/ledger_client.py
+++ b/packages/bambooglade/bambooglade/rights/ledger_client.py
@@ -510,7 +510,9 @@
             self._recovery.record_recovered(team)
             account = self._account_by_team[team]
             previous_tokens = account.granted_tokens
-            granted = ledger_by_team[team].granted_by_holder[self._holder]
+            granted = ledger_by_team[team].granted_by_holder.get(
+                self._holder, 0
+            )
             account.record_granted_total(granted)
             self._committed_returns_by_team[team] = ledger_by_team[
                 team
