Log the identity of a request and whether an attempt reached its target

The logs of the engines that one request crashed could not tell the hypotheses apart: they did not show that the requests at the crashes were the same one, nor which failed attempts had reached an engine.

request_dispatched and attempt_failed name the identity, a hash of caller, method, host, path with query and body; attempt_failed whether any byte was sent and whether the connection was lost.

--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -241,6 +241,7 @@
             predicted_ms=round(choice.predicted_ms),
             reason=choice.reason,
             prompt_parts=self._logged_parts(),
+            identity=self._exchange.identity,
             targets_revision=self._context.view.targets_revision,
         )
 
@@ -550,6 +551,9 @@
             attempt_events=self._attempt_event_count,
             partial_event_bytes=self._delivery.partial_event_bytes or None,
             prompt_parts=self._logged_parts(),
+            identity=self._exchange.identity,
+            reached_target=self._attempt.is_sent,
+            is_connection_lost=self._attempt.is_connection_lost,
         )
 
     @property
--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -19,6 +19,7 @@
 from bambooglade.rights import manager as manager_lib
 from bambooglade.router import metrics as metrics_lib
 from bambooglade.targets import crash_suspicions
+from bambooglade.targets import request_identity
 
 DEFAULT_DEADLINE_MS = 60_000
 """Deadline of a request whose caller states none.
@@ -41,6 +42,7 @@
         "_delivery",
         "_dispatcher",
         "_has_reservation",
+        "_identity",
         "_is_trial",
         "_origin",
         "_service",
@@ -68,6 +70,7 @@
         self._service: configuration_lib.Service | None = None
         self._origin: stream_origins.StreamOrigin | None = None
         self._has_reservation = False
+        self._identity = ""
         self._is_trial = False
         self._timer = None
         self.route: configuration_lib.Route | None = None
@@ -156,6 +159,18 @@
         )
         return None
 
+    @property
+    def identity(self) -> str:
+        """What this request has in common with its repetitions."""
+        if not self._identity:
+            self._identity = request_identity.identify(
+                caller=self._team.name if self._team else "",
+                method=self.request.method,
+                target=self.request.host + self.request.target,
+                body=self.request.body,
+            )
+        return self._identity
+
     @property
     def _is_resumption(self) -> bool:
         """Whether the caller resumes a stream that an earlier request began."""
