Show that a request on which engines crash reaches engine after engine

Scripted engines crash on a request (same path, caller and body) or on a prompt part, before the head of the response, after it, or after one, two or five events, at 6 and 24 instances, beside sound requests of the same caller.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/platform_harness.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/platform_harness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from concurrent import futures
 import itertools
 import os
@@ -203,20 +204,43 @@
         )
 
     def crash_on_part(
-        self, part_id: str, otherwise: engine_lib.Behaviour
+        self, part_id: str, otherwise: engine_lib.Behaviour, *, events: int = 0
     ) -> engine_lib.Behaviour:
-        """Returns a behaviour that crashes on a prompt part, head sent.
+        """Returns a behaviour that crashes on a prompt part, head sent."""
+
+        def has_part(request: messages.Request) -> bool:
+            field = request.get(b"x-bambooglade-prefix-hash").decode()
+            shared = [e.partition(":")[0] for e in field.split(",")[:-1]]
+            return part_id in shared
+
+        return self.crash_if(has_part, otherwise, events=events)
+
+    def crash_if(
+        self,
+        is_fatal: Callable[[messages.Request], bool],
+        otherwise: engine_lib.Behaviour,
+        *,
+        events: int | None = None,
+    ) -> engine_lib.Behaviour:
+        """Returns a behaviour that crashes on some requests.
 
         The engine starts again at once under the same id.
+
+        Args:
+            is_fatal: Returns whether the engine crashes on a request.
+            otherwise: Behaviour for all other requests.
+            events: Events of a stream that are sent before; None if not even
+                the head of the response is.
         """
 
         def behave(call: engine_lib.Call) -> None:
-            field = call.request.get(b"x-bambooglade-prefix-hash").decode()
-            shared = [e.partition(":")[0] for e in field.split(",")[:-1]]
-            if part_id not in shared:
+            if not is_fatal(call.request):
                 otherwise(call)
                 return
-            call.start_stream()
+            if events is not None:
+                call.start_stream()
+                for number in range(1, events + 1):
+                    call.event(number)
             call.engine.call_after_sending(lambda: self._crash(call.engine))
 
         return behave
