Quarantine a request as a whole if targets crash on it

Cause: work that destroys its worker was given to the next one. The quarantine knew parts of prompts only, and one shape of a crash only: a response with a head and no complete event. Requests without prompts, crashes before the head and crashes after an event were not seen.

One record holds both kinds of suspects: the identity of a request (caller, method, host, path with query, body) and the parts of its prompt. Each request that is cut off is evidence, wherever its response was; a complete response clears its suspects, at all instances, also in suspicions that others reported. A response under way keeps its parts from being suspected through others, but no longer clears them. Crashes count if the requests were sent one after the other, so that targets lost together count once. Of several suspects, that which the fewest requests had explains the crashes. Only suspects of two crashes or more are written to the store.

Two tests change with it and check as much: requests with a fatal part differ in their bodies as well, as the users state; suspicions beyond the limit have a suspect in common, since others are not stored.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_engine_crashes.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_engine_crashes.py
@@ -62,10 +62,11 @@
 
 
 def call(harness, number: int, *, prompt: str, gateway: int, path="/resume/1"):
-    """Sends a request whose last part no other request has."""
+    """Sends a request whose last part and body no other request has."""
     field = prompt.format(own=f"{number:x}f").encode()
     return harness.call(
         path,
+        body=b"%d" % number,
         prompt="100,50",
         gateway=gateway,
         extra=[(b"X-Bambooglade-Prefix-Hash", field)],
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_quarantine_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_quarantine_fleet.py
@@ -142,7 +142,7 @@
         fleet.instances[0].quarantine.record_crash(
             crash_suspicions.TargetRun(f"e{number}", 1),
             f"request {number}",
-            [f"p{number}"],
+            [f"p{number}", "at all crashes"],
         )
         fleet.loop.advance(SPREAD_MS)
     stored = [
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_restore.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_restore.py
@@ -155,16 +155,17 @@
 
 def test_suspicions_are_written_again_after_a_restore(fleet):
     reporter = fleet.instances[4]
-    run = reporter.quarantine.suspicions.target_run("a", 1)
 
     def suspect():
-        reporter.quarantine.record_crash(run, "request", ["part"])
+        for target_id in ("a", "b"):
+            run = reporter.quarantine.suspicions.target_run(target_id, 1)
+            reporter.quarantine.record_crash(run, "request", ["part"])
 
     lose_writes(fleet, suspect)
     advance(fleet, 3_000)
     prefix = prompt_quarantine.STORE_PREFIX
     keys = [key for key in fleet.store.list_keys() if key.startswith(prefix)]
-    assert len(keys) == 1
+    assert len(keys) == 2
 
 
 def test_instance_is_registered_again_after_a_restore():
--- a/packages/bambooglade/bambooglade/discovery/relays.py
+++ b/packages/bambooglade/bambooglade/discovery/relays.py
@@ -118,6 +118,10 @@
             if relay.name != self._local_instance.name
         ]
 
+    def known_peers(self) -> list[peers_lib.Peer]:
+        """Returns the other known instances."""
+        return self._peers()
+
     def uses_relays(self) -> bool:
         """Returns whether the fleet is large enough to use relays."""
         return len(self._peers()) + 1 >= MIN_RELAY_FLEET_SIZE
--- a/packages/bambooglade/bambooglade/gateway/context.py
+++ b/packages/bambooglade/bambooglade/gateway/context.py
@@ -23,11 +23,11 @@
 from bambooglade.router import metrics as metrics_lib
 
 
-class UnansweredPrompt(Protocol):
-    """A prompt at a target that has not begun to respond."""
+class UnansweredRequest(Protocol):
+    """A request at a target that has not begun to respond."""
 
     def handle_quarantine_change(self) -> None:
-        """Ends the request if its prompt is quarantined now."""
+        """Ends the request if it is quarantined now."""
         ...
 
 
@@ -48,7 +48,7 @@
         quarantine: Prompt parts on which targets crash, shared with peers.
         limits: Request limits of targets, shared with peers.
         leaving: Targets that leave, shared with peers.
-        unanswered: Dispatchers of prompts without a response so far.
+        unanswered: Dispatchers of requests without a response so far.
         rights: Rights to spend tokens of the teams' prepaid budgets.
         metrics: Counters of this instance.
         log: The event log.
@@ -109,7 +109,7 @@
         self.quarantine = quarantine
         self.limits = limits
         self.leaving = leaving
-        self.unanswered: set[UnansweredPrompt] = set()
+        self.unanswered: set[UnansweredRequest] = set()
         self.rights = rights
         self.metrics = metrics
         self.log = log
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -40,7 +40,7 @@
 """Longest response that is buffered until it is complete."""
 
 SOUND_EVENTS = 3
-"""Events of a response after which its prompt did not crash the target."""
+"""Events of a response after which it is well under way."""
 
 MAX_LOGGED_PARTS = 8
 """Most prompt parts that a log line names; callers choose their number."""
@@ -81,7 +81,7 @@
         "_events_before_attempt",
         "_exchange",
         "_is_first_byte_recorded",
-        "_is_prompt_sound",
+        "_is_progress_recorded",
         "_is_trial",
         "_metadata",
         "_origin",
@@ -128,7 +128,7 @@
         self._events_before_attempt = 0
         self._sent_at_ms = 0
         self._is_first_byte_recorded = False
-        self._is_prompt_sound = False
+        self._is_progress_recorded = False
         self._target_run: crash_suspicions.TargetRun | None = None
         self._possible_runs = 0
         self.attempts = 0
@@ -205,6 +205,7 @@
         self._sent_at_ms = now_ms
         self._events_before_attempt = self._delivery.event_count
         self._is_first_byte_recorded = False
+        self._is_progress_recorded = False
         self._body = []
         self._body_bytes = 0
         self._metadata = None
@@ -217,11 +218,10 @@
         )
         context.limits.record_dispatch(choice.target)
         self._log_dispatch(choice, remaining_ms)
-        if self._prompt is not None:
-            context.unanswered.add(self)
-            self._target_run = context.quarantine.suspicions.target_run(
-                self.target_id, choice.target.started_at_ms
-            )
+        context.unanswered.add(self)
+        self._target_run = context.quarantine.suspicions.target_run(
+            self.target_id, choice.target.started_at_ms
+        )
         self._attempt = self._send(choice, remaining_ms)
         self._start_progress_timer()
 
@@ -246,9 +246,9 @@
         )
 
     def _find_quarantine(self) -> crash_suspicions.Quarantine | None:
-        if self._prompt is None or (self._is_trial and not self.may_have_run):
+        if self._is_trial and not self.may_have_run:
             return None
-        return self._context.quarantine.find(self._prompt.shared_part_ids)
+        return self._exchange.find_quarantine()
 
     def _end_quarantined(self, quarantine: crash_suspicions.Quarantine) -> None:
         if self.may_have_run:
@@ -394,38 +394,46 @@
             self._abort_attempt(str(error))
             return
         if has_event:
-            self._record_sound_prompt()
+            self._record_progress()
             self._record_first_byte(self._context.loop.now_ms())
             self._start_progress_timer()
             if self._origin is None:
                 self._record_origin()
 
-    def _record_sound_prompt(self) -> None:
-        """Clears the parts of a prompt whose response is well under way."""
+    def _record_progress(self) -> None:
+        """Records once that the response to a prompt is well under way."""
         if self._prompt is not None and (
             self._attempt_event_count >= SOUND_EVENTS
-            and not self._is_prompt_sound
+            and not self._is_progress_recorded
         ):
-            self._is_prompt_sound = True
-            self._context.quarantine.record_success(
-                self._prompt.shared_part_ids
+            self._is_progress_recorded = True
+            self._context.quarantine.record_progress(
+                self._exchange.metadata.attempt_id, self._prompt.shared_part_ids
             )
 
     def _record_suspected_crash(self) -> None:
-        """Suspects the prompt if the target had only begun to respond to it."""
+        """Suspects the request if the target may have crashed on it.
+
+        The target had the request, and its connection was lost. The parts of
+        the prompt are suspected as well if the response had begun: before,
+        the request may have been waiting.
+        """
         attempt = self._attempt
-        if (
-            self._prompt is not None
-            and attempt.is_connection_lost
-            and attempt.head is not None
-            and attempt.head.status in _SUCCESSES
-            and not self._attempt_event_count
-        ):
-            self._context.quarantine.record_crash(
-                self._target_run,
-                self._exchange.metadata.attempt_id,
-                self._prompt.shared_part_ids,
-            )
+        if not attempt.is_connection_lost or not attempt.is_sent:
+            return
+        suspects = [self._exchange.identity]
+        has_begun = (
+            attempt.head is not None and attempt.head.status in _SUCCESSES
+        )
+        if self._prompt is not None and has_begun:
+            suspects += self._prompt.shared_part_ids
+        self._context.quarantine.record_crash(
+            self._target_run,
+            self._exchange.metadata.attempt_id,
+            suspects,
+            sent_at_ms=self._sent_at_ms,
+            event_count=self._attempt_event_count,
+        )
 
     def _record_origin(self) -> None:
         self._origin = stream_origins.StreamOrigin(
@@ -505,12 +513,7 @@
             self._handle_error_status(head)
 
     def _deliver_success(self, head: messages.ResponseHead) -> None:
-        if self._prompt is not None and (
-            self._attempt_event_count or not self._is_stream(head)
-        ):
-            self._context.quarantine.record_success(
-                self._prompt.shared_part_ids
-            )
+        self._context.quarantine.record_success(self._exchange.suspects)
         if self._is_stream(head):
             self._delivery.end_stream()
         else:
@@ -519,6 +522,7 @@
 
     def _handle_error_status(self, head: messages.ResponseHead) -> None:
         """Retries after an error status of the target, or delivers it."""
+        self._context.quarantine.record_success([self._exchange.identity])
         is_server_error = head.status >= _FIRST_SERVER_ERROR
         if is_server_error:
             self._record_failure(f"status {head.status}")
--- a/packages/bambooglade/bambooglade/gateway/error_responses.py
+++ b/packages/bambooglade/bambooglade/gateway/error_responses.py
@@ -58,6 +58,11 @@
         503,
         "Send the request without the prompt part, or retry it later.",
     )
+    REQUEST_QUARANTINED = (
+        "request_quarantined",
+        503,
+        "Targets crash on this request; change it, or retry it later.",
+    )
     TARGETS_LIMITED = "targets_limited", 503, _RETRY_LATER
     OVERLOADED = "overloaded", 503, _RETRY_LATER
     CONGESTED = "congested", 503, _RETRY_LATER
--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -171,6 +171,19 @@
             )
         return self._identity
 
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """What a target may crash on: the request, or a part of its prompt."""
+        prompt = self._prompt
+        parts = prompt.shared_part_ids if prompt is not None else ()
+        return (self.identity, *parts)
+
+    def find_quarantine(self) -> crash_suspicions.Quarantine | None:
+        """Returns the quarantine of this request; None if it may be sent."""
+        if not self._context.quarantine.suspicions.quarantines:
+            return None
+        return self._context.quarantine.find(self.suspects)
+
     @property
     def _is_resumption(self) -> bool:
         """Whether the caller resumes a stream that an earlier request began."""
@@ -217,15 +230,12 @@
 
     def _reserve(self) -> None:
         team, prompt = self._team, self._prompt
-        if prompt is not None:
-            quarantine = self._context.quarantine.find(prompt.shared_part_ids)
-            if quarantine is not None:
-                self._is_trial = self._context.quarantine.acquire_trial(
-                    quarantine
-                )
-                if not self._is_trial:
-                    self.reject_quarantined(quarantine)
-                    return
+        quarantine = self.find_quarantine()
+        if quarantine is not None:
+            self._is_trial = self._context.quarantine.acquire_trial(quarantine)
+            if not self._is_trial:
+                self.reject_quarantined(quarantine)
+                return
         if team is None or prompt is None or team.prepaid_tokens is None:
             self._dispatch()
             return
@@ -328,10 +338,13 @@
     def reject_quarantined(
         self, quarantine: crash_suspicions.Quarantine
     ) -> None:
-        """Rejects a request that did not run, and whose prompt may not."""
+        """Rejects a request that did not run, and may not."""
+        kinds = error_responses.ErrorKind
         self._reject(
             error_responses.ErrorResponse(
-                error_responses.ErrorKind.PROMPT_QUARANTINED,
+                kinds.REQUEST_QUARANTINED
+                if quarantine.is_of_request
+                else kinds.PROMPT_QUARANTINED,
                 describe_quarantine(
                     quarantine, now_ms=self._context.loop.now_ms()
                 ),
@@ -342,7 +355,7 @@
         )
 
     def fail_quarantined(self, quarantine: crash_suspicions.Quarantine) -> None:
-        """Ends a request that may have run, and whose prompt may not again."""
+        """Ends a request that may have run, and may not again."""
         self.fail(
             error_responses.ErrorKind.BROKEN,
             describe_quarantine(quarantine, now_ms=self._context.loop.now_ms()),
@@ -457,7 +470,7 @@
     age_ms = max(0, now_ms - quarantine.last_crash_ms)
     return (
         f"targets crashed {quarantine.crash_count} times, last {age_ms} ms ago,"
-        f" on the prompt parts {','.join(sorted(quarantine.parts))}"
+        f" on {','.join(sorted(quarantine.parts))}"
     )
 
 
--- a/packages/bambooglade/bambooglade/gateway/prompt_quarantine.py
+++ b/packages/bambooglade/bambooglade/gateway/prompt_quarantine.py
@@ -1,4 +1,4 @@
-"""Keeps requests with quarantined prompt parts away from all targets.
+"""Keeps quarantined requests and prompt parts away from all targets.
 
 Each of a few crashes may be seen by another instance. Suspicions are therefore
 sent to the peers at once, and written to the store, from which instances read
@@ -47,7 +47,15 @@
 SAVE_DELAY_MS = 300
 """Time for which suspicions are collected before they are written.
 
-Most suspicions of parts that are sound are cleared within it.
+Most suspicions of sound requests are cleared within it. Only those are written
+whose suspects were at two crashes or more: each crash cuts off many requests.
+"""
+
+CLEARING_DELAY_MS_PER_INSTANCE = 20
+"""Longest delay, for each instance of the fleet, until suspects are cleared
+that were completed here and are suspected elsewhere.
+
+The delay is random, so that one or a few instances of a fleet say so.
 """
 
 RETRY_DELAY_MS = 500
@@ -111,9 +119,11 @@
         "_loop",
         "_must_watch_store",
         "_next_trial_ms_by_id",
+        "_own_ids",
         "_quarantined_parts",
         "_random",
         "_relays",
+        "_saved_ids",
         "_store",
         "_trials_by_id",
         "_unsaved_ids",
@@ -146,6 +156,8 @@
         self._random = random_source
         self._unsent: dict[str, crash_suspicions.Suspicion] = {}
         self._unsaved_ids: dict[str, None] = {}
+        self._own_ids: set[str] = set()
+        self._saved_ids: set[str] = set()
         self._quarantined_parts: set[frozenset[str]] = set()
         self._trials_by_id: dict[str, int] = {}
         self._next_trial_ms_by_id: dict[str, int] = {}
@@ -165,18 +177,22 @@
         self._is_stopped = True
 
     def find(self, parts: Sequence[str]) -> crash_suspicions.Quarantine | None:
-        """Returns the quarantine of a prompt; None if it may be sent."""
+        """Returns the quarantine of a request; None if it may be sent.
+
+        Args:
+            parts: Identity of the request, and the shared parts of its prompt.
+        """
         return self.suspicions.find_quarantine(parts)
 
     def retry_after_ms(self, quarantine: crash_suspicions.Quarantine) -> int:
-        """Returns the time until the next trial of a quarantined prompt."""
+        """Returns the time until the next trial of a quarantined request."""
         due_ms = self._trial_due_ms(quarantine)
         if due_ms is None:
             due_ms = quarantine.last_crash_ms + crash_suspicions.RETENTION_MS
         return max(1_000, due_ms - self._loop.now_ms())
 
     def acquire_trial(self, quarantine: crash_suspicions.Quarantine) -> bool:
-        """Returns whether this request is the trial of a quarantined prompt.
+        """Returns whether this request is the trial of a quarantine.
 
         The first request after a trial is due only claims it in the store, so
         that no request waits for the store.
@@ -197,13 +213,29 @@
         target_run: crash_suspicions.TargetRun,
         request_id: str,
         parts: Sequence[str],
+        *,
+        sent_at_ms: int | None = None,
+        event_count: int | None = None,
     ) -> None:
-        """Records a request whose response had begun when a target crashed."""
+        """Records a request that was cut off when a target crashed.
+
+        Args:
+            target_run: The process that crashed, as of the dispatch.
+            request_id: Id of the request.
+            parts: Its identity, and the parts of its prompt that are suspected.
+            sent_at_ms: Time at which it was sent; None if it is unknown.
+            event_count: Events that the target had sent, for the log.
+        """
         suspicion = self.suspicions.record_crash(
-            target_run, request_id, parts, now_ms=self._loop.now_ms()
+            target_run,
+            request_id,
+            parts,
+            now_ms=self._loop.now_ms(),
+            sent_at_ms=sent_at_ms,
         )
         if suspicion is None:
             return
+        self._own_ids.add(suspicion.suspicion_id)
         self._log.event(
             "crash_suspected",
             request=request_id,
@@ -212,11 +244,21 @@
             target_crashes=target_run.crash_count + 1,
             suspicion=suspicion.suspicion_id,
             prompt_parts=",".join(suspicion.parts),
+            sent_ms_ago=None
+            if sent_at_ms is None
+            else suspicion.crashed_at_ms - sent_at_ms,
+            attempt_events=event_count,
         )
         self._share([suspicion])
 
+    def record_progress(self, request_id: str, parts: Sequence[str]) -> None:
+        """Records that a response to a prompt with these parts goes well."""
+        self.suspicions.record_progress(
+            request_id, parts, now_ms=self._loop.now_ms()
+        )
+
     def record_success(self, parts: Sequence[str]) -> None:
-        """Clears the parts of a prompt whose response went well."""
+        """Clears the suspects of a request whose response was completed."""
         changed = self.suspicions.record_success(
             parts, now_ms=self._loop.now_ms()
         )
@@ -236,8 +278,25 @@
         self, received: Iterable[crash_suspicions.Suspicion], *, source: str
     ) -> None:
         """Merges suspicions of other instances, without sending them on."""
-        if self.suspicions.merge(received, now_ms=self._loop.now_ms()):
-            self._handle_change(source)
+        changed = self.suspicions.merge(received, now_ms=self._loop.now_ms())
+        if not changed:
+            return
+        self._handle_change(source)
+        self._save_corroborated()
+        ids = [suspicion.suspicion_id for suspicion in changed]
+        instances = len(self._relays.known_peers()) + 1
+        delay_ms = CLEARING_DELAY_MS_PER_INSTANCE * instances
+        self._loop.call_later(
+            delay_ms * self._random.random(), self._clear_completed, ids
+        )
+
+    def _clear_completed(self, suspicion_ids: Sequence[str]) -> None:
+        """Shares which suspects of received suspicions were completed here."""
+        changed = self.suspicions.clear_completed(
+            suspicion_ids, now_ms=self._loop.now_ms()
+        )
+        if changed:
+            self._share(changed)
 
     def reconcile(
         self,
@@ -261,25 +320,37 @@
         expired = self.suspicions.evict_expired(now_ms=self._loop.now_ms())
         if expired:
             self._handle_change("expired")
-            self._store.commit(
-                [
-                    store_api.Write(STORE_PREFIX + s.suspicion_id, None)
-                    for s in expired[:MAX_WRITES]
-                ],
-                timeout_ms=1_000,
-            )
+            ids = {suspicion.suspicion_id for suspicion in expired}
+            self._own_ids -= ids
+            self._unsaved_ids.update(dict.fromkeys(self._saved_ids & ids))
+            if self._unsaved_ids:
+                self._save_later(SAVE_DELAY_MS)
 
     def _share(self, changed: list[crash_suspicions.Suspicion]) -> None:
         if not self._unsent:
             self._loop.call_later(FLUSH_DELAY_MS, self._flush)
         self._unsent.update((s.suspicion_id, s) for s in changed)
-        self._unsaved_ids.update((s.suspicion_id, None) for s in changed)
         self._unsaved_ids.update(
-            dict.fromkeys(self.suspicions.pop_dropped_ids())
+            (s.suspicion_id, None)
+            for s in changed
+            if s.suspicion_id in self._saved_ids
+        )
+        dropped_ids = self.suspicions.pop_dropped_ids()
+        self._own_ids.difference_update(dropped_ids)
+        self._unsaved_ids.update(
+            dict.fromkeys(self._saved_ids.intersection(dropped_ids))
         )
-        self._save_later(SAVE_DELAY_MS)
+        self._save_corroborated()
         self._handle_change("local")
 
+    def _save_corroborated(self) -> None:
+        """Writes own suspicions whose suspects were at several crashes."""
+        if self._own_ids:
+            due = self._own_ids & self.suspicions.corroborated_ids()
+            self._unsaved_ids.update(dict.fromkeys(due - self._saved_ids))
+        if self._unsaved_ids:
+            self._save_later(SAVE_DELAY_MS)
+
     def _handle_change(self, source: str) -> None:
         """Logs quarantines that begin or end, and notifies the listeners."""
         quarantined = {q.parts for q in self.suspicions.quarantines}
@@ -340,6 +411,7 @@
         batch = list(self._unsaved_ids)[:MAX_WRITES]
         for suspicion_id in batch:
             del self._unsaved_ids[suspicion_id]
+        self._saved_ids &= known.keys() | set(batch)
         writes = [
             store_api.Write(
                 STORE_PREFIX + suspicion_id,
@@ -352,7 +424,9 @@
         response = yield self._store.commit(writes, timeout_ms=1_000)
         self._is_saving = False
         is_saved = isinstance(response, store_api.Committed)
-        if not is_saved:
+        if is_saved:
+            self._saved_ids.update(batch)
+        else:
             self._unsaved_ids.update(dict.fromkeys(batch))
         if self._unsaved_ids and not self._is_stopped:
             self._save_later(FLUSH_DELAY_MS if is_saved else RETRY_DELAY_MS)
@@ -460,8 +534,10 @@
             for suspicion in self.suspicions.all_suspicions()
             if suspicion.suspicion_id not in listed and suspicion.parts
         ]
-        if missing:
-            self._unsaved_ids.update(dict.fromkeys(missing))
+        corroborated = self.suspicions.corroborated_ids()
+        due = [s for s in missing if s in corroborated]
+        if due:
+            self._unsaved_ids.update(dict.fromkeys(due))
             self._save_later(SAVE_DELAY_MS)
 
     def _apply_items(self, items: Iterable[store_api.Item]) -> None:
--- a/packages/bambooglade/bambooglade/targets/crash_suspicions.py
+++ b/packages/bambooglade/bambooglade/targets/crash_suspicions.py
@@ -1,10 +1,11 @@
-"""Finds the prompt part on which targets crash; without I/O.
+"""Finds the request or the prompt part on which targets crash; without I/O.
 
 When a target crashes, it cuts off every request that it runs, and all of these
-but one are innocent. A request is suspected only if the target had begun its
-response without completing an event, since others were merely waiting or had
-been running well. Within such a request, a part is cleared by a response that
-was completed with it. What several crashes have in common is quarantined.
+but one are innocent. Each is suspected as a whole, by its identity, and for the
+parts of its prompt if its response had begun. A suspect is cleared by a
+response that was completed with it. What several crashes have in common is
+quarantined; of several such suspects, that which the fewest requests had
+explains the crashes, and the others are not blamed for them.
 """
 
 from __future__ import annotations
@@ -17,12 +18,15 @@
 import msgspec
 
 from bambooglade.core import hashing
+from bambooglade.targets import request_identity
 
 CRASHES_TO_QUARANTINE = 3
-"""Crashes of two or more targets after which a part is quarantined.
+"""Crashes of two or more targets after which a suspect is quarantined.
 
 Two may coincide by chance, for instance when a request is in flight at two
-targets that are lost one after the other.
+targets that are lost one after the other. Crashes count if each request was
+sent after the crash before: targets of a zone that are lost together had been
+sent theirs before the first one was lost.
 """
 
 CRASHES_OF_ONE_TARGET = 5
@@ -41,8 +45,17 @@
 RETENTION_MS = 6 * 3_600_000
 """Time for which a suspicion is kept after the crash."""
 
-MAX_SUSPICIONS = 256
-"""Most suspicions that are kept; the oldest are dropped."""
+MAX_SUSPICIONS = 1_024
+"""Most suspicions that are kept; the oldest are dropped.
+
+A target with 64 slots that crashes makes up to 64.
+"""
+
+MAX_CLEARED_REQUESTS = 16_384
+"""Most whole requests whose last completed response is remembered.
+
+At 1,000 different ones a second this covers `CLEARED_MS`.
+"""
 
 MAX_CLEARED_PARTS = 8_192
 """Most parts whose last completed response is remembered."""
@@ -82,22 +95,33 @@
         target_run: The process that crashed.
         crashed_at_ms: Time of the crash, by the clock of the instance that saw
             it.
-        parts: Parts of the prompt that may have caused the crash; empty once
-            all are cleared. Parts are only ever removed, so that instances
-            that know different removals agree after exchanging them.
+        parts: Suspects: the identity of the request and parts of its prompt,
+            one of which may have caused the crash; empty once all are cleared.
+            Suspects are only ever removed, so that instances that know
+            different removals agree after exchanging them.
+        sent_at_ms: Time at which the request was sent to the target; None in
+            suspicions of the former version, which do not state it.
     """
 
     suspicion_id: str
     target_run: TargetRun
     crashed_at_ms: int
     parts: tuple[str, ...]
+    sent_at_ms: int | None = None
+
+    @property
+    def began_at_ms(self) -> int:
+        """Time at which the request was sent, or of the crash if unknown."""
+        if self.sent_at_ms is None:
+            return self.crashed_at_ms
+        return self.sent_at_ms
 
 
 class Quarantine:
-    """Parts that no prompt may combine.
+    """Suspects that no request may combine.
 
     Attributes:
-        parts: The parts. There are several if no crash told them apart.
+        parts: The suspects. There are several if no crash told them apart.
         crash_count: Number of crashes.
         first_suspicion_id: Id of the oldest suspicion; identifies the
             quarantine also when its parts become fewer.
@@ -120,6 +144,11 @@
         self.first_suspicion_id = oldest.suspicion_id
         self.last_crash_ms = max(s.crashed_at_ms for s in evidence)
 
+    @property
+    def is_of_request(self) -> bool:
+        """Whether a request as a whole is quarantined."""
+        return any(p.startswith(request_identity.PREFIX) for p in self.parts)
+
     def __repr__(self) -> str:
         return f"Quarantine({sorted(self.parts)}, crashes={self.crash_count})"
 
@@ -147,8 +176,10 @@
 
     __slots__ = (
         "_cleared_at_ms_by_part",
+        "_cleared_at_ms_by_request",
         "_crash_count_by_run",
         "_dropped_ids",
+        "_progress_by_part",
         "_suspicion_by_id",
         "digest",
         "quarantines",
@@ -161,6 +192,12 @@
         self._cleared_at_ms_by_part: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        self._cleared_at_ms_by_request: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._progress_by_part: collections.OrderedDict[
+            str, tuple[str, int]
+        ] = collections.OrderedDict()
         self._crash_count_by_run: collections.OrderedDict[
             tuple[str, int], int
         ] = collections.OrderedDict()
@@ -185,22 +222,27 @@
         parts: Iterable[str],
         *,
         now_ms: int,
+        sent_at_ms: int | None = None,
     ) -> Suspicion | None:
-        """Records a request whose response had begun when a target crashed.
+        """Records a request that was cut off when a target crashed.
 
         Args:
             target_run: The process that crashed, as of the dispatch.
             request_id: Id of the request.
-            parts: Parts of its prompt that other requests may share.
+            parts: Its suspects: its identity, and parts of its prompt that
+                other requests may share.
             now_ms: The current time in ms.
+            sent_at_ms: Time at which it was sent to the target; None if it is
+                unknown.
 
         Returns:
-            The suspicion; None if all parts were completed recently.
+            The suspicion; None if all suspects were completed recently.
         """
         uncleared = [
             part
             for part in _bounded(parts)
             if not self._was_completed_recently(part, now_ms)
+            and not self._makes_progress(part, request_id, now_ms)
         ]
         if not uncleared:
             self._count_crash(target_run)
@@ -211,6 +253,7 @@
             target_run=target_run,
             crashed_at_ms=now_ms,
             parts=tuple(uncleared),
+            sent_at_ms=sent_at_ms,
         )
         self.merge([suspicion], now_ms=now_ms)
         return suspicion
@@ -224,20 +267,43 @@
         if len(self._crash_count_by_run) > MAX_TARGET_RUNS:
             self._crash_count_by_run.popitem(last=False)
 
+    def record_progress(
+        self, request_id: str, parts: Iterable[str], *, now_ms: int
+    ) -> None:
+        """Records that a response with these parts is well under way.
+
+        Other requests with them are not suspected for it at this instance. It
+        does not clear the parts, as a target may also crash later.
+        """
+        for part in _bounded(parts):
+            self._progress_by_part[part] = request_id, now_ms
+            self._progress_by_part.move_to_end(part)
+        while len(self._progress_by_part) > MAX_CLEARED_PARTS:
+            self._progress_by_part.popitem(last=False)
+
+    def _makes_progress(self, part: str, request_id: str, now_ms: int) -> bool:
+        """Returns whether another request with a part went well recently."""
+        progressing_id, at_ms = self._progress_by_part.get(part, ("", 0))
+        if progressing_id == request_id:
+            del self._progress_by_part[part]
+            return False
+        return bool(progressing_id) and now_ms - at_ms <= CLEARED_MS
+
     def record_success(
         self, parts: Iterable[str], *, now_ms: int
     ) -> list[Suspicion]:
-        """Clears the parts of a prompt whose response went well.
+        """Clears the suspects of a request whose response was completed.
 
         Returns:
             The suspicions that changed.
         """
         completed = set(_bounded(parts))
         for part in completed:
-            self._cleared_at_ms_by_part[part] = now_ms
-            self._cleared_at_ms_by_part.move_to_end(part)
-        while len(self._cleared_at_ms_by_part) > MAX_CLEARED_PARTS:
-            self._cleared_at_ms_by_part.popitem(last=False)
+            cleared, limit = self._cleared(part)
+            cleared[part] = now_ms
+            cleared.move_to_end(part)
+            if len(cleared) > limit:
+                cleared.popitem(last=False)
         return self.merge(
             [
                 msgspec.structs.replace(
@@ -269,6 +335,48 @@
             self.quarantines = list(self._find_quarantines())
         return changed
 
+    def clear_completed(
+        self, suspicion_ids: Iterable[str], *, now_ms: int
+    ) -> list[Suspicion]:
+        """Clears suspects of received suspicions that were completed here.
+
+        The instance that saw the crash may not have known of these responses.
+
+        Returns:
+            The suspicions that changed.
+        """
+        known = [
+            self._suspicion_by_id[suspicion_id]
+            for suspicion_id in suspicion_ids
+            if suspicion_id in self._suspicion_by_id
+        ]
+        return self.merge(
+            [
+                msgspec.structs.replace(
+                    suspicion,
+                    parts=tuple(
+                        part
+                        for part in suspicion.parts
+                        if not self._was_completed_recently(part, now_ms)
+                    ),
+                )
+                for suspicion in known
+            ],
+            now_ms=now_ms,
+        )
+
+    def corroborated_ids(self) -> set[str]:
+        """Returns the suspicions whose suspects were at two crashes or more."""
+        runs_by_part: dict[str, set[TargetRun]] = collections.defaultdict(set)
+        for suspicion in self._suspicion_by_id.values():
+            for part in suspicion.parts:
+                runs_by_part[part].add(suspicion.target_run)
+        return {
+            suspicion.suspicion_id
+            for suspicion in self._suspicion_by_id.values()
+            if any(len(runs_by_part[part]) > 1 for part in suspicion.parts)
+        }
+
     def pop_dropped_ids(self) -> list[str]:
         """Returns the ids of suspicions dropped since the last call."""
         dropped, self._dropped_ids = self._dropped_ids, []
@@ -322,8 +430,17 @@
             self.quarantines = list(self._find_quarantines())
         return expired
 
+    def _cleared(
+        self, part: str
+    ) -> tuple[collections.OrderedDict[str, int], int]:
+        """Returns where a suspect is recorded as cleared, and the limit."""
+        if part.startswith(request_identity.PREFIX):
+            return self._cleared_at_ms_by_request, MAX_CLEARED_REQUESTS
+        return self._cleared_at_ms_by_part, MAX_CLEARED_PARTS
+
     def _was_completed_recently(self, part: str, now_ms: int) -> bool:
-        completed_at_ms = self._cleared_at_ms_by_part.get(part)
+        cleared, _ = self._cleared(part)
+        completed_at_ms = cleared.get(part)
         return (
             completed_at_ms is not None
             and now_ms - completed_at_ms <= CLEARED_MS
@@ -341,25 +458,25 @@
         for suspicion in self._suspicion_by_id.values():
             for part in suspicion.parts:
                 evidence_by_part[part].append(suspicion)
-        crashes_by_part = {
-            part: len({s.target_run for s in evidence})
-            for part, evidence in evidence_by_part.items()
-        }
-        found: set[frozenset[str]] = set()
-        for part, evidence in evidence_by_part.items():
-            if not _is_conclusive(evidence):
+        explained: set[TargetRun] = set()
+        for part in sorted(
+            (p for p, e in evidence_by_part.items() if _is_conclusive(e)),
+            key=lambda part: (_specificity(evidence_by_part[part]), part),
+        ):
+            evidence = evidence_by_part[part]
+            unexplained = [s for s in evidence if s.target_run not in explained]
+            if not _is_conclusive(unexplained):
                 continue
+            explained.update(s.target_run for s in evidence)
             common = set.intersection(*(set(s.parts) for s in evidence))
-            # A part that was in more of the crashes explains these as well.
-            if any(
-                crashes_by_part[other] > crashes_by_part[part]
-                for other in common
-            ):
-                continue
-            group = frozenset(common)
-            if group not in found:
-                found.add(group)
-                yield Quarantine(group, evidence)
+            yield Quarantine(
+                frozenset(
+                    other
+                    for other in common
+                    if len(evidence_by_part[other]) == len(evidence)
+                ),
+                evidence,
+            )
 
     def __repr__(self) -> str:
         return (
@@ -376,13 +493,40 @@
     )
 
 
-def _is_conclusive(evidence: Sequence[Suspicion]) -> bool:
+def _specificity(evidence: Sequence[Suspicion]) -> tuple[float, int]:
+    """Returns a key that sorts the likeliest cause of the crashes first.
+
+    The cause was in one request at each crash, or in few; a suspect that many
+    requests have is present at each crash for that reason alone.
+    """
     crashes = len({suspicion.target_run for suspicion in evidence})
-    targets = len({s.target_run.target_id for s in evidence})
-    return crashes >= (
-        CRASHES_TO_QUARANTINE if targets > 1 else CRASHES_OF_ONE_TARGET
+    return len(evidence) / crashes, -crashes
+
+
+def _is_conclusive(evidence: Sequence[Suspicion]) -> bool:
+    targets = {suspicion.target_run.target_id for suspicion in evidence}
+    needed = (
+        CRASHES_TO_QUARANTINE if len(targets) > 1 else CRASHES_OF_ONE_TARGET
+    )
+    return (
+        len(evidence) >= needed
+        and _count_successive_crashes(evidence) >= needed
     )
 
 
+def _count_successive_crashes(evidence: Sequence[Suspicion]) -> int:
+    """Returns the most crashes whose requests were sent one after the other."""
+    count, ended_at_ms = 0, None
+    runs: set[TargetRun] = set()
+    for suspicion in sorted(evidence, key=lambda s: s.crashed_at_ms):
+        is_successive = (
+            ended_at_ms is None or suspicion.began_at_ms >= ended_at_ms
+        )
+        if is_successive and suspicion.target_run not in runs:
+            runs.add(suspicion.target_run)
+            count, ended_at_ms = count + 1, suspicion.crashed_at_ms
+    return count
+
+
 def _bounded(parts: Iterable[str]) -> list[str]:
     return [part[:MAX_PART_CHARS] for part in list(parts)[:MAX_PARTS]]
