Show that calls on which targets crash reach all targets in the own interface

The same cause as under one request on the users' platform: of eight identical calls, repeatable or not, all reach targets that crash before they answer.

--- a/packages/bambooglade/bambooglade/router/tests/test_dispatch_plain.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_dispatch_plain.py
@@ -6,7 +6,9 @@
 import pytest
 import uuid6
 
+from bambooglade.core import identifiers
 from bambooglade.operations import calls
+from bambooglade.router import trace
 from bambooglade.router.tests import caller_api_harness
 from bambooglade.transport import problems
 from bambooglade_standins import faults as faults_lib
@@ -185,3 +187,62 @@
     assert b"till-1" in own.body
     assert other.head.status == 404
     assert b"till-1" not in other.body
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body"),
+    [
+        ("GET", "/services/till/status?file=7", b""),
+        ("POST", "/services/till/deduct", DEDUCT),
+    ],
+)
+def test_call_on_which_targets_crash_is_quarantined(method, path, body):
+    tills = {
+        f"till-{n}": till_server.start(
+            f"till-{n}", faults=faults_lib.Faults(die_before_answer=True)
+        )[0]
+        for n in range(4)
+    }
+    keys = [str(uuid6.uuid7()) for _ in range(8)]
+    with caller_api_harness.running_harness(
+        tills, caller_api_harness.TILL
+    ) as harness:
+        responses = [
+            harness.send(
+                method,
+                path,
+                body=body,
+                Idempotency_Key=key,
+                X_Deadline_Ms="2000",
+            )
+            for key in keys
+        ]
+        attempts = [
+            decision
+            for key in keys
+            for decision in harness.ring.decisions(identifiers.RequestKey(key))
+            if isinstance(decision, trace.TargetAnswered)
+        ]
+    problem = msgspec.json.decode(responses[-1].body, type=problems.Problem)
+    assert (problem.kind, problem.ran) == ("request_quarantined", "no")
+    assert len(attempts) <= 5
+
+
+@pytest.mark.parametrize("crashes", [0, 4])
+def test_another_call_is_served_beside_one_on_which_targets_crash(crashes):
+    tills, _ = start_till_pair(
+        faults_lib.Faults(die_before_answer=True, remaining=crashes)
+    )
+    with caller_api_harness.running_harness(
+        tills, caller_api_harness.TILL
+    ) as harness:
+        for number in range(crashes):
+            harness.send(
+                "GET",
+                "/services/till/status?file=7",
+                Idempotency_Key=f"k{number}",
+            )
+        response = harness.send(
+            "GET", "/services/till/status?file=8", Idempotency_Key="other"
+        )
+    assert response.head.status == 200
