Quarantine calls on which targets crash in the project's own interface

Plain calls were sent to up to four targets each time that they came, and chats were suspected in one shape of a crash only. Both name the fingerprint of the call now, and each call that is cut off is evidence; instances share it by the gossip that chats use already. A call is refused with request_quarantined, and has not run, or ends with an unknown outcome if it may have run.

--- a/packages/bambooglade/bambooglade/core/failures.py
+++ b/packages/bambooglade/bambooglade/core/failures.py
@@ -167,6 +167,15 @@
     remedy: ClassVar[str] = "Change the prompt; operators: examine the targets."
 
 
+class RequestQuarantined(Unavailable, frozen=True, kw_only=True):
+    """Targets crashed on this request."""
+
+    kind: ClassVar[str] = "request_quarantined"
+    remedy: ClassVar[str] = (
+        "Change the request; operators: examine the targets."
+    )
+
+
 class Overloaded(Unavailable, frozen=True, kw_only=True):
     """The queue for this kind of request is full."""
 
--- a/packages/bambooglade/bambooglade/router/caller_api.py
+++ b/packages/bambooglade/bambooglade/router/caller_api.py
@@ -397,6 +397,7 @@
         deadline_ms=call.deadline_ms,
         bound_tokens=max((d.bound_tokens for d in call.draws), default=0),
         is_caller_gone=session.is_caller_gone,
+        fingerprint=call.fingerprint,
     )
 
 
--- a/packages/bambooglade/bambooglade/router/dispatch.py
+++ b/packages/bambooglade/bambooglade/router/dispatch.py
@@ -14,6 +14,7 @@
 from bambooglade.router import trace
 from bambooglade.targets import chooser
 from bambooglade.targets import leaving
+from bambooglade.targets import request_identity
 from bambooglade.targets import suspicion_gossip
 from bambooglade.targets import target as target_lib
 from bambooglade.transport import client as client_lib
@@ -43,6 +44,7 @@
             epoch.
         bound_tokens: Upper bound of the cost, in tokens.
         is_caller_gone: Returns whether the caller has disconnected.
+        fingerprint: Fingerprint of the call, the same for each repetition.
     """
 
     key: identifiers.RequestKey
@@ -52,6 +54,14 @@
     deadline_ms: int
     bound_tokens: int
     is_caller_gone: Callable[[], bool]
+    fingerprint: str = ""
+
+    @property
+    def identity(self) -> str:
+        """What this call has in common with its repetitions."""
+        return request_identity.identify(
+            caller=self.fingerprint, method=b"", target=b"", body=b""
+        )
 
 
 class DispatchContext:
--- a/packages/bambooglade/bambooglade/router/dispatch_chat.py
+++ b/packages/bambooglade/bambooglade/router/dispatch_chat.py
@@ -25,7 +25,7 @@
 CHAT_PATH = "/v1/chat/completions"
 RETRY_AFTER_MS = 1_000
 SOUND_TOKENS = 3
-"""Tokens of a response after which its prompt did not crash the target."""
+"""Tokens of a response after which it is well under way."""
 
 _CONNECT_TIMEOUT_MS = 500
 
@@ -53,6 +53,7 @@
         "_blocks",
         "_chat",
         "_context",
+        "_identity",
         "_job",
         "_may_have_run",
         "_priority",
@@ -78,6 +79,7 @@
         self._chat = chat
         self._priority = priority
         self._blocks = tuple(affinity.block_hashes(chat.prompt))
+        self._identity = job.identity
         self._tried: list[identifiers.TargetId] = []
         self._may_have_run = False
         self._software_version: str | None = None
@@ -187,17 +189,29 @@
         return False
 
     def _is_quarantined(self) -> bool:
-        quarantine = self._context.suspicions.find_quarantine(self._blocks)
+        quarantine = self._context.suspicions.find_quarantine(self._suspects)
         if quarantine is None:
             return False
-        self._reason = (
-            f"{quarantine.crash_count} targets crashed on prompts that begin"
-            " like this one."
+        is_of_request = quarantine.is_of_request
+        subject = (
+            "this request"
+            if is_of_request
+            else "prompts that begin like this one"
         )
+        self._reason = f"{quarantine.crash_count} targets crashed on {subject}."
         if not self._may_have_run:
-            self.failure = failures.PromptQuarantined(detail=self._reason)
+            kind = (
+                failures.RequestQuarantined
+                if is_of_request
+                else failures.PromptQuarantined
+            )
+            self.failure = kind(detail=self._reason)
         return True
 
+    @property
+    def _suspects(self) -> tuple[str, ...]:
+        return (self._identity, *self._blocks)
+
     def _record_deadline_passed(self) -> None:
         if self._may_have_run:
             self._reason += " The deadline passed."
@@ -222,6 +236,7 @@
         self.target_id = target.target_id
         self._may_have_run, may_have_run_before = True, self._may_have_run
         target_run = context.suspicions.target_run(target.target_id)
+        sent_at_ms = context.clock.now_ms()
         try:
             attempt_result = yield from self._stream(target, attempt_id)
             self._may_have_run = (
@@ -229,12 +244,19 @@
             )
         finally:
             count = len(self.token_texts) - tokens_before
-            if attempt_result.has_only_begun:
+            if attempt_result.is_cut_off:
                 context.suspicions.record_crash(
-                    target_run, attempt_id, self._blocks
+                    target_run,
+                    attempt_id,
+                    self._suspects
+                    if attempt_result.has_begun
+                    else (self._identity,),
+                    sent_at_ms=sent_at_ms,
                 )
-            elif count >= SOUND_TOKENS or attempt_result.has_all_tokens:
-                context.suspicions.record_success(self._blocks)
+            elif attempt_result.has_all_tokens:
+                context.suspicions.record_success(self._suspects)
+            elif count >= SOUND_TOKENS:
+                context.suspicions.record_progress(attempt_id, self._blocks)
             context.directory.record_end(
                 target.target_id,
                 attempt_id,
--- a/packages/bambooglade/bambooglade/router/dispatch_plain.py
+++ b/packages/bambooglade/bambooglade/router/dispatch_plain.py
@@ -9,6 +9,7 @@
 from bambooglade.core import identifiers
 from bambooglade.operations import calls
 from bambooglade.router import dispatch
+from bambooglade.targets import crash_suspicions
 from bambooglade.targets import target as target_lib
 from bambooglade.transport import messages
 
@@ -60,6 +61,7 @@
     response: messages.Response | None = None
     outcome: str = "whole"
     may_have_run: bool = True
+    is_cut_off: bool = False
 
 
 class PlainDispatcher:
@@ -80,6 +82,7 @@
     def run(self, job: dispatch.Job, request: PlainRequest) -> PlainResult:
         """Runs the call; returns a complete response or a typed failure."""
         tried: list[identifiers.TargetId] = []
+        identity = job.identity
         may_have_run = False
         reason = "No target is available for the service."
         self._context.directory.record_first_attempt()
@@ -90,11 +93,16 @@
             remaining_ms = self._context.remaining_ms(job)
             if job.is_caller_gone() or remaining_ms < dispatch.MIN_REMAINING_MS:
                 return self._deadline_result(may_have_run, reason, tried)
+            quarantine = self._context.suspicions.find_quarantine([identity])
+            if quarantine is not None:
+                return _quarantined_result(quarantine, may_have_run, tried)
             target = self._context.choose(job, blocks=(), tried=tried)
             if target is None:
                 break
             tried.append(target.target_id)
-            attempt = self._attempt(job, request, target, remaining_ms)
+            attempt = self._attempt(
+                job, request, target, remaining_ms, identity=identity
+            )
             if attempt.response is not None:
                 return PlainResult(
                     outcome=result.Ok(attempt.response),
@@ -133,9 +141,12 @@
         request: PlainRequest,
         target: target_lib.Target,
         remaining_ms: int,
+        *,
+        identity: str,
     ) -> _AttemptResult:
         attempt_id = self._context.new_attempt_id()
         self._context.directory.record_start(target.target_id, attempt_id)
+        target_run = self._context.suspicions.target_run(target.target_id)
         started_ms = self._context.clock.now_ms()
         is_complete: bool | None = False
         try:
@@ -161,6 +172,12 @@
                 unit_ms=self._context.clock.now_ms() - started_ms,
             )
         self._context.record_attempt(job, target, outcome=attempt.outcome)
+        if attempt.is_cut_off:
+            self._context.suspicions.record_crash(
+                target_run, attempt_id, [identity], sent_at_ms=started_ms
+            )
+        elif attempt.response is not None:
+            self._context.suspicions.record_success([identity])
         return attempt
 
     def _build_request(
@@ -201,6 +218,7 @@
             return _AttemptResult(
                 outcome=f"{failure.kind} ({failure.detail})",
                 may_have_run=failure.sent,
+                is_cut_off=failure.is_cut_off,
             )
         response = transfer.ok_value
         self._context.record_leaving_header(target, response.head)
@@ -244,5 +262,18 @@
     )
 
 
+def _quarantined_result(
+    quarantine: crash_suspicions.Quarantine,
+    may_have_run: bool,
+    tried: list[identifiers.TargetId],
+) -> PlainResult:
+    detail = f"{quarantine.crash_count} targets crashed on this request."
+    if may_have_run:
+        failure = dispatch.dispatch_failure(detail, may_have_run=True)
+    else:
+        failure = failures.RequestQuarantined(detail=detail)
+    return _failed_result(failure, tried)
+
+
 def _empty_body(method: str) -> bytes | None:
     return None if method in ("GET", "HEAD") else b""
--- a/packages/bambooglade/bambooglade/router/engine_stream.py
+++ b/packages/bambooglade/bambooglade/router/engine_stream.py
@@ -47,8 +47,9 @@
         is_locally_cancelled: Whether the router or the caller cancelled the
             attempt.
         waited_ms: Total time spent waiting for events of the engine.
-        has_only_begun: Whether the connection was lost after the head of a
-            successful response and before the first event.
+        is_cut_off: Whether the connection was lost although neither the router
+            nor the caller ended the attempt.
+        has_begun: Whether the head of a successful response was received.
     """
 
     usage: stream_validation.Usage | None = None
@@ -57,7 +58,8 @@
     may_have_run: bool = True
     is_locally_cancelled: bool = False
     waited_ms: int = 0
-    has_only_begun: bool = False
+    is_cut_off: bool = False
+    has_begun: bool = False
 
 
 class EngineStream:
@@ -223,11 +225,8 @@
             outcome=f"{failure.kind} ({failure.detail})",
             may_have_run=failure.sent,
             is_locally_cancelled=is_cancelled,
-            has_only_begun=(
-                self._status == _OK
-                and not self._token_count
-                and not is_cancelled
-            ),
+            is_cut_off=failure.is_cut_off and not is_cancelled,
+            has_begun=self._status == _OK,
         )
 
     def __repr__(self) -> str:
--- a/packages/bambooglade/bambooglade/targets/suspicion_gossip.py
+++ b/packages/bambooglade/bambooglade/targets/suspicion_gossip.py
@@ -65,39 +65,66 @@
             return self._suspicions.target_run(target_id, 0)
 
     def find_quarantine(
-        self, blocks: Sequence[str]
+        self, suspects: Sequence[str]
     ) -> crash_suspicions.Quarantine | None:
-        """Returns a quarantine that covers a prompt, or None."""
+        """Returns a quarantine that covers a request, or None."""
         with self._lock:
-            return self._suspicions.find_quarantine(blocks)
+            return self._suspicions.find_quarantine(suspects)
 
     def record_crash(
         self,
         target_run: crash_suspicions.TargetRun,
         request_id: str,
-        blocks: Sequence[str],
+        suspects: Sequence[str],
+        *,
+        sent_at_ms: int | None = None,
     ) -> None:
-        """Records a request whose response had begun when a target crashed."""
+        """Records a request that was cut off when a target crashed.
+
+        Args:
+            target_run: The process that crashed, as of the dispatch.
+            request_id: Id of the attempt.
+            suspects: Identity of the request, and blocks of its prompt.
+            sent_at_ms: Time at which it was sent; None if it is unknown.
+        """
         with self._lock:
             suspicion = self._suspicions.record_crash(
-                target_run, request_id, blocks, now_ms=self._clock.now_ms()
+                target_run,
+                request_id,
+                suspects,
+                now_ms=self._clock.now_ms(),
+                sent_at_ms=sent_at_ms,
             )
             self._send_later([suspicion] if suspicion else [])
 
-    def record_success(self, blocks: Sequence[str]) -> None:
-        """Clears the blocks of a prompt whose response went well."""
+    def record_progress(self, request_id: str, blocks: Sequence[str]) -> None:
+        """Records that a response to a prompt with these blocks goes well."""
+        with self._lock:
+            self._suspicions.record_progress(
+                request_id, blocks, now_ms=self._clock.now_ms()
+            )
+
+    def record_success(self, suspects: Sequence[str]) -> None:
+        """Clears the suspects of a request whose response was completed."""
         with self._lock:
             self._send_later(
                 self._suspicions.record_success(
-                    blocks, now_ms=self._clock.now_ms()
+                    suspects, now_ms=self._clock.now_ms()
                 )
             )
 
     def merge(self, received: Sequence[crash_suspicions.Suspicion]) -> None:
-        """Merges suspicions of a peer, and passes on what was new."""
+        """Merges suspicions of a peer, and passes on what was new.
+
+        What was completed here lately is cleared.
+        """
         with self._lock:
+            now_ms = self._clock.now_ms()
+            changed = self._suspicions.merge(received, now_ms=now_ms)
+            self._send_later(changed)
+            ids = [suspicion.suspicion_id for suspicion in changed]
             self._send_later(
-                self._suspicions.merge(received, now_ms=self._clock.now_ms())
+                self._suspicions.clear_completed(ids, now_ms=now_ms)
             )
 
     def pop_due(self) -> tuple[crash_suspicions.Suspicion, ...]:
--- a/packages/bambooglade/bambooglade/transport/messages.py
+++ b/packages/bambooglade/bambooglade/transport/messages.py
@@ -85,17 +85,24 @@
     kind = "transfer_failed"
     sent: bool
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether the other side ended it after it had got the request."""
+        return self.sent
+
 
 class TransferTimeout(TransferFailure, frozen=True, kw_only=True):
     """An exchange exceeded a time-out."""
 
     kind = "transfer_timeout"
+    is_cut_off = False
 
 
 class TransferCancelled(TransferFailure, frozen=True, kw_only=True):
     """An exchange was cancelled by its caller."""
 
     kind = "transfer_cancelled"
+    is_cut_off = False
 
 
 def origin_of(url: str) -> str:
