Restore the store, leave and crash on requests in the soak

The store of the soak returns from the copy of the fault before, after a moment away; what operator and engines wrote is written again, and a key and an engine are withdrawn then. One engine says again and again that it leaves, whatever its entry says.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/deliberate_faults.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/deliberate_faults.py
@@ -12,6 +12,7 @@
 from bambooglade.gateway import error_responses
 from bambooglade.platform import gateway_main
 from bambooglade.rights import account
+from bambooglade.store import store_era
 from bambooglade.targets import crash_suspicions
 from bambooglade.targets import request_limits
 
@@ -69,6 +70,21 @@
     crash_suspicions.CrashSuspicions.find_quarantine = lambda self, parts: None
 
 
+def ignore_notices_of_leaving() -> None:
+    """Sends to targets that have said that they leave."""
+    view_lib.FleetView.record_leaving = lambda self, run: False
+
+
+def ignore_the_era_of_the_store() -> None:
+    """Takes revisions for time, also after the store was restored."""
+
+    def observe(self, number, *, source: str) -> bool:
+        del self, number, source
+        return True
+
+    store_era.StoreEra.observe = observe
+
+
 def ignore_request_limits() -> None:
     """Sends to targets whatever limit they state."""
 
@@ -89,6 +105,8 @@
         send_to_targets_that_leave,
         send_quarantined_prompts,
         ignore_request_limits,
+        ignore_notices_of_leaving,
+        ignore_the_era_of_the_store,
     )
 }
 
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/invariants.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/invariants.py
@@ -15,6 +15,16 @@
 TOKENS_PER_EVENT = 2
 REPEATABLE_PATH = "/resume/x"
 PLAIN_PATH = "/plain/x"
+FATAL_PATH = "/status/fatal"
+"""Path of the request on which engines of the plain service crash."""
+
+PLAIN_PATHS = (PLAIN_PATH, FATAL_PATH)
+IDEMPOTENT_PATHS = (REPEATABLE_PATH, FATAL_PATH)
+DRAIN_BOUND_MS = 2_000
+"""Time after which no request may reach an engine that said it leaves."""
+
+FATAL_REQUEST_CRASHES = 3
+"""Crashes on a request after which it is kept from all engines."""
 PROPAGATION_BOUND_MS = 2_000
 """Time limit in the settings for applying a change."""
 
@@ -63,6 +73,9 @@
         self._disturbed_at_ms = 0
         self._crash_times_ms: list[int] = []
         self._later_fatal_runs = 0
+        self._fatal_request_times_ms: list[int] = []
+        self._later_fatal_requests = 0
+        self._notice_ms_by_pair: dict[tuple[tuple[str, int], str], int] = {}
         self._limited_times_ms: list[int] = []
         self._limit_stated_at_ms: int | None = None
         self._violations: list[str] = []
@@ -121,13 +134,10 @@
                 f"{stream_id} began at {began_at} and goes on at {version}"
             )
 
-    def record_crash(self) -> None:
-        """Records that an engine crashed on the fatal prompt part."""
-        self._crash_times_ms.append(self._now_ms())
-
     def record_fatal_run(self, attempt: str) -> None:
-        """Records that a request with the fatal part reached an engine."""
-        if len(self._crash_times_ms) < FATAL_CRASHES:
+        """Records that an engine crashes on a request with the fatal part."""
+        self._crash_times_ms.append(self._now_ms())
+        if len(self._crash_times_ms) <= FATAL_CRASHES:
             return
         fifth_ms = self._crash_times_ms[FATAL_CRASHES - 1]
         if not self._is_quiet_since(fifth_ms):
@@ -139,6 +149,49 @@
                 f" {len(self._crash_times_ms)} crashes on its prompt part"
             )
 
+    def record_fatal_request(self, attempt: str) -> None:
+        """Records that an engine crashes on the fatal request."""
+        times_ms = self._fatal_request_times_ms
+        times_ms.append(self._now_ms())
+        if len(times_ms) <= FATAL_REQUEST_CRASHES:
+            return
+        if not self._is_quiet_since(times_ms[FATAL_REQUEST_CRASHES - 1]):
+            return
+        self._later_fatal_requests += 1
+        if self._later_fatal_requests > MAX_LATER_FATAL_RUNS:
+            self._violations.append(
+                f"{attempt} reached an engine after {len(times_ms)} crashes on"
+                " the same request"
+            )
+
+    def record_notice(self, sender: tuple[str, int], engine: str) -> None:
+        """Records that a gateway process passed on that an engine leaves."""
+        self._notice_ms_by_pair.setdefault((sender, engine), self._now_ms())
+
+    def forget_notices(self, engine: str) -> None:
+        """Records that an engine starts again."""
+        for pair in list(self._notice_ms_by_pair):
+            if pair[1] == engine:
+                del self._notice_ms_by_pair[pair]
+
+    def check_notice(
+        self,
+        sender: tuple[str, int],
+        engine: str,
+        attempt: str,
+        *,
+        sent_at_ms: int,
+    ) -> None:
+        """Checks that a request was not sent to an engine known to leave."""
+        noticed_at_ms = self._notice_ms_by_pair.get((sender, engine))
+        if (
+            noticed_at_ms is not None
+            and sent_at_ms > noticed_at_ms + DRAIN_BOUND_MS
+        ):
+            self._violations.append(
+                f"{attempt} reached {engine}, which had said that it leaves"
+            )
+
     def record_stated_limit(self, *, is_stated: bool) -> None:
         """Records that an engine begins or ceases to state a limit."""
         self._limit_stated_at_ms = self._now_ms() if is_stated else None
@@ -190,13 +243,13 @@
         if (
             caller.status in NOT_EXECUTED_STATUSES
             and runs
-            and path != REPEATABLE_PATH
+            and path not in IDEMPOTENT_PATHS
         ):
             self._violations.append(f"{attempt} was refused but executed")
         if caller.status != 200 or not caller.is_complete:
             return
         expected = b"answer-of-" + attempt.encode()
-        if path != PLAIN_PATH:
+        if path not in PLAIN_PATHS:
             numbers = range(received_events + 1, EVENTS + 1)
             expected = b"".join(map(engine_lib.event, numbers))
         if caller.body != expected:
@@ -222,7 +275,7 @@
                 f"{self.used_tokens} tokens used, {self.prepaid_tokens} prepaid"
             )
         for attempt, runs in self._runs_by_attempt.items():
-            allowed = MAX_RUNS if path_of(attempt) == REPEATABLE_PATH else 1
+            allowed = MAX_RUNS if path_of(attempt) in IDEMPOTENT_PATHS else 1
             if runs > allowed:
                 self._violations.append(
                     f"{attempt} ran {runs} times, at most {allowed} allowed"
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/soak.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/soak.py
@@ -13,6 +13,8 @@
 - Once gateways have had time to apply the change, a revoked key is refused and
   a draining engine receives no requests.
 - A prompt part on which engines crash reaches hardly any after the fifth crash.
+- So does a request on which engines crash, after the third crash.
+- A gateway sends nothing to an engine that has told it that it leaves.
 - The gateways together keep the request limit that an engine states.
 - Requests are served again after the faults end.
 
@@ -59,6 +61,19 @@
 FATAL_PERIOD = 11
 """One of so many requests has the prompt part on which engines crash."""
 
+FATAL_REQUEST_PERIOD = 13
+"""One of so many requests is the one on which engines crash."""
+
+LEAVING = (b"Server-Leaving", b"1")
+LEAVING_ENGINE = "p1"
+LEAVING_PERIOD_MS = 3_000
+"""Time after which the engine, which may have started again, leaves again."""
+
+STORE_AWAY_MS = 500
+WRITE_AGAIN_MS = 600
+"""Time after which operator and engines write again what a restored store has
+lost."""
+
 CRASH_DELAY_MS = 20
 RESTART_DELAY_MS = 1_000
 LIMITED_ENGINE = "j1"
@@ -115,6 +130,10 @@
         self._address_by_engine: dict[str, tuple[tuple[str, int], str]] = {}
         self._are_faults_ended = False
         self._start_count = 1
+        self._start_by_engine: dict[str, int] = {}
+        self._copy = self._store.copy()
+        self._life_by_gateway: collections.Counter[str] = collections.Counter()
+        self._sender_by_attempt: dict[str, tuple[tuple[str, int], int]] = {}
 
     def _add_proxy(self, target: tuple[str, int]) -> fault_proxy.FaultProxy:
         proxy = fault_proxy.FaultProxy(
@@ -134,6 +153,7 @@
             self._loop.call_later(0, self._request)
             self._loop.call_later(FAULT_PAUSES_MS[0], self._inject_fault)
             self._loop.call_later(LIMIT_PERIOD_MS, self._toggle_limit)
+            self._loop.call_later(LEAVING_PERIOD_MS, self._announce_departure)
             self._run_for(duration_ms)
             self._end_faults()
             self._check()
@@ -159,6 +179,7 @@
         for gateway in self._gateways:
             gateway.send_signal(signal.SIGCONT)
             if not gateway.is_running:
+                self._life_by_gateway[gateway.name] += 1
                 gateway.start(now_ms=self._loop.now_ms())
         for _ in range(FINAL_TOP_UPS):
             self._top_up()
@@ -235,7 +256,7 @@
                 service,
                 state=self._state_by_engine[name],
                 version=self._version_by_engine.get(name, VERSIONS[0]),
-                started_at_ms=self._start_count,
+                started_at_ms=self._start_by_engine.get(name, 1),
             ),
         )
 
@@ -246,6 +267,13 @@
         self._state_limit(is_stated=not engine.extra_fields)
         self._loop.call_later(LIMIT_PERIOD_MS, self._toggle_limit)
 
+    def _announce_departure(self) -> None:
+        """Lets an engine say that it leaves, whatever its entry says."""
+        (engine,) = (e for e in self._engines if e.name == LEAVING_ENGINE)
+        if LEAVING not in engine.extra_fields:
+            engine.extra_fields.append(LEAVING)
+        self._loop.call_later(LEAVING_PERIOD_MS, self._announce_departure)
+
     def _state_limit(self, *, is_stated: bool) -> None:
         (engine,) = (e for e in self._engines if e.name == LIMITED_ENGINE)
         engine.extra_fields = (
@@ -255,9 +283,12 @@
 
     def _crash(self, engine: engine_lib.Engine) -> None:
         """Resets all connections of an engine, which starts again later."""
-        self._invariants.record_crash()
         engine.reset_connections()
         self._start_count += 1
+        self._start_by_engine[engine.name] = self._start_count
+        if LEAVING in engine.extra_fields:
+            engine.extra_fields.remove(LEAVING)
+        self._invariants.forget_notices(engine.name)
         self._loop.call_later(RESTART_DELAY_MS, self._register, engine.name)
 
     def _drain_engine(self) -> None:
@@ -266,16 +297,43 @@
         if self._invariants.record_engine_departure(name):
             self._register(name, "draining")
 
+    def _restore_store(self) -> None:
+        """Lets the store return from an older copy, after a moment away."""
+        self._store.fault = memory_store.Fault.UNRESPONSIVE
+        copy = self._copy
+
+        def restore() -> None:
+            self._store.restore(copy)
+            self._store.fault = memory_store.Fault.NONE
+            self._loop.call_later(WRITE_AGAIN_MS, self._write_again)
+
+        self._loop.call_later(STORE_AWAY_MS, restore)
+
+    def _write_again(self) -> None:
+        """Writes again what the store has lost, and then changes it."""
+        self._configure()
+        for name in self._address_by_engine:
+            self._register(name)
+        self._start_quiet_period()
+
     def _record_run(
         self, call: engine_lib.Call, *, has_prompt: bool = False
     ) -> str:
         attempt = call.request.get(b"x-bambooglade-attempt-id").decode()
+        sender, sent_at_ms = self._sender_by_attempt[attempt]
+        self._invariants.check_notice(
+            sender, call.engine.name, attempt, sent_at_ms=sent_at_ms
+        )
         self._invariants.record_run(
             attempt, call.engine.name, has_prompt=has_prompt
         )
         return attempt
 
     def _respond(self, call: engine_lib.Call) -> None:
+        if call.request.target == invariants_lib.FATAL_PATH.encode():
+            self._invariants.record_fatal_request(self._record_run(call))
+            self._loop.call_later(CRASH_DELAY_MS, self._crash, call.engine)
+            return
         match self._random.randrange(20):
             case 0:
                 call.decline()
@@ -298,6 +356,8 @@
         if FATAL_PART in call.request.get(b"x-bambooglade-prefix-hash"):
             self._invariants.record_fatal_run(attempt)
             call.start_stream()
+            for number in range(1, int(attempt[1:]) % 3):
+                call.event(number)
             self._loop.call_later(CRASH_DELAY_MS, self._crash, call.engine)
             return
         first = int(call.request.get(b"last-event-id") or 0) + 1
@@ -322,6 +382,8 @@
         path = self._random.choice(PATHS)
         key = self._random.choice([harness_lib.KEY] * 3 + [SPARE_KEY])
         gateway = self._random.choice(self._gateways)
+        if self._random.randrange(FATAL_REQUEST_PERIOD) == 0:
+            path, key = invariants_lib.FATAL_PATH, harness_lib.KEY
         self._send(path, key, gateway)
         self._collect_responses()
         if reschedules:
@@ -344,7 +406,7 @@
             (b"Authorization", b"Token " + key),
             *extra,
         ]
-        if path != invariants_lib.PLAIN_PATH:
+        if path not in invariants_lib.PLAIN_PATHS:
             prompt = invariants_lib.PROMPT.encode()
             number = int(attempt[1:])
             part = b"doc%d" % (number % 5)
@@ -363,9 +425,28 @@
             key == SPARE_KEY and self._invariants.must_refuse_spare_key()
         )
         self._path_by_attempt[attempt] = path
+        self._sender_by_attempt[attempt] = (
+            self._process_of(gateway),
+            self._loop.now_ms(),
+        )
         self._callers[attempt] = caller, must_refuse
         return attempt
 
+    def _record_notice(self, attempt: str, caller: harness_lib.Caller) -> None:
+        """Records that a gateway passed on that an engine leaves."""
+        signature = caller.header(engine_lib.SIGNATURE.lower())
+        for engine in self._engines:
+            # The engine may have started again since.
+            if engine.signature == signature and LEAVING in engine.extra_fields:
+                sender, _ = self._sender_by_attempt[attempt]
+                self._invariants.record_notice(sender, engine.name)
+
+    def _process_of(
+        self, gateway: gateway_process.GatewayProcess
+    ) -> tuple[str, int]:
+        """Returns the process of a gateway since its last start or pause."""
+        return gateway.name, self._life_by_gateway[gateway.name]
+
     def _resume(self, attempt: str, caller: harness_lib.Caller) -> None:
         """Resumes a stream that broke off, at the next gateway."""
         events = caller.body.count(invariants_lib.END_OF_EVENT)
@@ -397,6 +478,8 @@
             self._statuses[outcome] += 1
             if must_refuse and caller.status == 200:
                 self._invariants.record_revoked_key_served(attempt)
+            if caller.status and caller.header(LEAVING[0].lower()):
+                self._record_notice(attempt, caller)
             path = self._path_by_attempt[attempt]
             self._invariants.check_response(
                 attempt, path, caller, received_events=received
@@ -422,9 +505,11 @@
         if self._are_faults_ended:
             return
         gateway = self._random.choice(self._gateways)
-        is_disturbance = True
-        match self._random.randrange(12):
+        is_disturbance, is_restored = True, False
+        copy = self._store.copy()
+        match self._random.randrange(13):
             case 0:
+                self._life_by_gateway[gateway.name] += 1
                 gateway.send_signal(signal.SIGSTOP)
                 self._loop.call_later(900, gateway.send_signal, signal.SIGCONT)
             case 1:
@@ -451,17 +536,23 @@
                 is_disturbance = False
             case 11:
                 self._start_quiet_period()
+            case 12:
+                is_restored = True
+                self._restore_store()
+        self._copy = copy
         if is_disturbance:
             self._invariants.record_disturbance()
         for other in self._gateways:
             if not other.is_running:
+                self._life_by_gateway[other.name] += 1
                 other.start(now_ms=self._loop.now_ms())
                 self._invariants.record_disturbance()
         is_quiet = not self._is_disturbed
         pauses_ms = QUIET_PAUSES_MS if is_quiet else FAULT_PAUSES_MS
-        self._loop.call_later(
-            self._random.choice(pauses_ms), self._inject_fault
-        )
+        pause_ms = self._random.choice(pauses_ms)
+        if is_restored:
+            pause_ms = max(QUIET_PAUSES_MS)
+        self._loop.call_later(pause_ms, self._inject_fault)
 
     def _start_quiet_period(self) -> None:
         """Ends connection faults, then revokes a key and drains an engine.
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_soak.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_soak.py
@@ -41,6 +41,7 @@
         "say_of_broken_requests_that_they_did_not_run",
         "send_quarantined_prompts",
         "ignore_request_limits",
+        "ignore_notices_of_leaving",
     ],
 )
 def test_soak_detects_deliberate_fault(fault):
