--- a/packages/bambooglade/bambooglade/gateway/prompt_quarantine.py
+++ b/packages/bambooglade/bambooglade/gateway/prompt_quarantine.py
@@ -282,7 +282,7 @@
         if not changed:
             return
         self._handle_change(source)
-        self._save_corroborated()
+        self._save_later(SAVE_DELAY_MS)
         ids = [suspicion.suspicion_id for suspicion in changed]
         instances = len(self._relays.known_peers()) + 1
         delay_ms = CLEARING_DELAY_MS_PER_INSTANCE * instances
@@ -323,8 +323,7 @@
             ids = {suspicion.suspicion_id for suspicion in expired}
             self._own_ids -= ids
             self._unsaved_ids.update(dict.fromkeys(self._saved_ids & ids))
-            if self._unsaved_ids:
-                self._save_later(SAVE_DELAY_MS)
+            self._save_later(SAVE_DELAY_MS)
 
     def _share(self, changed: list[crash_suspicions.Suspicion]) -> None:
         if not self._unsent:
@@ -340,17 +339,9 @@
         self._unsaved_ids.update(
             dict.fromkeys(self._saved_ids.intersection(dropped_ids))
         )
-        self._save_corroborated()
+        self._save_later(SAVE_DELAY_MS)
         self._handle_change("local")
 
-    def _save_corroborated(self) -> None:
-        """Writes own suspicions whose suspects were at several crashes."""
-        if self._own_ids:
-            due = self._own_ids & self.suspicions.corroborated_ids()
-            self._unsaved_ids.update(dict.fromkeys(due - self._saved_ids))
-        if self._unsaved_ids:
-            self._save_later(SAVE_DELAY_MS)
-
     def _handle_change(self, source: str) -> None:
         """Logs quarantines that begin or end, and notifies the listeners."""
         quarantined = {q.parts for q in self.suspicions.quarantines}
@@ -406,7 +397,15 @@
             self._loop.call_later(delay_ms, lambda: tasks.spawn(self._save()))
 
     def _save(self) -> tasks.Task:
-        """Writes what has changed to the store; tries again after a failure."""
+        """Writes what has changed to the store; tries again after a failure.
+
+        Own suspicions are written once a suspect was at several crashes.
+        """
+        due = self.suspicions.corroborated(self._own_ids - self._saved_ids)
+        self._unsaved_ids.update(dict.fromkeys(due))
+        if not self._unsaved_ids:
+            self._is_saving = False
+            return
         known = {s.suspicion_id: s for s in self.suspicions.all_suspicions()}
         batch = list(self._unsaved_ids)[:MAX_WRITES]
         for suspicion_id in batch:
@@ -534,8 +533,7 @@
             for suspicion in self.suspicions.all_suspicions()
             if suspicion.suspicion_id not in listed and suspicion.parts
         ]
-        corroborated = self.suspicions.corroborated_ids()
-        due = [s for s in missing if s in corroborated]
+        due = self.suspicions.corroborated(missing)
         if due:
             self._unsaved_ids.update(dict.fromkeys(due))
             self._save_later(SAVE_DELAY_MS)
--- a/packages/bambooglade/bambooglade/targets/crash_suspicions.py
+++ b/packages/bambooglade/bambooglade/targets/crash_suspicions.py
@@ -177,8 +177,10 @@
     __slots__ = (
         "_cleared_at_ms_by_part",
         "_cleared_at_ms_by_request",
+        "_conclusive_parts",
         "_crash_count_by_run",
         "_dropped_ids",
+        "_ids_by_part",
         "_progress_by_part",
         "_suspicion_by_id",
         "digest",
@@ -202,6 +204,8 @@
             tuple[str, int], int
         ] = collections.OrderedDict()
         self._dropped_ids: list[str] = []
+        self._ids_by_part: dict[str, set[str]] = {}
+        self._conclusive_parts: set[str] = set()
         self.digest = 0
         self.quarantines: list[Quarantine] = []
 
@@ -304,6 +308,11 @@
             cleared.move_to_end(part)
             if len(cleared) > limit:
                 cleared.popitem(last=False)
+        suspected_ids = set().union(
+            *(self._ids_by_part.get(part, ()) for part in completed)
+        )
+        if not suspected_ids:
+            return []
         return self.merge(
             [
                 msgspec.structs.replace(
@@ -312,8 +321,8 @@
                         p for p in suspicion.parts if p not in completed
                     ),
                 )
-                for suspicion in self._suspicion_by_id.values()
-                if not completed.isdisjoint(suspicion.parts)
+                for suspicion_id in suspected_ids
+                if (suspicion := self._suspicion_by_id[suspicion_id])
             ],
             now_ms=now_ms,
         )
@@ -330,7 +339,7 @@
         while len(self._suspicion_by_id) > MAX_SUSPICIONS:
             dropped_id, dropped = self._suspicion_by_id.popitem(last=False)
             self._dropped_ids.append(dropped_id)
-            self._update_digest(dropped, None)
+            self._record_change(dropped, None)
         if changed:
             self.quarantines = list(self._find_quarantines())
         return changed
@@ -365,16 +374,18 @@
             now_ms=now_ms,
         )
 
-    def corroborated_ids(self) -> set[str]:
-        """Returns the suspicions whose suspects were at two crashes or more."""
-        runs_by_part: dict[str, set[TargetRun]] = collections.defaultdict(set)
-        for suspicion in self._suspicion_by_id.values():
-            for part in suspicion.parts:
-                runs_by_part[part].add(suspicion.target_run)
+    def corroborated(self, suspicion_ids: Iterable[str]) -> set[str]:
+        """Returns those of which a suspect was at two crashes or more."""
         return {
-            suspicion.suspicion_id
-            for suspicion in self._suspicion_by_id.values()
-            if any(len(runs_by_part[part]) > 1 for part in suspicion.parts)
+            suspicion_id
+            for suspicion_id in suspicion_ids
+            if (suspicion := self._suspicion_by_id.get(suspicion_id))
+            and any(
+                self._suspicion_by_id[other_id].target_run
+                != suspicion.target_run
+                for part in suspicion.parts
+                for other_id in self._ids_by_part[part]
+            )
         }
 
     def pop_dropped_ids(self) -> list[str]:
@@ -398,7 +409,7 @@
             self._count_crash(received.target_run)
             if merged != known:
                 self._suspicion_by_id[merged.suspicion_id] = merged
-                self._update_digest(known, merged)
+                self._record_change(known, merged)
                 yield merged
 
     def find_quarantine(self, parts: Iterable[str]) -> Quarantine | None:
@@ -425,7 +436,7 @@
         ]
         for suspicion in expired:
             del self._suspicion_by_id[suspicion.suspicion_id]
-            self._update_digest(suspicion, None)
+            self._record_change(suspicion, None)
         if expired:
             self.quarantines = list(self._find_quarantines())
         return expired
@@ -446,21 +457,45 @@
             and now_ms - completed_at_ms <= CLEARED_MS
         )
 
-    def _update_digest(
+    def _record_change(
         self, before: Suspicion | None, after: Suspicion | None
     ) -> None:
+        """Updates the digest, and what is known of the suspects that changed.
+
+        Only these are examined: a crash at full load makes dozens of
+        suspicions, each of which would otherwise go through all others.
+        """
         self.digest = (self.digest + _hash(after) - _hash(before)) & _MASK
+        suspicion_id = (before or after).suspicion_id
+        old = set(before.parts) if before is not None else set()
+        new = set(after.parts) if after is not None else set()
+        for part in old - new:
+            ids = self._ids_by_part[part]
+            ids.discard(suspicion_id)
+            if not ids:
+                del self._ids_by_part[part]
+        for part in new - old:
+            self._ids_by_part.setdefault(part, set()).add(suspicion_id)
+        for part in new - old - self._conclusive_parts:
+            if _is_conclusive(self._evidence(part)):
+                self._conclusive_parts.add(part)
+        for part in self._conclusive_parts & (old - new):
+            if not _is_conclusive(self._evidence(part)):
+                self._conclusive_parts.discard(part)
+
+    def _evidence(self, part: str) -> list[Suspicion]:
+        ids = self._ids_by_part.get(part, ())
+        return [
+            self._suspicion_by_id[i] for i in ids if i in self._suspicion_by_id
+        ]
 
     def _find_quarantines(self) -> Iterator[Quarantine]:
-        evidence_by_part: dict[str, list[Suspicion]] = collections.defaultdict(
-            list
-        )
-        for suspicion in self._suspicion_by_id.values():
-            for part in suspicion.parts:
-                evidence_by_part[part].append(suspicion)
+        evidence_by_part = {
+            part: self._evidence(part) for part in self._conclusive_parts
+        }
         explained: set[TargetRun] = set()
         for part in sorted(
-            (p for p, e in evidence_by_part.items() if _is_conclusive(e)),
+            evidence_by_part,
             key=lambda part: (_specificity(evidence_by_part[part]), part),
         ):
             evidence = evidence_by_part[part]
@@ -468,12 +503,12 @@
             if not _is_conclusive(unexplained):
                 continue
             explained.update(s.target_run for s in evidence)
-            common = set.intersection(*(set(s.parts) for s in evidence))
+            ids = self._ids_by_part[part]
             yield Quarantine(
                 frozenset(
                     other
-                    for other in common
-                    if len(evidence_by_part[other]) == len(evidence)
+                    for other in evidence[0].parts
+                    if self._ids_by_part[other] == ids
                 ),
                 evidence,
             )
@@ -504,6 +539,8 @@
 
 
 def _is_conclusive(evidence: Sequence[Suspicion]) -> bool:
+    if len(evidence) < CRASHES_TO_QUARANTINE:
+        return False
     targets = {suspicion.target_run.target_id for suspicion in evidence}
     needed = (
         CRASHES_TO_QUARANTINE if len(targets) > 1 else CRASHES_OF_ONE_TARGET
--- a/packages/bambooglade/bambooglade/targets/tests/test_crash_suspicions.py
+++ b/packages/bambooglade/bambooglade/targets/tests/test_crash_suspicions.py
@@ -116,6 +116,79 @@
     assert (crash(suspicions, "e1", "a", now_ms=age_ms) is None) is is_cleared
 
 
+# Times at which the same request was sent and cut off, by target.
+SEQUENCES = {
+    "one after the other": ("e1:0-5|e2:5-9|e3:9-12", True),
+    "with pauses": ("e1:0-5|e2:90-99|e1:300-302|e3:400-401", True),
+    "lost all at once": ("e1:0-50|e2:1-50|e3:2-51|e4:3-52|e5:0-53", False),
+    "two pairs at once": ("e1:0-50|e2:1-50|e3:60-90|e4:61-91", False),
+    "at once, then one after the other": (
+        "e1:0-50|e2:1-50|e3:51-90|e4:91-99",
+        True,
+    ),
+    "one target three times": ("e1:0-5|e1:5-9|e1:9-12", False),
+}
+
+
+@pytest.mark.parametrize(
+    ("sequence", "is_quarantined"), SEQUENCES.values(), ids=SEQUENCES
+)
+def test_crashes_count_if_the_requests_were_sent_one_after_the_other(
+    sequence, is_quarantined
+):
+    suspicions = suspicions_lib.CrashSuspicions()
+    for number, entry in enumerate(sequence.split("|")):
+        target_id, _, times = entry.partition(":")
+        sent_at_ms, _, crashed_at_ms = times.partition("-")
+        suspicions.record_crash(
+            suspicions.target_run(target_id, 1),
+            f"r{number}",
+            ["request:same"],
+            now_ms=int(crashed_at_ms),
+            sent_at_ms=int(sent_at_ms),
+        )
+    assert bool(suspicions.quarantines) is is_quarantined
+
+
+def test_suspect_that_the_fewest_requests_had_explains_the_crashes():
+    suspicions = suspicions_lib.CrashSuspicions()
+    for target_id in ("e1", "e2", "e3"):
+        run = suspicions.target_run(target_id, 1)
+        suspicions.record_crash(run, "f", ["popular", "fatal"], now_ms=1)
+        for number in range(4):
+            suspicions.record_crash(
+                run,
+                f"{number}",
+                ["popular", f"{target_id}-{number}"],
+                now_ms=1,
+            )
+    assert frozenset(["fatal"]) in quarantined(suspicions)
+    assert suspicions.find_quarantine(["popular"]) is None
+
+
+@pytest.mark.parametrize("is_same_request", [False, True])
+def test_response_under_way_protects_its_parts_but_not_its_own(
+    is_same_request,
+):
+    suspicions = suspicions_lib.CrashSuspicions()
+    progressing = "r" if is_same_request else "other"
+    suspicions.record_progress(progressing, ["p"], now_ms=0)
+    run = suspicions.target_run("e1", 1)
+    suspicion = suspicions.record_crash(run, "r", ["p"], now_ms=1)
+    assert (suspicion is not None) is is_same_request
+
+
+def test_instance_clears_what_it_completed_and_a_peer_suspects():
+    reporter, other = (suspicions_lib.CrashSuspicions() for _ in range(2))
+    other.record_success(["request:poll"], now_ms=0)
+    made = crash(reporter, "e1", "request:poll request:x", now_ms=1)
+    other.merge([made], now_ms=1)
+    changed = other.clear_completed([made.suspicion_id], now_ms=1)
+    reporter.merge(changed, now_ms=2)
+    assert [s.parts for s in reporter.all_suspicions()] == [("request:x",)]
+    assert reporter.digest == other.digest
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_instances_agree_in_whatever_order_messages_arrive(seed):
     source = random.Random(seed)
@@ -165,3 +238,12 @@
     assert len(first.evict_expired(now_ms=later_ms)) == 3
     first.merge(second.all_suspicions(), now_ms=later_ms)
     assert first.all_suspicions() == first.quarantines == []
+
+
+def test_only_suspects_of_two_crashes_are_corroborated():
+    suspicions = suspicions_lib.CrashSuspicions()
+    for target_id, parts in (("e1", "a b"), ("e1", "c"), ("e2", "b")):
+        crash(suspicions, target_id, parts)
+    kept = {s.suspicion_id: s.parts for s in suspicions.all_suspicions()}
+    corroborated = suspicions.corroborated(kept)
+    assert {kept[i] for i in corroborated} == {("a", "b"), ("b",)}
