Contact the seed twice a second while no other member is known

What callers saw: make run ended with 504 outcome_unknown in three of 19 runs on a busy machine, a few seconds after the instances had started.

Cause, by the log of one such run: an instance had tried its seed before that listened, became a member 5 s later, and only then were shards of its zone assumed anew; the call fell into that time.

An instance without members tries a contact each 0.5 s instead of each 5 s, so that it joins before calls are made.

--- a/packages/bambooglade/bambooglade/fleet/gossip.py
+++ b/packages/bambooglade/bambooglade/fleet/gossip.py
@@ -34,6 +34,15 @@
 
 CONTACT_PERIOD_MS = 5_000
 """Interval between pings to a seed, a listed URL or a dead member."""
+
+JOIN_PERIOD_MS = 500
+"""The same while no other member is known.
+
+The seed of an instance may begin to listen only after it. Shards of a zone are
+assumed anew when its instances find each other, so that calls fail if that
+happens while they are served.
+"""
+
 SYNC_PERIOD_MS = 10_000
 """Minimum interval between two comparisons of the digests of all buckets."""
 EVICTION_PERIOD_MS = 60_000
@@ -282,8 +291,9 @@
     def _ping_contact(self, now_ms: int) -> Iterator[effects.Effects]:
         if now_ms < self._next_contact_ms:
             return
-        jitter_ms = self._random.randrange(CONTACT_PERIOD_MS // 5)
-        self._next_contact_ms = now_ms + CONTACT_PERIOD_MS - jitter_ms
+        period_ms = CONTACT_PERIOD_MS if self.peers() else JOIN_PERIOD_MS
+        jitter_ms = self._random.randrange(period_ms // 5)
+        self._next_contact_ms = now_ms + period_ms - jitter_ms
         recipient = self._contacts.choose(self.members, self._id, self._random)
         if recipient is not None:
             yield self._ping(recipient, probing.UNTRACKED_SEQUENCE)
--- a/packages/bambooglade/bambooglade/fleet/tests/test_membership.py
+++ b/packages/bambooglade/bambooglade/fleet/tests/test_membership.py
@@ -51,6 +51,18 @@
         assert _visible_instances(fleet, viewer) == instance_ids
 
 
+@pytest.mark.parametrize("seed_starts_after_ms", [200, 900, 4_000])
+def test_instance_joins_soon_after_its_seed_begins_to_listen(
+    seed_starts_after_ms,
+):
+    fleet = control.ControlFleet(seed=7, seeds=("http://zone-a-2",))
+    fleet.start("zone-b")
+    fleet.fleet.run_for(seed_starts_after_ms)
+    fleet.start("zone-a")
+    fleet.fleet.run_for(1_500)
+    assert _visible_instances(fleet, "zone-b-1") == {"zone-a-2", "zone-b-1"}
+
+
 def test_killed_instance_is_removed_everywhere(fleet):
     fleet.fleet.kill("zone-b-2")
     fleet.fleet.run_for(DETECT_MS)
