Send nothing to a target for the pause that it requests

Cause: the gateway did not read Retry-After of targets.

Each instance keeps the pauses of the runs of targets, and places requests elsewhere; if all are paused, it rejects at once with the time until the first is free. The return is spread by up to a tenth of the pause. Values that are no number pause nothing, and longer ones than 5 min count as 5 min. The project's own interface does not read Retry-After of its targets yet.

--- a/packages/bambooglade/bambooglade/gateway/context.py
+++ b/packages/bambooglade/bambooglade/gateway/context.py
@@ -21,6 +21,7 @@
 from bambooglade.gateway import target_selector as target_selector_lib
 from bambooglade.rights import manager as manager_lib
 from bambooglade.router import metrics as metrics_lib
+from bambooglade.targets import requested_pauses
 
 
 class UnansweredRequest(Protocol):
@@ -48,6 +49,7 @@
         quarantine: Prompt parts on which targets crash, shared with peers.
         limits: Request limits of targets, shared with peers.
         leaving: Targets that leave, shared with peers.
+        pauses: Pauses that targets have requested of this instance.
         unanswered: Dispatchers of requests without a response so far.
         rights: Rights to spend tokens of the teams' prepaid budgets.
         metrics: Counters of this instance.
@@ -67,6 +69,7 @@
         "loop",
         "metrics",
         "origins",
+        "pauses",
         "pool",
         "quarantine",
         "random_source",
@@ -91,6 +94,7 @@
         quarantine: prompt_quarantine.PromptQuarantine,
         limits: limit_replication.LimitReplicator,
         leaving: leaving_replication.LeavingReplicator,
+        pauses: requested_pauses.RequestedPauses,
         rights: manager_lib.RightsManager,
         metrics: metrics_lib.Metrics,
         log: event_log.EventLog,
@@ -109,6 +113,7 @@
         self.quarantine = quarantine
         self.limits = limits
         self.leaving = leaving
+        self.pauses = pauses
         self.unanswered: set[UnansweredRequest] = set()
         self.rights = rights
         self.metrics = metrics
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -176,7 +176,8 @@
         if choice.retry_after_ms is not None and not self.may_have_run:
             self._exchange.reject_unexecuted(
                 error_responses.ErrorKind.TARGETS_LIMITED,
-                "all targets are at the request limits that they state"
+                "all targets are at the request limits that they state, or have"
+                " asked for a pause"
                 f" ({choice.reason})",
                 retry_after_ms=choice.retry_after_ms,
             )
@@ -339,6 +340,18 @@
             self._metadata.max_requests_per_s,
             request_id=self._exchange.metadata.attempt_id,
         )
+        if self._context.pauses.record(
+            self.target_id,
+            self._choice.target.started_at_ms,
+            self._metadata.pause_s,
+            now_ms=now_ms,
+        ):
+            self._context.log.event(
+                "target_paused",
+                request=self._exchange.metadata.attempt_id,
+                target=self.target_id,
+                pause_s=self._metadata.pause_s,
+            )
         if self._metadata.is_leaving and not self._metadata.is_misdirected:
             self._context.leaving.record(
                 self._choice.target,
--- a/packages/bambooglade/bambooglade/gateway/metadata.py
+++ b/packages/bambooglade/bambooglade/gateway/metadata.py
@@ -166,6 +166,8 @@
             open; None if it is unknown.
         max_requests_per_s: Requests per second that the target accepts from
             all instances together; None if it states no limit.
+        pause_s: Time in s for which the target wants no request from this
+            instance, after it has rejected one; None if it requests no pause.
         is_leaving: Whether the target states that it is about to stop.
     """
 
@@ -178,6 +180,7 @@
         "is_signed",
         "load",
         "max_requests_per_s",
+        "pause_s",
     )
 
     def __init__(
@@ -190,6 +193,7 @@
         load: ReportedLoad | None = None,
         idle_timeout_ms: int | None = None,
         max_requests_per_s: float | None = None,
+        pause_s: float | None = None,
         is_leaving: bool = False,
     ) -> None:
         self.is_not_executed = is_not_executed
@@ -199,4 +203,5 @@
         self.load = load
         self.idle_timeout_ms = idle_timeout_ms
         self.max_requests_per_s = max_requests_per_s
+        self.pause_s = pause_s
         self.is_leaving = is_leaving
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -39,6 +39,7 @@
 from bambooglade.router import metrics as metrics_lib
 from bambooglade.store import dependency_monitor
 from bambooglade.store import store_api
+from bambooglade.targets import requested_pauses
 
 MAINTENANCE_INTERVAL_MS = 500
 """Time between two rounds of maintenance, for instance of idle connections."""
@@ -145,6 +146,7 @@
             local_instance=self._local_instance,
             log=log,
         )
+        self._pauses = requested_pauses.RequestedPauses(self._random_source)
         self.quarantine.listeners.append(self._cancel_quarantined)
         self._metrics = metrics_lib.Metrics()
         self._congestion = congestion_lib.CongestionDetector()
@@ -193,7 +195,9 @@
             view=self.view,
             codec=header_codec,
             target_selector=target_selector_lib.TargetSelector(
-                self.settings.availability_zone, self.limits.limits
+                self.settings.availability_zone,
+                self.limits.limits,
+                self._pauses,
             ),
             pool=connection_pool.ConnectionPool(
                 self.loop,
@@ -207,6 +211,7 @@
             quarantine=self.quarantine,
             limits=self.limits,
             leaving=self.leaving,
+            pauses=self._pauses,
             rights=self.rights,
             metrics=self._metrics,
             log=self._log,
@@ -382,6 +387,7 @@
         known_ids = set(self.view.target_by_id)
         self._context.target_selector.evict_missing(known_ids)
         self.limits.evict_missing(known_ids)
+        self._pauses.evict_missing(known_ids)
         self._draw_for_changed_teams()
         if not self._is_stopped:
             self.loop.call_later(MAINTENANCE_INTERVAL_MS, self._run_maintenance)
--- a/packages/bambooglade/bambooglade/gateway/target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/target_selector.py
@@ -14,6 +14,7 @@
 import collections
 from collections.abc import Iterator
 from collections.abc import Sequence
+import random
 
 from bambooglade.core import hashing
 from bambooglade.discovery import targets as targets_lib
@@ -22,6 +23,7 @@
 from bambooglade.targets import breaker
 from bambooglade.targets import latency
 from bambooglade.targets import request_limits
+from bambooglade.targets import requested_pauses
 
 PREFILL_TOKENS_PER_MS = 57.0
 """Prompt tokens that an engine processes per ms, by its data sheet."""
@@ -87,7 +89,7 @@
         cached_tokens: Prompt tokens that the target should have cached.
         reason: Terms of the prediction, for the log.
         retry_after_ms: Time until a target may get requests again; None unless
-            all targets are at their request limits.
+            all targets are at their request limits or have asked for a pause.
     """
 
     __slots__ = (
@@ -148,6 +150,7 @@
     Args:
         availability_zone: Availability zone of this instance.
         limits: Request limits of the targets; None for a single instance.
+        pauses: Pauses that targets have requested; None for none.
     """
 
     __slots__ = (
@@ -156,6 +159,7 @@
         "_latency",
         "_limits",
         "_load_by_target",
+        "_pauses",
         "_prefixes",
         "_started_at_ms_by_id",
         "_suspect_until_ms_by_id",
@@ -166,11 +170,15 @@
         self,
         availability_zone: str,
         limits: request_limits.RequestLimits | None = None,
+        pauses: requested_pauses.RequestedPauses | None = None,
     ) -> None:
         self._availability_zone = availability_zone
         self._limits = limits or request_limits.RequestLimits(
             lambda target_id: request_limits.SenderRank(0, 1)
         )
+        self._pauses = pauses or requested_pauses.RequestedPauses(
+            random.Random(0)
+        )
         self._breakers = breaker.CircuitBreakers()
         self._latency = latency.LatencyTracker()
         self._prefixes = affinity.PrefixIndex()
@@ -263,17 +271,24 @@
     def may_send(
         self, target: targets_lib.RegisteredTarget, *, now_ms: int
     ) -> bool:
-        """Returns whether the request limit of a target allows a request."""
-        return not self._limits.wait_ms(
-            target.target_id, target.started_at_ms, now_ms=now_ms
+        """Returns whether a target may get a request now.
+
+        It may not while it is at its request limit or has asked for a pause.
+        """
+        run = target.target_id, target.started_at_ms
+        return not (
+            self._limits.wait_ms(*run, now_ms=now_ms)
+            or self._pauses.wait_ms(*run, now_ms=now_ms)
         )
 
     def _retry_after_ms(
         self, target: targets_lib.RegisteredTarget, now_ms: int
     ) -> int:
-        return self._limits.retry_after_ms(
-            target.target_id, target.started_at_ms, now_ms=now_ms
-        )
+        run = target.target_id, target.started_at_ms
+        pause_ms = self._pauses.wait_ms(*run, now_ms=now_ms)
+        if not self._limits.wait_ms(*run, now_ms=now_ms):
+            return pause_ms
+        return max(pause_ms, self._limits.retry_after_ms(*run, now_ms=now_ms))
 
     def _predict(
         self,
--- a/packages/bambooglade/bambooglade/platform/headers.py
+++ b/packages/bambooglade/bambooglade/platform/headers.py
@@ -63,6 +63,7 @@
 """Fields that are forwarded even if the client lists them in `Connection`."""
 
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 
 
 def decode_request(request: messages.Request) -> metadata.RequestMetadata:
@@ -136,7 +137,12 @@
         has_content_encoding=head.has(b"content-encoding"),
         load=_load(head.get(_LOAD)),
         idle_timeout_ms=_idle_timeout_ms(head.get(b"keep-alive")),
-        max_requests_per_s=_request_limit(head.get(_REQUEST_LIMIT)),
+        max_requests_per_s=_decimal(head.get(_REQUEST_LIMIT)),
+        pause_s=(
+            _decimal(head.get(b"retry-after"))
+            if head.status == _UNAVAILABLE
+            else None
+        ),
         is_leaving=b"1" in head.tokens(_LEAVING),
     )
 
@@ -159,8 +165,8 @@
     return metadata.ReportedLoad(running=running, waiting=waiting, slots=slots)
 
 
-def _request_limit(value: bytes) -> float | None:
-    """Returns the limit; None if there is none or it is no decimal number."""
+def _decimal(value: bytes) -> float | None:
+    """Returns a number; None if there is none or it is not a decimal one."""
     text = value.strip()
     return float(text) if _DECIMAL_NUMBER.fullmatch(text) else None
 
