--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/platform_harness.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/platform_harness.py
@@ -152,6 +152,7 @@
         gateways: Gateways in the order in which they were started.
         seeds: Seed addresses for gateways that are started later.
         crash_count: Number of engine crashes.
+        crash_times_ms: Times of these crashes.
     """
 
     def __init__(self) -> None:
@@ -166,6 +167,7 @@
         self._attempt_ids = itertools.count(1)
         self._service_by_engine: dict[str, str] = {}
         self.crash_count = 0
+        self.crash_times_ms: list[int] = []
 
     def add_engine(
         self,
@@ -247,6 +249,7 @@
 
     def _crash(self, engine: engine_lib.Engine) -> None:
         self.crash_count += 1
+        self.crash_times_ms.append(self.loop.now_ms())
         engine.reset_connections()
         self.register(engine.name, self._service_by_engine[engine.name])
 
