Name the quarantine and its suspects after what they hold

The quarantine knew prompts only when it was named; it keeps whole requests and parts of prompts away. gateway/prompt_quarantine.py is request_quarantine.py, PromptQuarantine is RequestQuarantine, and the parts of a Suspicion and of a Quarantine are its suspects.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_relay_fleet.py
@@ -17,7 +17,7 @@
 from bambooglade.gateway import leaving_replication
 from bambooglade.gateway import limit_replication
 from bambooglade.gateway import peer_api
-from bambooglade.gateway import prompt_quarantine
+from bambooglade.gateway import request_quarantine
 from bambooglade.http1 import messages
 from bambooglade.platform import codec
 from bambooglade.store import dependency_monitor
@@ -190,7 +190,7 @@
             random_source=random_source,
         )
         self.client = InProcessHttpClient(fleet)
-        self.quarantine = prompt_quarantine.PromptQuarantine(
+        self.quarantine = request_quarantine.RequestQuarantine(
             fleet.loop,
             self.client,
             self.store_link,
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_quarantine_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_quarantine_fleet.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bambooglade.gateway import prompt_quarantine
+from bambooglade.gateway import request_quarantine
 from bambooglade.targets import crash_suspicions
 from bambooglade_standins.users_platform import simulated_relay_fleet
 
@@ -83,7 +83,7 @@
 
 def test_fleet_makes_three_trials_in_all(fleet, monkeypatch):
     delays_ms = (3_000, 6_000, 9_000)
-    monkeypatch.setattr(prompt_quarantine, "TRIAL_DELAYS_MS", delays_ms)
+    monkeypatch.setattr(request_quarantine, "TRIAL_DELAYS_MS", delays_ms)
     crash(fleet, (0, 2, 5))
     fleet.loop.advance(SPREAD_MS)
     trials = 0
@@ -99,7 +99,7 @@
 
 def test_trial_that_succeeds_ends_the_quarantine_on_all(fleet):
     crash(fleet, (0, 2, 5))
-    fleet.loop.advance(prompt_quarantine.TRIAL_DELAYS_MS[0])
+    fleet.loop.advance(request_quarantine.TRIAL_DELAYS_MS[0])
     instance = fleet.instances[1]
     assert not instance.quarantine.acquire_trial(
         instance.quarantine.find(PROMPT)
@@ -116,7 +116,7 @@
     fleet.loop.advance(SPREAD_MS)
     assert refusing(fleet) == len(fleet.instances)
     for key in fleet.store.list_keys():
-        if key.startswith(prompt_quarantine.STORE_PREFIX):
+        if key.startswith(request_quarantine.STORE_PREFIX):
             fleet.store.put_now(key, None)
     fleet.loop.advance(RECOVERY_MS)
     assert refusing(fleet) == 0
@@ -148,6 +148,6 @@
     stored = [
         key
         for key in fleet.store.list_keys()
-        if key.startswith(prompt_quarantine.STORE_PREFIX)
+        if key.startswith(request_quarantine.STORE_PREFIX)
     ]
     assert len(stored) == 5
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_restore.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_restore.py
@@ -9,7 +9,7 @@
 from bambooglade.core import event_log
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import registration as registration_lib
-from bambooglade.gateway import prompt_quarantine
+from bambooglade.gateway import request_quarantine
 from bambooglade.rights import homes
 from bambooglade.rights import ledger as ledger_lib
 from bambooglade.rights import manager as manager_lib
@@ -163,7 +163,7 @@
 
     lose_writes(fleet, suspect)
     advance(fleet, 3_000)
-    prefix = prompt_quarantine.STORE_PREFIX
+    prefix = request_quarantine.STORE_PREFIX
     keys = [key for key in fleet.store.list_keys() if key.startswith(prefix)]
     assert len(keys) == 2
 
--- a/packages/bambooglade/bambooglade/discovery/peer_puller.py
+++ b/packages/bambooglade/bambooglade/discovery/peer_puller.py
@@ -54,7 +54,7 @@
 
 
 class SuspicionExchange(Protocol):
-    """The part of `PromptQuarantine` that exchanges suspicions with peers."""
+    """The part of `RequestQuarantine` that exchanges suspicions with peers."""
 
     suspicions: crash_suspicions.CrashSuspicions
 
--- a/packages/bambooglade/bambooglade/gateway/context.py
+++ b/packages/bambooglade/bambooglade/gateway/context.py
@@ -15,7 +15,7 @@
 from bambooglade.gateway import leaving_replication
 from bambooglade.gateway import limit_replication
 from bambooglade.gateway import origin_replication
-from bambooglade.gateway import prompt_quarantine
+from bambooglade.gateway import request_quarantine
 from bambooglade.gateway import retry_budget
 from bambooglade.gateway import settings as settings_lib
 from bambooglade.gateway import target_selector as target_selector_lib
@@ -91,7 +91,7 @@
         pool: connection_pool.ConnectionPool,
         congestion: congestion_lib.CongestionDetector,
         origins: origin_replication.OriginReplicator,
-        quarantine: prompt_quarantine.PromptQuarantine,
+        quarantine: request_quarantine.RequestQuarantine,
         limits: limit_replication.LimitReplicator,
         leaving: leaving_replication.LeavingReplicator,
         pauses: requested_pauses.RequestedPauses,
--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -470,7 +470,7 @@
     age_ms = max(0, now_ms - quarantine.last_crash_ms)
     return (
         f"targets crashed {quarantine.crash_count} times, last {age_ms} ms ago,"
-        f" on {','.join(sorted(quarantine.parts))}"
+        f" on {','.join(sorted(quarantine.suspects))}"
     )
 
 
--- a/packages/bambooglade/bambooglade/gateway/peer_api.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_api.py
@@ -16,7 +16,7 @@
 from bambooglade.gateway import leaving_replication
 from bambooglade.gateway import limit_replication
 from bambooglade.gateway import origin_replication
-from bambooglade.gateway import prompt_quarantine
+from bambooglade.gateway import request_quarantine
 from bambooglade.http1 import messages
 from bambooglade.rights import lending
 from bambooglade.rights import manager as manager_lib
@@ -64,7 +64,7 @@
         local_instance: peers_lib.Peer,
         rights: manager_lib.RightsManager,
         origins: origin_replication.OriginReplicator,
-        quarantine: prompt_quarantine.PromptQuarantine,
+        quarantine: request_quarantine.RequestQuarantine,
         limits: limit_replication.LimitReplicator,
         leaving: leaving_replication.LeavingReplicator,
         log: event_log.EventLog,
@@ -95,7 +95,7 @@
             lending.REPAYMENT_PATH: self._handle_repayment,
             origin_replication.RECORD_PATH: self._handle_origins,
             origin_replication.LOOKUP_PATH: self._handle_origin_lookup,
-            prompt_quarantine.PATH: self._handle_suspicions,
+            request_quarantine.PATH: self._handle_suspicions,
             limit_replication.PATH: self._handle_limits,
             leaving_replication.PATH: self._handle_leaving,
         }
@@ -186,7 +186,7 @@
 
     def _handle_suspicions(self, body: bytes) -> http_server.Reply:
         message = msgspec.json.decode(
-            body, type=prompt_quarantine.SuspicionMessage
+            body, type=request_quarantine.SuspicionMessage
         )
         self._peers.mark_seen([message.sender], now_ms=self._loop.now_ms())
         self._quarantine.apply_message(message)
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -29,7 +29,7 @@
 from bambooglade.gateway import limit_replication
 from bambooglade.gateway import origin_replication
 from bambooglade.gateway import peer_api
-from bambooglade.gateway import prompt_quarantine
+from bambooglade.gateway import request_quarantine
 from bambooglade.gateway import settings as settings_lib
 from bambooglade.gateway import target_selector as target_selector_lib
 from bambooglade.http1 import messages
@@ -115,7 +115,7 @@
             peers=self.known_peers,
             change_bound_ms=settings.max_propagation_ms,
         )
-        self.quarantine = prompt_quarantine.PromptQuarantine(
+        self.quarantine = request_quarantine.RequestQuarantine(
             loop,
             client,
             store,
--- a/packages/bambooglade/bambooglade/gateway/request_quarantine.py
+++ b/packages/bambooglade/bambooglade/gateway/request_quarantine.py
@@ -32,7 +32,7 @@
 TRIAL_PREFIX = "bambooglade/crash-trials/"
 
 TRIAL_DELAYS_MS = (30_000, 300_000, 1_800_000)
-"""Time from the last crash to each trial whether a part is sound again.
+"""Time from the last crash to each trial whether a suspect is sound again.
 
 A trial that fails costs a crash and all requests that the target runs, so that
 the whole fleet makes only these.
@@ -87,7 +87,7 @@
     sender: peers_lib.Peer
 
 
-class PromptQuarantine:
+class RequestQuarantine:
     """Suspicions and quarantines of one instance, shared with the fleet.
 
     Args:
@@ -120,7 +120,7 @@
         "_must_watch_store",
         "_next_trial_ms_by_id",
         "_own_ids",
-        "_quarantined_parts",
+        "_quarantined_suspects",
         "_random",
         "_relays",
         "_saved_ids",
@@ -158,7 +158,7 @@
         self._unsaved_ids: dict[str, None] = {}
         self._own_ids: set[str] = set()
         self._saved_ids: set[str] = set()
-        self._quarantined_parts: set[frozenset[str]] = set()
+        self._quarantined_suspects: set[frozenset[str]] = set()
         self._trials_by_id: dict[str, int] = {}
         self._next_trial_ms_by_id: dict[str, int] = {}
         self._granted_trials: set[str] = set()
@@ -176,13 +176,15 @@
         """Stops once the calls in flight have ended."""
         self._is_stopped = True
 
-    def find(self, parts: Sequence[str]) -> crash_suspicions.Quarantine | None:
+    def find(
+        self, suspects: Sequence[str]
+    ) -> crash_suspicions.Quarantine | None:
         """Returns the quarantine of a request; None if it may be sent.
 
         Args:
-            parts: Identity of the request, and the shared parts of its prompt.
+            suspects: Identity of the request, and shared parts of its prompt.
         """
-        return self.suspicions.find_quarantine(parts)
+        return self.suspicions.find_quarantine(suspects)
 
     def retry_after_ms(self, quarantine: crash_suspicions.Quarantine) -> int:
         """Returns the time until the next trial of a quarantined request."""
@@ -212,7 +214,7 @@
         self,
         target_run: crash_suspicions.TargetRun,
         request_id: str,
-        parts: Sequence[str],
+        suspects: Sequence[str],
         *,
         sent_at_ms: int | None = None,
         event_count: int | None = None,
@@ -222,14 +224,14 @@
         Args:
             target_run: The process that crashed, as of the dispatch.
             request_id: Id of the request.
-            parts: Its identity, and the parts of its prompt that are suspected.
+            suspects: Its identity, and the suspected parts of its prompt.
             sent_at_ms: Time at which it was sent; None if it is unknown.
             event_count: Events that the target had sent, for the log.
         """
         suspicion = self.suspicions.record_crash(
             target_run,
             request_id,
-            parts,
+            suspects,
             now_ms=self._loop.now_ms(),
             sent_at_ms=sent_at_ms,
         )
@@ -243,7 +245,7 @@
             target_started_ms=target_run.started_at_ms,
             target_crashes=target_run.crash_count + 1,
             suspicion=suspicion.suspicion_id,
-            prompt_parts=",".join(suspicion.parts),
+            prompt_parts=",".join(suspicion.suspects),
             sent_ms_ago=None
             if sent_at_ms is None
             else suspicion.crashed_at_ms - sent_at_ms,
@@ -251,21 +253,21 @@
         )
         self._share([suspicion])
 
-    def record_progress(self, request_id: str, parts: Sequence[str]) -> None:
+    def record_progress(self, request_id: str, suspects: Sequence[str]) -> None:
         """Records that a response to a prompt with these parts goes well."""
         self.suspicions.record_progress(
-            request_id, parts, now_ms=self._loop.now_ms()
+            request_id, suspects, now_ms=self._loop.now_ms()
         )
 
-    def record_success(self, parts: Sequence[str]) -> None:
+    def record_success(self, suspects: Sequence[str]) -> None:
         """Clears the suspects of a request whose response was completed."""
         changed = self.suspicions.record_success(
-            parts, now_ms=self._loop.now_ms()
+            suspects, now_ms=self._loop.now_ms()
         )
         if changed:
             self._log.event(
                 "prompt_parts_cleared",
-                prompt_parts=",".join(parts[:8]),
+                prompt_parts=",".join(suspects[:8]),
                 suspicions=len(changed),
             )
             self._share(changed)
@@ -344,25 +346,25 @@
 
     def _handle_change(self, source: str) -> None:
         """Logs quarantines that begin or end, and notifies the listeners."""
-        quarantined = {q.parts for q in self.suspicions.quarantines}
+        quarantined = {q.suspects for q in self.suspicions.quarantines}
         for quarantine in self.suspicions.quarantines:
-            if quarantine.parts not in self._quarantined_parts:
+            if quarantine.suspects not in self._quarantined_suspects:
                 self._log.event(
                     "prompt_quarantined",
-                    prompt_parts=",".join(sorted(quarantine.parts)),
+                    prompt_parts=",".join(sorted(quarantine.suspects)),
                     crashes=quarantine.crash_count,
                     last_crash_age_ms=self._loop.now_ms()
                     - quarantine.last_crash_ms,
                     quarantine=quarantine.first_suspicion_id,
                     source=source,
                 )
-        for parts in self._quarantined_parts - quarantined:
+        for suspects in self._quarantined_suspects - quarantined:
             self._log.event(
                 "prompt_quarantine_ended",
-                prompt_parts=",".join(sorted(parts)),
+                prompt_parts=",".join(sorted(suspects)),
                 source=source,
             )
-        self._quarantined_parts = quarantined
+        self._quarantined_suspects = quarantined
         for listener in self.listeners:
             listener()
 
@@ -415,7 +417,7 @@
             store_api.Write(
                 STORE_PREFIX + suspicion_id,
                 msgspec.json.encode(known[suspicion_id])
-                if suspicion_id in known and known[suspicion_id].parts
+                if suspicion_id in known and known[suspicion_id].suspects
                 else None,
             )
             for suspicion_id in batch
@@ -531,7 +533,7 @@
         missing = [
             suspicion.suspicion_id
             for suspicion in self.suspicions.all_suspicions()
-            if suspicion.suspicion_id not in listed and suspicion.parts
+            if suspicion.suspicion_id not in listed and suspicion.suspects
         ]
         due = self.suspicions.corroborated(missing)
         if due:
@@ -555,11 +557,11 @@
                         "suspicion_malformed", key=item.key, error=error
                     )
             elif suspicion_id in known:
-                # An instance has cleared all parts.
+                # An instance has cleared all suspects.
                 received.append(
-                    msgspec.structs.replace(known[suspicion_id], parts=())
+                    msgspec.structs.replace(known[suspicion_id], suspects=())
                 )
         self.merge(received, source="store")
 
     def __repr__(self) -> str:
-        return f"PromptQuarantine({self.suspicions!r})"
+        return f"RequestQuarantine({self.suspicions!r})"
--- a/packages/bambooglade/bambooglade/targets/crash_suspicions.py
+++ b/packages/bambooglade/bambooglade/targets/crash_suspicions.py
@@ -30,13 +30,13 @@
 """
 
 CRASHES_OF_ONE_TARGET = 5
-"""Crashes after which a part is quarantined if all are of one target.
+"""Crashes after which a suspect is quarantined if all are of one target.
 
 That target may be the only one, or may itself be faulty.
 """
 
 CLEARED_MS = 15_000
-"""Time for which a completed response clears the parts of its prompt.
+"""Time for which a completed response clears its suspects.
 
 It outlasts the usual restart of all targets of a service, so that the parts
 that most prompts share stay cleared meanwhile.
@@ -63,11 +63,11 @@
 MAX_TARGET_RUNS = 1_024
 """Most target runs whose crashes are counted."""
 
-MAX_PARTS = 16
-"""Most parts of a suspicion; callers choose how many their prompts have."""
+MAX_SUSPECTS = 16
+"""Most suspects of a suspicion; callers choose how many parts prompts have."""
 
-MAX_PART_CHARS = 64
-"""Length to which the ids of parts are cut; callers choose them."""
+MAX_SUSPECT_CHARS = 64
+"""Length to which suspects are cut; callers choose the ids of parts."""
 
 _MASK = (1 << 64) - 1
 
@@ -95,7 +95,7 @@
         target_run: The process that crashed.
         crashed_at_ms: Time of the crash, by the clock of the instance that saw
             it.
-        parts: Suspects: the identity of the request and parts of its prompt,
+        suspects: The identity of the request and parts of its prompt,
             one of which may have caused the crash; empty once all are cleared.
             Suspects are only ever removed, so that instances that know
             different removals agree after exchanging them.
@@ -106,7 +106,7 @@
     suspicion_id: str
     target_run: TargetRun
     crashed_at_ms: int
-    parts: tuple[str, ...]
+    suspects: tuple[str, ...]
     sent_at_ms: int | None = None
 
     @property
@@ -121,10 +121,10 @@
     """Suspects that no request may combine.
 
     Attributes:
-        parts: The suspects. There are several if no crash told them apart.
+        suspects: What is quarantined; several if no crash told them apart.
         crash_count: Number of crashes.
         first_suspicion_id: Id of the oldest suspicion; identifies the
-            quarantine also when its parts become fewer.
+            quarantine also when its suspects become fewer.
         last_crash_ms: Time of the last crash.
     """
 
@@ -132,14 +132,14 @@
         "crash_count",
         "first_suspicion_id",
         "last_crash_ms",
-        "parts",
+        "suspects",
     )
 
     def __init__(
-        self, parts: frozenset[str], evidence: Sequence[Suspicion]
+        self, suspects: frozenset[str], evidence: Sequence[Suspicion]
     ) -> None:
         oldest = min(evidence, key=lambda s: (s.crashed_at_ms, s.suspicion_id))
-        self.parts = parts
+        self.suspects = suspects
         self.crash_count = len({s.target_run for s in evidence})
         self.first_suspicion_id = oldest.suspicion_id
         self.last_crash_ms = max(s.crashed_at_ms for s in evidence)
@@ -147,10 +147,12 @@
     @property
     def is_of_request(self) -> bool:
         """Whether a request as a whole is quarantined."""
-        return any(p.startswith(request_identity.PREFIX) for p in self.parts)
+        return any(p.startswith(request_identity.PREFIX) for p in self.suspects)
 
     def __repr__(self) -> str:
-        return f"Quarantine({sorted(self.parts)}, crashes={self.crash_count})"
+        return (
+            f"Quarantine({sorted(self.suspects)}, crashes={self.crash_count})"
+        )
 
 
 class CrashSuspicions:
@@ -161,7 +163,7 @@
         quarantines: Parts that are quarantined now.
 
     See Also:
-        bambooglade.gateway.prompt_quarantine: shares them within the fleet.
+        bambooglade.gateway.request_quarantine: shares them within the fleet.
 
     Examples:
         >>> suspicions = CrashSuspicions()
@@ -177,10 +179,10 @@
     __slots__ = (
         "_cleared_at_ms_by_part",
         "_cleared_at_ms_by_request",
-        "_conclusive_parts",
+        "_conclusive_suspects",
         "_crash_count_by_run",
         "_dropped_ids",
-        "_ids_by_part",
+        "_ids_by_suspect",
         "_progress_by_part",
         "_suspicion_by_id",
         "digest",
@@ -204,8 +206,8 @@
             tuple[str, int], int
         ] = collections.OrderedDict()
         self._dropped_ids: list[str] = []
-        self._ids_by_part: dict[str, set[str]] = {}
-        self._conclusive_parts: set[str] = set()
+        self._ids_by_suspect: dict[str, set[str]] = {}
+        self._conclusive_suspects: set[str] = set()
         self.digest = 0
         self.quarantines: list[Quarantine] = []
 
@@ -223,7 +225,7 @@
         self,
         target_run: TargetRun,
         request_id: str,
-        parts: Iterable[str],
+        suspects: Iterable[str],
         *,
         now_ms: int,
         sent_at_ms: int | None = None,
@@ -233,8 +235,8 @@
         Args:
             target_run: The process that crashed, as of the dispatch.
             request_id: Id of the request.
-            parts: Its suspects: its identity, and parts of its prompt that
-                other requests may share.
+            suspects: Its identity, and parts of its prompt that other requests
+                may share.
             now_ms: The current time in ms.
             sent_at_ms: Time at which it was sent to the target; None if it is
                 unknown.
@@ -243,10 +245,10 @@
             The suspicion; None if all suspects were completed recently.
         """
         uncleared = [
-            part
-            for part in _bounded(parts)
-            if not self._was_completed_recently(part, now_ms)
-            and not self._makes_progress(part, request_id, now_ms)
+            suspect
+            for suspect in _bounded(suspects)
+            if not self._was_completed_recently(suspect, now_ms)
+            and not self._makes_progress(suspect, request_id, now_ms)
         ]
         if not uncleared:
             self._count_crash(target_run)
@@ -256,7 +258,7 @@
             suspicion_id=f"{hashed:016x}",
             target_run=target_run,
             crashed_at_ms=now_ms,
-            parts=tuple(uncleared),
+            suspects=tuple(uncleared),
             sent_at_ms=sent_at_ms,
         )
         self.merge([suspicion], now_ms=now_ms)
@@ -272,44 +274,46 @@
             self._crash_count_by_run.popitem(last=False)
 
     def record_progress(
-        self, request_id: str, parts: Iterable[str], *, now_ms: int
+        self, request_id: str, suspects: Iterable[str], *, now_ms: int
     ) -> None:
         """Records that a response with these parts is well under way.
 
         Other requests with them are not suspected for it at this instance. It
         does not clear the parts, as a target may also crash later.
         """
-        for part in _bounded(parts):
-            self._progress_by_part[part] = request_id, now_ms
-            self._progress_by_part.move_to_end(part)
+        for suspect in _bounded(suspects):
+            self._progress_by_part[suspect] = request_id, now_ms
+            self._progress_by_part.move_to_end(suspect)
         while len(self._progress_by_part) > MAX_CLEARED_PARTS:
             self._progress_by_part.popitem(last=False)
 
-    def _makes_progress(self, part: str, request_id: str, now_ms: int) -> bool:
+    def _makes_progress(
+        self, suspect: str, request_id: str, now_ms: int
+    ) -> bool:
         """Returns whether another request with a part went well recently."""
-        progressing_id, at_ms = self._progress_by_part.get(part, ("", 0))
+        progressing_id, at_ms = self._progress_by_part.get(suspect, ("", 0))
         if progressing_id == request_id:
-            del self._progress_by_part[part]
+            del self._progress_by_part[suspect]
             return False
         return bool(progressing_id) and now_ms - at_ms <= CLEARED_MS
 
     def record_success(
-        self, parts: Iterable[str], *, now_ms: int
+        self, suspects: Iterable[str], *, now_ms: int
     ) -> list[Suspicion]:
         """Clears the suspects of a request whose response was completed.
 
         Returns:
             The suspicions that changed.
         """
-        completed = set(_bounded(parts))
-        for part in completed:
-            cleared, limit = self._cleared(part)
-            cleared[part] = now_ms
-            cleared.move_to_end(part)
+        completed = set(_bounded(suspects))
+        for suspect in completed:
+            cleared, limit = self._cleared(suspect)
+            cleared[suspect] = now_ms
+            cleared.move_to_end(suspect)
             if len(cleared) > limit:
                 cleared.popitem(last=False)
         suspected_ids = set().union(
-            *(self._ids_by_part.get(part, ()) for part in completed)
+            *(self._ids_by_suspect.get(suspect, ()) for suspect in completed)
         )
         if not suspected_ids:
             return []
@@ -317,8 +321,8 @@
             [
                 msgspec.structs.replace(
                     suspicion,
-                    parts=tuple(
-                        p for p in suspicion.parts if p not in completed
+                    suspects=tuple(
+                        p for p in suspicion.suspects if p not in completed
                     ),
                 )
                 for suspicion_id in suspected_ids
@@ -333,7 +337,7 @@
         """Merges suspicions of other instances.
 
         Returns:
-            The suspicions that were new or lost parts.
+            The suspicions that were new or lost suspects.
         """
         changed = list(self._merge_each(suspicions, now_ms))
         while len(self._suspicion_by_id) > MAX_SUSPICIONS:
@@ -363,10 +367,10 @@
             [
                 msgspec.structs.replace(
                     suspicion,
-                    parts=tuple(
-                        part
-                        for part in suspicion.parts
-                        if not self._was_completed_recently(part, now_ms)
+                    suspects=tuple(
+                        suspect
+                        for suspect in suspicion.suspects
+                        if not self._was_completed_recently(suspect, now_ms)
                     ),
                 )
                 for suspicion in known
@@ -383,8 +387,8 @@
             and any(
                 self._suspicion_by_id[other_id].target_run
                 != suspicion.target_run
-                for part in suspicion.parts
-                for other_id in self._ids_by_part[part]
+                for suspect in suspicion.suspects
+                for other_id in self._ids_by_suspect[suspect]
             )
         }
 
@@ -404,7 +408,9 @@
             if known is not None:
                 merged = msgspec.structs.replace(
                     known,
-                    parts=tuple(p for p in known.parts if p in received.parts),
+                    suspects=tuple(
+                        p for p in known.suspects if p in received.suspects
+                    ),
                 )
             self._count_crash(received.target_run)
             if merged != known:
@@ -412,19 +418,20 @@
                 self._record_change(known, merged)
                 yield merged
 
-    def find_quarantine(self, parts: Iterable[str]) -> Quarantine | None:
+    def find_quarantine(self, suspects: Iterable[str]) -> Quarantine | None:
         """Returns a quarantine that covers a prompt, or None.
 
         Args:
-            parts: Parts of the prompt that other requests may share.
+            suspects: Identity of the request, and parts of its prompt that
+                other requests may share.
         """
         if not self.quarantines:
             return None
-        found = set(_bounded(parts))
-        return next((q for q in self.quarantines if q.parts <= found), None)
+        found = set(_bounded(suspects))
+        return next((q for q in self.quarantines if q.suspects <= found), None)
 
     def all_suspicions(self) -> list[Suspicion]:
-        """Returns all suspicions, also those without any parts left."""
+        """Returns all suspicions, also those without any suspects left."""
         return list(self._suspicion_by_id.values())
 
     def evict_expired(self, *, now_ms: int) -> list[Suspicion]:
@@ -442,16 +449,16 @@
         return expired
 
     def _cleared(
-        self, part: str
+        self, suspect: str
     ) -> tuple[collections.OrderedDict[str, int], int]:
         """Returns where a suspect is recorded as cleared, and the limit."""
-        if part.startswith(request_identity.PREFIX):
+        if suspect.startswith(request_identity.PREFIX):
             return self._cleared_at_ms_by_request, MAX_CLEARED_REQUESTS
         return self._cleared_at_ms_by_part, MAX_CLEARED_PARTS
 
-    def _was_completed_recently(self, part: str, now_ms: int) -> bool:
-        cleared, _ = self._cleared(part)
-        completed_at_ms = cleared.get(part)
+    def _was_completed_recently(self, suspect: str, now_ms: int) -> bool:
+        cleared, _ = self._cleared(suspect)
+        completed_at_ms = cleared.get(suspect)
         return (
             completed_at_ms is not None
             and now_ms - completed_at_ms <= CLEARED_MS
@@ -467,48 +474,52 @@
         """
         self.digest = (self.digest + _hash(after) - _hash(before)) & _MASK
         suspicion_id = (before or after).suspicion_id
-        old = set(before.parts) if before is not None else set()
-        new = set(after.parts) if after is not None else set()
-        for part in old - new:
-            ids = self._ids_by_part[part]
+        old = set(before.suspects) if before is not None else set()
+        new = set(after.suspects) if after is not None else set()
+        for suspect in old - new:
+            ids = self._ids_by_suspect[suspect]
             ids.discard(suspicion_id)
             if not ids:
-                del self._ids_by_part[part]
-        for part in new - old:
-            self._ids_by_part.setdefault(part, set()).add(suspicion_id)
-        for part in new - old - self._conclusive_parts:
-            if _is_conclusive(self._evidence(part)):
-                self._conclusive_parts.add(part)
-        for part in self._conclusive_parts & (old - new):
-            if not _is_conclusive(self._evidence(part)):
-                self._conclusive_parts.discard(part)
-
-    def _evidence(self, part: str) -> list[Suspicion]:
-        ids = self._ids_by_part.get(part, ())
+                del self._ids_by_suspect[suspect]
+        for suspect in new - old:
+            self._ids_by_suspect.setdefault(suspect, set()).add(suspicion_id)
+        for suspect in new - old - self._conclusive_suspects:
+            if _is_conclusive(self._evidence(suspect)):
+                self._conclusive_suspects.add(suspect)
+        for suspect in self._conclusive_suspects & (old - new):
+            if not _is_conclusive(self._evidence(suspect)):
+                self._conclusive_suspects.discard(suspect)
+
+    def _evidence(self, suspect: str) -> list[Suspicion]:
+        ids = self._ids_by_suspect.get(suspect, ())
         return [
             self._suspicion_by_id[i] for i in ids if i in self._suspicion_by_id
         ]
 
     def _find_quarantines(self) -> Iterator[Quarantine]:
-        evidence_by_part = {
-            part: self._evidence(part) for part in self._conclusive_parts
+        evidence_by_suspect = {
+            suspect: self._evidence(suspect)
+            for suspect in self._conclusive_suspects
         }
         explained: set[TargetRun] = set()
-        for part in sorted(
-            evidence_by_part,
-            key=lambda part: (_specificity(evidence_by_part[part]), part),
+        for suspect in sorted(
+            evidence_by_suspect,
+            key=lambda suspect: (
+                _specificity(evidence_by_suspect[suspect]),
+                suspect,
+            ),
         ):
-            evidence = evidence_by_part[part]
+            evidence = evidence_by_suspect[suspect]
             unexplained = [s for s in evidence if s.target_run not in explained]
             if not _is_conclusive(unexplained):
                 continue
             explained.update(s.target_run for s in evidence)
-            ids = self._ids_by_part[part]
+            ids = self._ids_by_suspect[suspect]
             yield Quarantine(
                 frozenset(
                     other
-                    for other in evidence[0].parts
-                    if self._ids_by_part[other] == ids
+                    for other in evidence[0].suspects
+                    if self._ids_by_suspect[other] == ids
                 ),
                 evidence,
             )
@@ -524,7 +535,7 @@
     if suspicion is None:
         return 0
     return hashing.stable_hash(
-        f"{suspicion.suspicion_id} {sorted(suspicion.parts)}"
+        f"{suspicion.suspicion_id} {sorted(suspicion.suspects)}"
     )
 
 
@@ -565,5 +576,7 @@
     return count
 
 
-def _bounded(parts: Iterable[str]) -> list[str]:
-    return [part[:MAX_PART_CHARS] for part in list(parts)[:MAX_PARTS]]
+def _bounded(suspects: Iterable[str]) -> list[str]:
+    return [
+        suspect[:MAX_SUSPECT_CHARS] for suspect in list(suspects)[:MAX_SUSPECTS]
+    ]
--- a/packages/bambooglade/bambooglade/targets/tests/test_crash_suspicions.py
+++ b/packages/bambooglade/bambooglade/targets/tests/test_crash_suspicions.py
@@ -18,7 +18,7 @@
 
 
 def quarantined(suspicions) -> set[frozenset[str]]:
-    return {quarantine.parts for quarantine in suspicions.quarantines}
+    return {quarantine.suspects for quarantine in suspicions.quarantines}
 
 
 # Crashes with the parts of the requests that each cut off, prompts completed
@@ -185,7 +185,7 @@
     other.merge([made], now_ms=1)
     changed = other.clear_completed([made.suspicion_id], now_ms=1)
     reporter.merge(changed, now_ms=2)
-    assert [s.parts for s in reporter.all_suspicions()] == [("request:x",)]
+    assert [s.suspects for s in reporter.all_suspicions()] == [("request:x",)]
     assert reporter.digest == other.digest
 
 
@@ -226,7 +226,7 @@
         suspicions.record_success([f"c{number}" * 99], now_ms=0)
     kept = suspicions.all_suspicions()
     assert len(kept) == suspicions_lib.MAX_SUSPICIONS
-    assert max(len(s.parts) for s in kept) <= suspicions_lib.MAX_PARTS
+    assert max(len(s.suspects) for s in kept) <= suspicions_lib.MAX_SUSPECTS
     assert len(suspicions.pop_dropped_ids()) == 10
 
 
@@ -244,6 +244,6 @@
     suspicions = suspicions_lib.CrashSuspicions()
     for target_id, parts in (("e1", "a b"), ("e1", "c"), ("e2", "b")):
         crash(suspicions, target_id, parts)
-    kept = {s.suspicion_id: s.parts for s in suspicions.all_suspicions()}
+    kept = {s.suspicion_id: s.suspects for s in suspicions.all_suspicions()}
     corroborated = suspicions.corroborated(kept)
     assert {kept[i] for i in corroborated} == {("a", "b"), ("b",)}
