Need no recovery for teams without a budget; bound the era that is read

A team whose ledger was known and that has no budget any more stayed in recovery for good; fourteen of them would have filled each write, so that no other team could draw. And an era of 5,000 digits raised ValueError out of the decoder, so that the call never ended.

Both new tests fail on the code before (the first in both cases, the second for 5,000 digits).

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/store_server.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/store_server.py
@@ -54,8 +54,9 @@
     def _encode(self, response: store_api.Response) -> http_server.Reply | None:
         reply = _reply(response)
         if reply is not None:
-            era = b"%d" % self.store.era_number
-            reply.fields = ((b"Store-Era", era),)
+            era = self.store.era_number
+            text = era if isinstance(era, bytes) else b"%d" % era
+            reply.fields = ((b"Store-Era", text),)
         return reply
 
     def _call(self, request: messages.Request) -> futures.Future:
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_restore.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_restore.py
@@ -15,6 +15,7 @@
 from bambooglade.rights import manager as manager_lib
 from bambooglade.store import dependency_monitor
 from bambooglade_standins.users_platform import memory_store
+from bambooglade_standins.users_platform import platform_harness
 from bambooglade_standins.users_platform import simulated_relay_fleet
 from bambooglade_standins.users_platform import simulated_rights_fleet
 from bambooglade_standins.users_platform import virtual_loop
@@ -48,6 +49,23 @@
             assert instance.version >= version
 
 
+@pytest.mark.parametrize(
+    "era", [b"", b"-1", b"soon", b"1.5", b"9" * 16, b"9" * 5_000]
+)
+def test_malformed_era_is_ignored(era):
+    harness = platform_harness.PlatformHarness()
+    try:
+        harness.configure(platform_harness.configuration(prepaid=None))
+        harness.add_engine("p1", "portal")
+        harness.store.era_number = era
+        gateway = harness.start_gateway()
+        harness.configure(platform_harness.configuration(version=2))
+        harness.run_until(lambda: gateway.view.configuration.version == 2)
+        assert harness.call("/plain/1").status == 200
+    finally:
+        harness.close()
+
+
 def lose_writes(fleet, write) -> None:
     """Makes changes that every instance applies and the store then loses."""
     advance(fleet, 1_000)
@@ -234,6 +252,21 @@
     assert rights_fleet.used_tokens > 940
 
 
+def test_team_without_a_budget_needs_no_recovery(rights_fleet):
+    copy = rights_fleet.store.copy()
+    rights_fleet.request("a", 300)
+    rights_fleet.advance(2_000)
+    rights_fleet.prepaid_tokens = None
+    restore_rights(rights_fleet, copy)
+    rights_fleet.advance(4_000)
+    before = rights_fleet.store.call_count
+    rights_fleet.advance(4_000)
+    assert rights_fleet.store.call_count == before
+    for instance in rights_fleet.instance_by_name.values():
+        client = instance.rights_manager._ledger_client
+        assert client._recovery.pending_teams == []
+
+
 def test_rights_of_an_instance_that_stopped_in_the_lost_seconds_are_free(
     rights_fleet,
 ):
--- a/packages/bambooglade/bambooglade/discovery/view.py
+++ b/packages/bambooglade/bambooglade/discovery/view.py
@@ -227,7 +227,7 @@
         if item.value is None:
             return False
         if current is not None and item.value == current.value:
-            self._confirm_item(item)
+            self._adopt_item(item)
             return False
         try:
             decoded = self._codec.decode_configuration(item.value)
@@ -250,7 +250,7 @@
             )
             return False
         self.configuration = decoded
-        self._confirm_item(item)
+        self._adopt_item(item)
         self._log.event(
             "configuration_applied",
             version=decoded.version,
@@ -261,7 +261,7 @@
         self._notify_listeners()
         return True
 
-    def _confirm_item(self, item: store_api.Item) -> None:
+    def _adopt_item(self, item: store_api.Item) -> None:
         known = self.configuration_item
         if (
             known is None
--- a/packages/bambooglade/bambooglade/platform/store.py
+++ b/packages/bambooglade/bambooglade/platform/store.py
@@ -18,6 +18,7 @@
 from bambooglade.core import event_log
 from bambooglade.eventloop import http_client
 from bambooglade.eventloop import tasks
+from bambooglade.http1 import messages
 from bambooglade.store import store_api
 from bambooglade.store import store_era
 
@@ -34,6 +35,8 @@
 _FIRST_SERVER_ERROR = 500
 
 _ERA = b"store-era"
+MAX_ERA_DIGITS = 15
+"""Most digits of an era; others are ignored, as if there were none."""
 
 Wire = TypeVar("Wire")
 
@@ -269,7 +272,7 @@
     ) -> store_api.Response:
         if response is None:
             return store_api.NoResponse()
-        if not self.era.observe(response.head.integer(_ERA), source="store"):
+        if not self.era.observe(_era(response.head), source="store"):
             # The store has lost what this response of an earlier era states.
             return store_api.NoResponse()
         if response.status != _OK and response.status not in accepts:
@@ -293,6 +296,13 @@
         return f"PlatformStore(address={self._address})"
 
 
+def _era(head: messages.Head) -> int | None:
+    """Returns the era that a response states; None if it is no short number."""
+    value = head.get(_ERA).strip()
+    is_number = value.isdigit() and len(value) <= MAX_ERA_DIGITS
+    return int(value) if is_number else None
+
+
 def _item(wire: _WireItem) -> store_api.Item:
     if wire.deleted or wire.value is None:
         return store_api.Item(wire.key, None, wire.revision)
--- a/packages/bambooglade/bambooglade/rights/ledger_client.py
+++ b/packages/bambooglade/bambooglade/rights/ledger_client.py
@@ -392,6 +392,7 @@
             self._log.event("ledger_malformed", team=team, error=error)
             prepaid = None
         if prepaid is None:
+            self._recovery.record_recovered(team)
             self._free_tokens_by_team[team] = 0
             return None
         account = self._account_by_team[team]
--- a/packages/bambooglade/bambooglade/store/store_era.py
+++ b/packages/bambooglade/bambooglade/store/store_era.py
@@ -11,8 +11,8 @@
 
 from bambooglade.core import event_log
 
-MAX_ERA = 2**53
-"""Eras beyond this are taken for malformed; JSON numbers are exact below."""
+MAX_ERA = 10**15
+"""Eras from this on are taken for malformed; JSON numbers are exact below."""
 
 
 class StoreEra:
