Write cleared suspicions to the store whoever clears them

Found by reading the change. Since only corroborated suspicions are stored, an instance wrote what it cleared only if it had stored it itself: a completed response at another one left the suspicion in the store, from which an instance that starts later would have refused sound requests.

An instance that reads a suspicion from the store knows that it is stored, and one that stored it writes what others clear.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_quarantine_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_quarantine_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from bambooglade.gateway import request_quarantine
@@ -63,6 +64,26 @@
     assert refusing(fleet) == 0
 
 
+@pytest.mark.parametrize("clearing", [0, 3])
+def test_instance_that_starts_does_not_learn_what_was_cleared(fleet, clearing):
+    crash(fleet, (0, 2, 5))
+    fleet.loop.advance(SPREAD_MS)
+    assert refusing(fleet) == len(fleet.instances)
+    fleet.instances[clearing].quarantine.record_success(PROMPT)
+    fleet.loop.advance(RECOVERY_MS)
+    suspicions = crash_suspicions.CrashSuspicions()
+    prefix = request_quarantine.STORE_PREFIX
+    stored = [
+        msgspec.json.decode(
+            fleet.store.peek(key), type=crash_suspicions.Suspicion
+        )
+        for key in fleet.store.list_keys()
+        if key.startswith(prefix)
+    ]
+    suspicions.merge(stored, now_ms=fleet.loop.now_ms())
+    assert suspicions.quarantines == []
+
+
 @pytest.mark.parametrize("is_healing_store", [False, True])
 def test_instance_that_was_cut_off_learns_once_it_reaches_store_or_peers(
     fleet, is_healing_store
--- a/packages/bambooglade/bambooglade/gateway/request_quarantine.py
+++ b/packages/bambooglade/bambooglade/gateway/request_quarantine.py
@@ -284,8 +284,12 @@
         if not changed:
             return
         self._handle_change(source)
-        self._save_later(SAVE_DELAY_MS)
         ids = [suspicion.suspicion_id for suspicion in changed]
+        stored_own_ids = self._own_ids & self._saved_ids
+        self._unsaved_ids.update(
+            dict.fromkeys(stored_own_ids.intersection(ids))
+        )
+        self._save_later(SAVE_DELAY_MS)
         instances = len(self._relays.known_peers()) + 1
         delay_ms = CLEARING_DELAY_MS_PER_INSTANCE * instances
         self._loop.call_later(
@@ -546,6 +550,7 @@
         for item in items:
             suspicion_id = item.key.removeprefix(STORE_PREFIX)
             if item.value is not None:
+                self._saved_ids.add(suspicion_id)
                 try:
                     received.append(
                         msgspec.json.decode(
