Keep versions and origins of streams in the store in case all instances are killed

Cause: where streams began and which versions had served was known to instances only. After a kill of all, what was registered was taken for all there had been.

One key of the store lists versions with the time at which they left; it is written when one appears or leaves.

Ruled out: the caller's request tells no version (event ids are the target's).

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/platform_harness.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/platform_harness.py
@@ -178,6 +178,7 @@
         self._slots_by_engine: dict[str, int] = {}
         self.crash_count = 0
         self.crash_times_ms: list[int] = []
+        self._is_first_start = True
 
     def add_engine(
         self,
@@ -308,7 +309,12 @@
         zone: str = "zone-a",
         is_store_down: bool = False,
     ) -> process_lib.GatewayProcess:
-        """Starts a gateway and waits until it is ready."""
+        """Starts a gateway and waits until it is ready.
+
+        A gateway is new in a fleet that starts for the first time, unless one
+        of the same name was started before or all have been killed.
+        """
+        known_names = {g.settings.instance for g in self.gateways}
         addresses = [free_address() for _ in range(5)]
         store_address = (
             free_address() if is_store_down else self._server.address
@@ -323,6 +329,7 @@
             forwarding_address=addresses[4],
             store_address=store_address,
             seed_addresses=self.seeds,
+            is_first_start=self._is_first_start and name not in known_names,
         )
         log = event_log.EventLog(self.loop.clock, instance=name)
         client = CuttableHttpClient(self.loop)
@@ -350,6 +357,16 @@
         self.run_until(lambda: gateway.is_ready)
         return gateway
 
+    def kill_gateways(self) -> None:
+        """Ends all gateways at once; those started later find no state."""
+        for gateway in self.gateways:
+            gateway.close()
+        self._is_first_start = False
+        self.gateways.clear()
+        self.links.clear()
+        self._stores.clear()
+        self._clients.clear()
+
     def refuse_store_connections(self, gateway: int) -> None:
         """Points a gateway's store client at an address without a listener."""
         self._stores[gateway].set_address(free_address())
--- a/packages/bambooglade/bambooglade/discovery/peers.py
+++ b/packages/bambooglade/bambooglade/discovery/peers.py
@@ -33,6 +33,8 @@
         availability_zone: Availability zone that the instance runs in.
         link_mbps: Bandwidth of its network link in Mbit/s; 0 if unknown.
         forwarding_port: Port on which it takes requests of peers; 0 if none.
+        archives_streams: Whether it writes versions and origins of streams to
+            the store when that is up to it; earlier builds don't.
     """
 
     name: str
@@ -42,6 +44,7 @@
     availability_zone: str
     link_mbps: float = 0.0
     forwarding_port: int = 0
+    archives_streams: bool = False
 
     @property
     def address(self) -> tuple[str, int]:
--- a/packages/bambooglade/bambooglade/gateway/origin_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/origin_replication.py
@@ -4,13 +4,15 @@
 it began is gone. Where its origin can't be told otherwise, because the route
 has several services or the targets of the service differ in version, it is
 therefore sent to another instance of each availability zone, its holders, and
-looked up there.
+looked up there. While versions differ, one instance of the own zone writes it
+to the store as well, in case all instances are killed.
 """
 
 from __future__ import annotations
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 from concurrent import futures
 import functools
@@ -25,7 +27,9 @@
 from bambooglade.eventloop import http_client
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
+from bambooglade.gateway import origin_archive
 from bambooglade.gateway import stream_origins
+from bambooglade.gateway import version_archive
 
 RECORD_PATH = "/v1/stream-origins"
 LOOKUP_PATH = "/v1/stream-origins/lookup"
@@ -46,20 +50,16 @@
 first, the next one is the holder.
 """
 
-_OK = 200
-
+RECORDER_KEY = "stream-recorder"
+"""Key of the rendezvous hashing that selects who writes to the store."""
 
-class OriginRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """Origin of one stream, as sent to holders."""
-
-    stream_id: str
-    origin: stream_origins.StreamOrigin
+_OK = 200
 
 
 class OriginRecords(msgspec.Struct, frozen=True, kw_only=True):
     """Origins that an instance sends to a holder."""
 
-    records: list[OriginRecord]
+    records: list[stream_origins.OriginRecord]
     sender: peers_lib.Peer
 
 
@@ -70,9 +70,16 @@
 
 
 class OriginLookupResponse(msgspec.Struct, frozen=True, kw_only=True):
-    """Response of a holder; None if the holder doesn't know the stream."""
+    """Response of a holder.
+
+    Attributes:
+        origin: Where the stream began; None if the holder doesn't know it.
+        seen_versions: Versions that the holder knows; a build that states none
+            knows them for no time.
+    """
 
     origin: stream_origins.StreamOrigin | None = None
+    seen_versions: stream_origins.SeenVersions = stream_origins.SeenVersions()
 
 
 class OriginReplicator:
@@ -84,18 +91,23 @@
         peers: Returns the other known instances.
         local_instance: Entry of this instance.
         log: Records holders without a response.
+        archive: Keeps origins in the store.
+        versions: Keeps the versions of services in the store.
+        origins: Origins and versions that are known here.
 
     Attributes:
         origins: Origins that are known to this instance.
     """
 
     __slots__ = (
+        "_archive",
         "_client",
         "_due",
         "_local_instance",
         "_log",
         "_loop",
         "_peers",
+        "_versions",
         "_waiting",
         "origins",
     )
@@ -107,19 +119,24 @@
         *,
         peers: Callable[[], list[peers_lib.Peer]],
         local_instance: peers_lib.Peer,
+        origins: stream_origins.StreamOrigins,
+        archive: origin_archive.OriginArchive,
+        versions: version_archive.VersionArchive,
         log: event_log.EventLog,
     ) -> None:
+        self._archive = archive
+        self._versions = versions
         self._loop = loop
         self._client = client
         self._peers = peers
         self._local_instance = local_instance
         self._log = log
         # Origins that are sent if a second version of their service appears.
-        self._waiting: collections.deque[OriginRecord] = collections.deque(
-            maxlen=stream_origins.MAX_ORIGINS
+        self._waiting: collections.deque[stream_origins.OriginRecord] = (
+            collections.deque(maxlen=stream_origins.MAX_ORIGINS)
         )
-        self._due: list[OriginRecord] = []
-        self.origins = stream_origins.StreamOrigins()
+        self._due: list[stream_origins.OriginRecord] = []
+        self.origins = origins
 
     def record(
         self,
@@ -136,7 +153,7 @@
             services: The services of the route.
         """
         self.origins.record(stream_id, origin, now_ms=self._loop.now_ms())
-        record = OriginRecord(stream_id=stream_id, origin=origin)
+        record = stream_origins.OriginRecord(stream_id=stream_id, origin=origin)
         if len(services) > 1 or self._has_several_versions(record):
             self._schedule([record])
         else:
@@ -152,6 +169,7 @@
         """
         now_ms = self._loop.now_ms()
         self.origins.observe(target_by_id.values(), now_ms=now_ms)
+        self._versions.observe(target_by_id.values())
         while self._waiting and not self._is_known(self._waiting[0], now_ms):
             self._waiting.popleft()
         due = list(filter(self._has_several_versions, self._waiting))
@@ -182,27 +200,58 @@
         Returns:
             A future with the `StreamOrigin`, or None if it is unknown. An
             origin that nobody recorded is the only one possible, if there is
-            only one.
+            only one. The store is asked only if neither this instance nor its
+            peers know.
         """
         return tasks.spawn(self._resolve(attempt_id, stream_id, services))
 
     def _resolve(
         self, attempt_id: str, stream_id: str | None, services: Sequence[str]
     ) -> tasks.Task:
-        found = None
+        found = source = None
         if stream_id is not None:
             found = yield self.find(stream_id)
-        origin = found or self.origins.sole_origin(services)
+            source = "instances"
+        origin = found or self._sole_origin(services)
+        if origin is None and not self._knows_recent_versions:
+            yield self._versions.load()
+            origin = self._sole_origin(services)
+        if origin is None and stream_id is not None:
+            found = origin = yield from self._find_archived(stream_id, services)
+            source = "store"
         self._log.event(
             "stream_origin_found" if origin else "stream_origin_unknown",
             request=attempt_id,
             resumes=stream_id,
             is_recorded=found is not None,
+            source=source if found else None,
+            knows_recent_versions=self._knows_recent_versions,
             service=origin.service if origin else None,
             software_version=origin.software_version if origin else None,
         )
         return origin
 
+    @property
+    def _knows_recent_versions(self) -> bool:
+        return self.origins.knows_recent_versions(now_ms=self._loop.now_ms())
+
+    def _sole_origin(
+        self, services: Sequence[str]
+    ) -> stream_origins.StreamOrigin | None:
+        return self.origins.sole_origin(services, now_ms=self._loop.now_ms())
+
+    def _find_archived(
+        self, stream_id: str, services: Sequence[str]
+    ) -> tasks.Task:
+        """Looks an origin up in the store, if it may be there."""
+        if not any(map(self.origins.has_several_versions, services)):
+            return None
+        origin = yield self._archive.find(stream_id)
+        if origin is not None:
+            now_ms = self._loop.now_ms()
+            self.origins.record(stream_id, origin, now_ms=now_ms)
+        return origin
+
     def find(self, stream_id: str) -> futures.Future:
         """Looks up where a stream began.
 
@@ -232,20 +281,31 @@
         return found
 
     def apply_records(self, message: OriginRecords) -> None:
-        """Records the origins that a peer sent."""
+        """Records the origins that a peer sent.
+
+        Those of the own availability zone are written to the store, if that is
+        up to this instance.
+        """
         now_ms = self._loop.now_ms()
         for record in message.records:
             self.origins.record(record.stream_id, record.origin, now_ms=now_ms)
+        zone = self._local_instance.availability_zone
+        if message.sender.availability_zone != zone:
+            return
+        if self._recorder is self._local_instance:
+            self._archive.add(
+                filter(self._has_several_versions, message.records)
+            )
 
     def respond_to_lookup(self, lookup: OriginLookup) -> OriginLookupResponse:
-        """Returns the origin that this instance knows."""
+        """Returns the origin and the versions that this instance knows."""
+        now_ms = self._loop.now_ms()
         return OriginLookupResponse(
-            origin=self.origins.find(
-                lookup.stream_id, now_ms=self._loop.now_ms()
-            )
+            origin=self.origins.find(lookup.stream_id, now_ms=now_ms),
+            seen_versions=self.origins.seen_versions(now_ms=now_ms),
         )
 
-    def _schedule(self, records: list[OriginRecord]) -> None:
+    def _schedule(self, records: list[stream_origins.OriginRecord]) -> None:
         if not self._due:
             self._loop.call_later(FLUSH_DELAY_MS, self._flush)
         self._due += records
@@ -253,23 +313,49 @@
     def _flush(self) -> None:
         """Sends the origins that are due, in one message to each holder."""
         due, self._due = self._due, []
-        records_by_holder: dict[peers_lib.Peer, list[OriginRecord]] = (
-            collections.defaultdict(list)
-        )
+        records_by_holder: dict[
+            peers_lib.Peer, list[stream_origins.OriginRecord]
+        ] = collections.defaultdict(list)
         for record in due:
             for holder in self._ranked_holders(record.stream_id, 1):
                 records_by_holder[holder].append(record)
+        ambiguous = list(filter(self._has_several_versions, due))
+        recorder = self._recorder if ambiguous else None
+        if recorder is self._local_instance:
+            self._archive.add(ambiguous)
+        elif recorder is not None:
+            # It may be a holder of some of them as well.
+            held = records_by_holder[recorder]
+            held += [record for record in ambiguous if record not in held]
         for holder, held in records_by_holder.items():
             self._send(holder, held)
 
-    def _has_several_versions(self, record: OriginRecord) -> bool:
+    @property
+    def _recorder(self) -> peers_lib.Peer | None:
+        """The instance of the own zone that writes origins to the store."""
+        zone = self._local_instance.availability_zone
+        instances = [*self._peers(), self._local_instance]
+        return next(
+            iter(
+                ranked_recorders(
+                    p for p in instances if p.availability_zone == zone
+                )
+            ),
+            None,
+        )
+
+    def _has_several_versions(
+        self, record: stream_origins.OriginRecord
+    ) -> bool:
         return self.origins.has_several_versions(record.origin.service)
 
-    def _is_known(self, record: OriginRecord, now_ms: int) -> bool:
+    def _is_known(
+        self, record: stream_origins.OriginRecord, now_ms: int
+    ) -> bool:
         return self.origins.find(record.stream_id, now_ms=now_ms) is not None
 
     def _send(
-        self, holder: peers_lib.Peer, records: list[OriginRecord]
+        self, holder: peers_lib.Peer, records: list[stream_origins.OriginRecord]
     ) -> None:
         message = OriginRecords(records=records, sender=self._local_instance)
         call = self._call(holder, RECORD_PATH, msgspec.json.encode(message))
@@ -310,9 +396,13 @@
             self._log_failed_call(holder, response, records=0)
             return None
         try:
-            return msgspec.json.decode(
+            decoded = msgspec.json.decode(
                 response.body, type=OriginLookupResponse
-            ).origin
+            )
+            self.origins.merge(
+                decoded.seen_versions, now_ms=self._loop.now_ms()
+            )
+            return decoded.origin
         except msgspec.DecodeError as error:
             self._log.event(
                 "peer_answer_malformed", peer=holder.name, error=error
@@ -336,3 +426,16 @@
 
     def __repr__(self) -> str:
         return f"OriginReplicator({self.origins!r})"
+
+
+def ranked_recorders(
+    instances: Iterable[peers_lib.Peer],
+) -> list[peers_lib.Peer]:
+    """Returns the instances that may write to the store, the first one first.
+
+    Instances of builds that keep nothing of streams in the store are left out,
+    and the availability zones take turns.
+    """
+    return peers_lib.rank_across_zones(
+        RECORDER_KEY, (peer for peer in instances if peer.archives_streams)
+    )
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -30,12 +30,15 @@
 from bambooglade.gateway import frontend as frontend_lib
 from bambooglade.gateway import leaving_replication
 from bambooglade.gateway import limit_replication
+from bambooglade.gateway import origin_archive
 from bambooglade.gateway import origin_replication
 from bambooglade.gateway import peer_api
 from bambooglade.gateway import request_quarantine
 from bambooglade.gateway import settings as settings_lib
+from bambooglade.gateway import stream_origins
 from bambooglade.gateway import target_prober
 from bambooglade.gateway import target_selector as target_selector_lib
+from bambooglade.gateway import version_archive
 from bambooglade.http1 import messages
 from bambooglade.rights import homes as homes_lib
 from bambooglade.rights import ledger_copies
@@ -113,13 +116,34 @@
                 if settings.forwarding_address
                 else 0
             ),
+            archives_streams=True,
         )
         self.rights = self._new_rights_manager(store, client)
+        origins = stream_origins.StreamOrigins(
+            known_since_ms=(
+                stream_origins.SINCE_EVER_MS
+                if settings.is_first_start
+                else loop.now_ms()
+            )
+        )
+        self._versions = version_archive.VersionArchive(
+            loop,
+            store,
+            origins,
+            is_recorder=self._is_version_recorder,
+            is_first_start=settings.is_first_start,
+            log=log,
+        )
         self._origins = origin_replication.OriginReplicator(
             loop,
             client,
             peers=self.known_peers,
             local_instance=self.local_instance,
+            origins=origins,
+            archive=origin_archive.OriginArchive(
+                loop, store, instance=settings.instance, log=log
+            ),
+            versions=self._versions,
             log=log,
         )
         self.view.listeners.append(self._observe_versions)
@@ -315,6 +339,7 @@
             self._puller,
             self.quarantine,
             self.limits,
+            self._versions,
         )
 
     def _handle_cut_off(
@@ -359,6 +384,18 @@
     def _observe_versions(self) -> None:
         self._origins.observe(self.view.target_by_id)
 
+    def _is_version_recorder(self) -> bool:
+        """Returns whether this instance records the versions of services.
+
+        Until it knows the fleet, it would take itself for the only one.
+        """
+        if not self._registration.has_initial_peers:
+            return False
+        ranked = origin_replication.ranked_recorders(
+            [*self.known_peers(), self.local_instance]
+        )
+        return self.local_instance in ranked[: version_archive.RECORDER_COUNT]
+
     def _must_watch_store(self) -> bool:
         return self._relays.must_watch_store(
             now_ms=self.loop.now_ms(), checked_at_ms=self.view.checked_at_ms
--- a/packages/bambooglade/bambooglade/gateway/settings.py
+++ b/packages/bambooglade/bambooglade/gateway/settings.py
@@ -38,6 +38,8 @@
         link_mbps: Capacity of the network link in Mbit/s; 0 if it is unknown.
         max_propagation_ms: Time within which an instance has to apply a change
             of the configuration or a target that is leaving.
+        is_first_start: Whether the whole system starts for the first time, so
+            that no stream can have begun before.
     """
 
     __slots__ = (
@@ -45,6 +47,7 @@
         "caller_address",
         "forwarding_address",
         "instance",
+        "is_first_start",
         "link_mbps",
         "max_descriptors",
         "max_propagation_ms",
@@ -78,6 +81,7 @@
         max_descriptors: int = 1_024,
         link_mbps: float = 0.0,
         max_propagation_ms: int = 2_000,
+        is_first_start: bool = False,
     ) -> None:
         self.instance = instance
         self.availability_zone = availability_zone
@@ -95,6 +99,7 @@
         self.max_descriptors = max_descriptors
         self.link_mbps = link_mbps
         self.max_propagation_ms = max_propagation_ms
+        self.is_first_start = is_first_start
 
     def __repr__(self) -> str:
         return f"GatewaySettings(instance={self.instance!r})"
--- a/packages/bambooglade/bambooglade/gateway/stream_origins.py
+++ b/packages/bambooglade/bambooglade/gateway/stream_origins.py
@@ -20,12 +20,18 @@
 It is longer than the deadlines of streams, within which callers resume them.
 """
 
+SINCE_EVER_MS = -RETENTION_MS - 1
+"""Start of the knowledge of an instance before whose start nothing served."""
+
 MAX_ORIGINS = 20_000
 """Maximum number of origins that are kept; the oldest are evicted."""
 
 MAX_STREAM_ID_CHARS = 200
 """Longest id whose origin is kept; callers choose the ids."""
 
+MAX_VERSIONS = 64
+"""Most recent software versions of a service that are kept, the newest ones."""
+
 
 class StreamOrigin(msgspec.Struct, frozen=True, kw_only=True):
     """Where a stream began.
@@ -39,11 +45,35 @@
     software_version: str
 
 
+class OriginRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Origin of one stream, as sent to other instances."""
+
+    stream_id: str
+    origin: StreamOrigin
+
+
+class SeenVersions(msgspec.Struct, frozen=True, kw_only=True):
+    """Software versions that served recently, as far as one source knows.
+
+    Attributes:
+        age_ms_by_version_by_service: Time since each version was last
+            registered; 0 for one that still is.
+        known_for_ms: Time for which the source has known all versions.
+    """
+
+    age_ms_by_version_by_service: dict[str, dict[str, int]] = {}
+    known_for_ms: int = 0
+
+
 class StreamOrigins:
     """Origins of recent streams, and the software versions of services.
 
+    Args:
+        known_since_ms: Time since which all versions are observed here.
+
     See Also:
         bambooglade.gateway.origin_replication: shares origins with peers.
+        bambooglade.gateway.version_archive: keeps versions in the store.
 
     Examples:
         >>> origins = StreamOrigins()
@@ -54,9 +84,14 @@
         >>> origins.find("a1", now_ms=RETENTION_MS + 1)
     """
 
-    __slots__ = ("_origin_by_stream_id", "_seen_at_ms_by_service_and_version")
+    __slots__ = (
+        "_known_since_ms",
+        "_origin_by_stream_id",
+        "_seen_at_ms_by_service_and_version",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, *, known_since_ms: int = SINCE_EVER_MS) -> None:
+        self._known_since_ms = known_since_ms
         self._origin_by_stream_id: collections.OrderedDict[
             str, tuple[StreamOrigin, int]
         ] = collections.OrderedDict()
@@ -112,23 +147,72 @@
         for stream_id in list(self._expired(now_ms)):
             del self._origin_by_stream_id[stream_id]
 
+    def seen_versions(self, *, now_ms: int) -> SeenVersions:
+        """Returns the recent versions of all services, for other instances."""
+        return SeenVersions(
+            age_ms_by_version_by_service={
+                service: {
+                    version: max(0, now_ms - at_ms)
+                    for version, at_ms in _newest(seen_at_ms)
+                }
+                for service, seen_at_ms in (
+                    self._seen_at_ms_by_service_and_version.items()
+                )
+            },
+            known_for_ms=max(0, now_ms - self._known_since_ms),
+        )
+
+    def merge(self, seen: SeenVersions, *, now_ms: int) -> None:
+        """Adds what another source knows of the versions.
+
+        Args:
+            seen: What it knew when it was asked.
+            now_ms: Current time.
+        """
+        self._known_since_ms = min(
+            self._known_since_ms, now_ms - max(0, seen.known_for_ms)
+        )
+        for (
+            service,
+            age_ms_by_version,
+        ) in seen.age_ms_by_version_by_service.items():
+            seen_at_ms = self._seen_at_ms_by_service_and_version[service]
+            for version, age_ms in age_ms_by_version.items():
+                at_ms = now_ms - max(0, age_ms)
+                if now_ms - at_ms <= RETENTION_MS:
+                    seen_at_ms[version] = max(
+                        at_ms, seen_at_ms.get(version, at_ms)
+                    )
+
+    def knows_recent_versions(self, *, now_ms: int) -> bool:
+        """Returns whether every version is known at which streams may go on.
+
+        An instance that has just started sees only what is registered now.
+        """
+        return now_ms - self._known_since_ms > RETENTION_MS
+
     def has_several_versions(self, service: str) -> bool:
         """Returns whether recent targets of a service differ in version."""
         return len(self._recent_versions(service)) > 1
 
-    def sole_origin(self, services: Iterable[str]) -> StreamOrigin | None:
+    def sole_origin(
+        self, services: Iterable[str], *, now_ms: int
+    ) -> StreamOrigin | None:
         """Returns the only place where a stream of a route can have begun.
 
         Args:
             services: The services of the route.
+            now_ms: Current time.
 
         Returns:
-            None if there are several services, or if recent targets of the
-            service differ in version.
+            None if there are several services, if recent targets of the service
+            differ in version, or if earlier versions may be unknown here.
         """
         names = list(services)
         if len(names) != 1 or len(self._recent_versions(names[0])) != 1:
             return None
+        if not self.knows_recent_versions(now_ms=now_ms):
+            return None
         (version,) = self._recent_versions(names[0])
         return StreamOrigin(service=names[0], software_version=version)
 
@@ -143,3 +227,11 @@
 
     def __repr__(self) -> str:
         return f"StreamOrigins(count={len(self._origin_by_stream_id)})"
+
+
+def _newest(seen_at_ms: dict[str, int]) -> list[tuple[str, int]]:
+    """Returns the versions that were seen last, with their times."""
+    newest_first = sorted(
+        seen_at_ms.items(), key=lambda item: item[1], reverse=True
+    )
+    return newest_first[:MAX_VERSIONS]
--- a/packages/bambooglade/bambooglade/gateway/tests/test_origin_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_origin_replication.py
@@ -11,8 +11,11 @@
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import targets as targets_lib
 from bambooglade.eventloop import http_client
+from bambooglade.gateway import origin_archive
 from bambooglade.gateway import origin_replication
 from bambooglade.gateway import stream_origins
+from bambooglade.gateway import version_archive
+from bambooglade_standins.users_platform import memory_store
 from bambooglade_standins.users_platform import virtual_loop
 
 ORIGIN = stream_origins.StreamOrigin(service="jury", software_version="v1")
@@ -65,17 +68,43 @@
     return StubClient()
 
 
-@pytest.fixture
-def replicator(loop, client):
+def new_replicator(loop, client, local_instance, peers, store=None):
+    """Returns the replicator of an instance that has known the fleet for long.
+
+    It writes to the store only if the entries of the fleet say that it may.
+    """
+    log = event_log.EventLog(loop.clock)
+    store = memory_store.StoreClient(
+        store or memory_store.MemoryStore(loop), log=log
+    )
+    origins = stream_origins.StreamOrigins()
     return origin_replication.OriginReplicator(
         loop,
         client,
-        peers=lambda: [peer(number) for number in range(1, 9)],
-        local_instance=peer(0),
-        log=event_log.EventLog(loop.clock),
+        peers=lambda: peers,
+        local_instance=local_instance,
+        origins=origins,
+        archive=origin_archive.OriginArchive(
+            loop, store, instance=local_instance.name, log=log
+        ),
+        versions=version_archive.VersionArchive(
+            loop,
+            store,
+            origins,
+            is_recorder=lambda: False,
+            is_first_start=True,
+            log=log,
+        ),
+        log=log,
     )
 
 
+@pytest.fixture
+def replicator(loop, client):
+    peers = [peer(number) for number in range(1, 9)]
+    return new_replicator(loop, client, peer(0), peers)
+
+
 def observe(replicator, *versions: str) -> None:
     replicator.observe({version: target(version) for version in versions})
 
@@ -154,25 +183,20 @@
     """Whichever instance records the stream, every other one asks a holder."""
     members = [peer(number) for number in range(9)]
 
-    def new_replicator(local_instance):
-        return origin_replication.OriginReplicator(
-            loop,
-            client,
-            peers=lambda: [m for m in members if m != local_instance],
-            local_instance=local_instance,
-            log=event_log.EventLog(loop.clock),
-        )
+    def replicator_of(local_instance):
+        peers = [m for m in members if m != local_instance]
+        return new_replicator(loop, client, local_instance, peers)
 
     for origin in members:
         for number in range(20):
             client.calls.clear()
-            writer = new_replicator(origin)
+            writer = replicator_of(origin)
             observe(writer, "v1", "v2")
             writer.record(f"a{number}", ORIGIN, services=["jury"])
             loop.advance(origin_replication.FLUSH_DELAY_MS)
             holders = {address for address, _, _ in client.calls}
             for reader in members:
                 client.calls.clear()
-                new_replicator(reader).find(f"a{number}")
+                replicator_of(reader).find(f"a{number}")
                 asked = {address for address, _, _ in client.calls}
                 assert holders & {*asked, reader.address}
--- a/packages/bambooglade/bambooglade/gateway/tests/test_stream_origins.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_stream_origins.py
@@ -40,7 +40,63 @@
     for version, at_ms in seen.items():
         origins.observe([target(version)], now_ms=at_ms)
     origins.observe([], now_ms=now_ms)
-    assert origins.sole_origin(services) == (ORIGIN if is_sole else None)
+    origin = origins.sole_origin(services, now_ms=now_ms)
+    assert origin == (ORIGIN if is_sole else None)
+
+
+@pytest.mark.parametrize(
+    ("own_age_ms", "seen", "is_known"),
+    [
+        (0, {}, False),
+        (RETENTION_MS, {}, False),
+        (RETENTION_MS + 1, {}, True),
+        (0, {"known_for_ms": RETENTION_MS}, False),
+        (0, {"known_for_ms": RETENTION_MS + 1}, True),
+        (0, {"known_for_ms": -RETENTION_MS}, False),
+        (
+            0,
+            {
+                "known_for_ms": RETENTION_MS + 1,
+                "age_ms_by_version_by_service": {"jury": {"v0": RETENTION_MS}},
+            },
+            False,
+        ),
+        (
+            0,
+            {
+                "known_for_ms": RETENTION_MS + 1,
+                "age_ms_by_version_by_service": {
+                    "jury": {"v0": RETENTION_MS + 1, "v1": 7}
+                },
+            },
+            True,
+        ),
+    ],
+)
+def test_version_that_is_registered_is_the_sole_one_only_if_all_are_known(
+    own_age_ms, seen, is_known
+):
+    now_ms = 1_000_000
+    origins = stream_origins.StreamOrigins(known_since_ms=now_ms - own_age_ms)
+    origins.observe([target("v1")], now_ms=now_ms)
+    origins.merge(stream_origins.SeenVersions(**seen), now_ms=now_ms)
+    origin = origins.sole_origin(["jury"], now_ms=now_ms)
+    assert origin == (ORIGIN if is_known else None)
+
+
+def test_merged_versions_are_passed_on_with_their_age():
+    origins = stream_origins.StreamOrigins(known_since_ms=0)
+    origins.observe([target("v1")], now_ms=1_000)
+    origins.merge(
+        stream_origins.SeenVersions(
+            age_ms_by_version_by_service={"jury": {"v0": 10, "v1": 900}}
+        ),
+        now_ms=1_000,
+    )
+    assert origins.seen_versions(now_ms=1_500) == stream_origins.SeenVersions(
+        age_ms_by_version_by_service={"jury": {"v1": 500, "v0": 510}},
+        known_for_ms=1_500,
+    )
 
 
 def test_oldest_origins_are_evicted(monkeypatch):
--- /dev/null
+++ b/packages/bambooglade/bambooglade/gateway/version_archive.py
@@ -0,0 +1,304 @@
+"""Keeps the software versions of services in the store.
+
+After all instances were killed, none of them remembers which versions served
+before. What is registered then may have replaced the version at which a stream
+began, so the versions and the times at which they left are recorded in one key.
+It is written only when a version appears or leaves.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from concurrent import futures
+
+import msgspec
+
+from bambooglade.core import event_log
+from bambooglade.discovery import targets as targets_lib
+from bambooglade.eventloop import loop as loop_lib
+from bambooglade.eventloop import tasks
+from bambooglade.gateway import stream_origins
+from bambooglade.store import store_api
+
+KEY = "bambooglade/software-versions"
+
+RECORDER_COUNT = 3
+"""Instances of different availability zones that write the record.
+
+One of them may be cut off from the store.
+"""
+
+COMMIT_TIMEOUT_MS = 1_000
+
+RETRY_DELAY_MS = 700
+"""Time after a failed call to the store before the next one."""
+
+MAX_CONFLICTS = 4
+"""Most attempts to write one change; each recorder may be first once."""
+
+
+class VersionRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Value of the key.
+
+    Attributes:
+        known_since_ms: Time since the epoch since which all versions are
+            recorded; before 1970 if no target served before.
+        left_at_ms_by_version_by_service: Time since the epoch at which the last
+            target of a version was gone; None while there is one.
+    """
+
+    known_since_ms: int
+    left_at_ms_by_version_by_service: dict[str, dict[str, int | None]] = {}
+
+    def seen_versions(self, *, now_ms: int) -> stream_origins.SeenVersions:
+        """Returns what the record says of the recent versions.
+
+        A time in the future stems from another clock and counts as now.
+        """
+        return stream_origins.SeenVersions(
+            age_ms_by_version_by_service={
+                service: {
+                    version: 0 if at_ms is None else max(0, now_ms - at_ms)
+                    for version, at_ms in left_at_ms.items()
+                }
+                for service, left_at_ms in (
+                    self.left_at_ms_by_version_by_service.items()
+                )
+            },
+            known_for_ms=max(0, now_ms - self.known_since_ms),
+        )
+
+    def updated(
+        self, versions_by_service: dict[str, set[str]], *, now_ms: int
+    ) -> VersionRecord:
+        """Returns the record with the versions that are registered now.
+
+        Args:
+            versions_by_service: Versions of the registered targets.
+            now_ms: Current time.
+
+        Examples:
+            >>> record = VersionRecord(known_since_ms=0).updated(
+            ...     {"jury": {"v1"}}, now_ms=5)
+            >>> record.updated({"jury": {"v2"}}, now_ms=9
+            ...     ).left_at_ms_by_version_by_service
+            {'jury': {'v1': 9, 'v2': None}}
+        """
+        updated: dict[str, dict[str, int | None]] = {}
+        recorded = self.left_at_ms_by_version_by_service
+        for service in sorted({*recorded, *versions_by_service}):
+            present = versions_by_service.get(service, set())
+            left_at_ms = {
+                version: now_ms if at_ms is None else at_ms
+                for version, at_ms in recorded.get(service, {}).items()
+            }
+            kept = {
+                version: at_ms
+                for version, at_ms in left_at_ms.items()
+                if version not in present
+                and now_ms - at_ms <= stream_origins.RETENTION_MS
+            }
+            newest = sorted(kept, key=kept.get, reverse=True)
+            updated[service] = {
+                version: kept[version]
+                for version in sorted(newest[: stream_origins.MAX_VERSIONS])
+            } | dict.fromkeys(sorted(present))
+        return VersionRecord(
+            known_since_ms=self.known_since_ms,
+            left_at_ms_by_version_by_service={
+                service: versions
+                for service, versions in updated.items()
+                if versions
+            },
+        )
+
+    def lists(self, versions_by_service: dict[str, set[str]]) -> bool:
+        """Returns whether exactly these versions are recorded as present."""
+        return versions_by_service == {
+            service: present
+            for service, left_at_ms in (
+                self.left_at_ms_by_version_by_service.items()
+            )
+            if (present := {v for v, at in left_at_ms.items() if at is None})
+        }
+
+
+class VersionArchive:
+    """Reads and writes the record of versions.
+
+    Args:
+        loop: The event loop.
+        store: The store.
+        origins: Receives what the record says.
+        is_recorder: Returns whether this instance writes the record.
+        is_first_start: Whether no target served before this instance started.
+        log: Receives an event for each change of the record.
+    """
+
+    __slots__ = (
+        "_is_busy",
+        "_is_first_start",
+        "_is_recorder",
+        "_is_stopped",
+        "_loaded",
+        "_log",
+        "_loop",
+        "_origins",
+        "_record",
+        "_retry_at_ms",
+        "_revision",
+        "_store",
+        "_versions_by_service",
+    )
+
+    def __init__(
+        self,
+        loop: loop_lib.EventLoop,
+        store: store_api.TransactionalStore,
+        origins: stream_origins.StreamOrigins,
+        *,
+        is_recorder: Callable[[], bool],
+        is_first_start: bool,
+        log: event_log.EventLog,
+    ) -> None:
+        self._loop = loop
+        self._store = store
+        self._origins = origins
+        self._is_recorder = is_recorder
+        self._is_first_start = is_first_start
+        self._log = log
+        self._record: VersionRecord | None = None
+        self._revision = 0
+        self._loaded: futures.Future | None = None
+        self._is_busy = False
+        self._is_stopped = False
+        self._retry_at_ms = 0
+        self._versions_by_service: dict[str, set[str]] = {}
+        store.era.listeners.append(self._forget_record)
+
+    def start(self) -> None:
+        """Reads what served before, if this instance can't know it."""
+        if not self._is_first_start:
+            tasks.keep_running(self._loop, self._load_at_start)
+
+    def stop(self) -> None:
+        """Stops before the next call to the store."""
+        self._is_stopped = True
+
+    def _forget_record(self) -> None:
+        """Forgets the record of an earlier era, which may be gone."""
+        self._record = None
+        self._revision = 0
+
+    def _load_at_start(self) -> tasks.Task:
+        while not self._is_stopped and not self._origins.knows_recent_versions(
+            now_ms=self._loop.now_ms()
+        ):
+            if (yield self.load()):
+                return
+            yield tasks.sleep(self._loop, RETRY_DELAY_MS)
+
+    def load(self) -> futures.Future:
+        """Reads the record; the future tells whether the store responded.
+
+        Calls that wait for the same response share one call to the store.
+        """
+        if self._loaded is None or self._loaded.done():
+            self._loaded = tasks.spawn(self._read())
+        return self._loaded
+
+    def observe(self, targets: Iterable[targets_lib.RegisteredTarget]) -> None:
+        """Records a change of the registered versions, if this is a recorder.
+
+        Args:
+            targets: All registered targets, including draining ones.
+        """
+        versions_by_service: dict[str, set[str]] = {}
+        for target in targets:
+            versions = versions_by_service.setdefault(target.service, set())
+            versions.add(target.software_version)
+        self._versions_by_service = versions_by_service
+        is_due = (
+            versions_by_service
+            and not self._is_busy
+            and not self._is_stopped
+            and self._loop.now_ms() >= self._retry_at_ms
+            and not self._is_recorded
+        )
+        if is_due and self._is_recorder():
+            self._is_busy = True
+            tasks.spawn(self._write_changes())
+
+    @property
+    def _is_recorded(self) -> bool:
+        return self._record is not None and self._record.lists(
+            self._versions_by_service
+        )
+
+    def _write_changes(self) -> tasks.Task:
+        try:
+            for _ in range(MAX_CONFLICTS):
+                if self._record is None and not (yield self.load()):
+                    break
+                if self._is_recorded:
+                    return
+                if (yield from self._write()):
+                    return
+            self._retry_at_ms = self._loop.now_ms() + RETRY_DELAY_MS
+        finally:
+            self._is_busy = False
+
+    def _write(self) -> tasks.Task:
+        """Writes the record once; returns whether it was written."""
+        now_ms = self._loop.now_ms()
+        record = self._record.updated(self._versions_by_service, now_ms=now_ms)
+        era = self._store.era.number
+        write = store_api.Write(
+            KEY, msgspec.json.encode(record), expected_revision=self._revision
+        )
+        response = yield self._store.commit(
+            [write], timeout_ms=COMMIT_TIMEOUT_MS
+        )
+        self._record = None
+        is_written = (
+            isinstance(response, store_api.Committed)
+            and era == self._store.era.number
+        )
+        if is_written:
+            self._record, self._revision = record, response.revision
+        self._log.event(
+            "software_versions_recorded" if is_written else "record_conflict",
+            versions=record.left_at_ms_by_version_by_service,
+            known_since_ms=record.known_since_ms,
+        )
+        return is_written
+
+    def _read(self) -> tasks.Task:
+        item = yield self._store.read(KEY)
+        if not isinstance(item, store_api.Item):
+            return False
+        now_ms = self._loop.now_ms()
+        record = self._decode(item, now_ms)
+        self._origins.merge(record.seen_versions(now_ms=now_ms), now_ms=now_ms)
+        self._record, self._revision = record, item.revision
+        return True
+
+    def _decode(self, item: store_api.Item, now_ms: int) -> VersionRecord:
+        """Returns the record of a key; a new one if it can't be read."""
+        if item.value is not None:
+            try:
+                return msgspec.json.decode(item.value, type=VersionRecord)
+            except msgspec.DecodeError as error:
+                self._log.event("record_malformed", key=KEY, error=error)
+        seen = self._origins.seen_versions(now_ms=now_ms)
+        return VersionRecord(
+            known_since_ms=now_ms - seen.known_for_ms,
+            left_at_ms_by_version_by_service={
+                service: {v: now_ms - age for v, age in age_ms.items()}
+                for service, age_ms in seen.age_ms_by_version_by_service.items()
+            },
+        )
+
+    def __repr__(self) -> str:
+        return f"VersionArchive(record={self._record!r})"
--- a/packages/bambooglade/bambooglade/platform/node_file.py
+++ b/packages/bambooglade/bambooglade/platform/node_file.py
@@ -60,6 +60,8 @@
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
     heartbeat_ms: float = 1_200
+    # Whether the whole system starts for the first time.
+    bootstrap: bool = False
 
 
 def path() -> pathlib.Path:
@@ -104,6 +106,7 @@
         max_propagation_ms=round(
             min(wire.bounds.config_apply_ms, wire.bounds.drain_ms)
         ),
+        is_first_start=wire.bootstrap,
     )
 
 
