Take a response without an id for one to a request only on a fresh connection

Callers were told 'not run, try again' (503) for requests that a target ran, and such requests ran at a second target as well, if a target wrote an earlier refusal once more on a kept connection.

Cause: a response without an id was taken for the response to whatever request was under way on its connection, with all that it states: not executed, limit, pause, leaving, brittle.

With the id of the earlier request in the copy nothing happened.

Change: the pool of connections decides, in one place. A response without an id counts if nothing else was sent on its connection, which is closed after it; otherwise it is ignored and the response still awaited. A target that omits ids gets what may run only once on new connections. A request is not sent twice on one connection, since the id would not tell two responses apart. Peers write each response once and are trusted.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/engine.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/engine.py
@@ -22,6 +22,7 @@
     Attributes:
         request: The received request.
         engine: The engine that received it.
+        connection: The connection that it came on.
     """
 
     def __init__(
@@ -32,12 +33,12 @@
     ) -> None:
         self.request = request
         self.engine = engine
-        self._connection = connection
+        self.connection = connection
 
     @property
     def is_open(self) -> bool:
         """Whether the caller is still connected."""
-        return self._connection.is_open
+        return self.connection.is_open
 
     def fields(self) -> messages.HeaderFields:
         """Returns the headers that identify a response of the engine."""
@@ -99,15 +100,15 @@
 
     def send(self, data: bytes) -> None:
         """Sends raw bytes."""
-        self._connection.send(data)
+        self.connection.send(data)
 
     def close(self) -> None:
         """Closes the connection once pending data has been sent."""
-        self._connection.close_when_sent()
+        self.connection.close_when_sent()
 
     def reset(self) -> None:
         """Resets the connection."""
-        self._connection.reset()
+        self.connection.reset()
 
 
 Behaviour = Callable[[Call], None]
--- a/packages/bambooglade/bambooglade/gateway/codec.py
+++ b/packages/bambooglade/bambooglade/gateway/codec.py
@@ -44,6 +44,8 @@
         """Returns the metadata of a target's response."""
         ...
 
-    def is_response_to(self, head: messages.Head, attempt_id: str) -> bool:
+    def match_response(
+        self, head: messages.Head, attempt_id: str
+    ) -> metadata.ResponseMatch:
         """Returns whether a response belongs to the request with this id."""
         ...
--- a/packages/bambooglade/bambooglade/gateway/connection_pool.py
+++ b/packages/bambooglade/bambooglade/gateway/connection_pool.py
@@ -9,6 +9,7 @@
 
 from bambooglade.eventloop import connection as connection_lib
 from bambooglade.eventloop import loop as loop_lib
+from bambooglade.gateway import metadata as metadata_lib
 from bambooglade.http1 import messages
 from bambooglade.http1 import response_parser
 
@@ -44,10 +45,22 @@
 It covers requests that follow one another immediately.
 """
 
+WITHOUT_IDS_TTL_MS = 60_000
+"""Time after a response without an id for which its target is known for it."""
+
+MAX_RECORDED_IDS = 64
+"""Latest requests of a connection whose ids are kept.
+
+Copies of responses to earlier ones would be older than any that is known.
+"""
+
 MAX_IDLE_PER_TARGET = 16
 """Most idle connections per target; more remain only from a burst."""
 
 
+Match = Callable[[messages.Head, str], metadata_lib.ResponseMatch]
+"""Returns which request a response belongs to, beside the one with an id."""
+
 Connect = Callable[
     [loop_lib.EventLoop, tuple[str, int], connection_lib.Handler],
     connection_lib.Connection,
@@ -99,9 +112,15 @@
 class Attempt:
     """One attempt to send a request to a target.
 
+    A target may write a response once more, when the next request of the same
+    connection is under way. A response without an id therefore counts only on a
+    connection that had no other request, and such a connection is not reused.
+
     Attributes:
         head: Head of the response; None before it was received.
         idle_ms: Idle time of the reused connection; None for a new one.
+        ignored_count: Number of responses that were not taken for one to this
+            request.
         is_connection_lost: Whether the connection was closed or reset by the
             target before this end ended the attempt.
         is_ended: Whether the attempt has ended or was cancelled.
@@ -112,13 +131,17 @@
         "_connection",
         "_handler",
         "_loop",
+        "_match",
         "_parser",
         "_pool",
         "_request",
+        "_request_id",
+        "_sent_ids",
         "_started_at_ms",
         "_target",
         "head",
         "idle_ms",
+        "ignored_count",
         "is_connection_lost",
         "is_ended",
     )
@@ -131,18 +154,24 @@
         handler: AttemptHandler,
         *,
         request: bytes,
+        request_id: str,
         is_bodiless: bool,
-        is_expected: Callable[[messages.Head], bool],
+        match: Match,
         reused: _IdleConnection | None,
     ) -> None:
         self._loop = loop
+        self._match = match
+        self._request_id = request_id
+        self._sent_ids = reused.sent_ids if reused is not None else _new_ids()
+        self._sent_ids.append(request_id)
+        self.ignored_count = 0
         self._started_at_ms = loop.now_ms()
         self._pool = pool
         self._target = target
         self._handler = handler
         self._request = request
         self._parser = response_parser.ResponseParser(
-            is_bodiless=is_bodiless, is_expected=is_expected
+            is_bodiless=is_bodiless, is_expected=self._is_expected
         )
         self.head: messages.ResponseHead | None = None
         self.is_connection_lost = False
@@ -161,6 +190,16 @@
             self._connection.sent_bytes = 0
             self._connection.send(request)
 
+    def _is_expected(self, head: messages.Head) -> bool:
+        """Returns whether a response belongs to this request."""
+        match = self._match(head, self._request_id)
+        is_own = match is metadata_lib.ResponseMatch.OWN
+        if match is metadata_lib.ResponseMatch.UNKNOWN:
+            self._pool.record_unidentified(self._target)
+            is_own = self._pool.is_trusted or len(self._sent_ids) == 1
+        self.ignored_count += not is_own
+        return is_own
+
     @property
     def is_sent(self) -> bool:
         """Whether a part of the request may have reached the target."""
@@ -232,12 +271,21 @@
             and not parser.has_extra_bytes
             and not parser.skipped
             and not self._connection.unsent_bytes
+            and self._is_identified(parser.head)
         )
         if is_reusable:
-            self._pool.keep(self._target, self._connection, parser.head)
+            self._pool.keep(
+                self._target, self._connection, parser.head, self._sent_ids
+            )
         else:
             self._connection.close()
 
+    def _is_identified(self, head: messages.ResponseHead) -> bool:
+        return self._pool.is_trusted or (
+            self._match(head, self._request_id)
+            is metadata_lib.ResponseMatch.OWN
+        )
+
     def _finish(self, outcome: AttemptOutcome, reason: str) -> None:
         if not self.is_ended:
             self._mark_ended()
@@ -256,17 +304,25 @@
 class _IdleConnection:
     """An idle connection; on any event it is removed from the pool."""
 
-    __slots__ = ("_idle", "connection", "idle_since_ms", "usable_until_ms")
+    __slots__ = (
+        "_idle",
+        "connection",
+        "idle_since_ms",
+        "sent_ids",
+        "usable_until_ms",
+    )
 
     def __init__(
         self,
         connection: connection_lib.Connection,
         idle: list[_IdleConnection],
         *,
+        sent_ids: collections.deque[str],
         idle_since_ms: int,
         usable_until_ms: int,
     ) -> None:
         self.connection = connection
+        self.sent_ids = sent_ids
         self._idle = idle
         self.idle_since_ms = idle_since_ms
         self.usable_until_ms = usable_until_ms
@@ -301,6 +357,11 @@
         connected: Called with the time that each new connection took to open,
             or to time out, and whether it opened.
         connect: Starts to open a connection.
+        is_trusted: Whether the other ends write each response once, so that a
+            response without an id needs no proof.
+
+    Attributes:
+        is_trusted: As above.
     """
 
     __slots__ = (
@@ -309,7 +370,9 @@
         "_in_flight_by_target_id",
         "_loop",
         "_max_reuse_idle_ms",
+        "_without_ids_until_ms_by_address",
         "connect",
+        "is_trusted",
         "record_connect_time",
     )
 
@@ -320,9 +383,12 @@
         idle_timeout_of: Callable[[messages.ResponseHead], int | None],
         connected: Callable[[Endpoint, int, bool], None],
         connect: Connect = connection_lib.connect,
+        is_trusted: bool = False,
     ) -> None:
         self._loop = loop
         self.connect = connect
+        self.is_trusted = is_trusted
+        self._without_ids_until_ms_by_address: dict[tuple[str, int], int] = {}
         self.record_connect_time = connected
         self._idle_timeout_of = idle_timeout_of
         self._idle_by_address: dict[tuple[str, int], list[_IdleConnection]] = (
@@ -339,9 +405,10 @@
         request: bytes,
         handler: AttemptHandler,
         *,
+        request_id: str,
         is_bodiless: bool,
         is_idempotent: bool,
-        is_expected: Callable[[messages.Head], bool],
+        match: Match,
     ) -> Attempt:
         """Sends a request once, without retries.
 
@@ -349,21 +416,25 @@
             target: The target.
             request: All bytes of the request.
             handler: Receives the response and the end of the attempt.
+            request_id: Id that the response to the request states. It is sent
+                once on a connection, since two responses with the same id can't
+                be told apart.
             is_bodiless: Whether the response has no body (method HEAD).
             is_idempotent: Whether the request may run more than once.
-            is_expected: Returns from the head whether a response belongs to the
+            match: Returns from the head whether a response belongs to the
                 request.
         """
         self._in_flight_by_target_id[target.target_id] += 1
-        reused = self._pop_idle(target, is_idempotent)
+        reused = self._pop_idle(target, is_idempotent, request_id)
         return Attempt(
             self._loop,
             self,
             target,
             handler,
             request=request,
+            request_id=request_id,
             is_bodiless=is_bodiless,
-            is_expected=is_expected,
+            match=match,
             reused=reused,
         )
 
@@ -374,6 +445,16 @@
         )
         self._max_reuse_idle_ms = min(self._max_reuse_idle_ms, safe_idle_ms)
 
+    def record_unidentified(self, target: Endpoint) -> None:
+        """Records that a target omits ids in responses.
+
+        For a time, it gets what may run only once on new connections.
+        """
+        if not self.is_trusted:
+            self._without_ids_until_ms_by_address[target.address] = (
+                self._loop.now_ms() + WITHOUT_IDS_TTL_MS
+            )
+
     def in_flight(self, target_id: str) -> int:
         """Returns the number of requests in flight at a target."""
         return self._in_flight_by_target_id[target_id]
@@ -383,28 +464,31 @@
         target: Endpoint,
         connection: connection_lib.Connection,
         head: messages.ResponseHead,
+        sent_ids: collections.deque[str],
     ) -> None:
         """Adds an idle connection to the pool for the next request."""
         stated_ms = self._idle_timeout_of(head) or DEFAULT_IDLE_TIMEOUT_MS
-        self._add_idle(target, connection, stated_ms)
+        self._add_idle(target, connection, stated_ms, sent_ids)
 
     def keep_unused(
         self, target: Endpoint, connection: connection_lib.Connection
     ) -> None:
         """Adds a new connection on which nothing was sent yet."""
-        self._add_idle(target, connection, DEFAULT_IDLE_TIMEOUT_MS)
+        self._add_idle(target, connection, DEFAULT_IDLE_TIMEOUT_MS, _new_ids())
 
     def _add_idle(
         self,
         target: Endpoint,
         connection: connection_lib.Connection,
         stated_ms: int,
+        sent_ids: collections.deque[str],
     ) -> None:
         idle = self._idle_by_address[target.address]
         now_ms = self._loop.now_ms()
         idle_connection = _IdleConnection(
             connection,
             idle,
+            sent_ids=sent_ids,
             idle_since_ms=now_ms,
             usable_until_ms=now_ms + round(stated_ms * IDLE_TIMEOUT_FRACTION),
         )
@@ -420,6 +504,13 @@
 
     def close_idle(self, *, now_ms: int) -> None:
         """Closes the idle connections whose time-out has passed."""
+        self._without_ids_until_ms_by_address = {
+            address: until_ms
+            for address, until_ms in (
+                self._without_ids_until_ms_by_address.items()
+            )
+            if until_ms > now_ms
+        }
         for address, idle in list(self._idle_by_address.items()):
             for idle_connection in [
                 c for c in idle if c.usable_until_ms <= now_ms
@@ -431,19 +522,24 @@
 
     def close_address(self, address: tuple[str, int]) -> None:
         """Closes the idle connections to an address with a new owner."""
+        self._without_ids_until_ms_by_address.pop(address, None)
         for idle_connection in self._idle_by_address.pop(address, []):
             idle_connection.connection.close()
 
     def _pop_idle(
-        self, target: Endpoint, is_idempotent: bool
+        self, target: Endpoint, is_idempotent: bool, request_id: str
     ) -> _IdleConnection | None:
         idle = self._idle_by_address[target.address]
         now_ms = self._loop.now_ms()
         bound_ms = self._max_reuse_idle_ms
         if not is_idempotent:
             bound_ms = min(bound_ms, MAX_IDLE_NON_IDEMPOTENT_MS)
+            if target.address in self._without_ids_until_ms_by_address:
+                return None
         if not idle or now_ms - idle[-1].idle_since_ms > bound_ms:
             return None
+        if request_id in idle[-1].sent_ids:
+            return None
         idle_connection = idle.pop()
         if idle_connection.usable_until_ms > now_ms:
             return idle_connection
@@ -452,3 +548,8 @@
 
     def __repr__(self) -> str:
         return f"ConnectionPool(addresses={len(self._idle_by_address)})"
+
+
+def _new_ids() -> collections.deque[str]:
+    """Returns an empty list of the requests that a connection had."""
+    return collections.deque(maxlen=MAX_RECORDED_IDS)
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -425,9 +425,8 @@
             self,
             is_bodiless=request.method == b"HEAD",
             is_idempotent=self._route.is_idempotent,
-            is_expected=lambda head: context.codec.is_response_to(
-                head, attempt_id
-            ),
+            request_id=attempt_id,
+            match=context.codec.match_response,
         )
 
     def _resumption_point(self) -> bytes | None:
@@ -597,9 +596,21 @@
         self._context.target_selector.record_end(
             self.target_id, self._exchange.metadata.attempt_id
         )
+        self._log_ignored_responses()
         self._end_attempt(outcome, reason)
         self._context.room_queue.wake(self._service.name)
 
+    def _log_ignored_responses(self) -> None:
+        attempt = self._attempt
+        if attempt.ignored_count:
+            self._context.log.event(
+                "responses_ignored",
+                request=self._exchange.metadata.attempt_id,
+                target=self.target_id,
+                count=attempt.ignored_count,
+                reused_after_ms=attempt.idle_ms,
+            )
+
     def _end_attempt(
         self, outcome: connection_pool.AttemptOutcome, reason: str
     ) -> None:
@@ -810,6 +821,7 @@
         if not self._has_untried_target() or not self._try_acquire_retry():
             return
         self.cancel()
+        self._log_ignored_responses()
         self._possible_runs += 1
         self._record_failure("no progress within the time-out")
         self._delivery.discard_partial_event()
--- a/packages/bambooglade/bambooglade/gateway/metadata.py
+++ b/packages/bambooglade/bambooglade/gateway/metadata.py
@@ -5,6 +5,19 @@
 
 from __future__ import annotations
 
+import enum
+
+
+class ResponseMatch(enum.Enum):
+    """Which request a response belongs to, by the id that it states.
+
+    OWN: the id of the request. OTHER: another id. UNKNOWN: it states none.
+    """
+
+    OWN = enum.auto()
+    OTHER = enum.auto()
+    UNKNOWN = enum.auto()
+
 
 class PromptPart:
     """A part of a prompt; several requests may have the same part.
--- a/packages/bambooglade/bambooglade/gateway/peer_forwarder.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_forwarder.py
@@ -215,9 +215,8 @@
             self,
             is_bodiless=request.method == b"HEAD",
             is_idempotent=self._exchange.route.is_idempotent,
-            is_expected=lambda head: context.codec.is_response_to(
-                head, self._exchange.metadata.attempt_id
-            ),
+            request_id=self._exchange.metadata.attempt_id,
+            match=context.codec.match_response,
         )
 
     def _resumption_point(self) -> bytes | None:
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -276,6 +276,7 @@
                 self.loop,
                 idle_timeout_of=lambda head: None,
                 connected=lambda endpoint, took_ms, is_open: None,
+                is_trusted=True,
             ),
             peers=self._peers,
             introduce=lambda peer: self._puller.introduce(peer),
--- a/packages/bambooglade/bambooglade/platform/headers.py
+++ b/packages/bambooglade/bambooglade/platform/headers.py
@@ -184,14 +184,16 @@
     )
 
 
-def is_response_to(head: messages.Head, attempt_id: str) -> bool:
-    """Returns whether a response belongs to the request with this id.
-
-    A response without an id is accepted, since engines without a free slot may
-    omit it.
-    """
+def match_response(
+    head: messages.Head, attempt_id: str
+) -> metadata.ResponseMatch:
+    """Returns whether a response belongs to the request with this id."""
     echoed = head.get(_ATTEMPT_ID)
-    return not echoed or echoed == attempt_id.encode("latin-1")
+    if not echoed:
+        return metadata.ResponseMatch.UNKNOWN
+    if echoed == attempt_id.encode("latin-1"):
+        return metadata.ResponseMatch.OWN
+    return metadata.ResponseMatch.OTHER
 
 
 def _load(value: bytes) -> metadata.ReportedLoad | None:
