Do not deliver a copy of an earlier response in the project's own interface

A caller of a plain service got the answer to an earlier call, if the service wrote it once more, without an id, when the next repeatable call was under way on the connection.

Cause: as in the gateway, a response without an id was taken for the present one, and what it said of leaving or a pause was recorded before its id was looked at.

Calls that may not be repeated had connections of their own already; tokens of chats bear an id each.

Change: a response without an id counts only as the first one of its connection, and the connection of a response without its id is closed. A service that sends no ids back gets a connection for each call.

--- a/packages/bambooglade/bambooglade/router/dispatch.py
+++ b/packages/bambooglade/bambooglade/router/dispatch.py
@@ -256,6 +256,16 @@
         return f"DispatchContext(instance_id={self.instance_id!r})"
 
 
+def is_response_to(head: messages.ResponseHead, attempt_id: str) -> bool:
+    """Returns whether a response belongs to an attempt.
+
+    One without an id may be a late copy of an earlier response, unless nothing
+    came on its connection before.
+    """
+    echoed = head.header(ATTEMPT_HEADER.lower())
+    return echoed == attempt_id or (not echoed and head.is_first_on_connection)
+
+
 def dispatch_failure(
     detail: str, *, may_have_run: bool, retry_after_ms: int | None = None
 ) -> failures.Failure:
--- a/packages/bambooglade/bambooglade/router/dispatch_plain.py
+++ b/packages/bambooglade/bambooglade/router/dispatch_plain.py
@@ -201,6 +201,9 @@
             url=f"{target.url}{request.path}",
             headers=headers,
             body=request.body if request.body else _empty_body(request.method),
+            response_id=messages.Header(
+                dispatch.ATTEMPT_HEADER.lower(), attempt_id
+            ),
             may_be_resent=job.repeatable,
             connect_timeout_ms=min(_CONNECT_TIMEOUT_MS, timeout_ms),
             first_byte_timeout_ms=timeout_ms,
@@ -223,8 +226,9 @@
                 is_cut_off=failure.is_cut_off,
             )
         response = transfer.ok_value
-        self._context.record_leaving_header(target, response.head)
-        self._context.record_pause_header(target, response.head)
+        if dispatch.is_response_to(response.head, attempt_id):
+            self._context.record_leaving_header(target, response.head)
+            self._context.record_pause_header(target, response.head)
         outcome = _response_fault(
             response, attempt_id, has_body=method != "HEAD"
         )
@@ -238,8 +242,7 @@
 ) -> str:
     """Returns the fault of a response; empty for a valid and complete one."""
     head = response.head
-    echoed = head.header(dispatch.ATTEMPT_HEADER.lower())
-    if echoed and echoed != attempt_id:
+    if not dispatch.is_response_to(head, attempt_id):
         return "response to another attempt"
     if (
         head.status >= _FIRST_SERVER_ERROR_STATUS
--- a/packages/bambooglade/bambooglade/transport/client.py
+++ b/packages/bambooglade/bambooglade/transport/client.py
@@ -102,7 +102,7 @@
         is_complete = False
         try:
             ended = yield from channel.run(request, cancelled=cancelled)
-            is_complete = ended.is_ok()
+            is_complete = ended.is_ok() and channel.is_identified
             return ended
         finally:
             if is_complete:
--- a/packages/bambooglade/bambooglade/transport/exchange.py
+++ b/packages/bambooglade/bambooglade/transport/exchange.py
@@ -9,6 +9,7 @@
 import contextlib
 import select
 
+import msgspec
 import pycurl
 import result
 
@@ -59,6 +60,7 @@
         "_multi",
         "_poller",
         "_response",
+        "_response_id",
     )
 
     def __init__(self, *, ca_file: str | None, clock: clocks.Clock) -> None:
@@ -69,12 +71,22 @@
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
         self._response = _ResponseBuffer()
+        self._response_id: messages.Header | None = None
+
+    @property
+    def is_identified(self) -> bool:
+        """Whether the response bears the header that its request asks for."""
+        expected, head = self._response_id, self._response.head
+        return expected is None or (
+            head is not None and head.header(expected.name) == expected.value
+        )
 
     def run(
         self, request: messages.Request, *, cancelled: Callable[[], bool]
     ) -> Generator[messages.ResponseHead | bytes, None, ExchangeResult]:
         """Yields the head and the parts of the body; returns the result."""
         self._response = _ResponseBuffer(request.max_response_bytes)
+        self._response_id = request.response_id
         self._prepare(request)
         started_ms = self._clock.now_ms()
         next_check_ms = 0
@@ -82,7 +94,7 @@
         self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
         try:
             while True:
-                yield from self._response.pop_parts()
+                yield from map(self._complete_part, self._response.pop_parts())
                 exchange_result = self._result()
                 if exchange_result is not None:
                     return exchange_result
@@ -98,6 +110,17 @@
         finally:
             self._multi.remove_handle(self._curl)
 
+    def _complete_part(
+        self, part: messages.ResponseHead | bytes
+    ) -> messages.ResponseHead | bytes:
+        """Adds what libcurl does not tell within its callbacks to a head."""
+        if isinstance(part, bytes):
+            return part
+        return msgspec.structs.replace(
+            part,
+            is_first_on_connection=self._curl.getinfo(pycurl.NUM_CONNECTS) > 0,
+        )
+
     def close(self) -> None:
         """Closes the connection."""
         self._multi.close()
@@ -216,7 +239,13 @@
 class _ResponseBuffer:
     """Buffers the parts of a response between libcurl's callbacks and `run`."""
 
-    __slots__ = ("_lines", "_parts", "_remaining_bytes", "status")
+    __slots__ = (
+        "_lines",
+        "_parts",
+        "_remaining_bytes",
+        "head",
+        "status",
+    )
 
     def __init__(self, max_bytes: int = 0) -> None:
         self._remaining_bytes = max_bytes
@@ -224,6 +253,7 @@
         self._parts: collections.deque[messages.ResponseHead | bytes] = (
             collections.deque()
         )
+        self.head: messages.ResponseHead | None = None
         self.status = 0
 
     def append_header_line(self, raw: bytes) -> None:
@@ -241,9 +271,8 @@
             return
         self.status = status
         headers = tuple(_header(text) for text in lines[1:])
-        self._parts.append(
-            messages.ResponseHead(status=status, headers=headers)
-        )
+        self.head = messages.ResponseHead(status=status, headers=headers)
+        self._parts.append(self.head)
 
     def append_body(self, data: bytes) -> int | None:
         """Appends a part of the body; called by libcurl.
--- a/packages/bambooglade/bambooglade/transport/messages.py
+++ b/packages/bambooglade/bambooglade/transport/messages.py
@@ -29,6 +29,9 @@
         url: Absolute URL, with an IP address as its host.
         headers: Header fields.
         body: The body, or None.
+        response_id: Header that responses to this request bear; None if they
+            bear none. The connection of one without it is not reused, since a
+            copy of it could not be told from the next response.
         may_be_resent: Whether libcurl may resend the request when the other
             side has closed a reused connection. If False, the request is sent
             at most once, on a new connection.
@@ -43,6 +46,7 @@
     url: str
     headers: tuple[Header, ...] = ()
     body: bytes | None = None
+    response_id: Header | None = None
     may_be_resent: bool = True
     connect_timeout_ms: int = DEFAULT_CONNECT_TIMEOUT_MS
     first_byte_timeout_ms: int = DEFAULT_FIRST_BYTE_TIMEOUT_MS
@@ -51,10 +55,18 @@
 
 
 class ResponseHead(msgspec.Struct, frozen=True, kw_only=True):
-    """Status and headers of a response; header names are in lower case."""
+    """Status and headers of a response; header names are in lower case.
+
+    Attributes:
+        status: The HTTP status.
+        headers: The headers.
+        is_first_on_connection: Whether nothing was received on its connection
+            before, so that it can't be a copy of an earlier response.
+    """
 
     status: int
     headers: tuple[Header, ...] = ()
+    is_first_on_connection: bool = True
 
     def header(self, name: str, default: str = "") -> str:
         """Returns the value of the header with a lower-case name.
--- a/packages/bambooglade/bambooglade/transport/tests/test_client.py
+++ b/packages/bambooglade/bambooglade/transport/tests/test_client.py
@@ -156,3 +156,51 @@
         stream.close()
         assert closed.wait(raw_server.TIMEOUT_S)
     assert repr(client) == "HttpClient(idle=0)"
+
+
+def respond_to_each(*ids: str):
+    """Serves requests of one connection; each response bears an id, or none."""
+
+    def serve(sock, number):
+        del number
+        for position, response_id in enumerate(ids):
+            if position and not sock.recv(65_536):
+                return
+            field = f"X-Request-Id: {response_id}\r\n" if response_id else ""
+            sock.sendall(OK.replace(b"Content", f"{field}Content".encode(), 1))
+        sock.recv(1)
+
+    return serve
+
+
+@pytest.mark.parametrize(
+    ("ids", "expects_id", "connections", "first_on_connection"),
+    [
+        (["a", "b"], True, 1, [True, False]),
+        (["", "b"], True, 2, [True, True]),
+        (["x", "b"], True, 2, [True, True]),
+        (["", ""], False, 1, [True, False]),
+    ],
+)
+def test_connection_is_reused_after_a_response_with_the_id_of_its_request(
+    ids, expects_id, connections, first_on_connection
+):
+    client = client_lib.HttpClient()
+    heads = []
+    with raw_server.listening(respond_to_each(*ids)) as (url, requests):
+        for request_id in ("a", "b"):
+            response = client.request(
+                messages.Request(
+                    method="GET",
+                    url=url,
+                    response_id=messages.Header("x-request-id", request_id)
+                    if expects_id
+                    else None,
+                )
+            )
+            heads.append(response.ok_value.head)
+        client.close()
+    assert len(requests) == connections
+    assert [
+        head.is_first_on_connection for head in heads
+    ] == first_on_connection
