Ignore a busy target that a peer says to bear no rejection

A peer that named a brittle target with 0 or fewer bearable rejections left the instance without permits: the service was refused for up to 5 s, or until a response stated another number.

Cause: responses were checked, messages of peers were not. Change: such an entry is logged and left out; the others of the message count.

--- a/packages/bambooglade/bambooglade/gateway/brittle_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/brittle_replication.py
@@ -162,8 +162,20 @@
         )
 
     def apply_message(self, message: BusyMessage) -> None:
-        """Merges what a peer observed; a relay forwards it in its zone."""
+        """Merges what a peer observed; a relay forwards it in its zone.
+
+        A target that bears no rejection would get no request at all, which no
+        response can state.
+        """
         for busy in message.targets:
+            if busy.max_rejections_per_s <= 0:
+                self._log.event(
+                    "peer_notice_invalid",
+                    target=busy.target_id,
+                    max_rejections_per_s=busy.max_rejections_per_s,
+                    source=f"peer:{message.sender.name}",
+                )
+                continue
             self.targets.record_busy(
                 busy.target_id,
                 service=busy.service,
