Rank the homes of teams once for each list of peers

Half of what an idle instance of a large fleet spent was hashing.

Change: the list of recent peers is the same object until a peer joins, changes or may have expired, and the homes of a shard are ranked once for such a list. What is chosen is the same.

Deterministic tests count the rankings, and compare with a fresh selector after changes.

--- a/packages/bambooglade/bambooglade/discovery/peers.py
+++ b/packages/bambooglade/bambooglade/discovery/peers.py
@@ -118,19 +118,35 @@
         (['b'], 2)
     """
 
-    __slots__ = ("_last_seen_ms_by_name", "_local_name", "_peer_by_name")
+    __slots__ = (
+        "_last_seen_ms_by_name",
+        "_local_name",
+        "_peer_by_name",
+        "_recent",
+        "_recent_until_ms",
+    )
 
     def __init__(self, local_name: str) -> None:
         self._local_name = local_name
         self._peer_by_name: dict[str, Peer] = {}
         self._last_seen_ms_by_name: dict[str, int] = {}
+        self._recent: list[Peer] | None = None
+        self._recent_until_ms = 0
 
     def mark_seen(self, peers: Iterable[Peer], *, now_ms: int) -> None:
         """Records that these peers are registered or have called."""
         for peer in peers:
-            if peer.name != self._local_name:
-                self._peer_by_name[peer.name] = peer
-                self._last_seen_ms_by_name[peer.name] = now_ms
+            if peer.name == self._local_name:
+                continue
+            last_seen_ms = self._last_seen_ms_by_name.get(peer.name)
+            is_recent = (
+                last_seen_ms is not None
+                and now_ms - last_seen_ms <= PEER_TTL_MS
+            )
+            if not is_recent or self._peer_by_name[peer.name] != peer:
+                self._recent = None
+            self._peer_by_name[peer.name] = peer
+            self._last_seen_ms_by_name[peer.name] = now_ms
 
     def apply_registered(self, peers: Iterable[Peer], *, now_ms: int) -> None:
         """Applies a complete list of the registered peers.
@@ -147,6 +163,7 @@
             ):
                 del self._last_seen_ms_by_name[name]
                 del self._peer_by_name[name]
+                self._recent = None
         self.mark_seen(listed, now_ms=now_ms)
 
     def has_incarnation(self, name: str, incarnation: str) -> bool:
@@ -155,12 +172,25 @@
         return peer is not None and peer.incarnation == incarnation
 
     def recent(self, *, now_ms: int) -> list[Peer]:
-        """Returns the peers seen within `PEER_TTL_MS`, sorted by name."""
-        return [
-            self._peer_by_name[name]
-            for name in sorted(self._peer_by_name)
-            if now_ms - self._last_seen_ms_by_name[name] <= PEER_TTL_MS
-        ]
+        """Returns the peers seen within `PEER_TTL_MS`, sorted by name.
+
+        The list is the same object until a peer joins, changes or may have
+        left, so that what is derived from it can be kept; it must not be
+        changed.
+        """
+        if self._recent is None or now_ms > self._recent_until_ms:
+            self._recent = [
+                self._peer_by_name[name]
+                for name in sorted(self._peer_by_name)
+                if now_ms - self._last_seen_ms_by_name[name] <= PEER_TTL_MS
+            ]
+            seen_at_ms = [
+                self._last_seen_ms_by_name[peer.name] for peer in self._recent
+            ]
+            self._recent_until_ms = (
+                min(seen_at_ms, default=now_ms) + PEER_TTL_MS
+            )
+        return self._recent
 
     def fleet_size(self, now_ms: int) -> int:
         """Returns the number of instances, this one included."""
--- a/packages/bambooglade/bambooglade/rights/tests/test_homes.py
+++ b/packages/bambooglade/bambooglade/rights/tests/test_homes.py
@@ -65,3 +65,45 @@
         if homes.is_local(f"team-{team}")
     }
     assert len(owners) <= 3 * 4
+
+
+def test_homes_are_ranked_once_for_each_list_of_peers(monkeypatch):
+    ranked = []
+    rank_by_zone = peers_lib.rank_by_zone
+
+    def count(key, instances):
+        ranked.append(key)
+        return rank_by_zone(key, instances)
+
+    monkeypatch.setattr(peers_lib, "rank_by_zone", count)
+    members = [[peer(n) for n in range(1, 90)], [peer(n) for n in range(2, 90)]]
+    current = members[0]
+    homes = homes_lib.HomeSelector(
+        peer(0), peers=lambda: current, team_count=lambda: 24
+    )
+    for _ in range(100):
+        for team in range(24):
+            homes.is_local(f"team-{team}")
+    assert len(ranked) == 3
+    current = members[1]
+    for team in range(24):
+        assert peer(1) not in homes.of(f"team-{team}")
+    assert len(ranked) == 6
+
+
+@pytest.mark.parametrize("sizes", [(5, 90), (90, 5), (90, 89)])
+def test_homes_follow_a_change_of_the_peers(sizes):
+    current = []
+    homes = homes_lib.HomeSelector(
+        peer(0), peers=lambda: current, team_count=lambda: 24
+    )
+    for size in sizes:
+        current = [peer(n) for n in range(1, size)]
+        fresh = homes_lib.HomeSelector(
+            peer(0),
+            peers=lambda members=current: list(members),
+            team_count=lambda: 24,
+        )
+        for team in range(24):
+            assert homes.of(f"team-{team}") == fresh.of(f"team-{team}")
+        assert homes.count() == fresh.count()
