Rank the recorders of versions once for each list of peers

Change: whether this instance records versions is kept while the list of peers is the same, and asked before the versions are collected.

--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -101,6 +101,8 @@
         self._is_draining = False
         self._is_stopped = False
         self._prepaid_by_team: dict[str, int] = {}
+        self._ranked_peers: list[peers_lib.Peer] | None = None
+        self._records_versions = False
         self._contact = dependency_monitor.DependencyMonitor("store", log=log)
         self.view = view_lib.FleetView(item_codec, log=log)
         self._peers = peers_lib.PeerList(settings.instance)
@@ -392,10 +394,15 @@
         """
         if not self._registration.has_initial_peers:
             return False
-        ranked = origin_replication.ranked_recorders(
-            [*self.known_peers(), self.local_instance]
-        )
-        return self.local_instance in ranked[: version_archive.RECORDER_COUNT]
+        peers = self.known_peers()
+        if peers is not self._ranked_peers:
+            self._ranked_peers = peers
+            ranked = origin_replication.ranked_recorders(
+                [*peers, self.local_instance]
+            )
+            recorders = ranked[: version_archive.RECORDER_COUNT]
+            self._records_versions = self.local_instance in recorders
+        return self._records_versions
 
     def _must_watch_store(self) -> bool:
         return self._relays.must_watch_store(
--- a/packages/bambooglade/bambooglade/gateway/version_archive.py
+++ b/packages/bambooglade/bambooglade/gateway/version_archive.py
@@ -214,19 +214,19 @@
         Args:
             targets: All registered targets, including draining ones.
         """
+        is_able = not self._is_busy and not self._is_stopped
+        if (
+            not is_able
+            or self._loop.now_ms() < self._retry_at_ms
+            or not self._is_recorder()
+        ):
+            return
         versions_by_service: dict[str, set[str]] = {}
         for target in targets:
             versions = versions_by_service.setdefault(target.service, set())
             versions.add(target.software_version)
         self._versions_by_service = versions_by_service
-        is_due = (
-            versions_by_service
-            and not self._is_busy
-            and not self._is_stopped
-            and self._loop.now_ms() >= self._retry_at_ms
-            and not self._is_recorded
-        )
-        if is_due and self._is_recorder():
+        if versions_by_service and not self._is_recorded:
             self._is_busy = True
             tasks.spawn(self._write_changes())
 
