Do not overwrite the origins that the process before has archived

Cause: a process that starts began to write at the first of its keys, under its name, and so replaced what the process before it had written some seconds ago, just when callers took their streams up.

Change: the incarnation is part of the keys; the lease ends the earlier ones.

--- a/packages/bambooglade/bambooglade/gateway/origin_archive.py
+++ b/packages/bambooglade/bambooglade/gateway/origin_archive.py
@@ -33,7 +33,7 @@
 """Most origins of one key."""
 
 SEGMENT_COUNT = 32
-"""Keys of an instance, which are used in turn."""
+"""Keys of a process, which are used in turn."""
 
 LEASE_TTL_MS = 60_000
 """Time for which the keys outlive the instance that wrote them."""
@@ -104,13 +104,15 @@
     Args:
         loop: The event loop.
         store: The store.
-        instance: Name of this instance, which is part of its keys.
+        instance: Name of this instance.
+        incarnation: Id of this process. It is part of the keys: what an earlier
+            process wrote is needed just after its end.
         log: Records failed calls.
     """
 
     __slots__ = (
-        "_instance",
         "_is_write_due",
+        "_key_prefix",
         "_lease_granted_at_ms",
         "_lease_id",
         "_log",
@@ -128,11 +130,12 @@
         store: store_api.TransactionalStore,
         *,
         instance: str,
+        incarnation: str,
         log: event_log.EventLog,
     ) -> None:
         self._loop = loop
         self._store = store
-        self._instance = instance
+        self._key_prefix = f"{PREFIX}{instance}/{incarnation}/"
         self._log = log
         self._segment = _Segment(0, started_at_ms=loop.now_ms())
         self._is_write_due = False
@@ -192,7 +195,7 @@
     def _commit(self, segment: _Segment) -> tasks.Task:
         if not (yield from self._ensure_lease()):
             return False
-        key = f"{PREFIX}{self._instance}/{segment.number % SEGMENT_COUNT}"
+        key = f"{self._key_prefix}{segment.number % SEGMENT_COUNT}"
         write = store_api.Write(key, segment.encode(), lease_id=self._lease_id)
         response = yield self._store.commit(
             [write], timeout_ms=COMMIT_TIMEOUT_MS
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -143,7 +143,11 @@
             local_instance=self.local_instance,
             origins=origins,
             archive=origin_archive.OriginArchive(
-                loop, store, instance=settings.instance, log=log
+                loop,
+                store,
+                instance=settings.instance,
+                incarnation=self._incarnation,
+                log=log,
             ),
             versions=self._versions,
             log=log,
--- a/packages/bambooglade/bambooglade/gateway/tests/test_origin_archive.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_origin_archive.py
@@ -25,10 +25,12 @@
     return memory_store.MemoryStore(loop)
 
 
-def new_archive(loop, store, name: str = "i0"):
+def new_archive(loop, store, name: str = "i0", incarnation: str = "1"):
     log = event_log.EventLog(loop.clock)
     client = memory_store.StoreClient(store, log=log)
-    return origin_archive.OriginArchive(loop, client, instance=name, log=log)
+    return origin_archive.OriginArchive(
+        loop, client, instance=name, incarnation=incarnation, log=log
+    )
 
 
 def record(stream_id: str, origin=V1) -> stream_origins.OriginRecord:
@@ -55,6 +57,14 @@
     assert found == [V1, V2, V2, None]
 
 
+def test_instance_that_starts_again_keeps_what_it_wrote_before(loop, store):
+    for incarnation in "12":
+        archive = new_archive(loop, store, "i0", incarnation)
+        archive.add([record(f"a{incarnation}")])
+        loop.advance(WRITE_MS)
+    assert [find(loop, store, s) for s in ("a1", "a2")] == [V1, V1]
+
+
 def test_origins_of_many_streams_are_found_on_several_pages(
     loop, store, monkeypatch
 ):
--- a/packages/bambooglade/bambooglade/gateway/tests/test_origin_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_origin_replication.py
@@ -85,7 +85,11 @@
         local_instance=local_instance,
         origins=origins,
         archive=origin_archive.OriginArchive(
-            loop, store, instance=local_instance.name, log=log
+            loop,
+            store,
+            instance=local_instance.name,
+            incarnation=local_instance.incarnation,
+            log=log,
         ),
         versions=version_archive.VersionArchive(
             loop,
