Kill all gateways in releases in the soak

The soak had two versions all the time, and killed one gateway at a time; streams ended at once, so that a kill broke none off.

--- a/Makefile
+++ b/Makefile
@@ -11,9 +11,11 @@
 STEPS ?= 60
 
 # Fault soak with real processes: `make soak SEED=7 SECONDS=60`; FAULT names a
-# deliberate fault that it has to find.
+# deliberate fault that it has to find. `make soak SEED=7 RELEASES=8` kills all
+# gateways in each of eight releases instead.
 SECONDS ?= 30
 FAULT ?=
+RELEASES ?= 0
 
 .PHONY: help env run test check format unit measure fuzz soak clean
 
@@ -54,9 +56,9 @@
 	$(BIN)/python -m benchmarks.fuzz --seed=$(SEED) --examples=$(EXAMPLES) \
 	  --steps=$(STEPS)
 
-soak: env ## Run gateway processes under faults: SEED, SECONDS.
+soak: env ## Run gateway processes under faults: SEED, SECONDS or RELEASES.
 	$(BIN)/python -m bambooglade_standins.users_platform.soak --seed=$(SEED) \
-	  --seconds=$(SECONDS) --fault=$(FAULT)
+	  --seconds=$(SECONDS) --fault=$(FAULT) --releases=$(RELEASES)
 
 clean: ## Remove the environment and the outputs.
 	rm -rf $(VENV) build reports run
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/deliberate_faults.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/deliberate_faults.py
@@ -10,6 +10,7 @@
 from bambooglade.discovery import view as view_lib
 from bambooglade.gateway import dispatching
 from bambooglade.gateway import error_responses
+from bambooglade.gateway import stream_origins
 from bambooglade.rights import account
 from bambooglade.store import store_era
 from bambooglade.targets import crash_suspicions
@@ -108,6 +109,13 @@
     )
 
 
+def trust_the_registered_versions() -> None:
+    """Takes the versions that are registered for all that ever served."""
+    origins = stream_origins.StreamOrigins
+    origins.knows_recent_versions = lambda self, *, now_ms: True
+    origins.merge = lambda self, seen, *, now_ms: None
+
+
 FAULT_BY_NAME = {
     fault.__name__: fault
     for fault in (
@@ -121,5 +129,6 @@
         ignore_notices_of_leaving,
         ignore_the_era_of_the_store,
         serve_without_a_path_to_any_target,
+        trust_the_registered_versions,
     )
 }
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/gateway_process.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/gateway_process.py
@@ -20,6 +20,7 @@
 nodeName = "{name}"
 ip = "{host}"
 zone = "zone-{zone}"
+bootstrap = {bootstrap}
 internalPortRange = [{metrics}, {forwarding}]
 seeds = [{seeds}]
 [listen]
@@ -73,11 +74,19 @@
             else [GATEWAY_MODULE]
         ) + ([fault] if fault else [])
 
-    def write_settings(self, seeds: list[str]) -> None:
-        """Writes the settings file."""
+    def write_settings(
+        self, seeds: list[str], *, is_first_start: bool = False
+    ) -> None:
+        """Writes the settings file.
+
+        Args:
+            seeds: Addresses of the instances that are queried first.
+            is_first_start: Whether the whole system starts for the first time.
+        """
         texts = [f"{host}:{port}" for host, port in self.addresses]
         text = _NODE_FILE.format(
             name=self.name,
+            bootstrap=str(is_first_start).lower(),
             host=self.addresses[3][0],
             zone=self._zone,
             metrics=self.addresses[3][1],
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/soak.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/soak.py
@@ -42,6 +42,7 @@
 from bambooglade_standins.users_platform import memory_store
 from bambooglade_standins.users_platform import platform_harness as harness_lib
 from bambooglade_standins.users_platform import soak_cuts
+from bambooglade_standins.users_platform import soak_releases
 from bambooglade_standins.users_platform import store_server
 
 GATEWAYS = 4
@@ -644,11 +645,24 @@
         return f"Soak(statuses={dict(self._statuses)})"
 
 
-def main(seed: int = 0, seconds: int = 20, fault: str = "") -> None:
+def main(
+    seed: int = 0, seconds: int = 20, fault: str = "", releases: int = 0
+) -> None:
     """Runs the soak with one seed and prints counts of response statuses.
 
     After a violation, the outputs of the gateways are in `reports/soak-SEED`.
+
+    Args:
+        seed: Seed of the random requests and faults.
+        seconds: Duration.
+        fault: Name of a deliberate fault of the gateways; empty for none.
+        releases: Number of releases in which all gateways are killed, instead
+            of the other faults.
     """
+    if releases:
+        outcomes = soak_releases.ReleaseSoak(seed, fault=fault).run(releases)
+        print(f"seed={seed} releases={releases} outcomes={dict(outcomes)}")
+        return
     soak = Soak(seed, fault=fault)
     try:
         statuses = soak.run(seconds * 1_000)
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_soak.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from bambooglade_standins.users_platform import invariants
 from bambooglade_standins.users_platform import soak
+from bambooglade_standins.users_platform import soak_releases
 
 CI_DURATION_MS = 6_000
 FAULT_BOUND_MS = 60_000
@@ -48,3 +49,15 @@
 def test_soak_detects_deliberate_fault(fault):
     with pytest.raises(invariants.InvariantViolationError):
         soak.Soak(7, fault=fault).run(FAULT_BOUND_MS)
+
+
+def test_streams_keep_their_version_in_releases_with_a_kill_of_all():
+    outcomes = soak_releases.ReleaseSoak(1).run(3)
+    assert outcomes["possible 200"] > 0
+
+
+def test_release_soak_detects_trust_in_what_is_registered():
+    with pytest.raises(invariants.InvariantViolationError):
+        soak_releases.ReleaseSoak(1, fault="trust_the_registered_versions").run(
+            8
+        )
