--- a/packages/bambooglade/bambooglade/gateway/tests/test_origin_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_origin_replication.py
@@ -204,3 +204,69 @@
                 replicator_of(reader).find(f"a{number}")
                 asked = {address for address, _, _ in client.calls}
                 assert holders & {*asked, reader.address}
+
+
+def archived_ids(store) -> set[str]:
+    prefix = origin_archive.PREFIX
+    return {
+        stream_id
+        for key in store.list_keys()
+        if key.startswith(prefix)
+        for archived in msgspec.json.decode(
+            store.peek(key), type=list[origin_archive.ArchivedOrigins]
+        )
+        for stream_id in archived.stream_ids
+    }
+
+
+@pytest.mark.parametrize(
+    ("versions", "able", "count"),
+    [
+        (["v1"], range(9), 0),
+        (["v1", "v2"], range(9), 9),
+        (["v1", "v2"], [2, 3], 9),
+        (["v1", "v2"], [3], 4),
+        (["v1", "v2"], [], 0),
+    ],
+)
+def test_one_instance_of_each_zone_archives_what_its_zone_reports(
+    loop, versions, able, count
+):
+    """Instances of earlier builds are passed over; zone z1 has five of nine."""
+    store = memory_store.MemoryStore(loop)
+    members = [
+        msgspec.structs.replace(peer(n), archives_streams=n in able)
+        for n in range(9)
+    ]
+    client = StubClient()
+    replicator_by_address = {
+        member.address: new_replicator(
+            loop, client, member, [m for m in members if m != member], store
+        )
+        for member in members
+    }
+    for number, replicator in enumerate(replicator_by_address.values()):
+        observe(replicator, *versions)
+        replicator.record(f"a{number}", ORIGIN, services=["jury"])
+    loop.advance(origin_replication.FLUSH_DELAY_MS)
+    for address, path, body in client.calls:
+        assert path == origin_replication.RECORD_PATH
+        replicator_by_address[address].apply_records(
+            msgspec.json.decode(body, type=origin_replication.OriginRecords)
+        )
+    loop.advance(1_000)
+    assert len(archived_ids(store)) == count
+    writers = {key.split("/")[2] for key in store.list_keys()}
+    assert len(writers) <= len(ZONES)
+
+
+PEER_OF_EARLIER_BUILD = (
+    b'{"name":"i1","incarnation":"1","host":"10.0.0.1","port":1,'
+    b'"availability_zone":"z1","link_mbps":20.0,"forwarding_port":2}'
+)
+"""As instances of 396483c register."""
+
+
+def test_peer_of_an_earlier_build_writes_nothing_to_the_store():
+    decoded = msgspec.json.decode(PEER_OF_EARLIER_BUILD, type=peers_lib.Peer)
+    assert origin_replication.ranked_recorders([decoded]) == []
