--- a/packages/bambooglade/bambooglade/gateway/connection_pool.py
+++ b/packages/bambooglade/bambooglade/gateway/connection_pool.py
@@ -46,12 +46,12 @@
 """
 
 WITHOUT_IDS_TTL_MS = 60_000
-"""Time after a response without an id for which its target is known for it."""
+"""Time for which a target that omitted an id is taken to omit them."""
 
 MAX_RECORDED_IDS = 64
 """Latest requests of a connection whose ids are kept.
 
-Copies of responses to earlier ones would be older than any that is known.
+A copy of a response comes soon after it.
 """
 
 MAX_IDLE_PER_TARGET = 16
@@ -357,11 +357,13 @@
         connected: Called with the time that each new connection took to open,
             or to time out, and whether it opened.
         connect: Starts to open a connection.
-        is_trusted: Whether the other ends write each response once, so that a
-            response without an id needs no proof.
+        is_trusted: Whether the other ends write each response once, so that one
+            without an id belongs to the request under way.
 
     Attributes:
-        is_trusted: As above.
+        connect: Starts to open a connection.
+        is_trusted: Whether responses without an id are accepted.
+        record_connect_time: Called when a connection has opened or timed out.
     """
 
     __slots__ = (
