Let the emulated engine state the id of the request that it rejects

It echoes the id now; the tests' assertions are as before. That a response without an id proves nothing on a used connection, and what an engine without ids gets, is tested in test_repeated_refusals.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/engine.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/engine.py
@@ -92,6 +92,7 @@
             messages.encode_response(
                 status=503,
                 fields=[
+                    (ATTEMPT_ID, self.request.get(ATTEMPT_ID.lower())),
                     (b"X-Bambooglade-Not-Executed", b"1"),
                     *self.engine.extra_fields,
                 ],
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_repeated_refusals.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_repeated_refusals.py
@@ -119,7 +119,7 @@
     harness.start_gateway()
     statuses = []
     for _ in range(4):
-        engine.script.append(engine_lib.Call.decline)
+        engine.script.append(lambda call: call.send(refusal(None)))
         statuses.append(harness.call(path, prompt=prompt).status)
     assert statuses == [503] * 4
     assert engine.connection_count == 4
