Review: show that a new address of the store in the settings is not used

Cause: GatewayProcess.reload keeps the new settings and logs the new address, but nobody calls PlatformStore.set_address, so that all calls go to the old one.

Ruled out: a break of the store. It serves at both addresses for 5 s, with the same contents, and the requests follow 7.5 s after the change.

Conclusion: CONFIG, until the process starts again.

--- a/review/standins/small_platform.py
+++ b/review/standins/small_platform.py
@@ -154,13 +154,33 @@
         self._changed = asyncio.Event()
         self._lease_ends_s: dict[int, float] = {}
         self._ttl_ms_by_lease: dict[int, int] = {}
-        self._server: asyncio.Server | None = None
+        self._server_by_port: dict[int, asyncio.Server] = {}
+        self._writers_by_port: dict[int, set[asyncio.StreamWriter]] = {}
         self.port = 0
 
-    async def start(self) -> None:
-        """Starts to listen."""
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+    async def start(self) -> int:
+        """Starts to listen at a further port, and returns it."""
+        writers: set[asyncio.StreamWriter] = set()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writers.add(writer)
+            await self._serve(reader, writer)
+            writers.discard(writer)
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        self._server_by_port[port] = server
+        self._writers_by_port[port] = writers
+        self.port = self.port or port
+        return port
+
+    def stop(self, port: int) -> None:
+        """Stops listening at a port, and closes its connections."""
+        self._server_by_port.pop(port).close()
+        for writer in list(self._writers_by_port.pop(port)):
+            writer.close()
 
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
         """Writes a key."""
@@ -312,10 +332,10 @@
             self._remove(key)
         return 200, {"revision": self._revision}
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Stops listening."""
-        if self._server is not None:
-            self._server.close()
+        for port in list(self._server_by_port):
+            self.stop(port)
 
 
 Respond = Callable[["Engine", Message, asyncio.StreamWriter], Awaitable[None]]
@@ -627,7 +647,7 @@
             gateway.kill()
         for engine in self.engines:
             await engine.close()
-        await self.store.close()
+        self.store.close()
         self.record.write()
         self._folder.cleanup()
 
