Show that requests are given up while sound targets are silent

The emulated engine can fall silent now: it keeps its connections, accepts new ones, and handles nothing.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/engine.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/engine.py
@@ -100,12 +100,12 @@
         )
 
     def send(self, data: bytes) -> None:
-        """Sends raw bytes."""
-        self.connection.send(data)
+        """Sends raw bytes, once the engine is not silent any more."""
+        self.engine.call_when_running(self.connection.send, data)
 
     def close(self) -> None:
         """Closes the connection once pending data has been sent."""
-        self.connection.close_when_sent()
+        self.engine.call_when_running(self.connection.close_when_sent)
 
     def reset(self) -> None:
         """Resets the connection."""
@@ -170,6 +170,7 @@
         self.declined_count = 0
         self.extra_fields: messages.HeaderFields = []
         self.is_closed = False
+        self._silent_until_ms = 0
         self._listener = connection_lib.Listener(
             loop, ("127.0.0.1", 0), self._accepted
         )
@@ -184,6 +185,21 @@
         """Signature header value of its responses."""
         return b"sig-" + self.name.encode()
 
+    def fall_silent(self, duration_ms: int) -> None:
+        """Neither handles requests nor sends anything for a while.
+
+        Connections open meanwhile, as those to a stopped process do.
+        """
+        self._silent_until_ms = self._loop.now_ms() + duration_ms
+
+    def call_when_running(self, callback: Callable, *arguments: object) -> None:
+        """Calls back now, or in order when the engine is silent no more."""
+        delay_ms = self._silent_until_ms - self._loop.now_ms()
+        if delay_ms <= 0:
+            callback(*arguments)
+        else:
+            self._loop.call_later(delay_ms, callback, *arguments)
+
     def call_after_sending(self, callback: Callable[[], None]) -> None:
         """Calls back after 20 ms, when pending data has been sent."""
         self._loop.call_later(20, callback)
@@ -205,6 +221,13 @@
         connection: connection_lib.Connection,
     ) -> None:
         """Handles a request with the next scripted behaviour."""
+        self.call_when_running(self._handle_now, request, connection)
+
+    def _handle_now(
+        self,
+        request: messages.Request,
+        connection: connection_lib.Connection,
+    ) -> None:
         self.requests.append(request)
         behaviour = self.script.popleft() if self.script else self.default
         behaviour(Call(request, self, connection))
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_silent_targets.py
@@ -0,0 +1,168 @@
+"""Tests of sound targets that fall silent for a second or so and go on."""
+
+from __future__ import annotations
+
+import pytest
+
+from bambooglade_standins.users_platform import engine as engine_lib
+from bambooglade_standins.users_platform import platform_harness as harness_lib
+
+EVENTS = 12
+EVENT_MS = 40
+SILENCE_MS = 1_300
+DEADLINE_MS = 6_000
+CALLERS = 8
+
+
+@pytest.fixture
+def harness():
+    built = harness_lib.PlatformHarness()
+    built.configure(harness_lib.configuration(timeout_ms=DEADLINE_MS))
+    yield built
+    built.close()
+
+
+def stream_slowly(harness):
+    """Returns a behaviour that sends an event every `EVENT_MS`."""
+
+    def behave(call: engine_lib.Call) -> None:
+        first = int(call.request.get(b"last-event-id") or 0) + 1
+        call.start_stream()
+        for number in range(first, EVENTS + 1):
+            harness.loop.call_later(
+                (number - first) * EVENT_MS, call.event, number
+            )
+        harness.loop.call_later(
+            (EVENTS - first) * EVENT_MS + 1, call.end_stream
+        )
+
+    return behave
+
+
+def whole_stream() -> bytes:
+    """Returns the body of a complete response."""
+    return b"".join(map(engine_lib.event, range(1, EVENTS + 1)))
+
+
+def start_streams(harness, count: int = CALLERS) -> list[harness_lib.Caller]:
+    """Starts streams, and waits until each has delivered two events."""
+    callers = [
+        harness.start_call(
+            f"/resume/{n}", prompt="100,50", deadline_ms=DEADLINE_MS
+        )
+        for n in range(count)
+    ]
+    harness.run_until(
+        lambda: all(engine_lib.event(2) in c.body for c in callers)
+    )
+    return callers
+
+
+def run_count(engines) -> int:
+    """Returns how many requests reached engines."""
+    return sum(len(engine.requests) for engine in engines)
+
+
+@pytest.mark.parametrize("silence_ms", [1_000, 1_300, 1_500])
+def test_streams_are_not_repeated_while_all_targets_are_silent(
+    harness, silence_ms
+):
+    engines = [
+        harness.add_engine(name, "jury", default=stream_slowly(harness))
+        for name in ("j1", "j2", "j3")
+    ]
+    harness.start_gateway()
+    callers = start_streams(harness)
+    for engine in engines:
+        engine.fall_silent(silence_ms)
+    harness.run_until(lambda: all(c.is_finished for c in callers))
+    assert [c.body for c in callers] == [whole_stream()] * CALLERS
+    assert all(c.is_complete for c in callers)
+    assert run_count(engines) == CALLERS
+
+
+def decline_for_a_while(harness, duration_ms: int):
+    """Returns a behaviour that declines requests at first."""
+    until_ms = harness.loop.now_ms() + duration_ms
+
+    def behave(call: engine_lib.Call) -> None:
+        if harness.loop.now_ms() < until_ms:
+            call.decline()
+        else:
+            stream_slowly(harness)(call)
+
+    return behave
+
+
+def refuse_connections(harness, engine: engine_lib.Engine) -> None:
+    del harness
+    engine.close()
+
+
+def decline_requests(harness, engine: engine_lib.Engine) -> None:
+    engine.default = decline_for_a_while(harness, DEADLINE_MS)
+
+
+def reset_requests(harness, engine: engine_lib.Engine) -> None:
+    del harness
+    engine.default = engine_lib.Call.reset
+
+
+def answer_with_an_error(harness, engine: engine_lib.Engine) -> None:
+    del harness
+    engine.default = lambda call: call.respond(b"error", status=500)
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        refuse_connections,
+        decline_requests,
+        reset_requests,
+        answer_with_an_error,
+    ],
+)
+def test_stream_is_not_cut_for_silence_if_no_other_target_takes_it(
+    harness, spoil
+):
+    sound = harness.add_engine("j1", "jury", default=stream_slowly(harness))
+    harness.start_gateway()
+    callers = start_streams(harness)
+    other = harness.add_engine("j2", "jury")
+    spoil(harness, other)
+    harness.run_for(200)
+    sound.fall_silent(SILENCE_MS)
+    harness.run_until(lambda: all(c.is_finished for c in callers))
+    assert [c.body for c in callers] == [whole_stream()] * CALLERS
+    assert all(c.is_complete for c in callers)
+
+
+def test_stream_goes_on_elsewhere_if_its_target_stays_silent(harness):
+    gone = harness.add_engine("j1", "jury", default=stream_slowly(harness))
+    harness.start_gateway()
+    callers = start_streams(harness)
+    other = harness.add_engine("j2", "jury", default=stream_slowly(harness))
+    harness.run_for(200)
+    gone.fall_silent(60_000)
+    started_ms = harness.loop.now_ms()
+    harness.run_until(lambda: all(c.is_finished for c in callers))
+    assert [c.body for c in callers] == [whole_stream()] * CALLERS
+    assert harness.loop.now_ms() - started_ms < 2_000 + EVENTS * EVENT_MS
+    assert len(other.requests) == CALLERS
+
+
+@pytest.mark.parametrize("silence_ms", [500, 1_000])
+def test_plain_requests_are_not_repeated_while_all_targets_are_silent(
+    harness, silence_ms
+):
+    engines = [harness.add_engine(n, "portal") for n in ("p1", "p2", "p3")]
+    harness.start_gateway()
+    for engine in engines:
+        engine.fall_silent(silence_ms)
+    callers = [
+        harness.start_call(f"/status/{n}", deadline_ms=2_500)
+        for n in range(CALLERS)
+    ]
+    harness.run_until(lambda: all(c.is_finished for c in callers))
+    assert [c.status for c in callers] == [200] * CALLERS
+    assert run_count(engines) == CALLERS
