Log and count retries that the retry budget allows or denies

Of a request that was sent to several targets, the log did not tell whether the retry budget had allowed it, how much of the budget was used, nor by how many instances it was divided, so that the first two hypotheses of the incident of silent targets could not be told apart. Both the dispatcher and the forwarder to peers draw retries through the context now, which logs and counts them.

--- a/packages/bambooglade/bambooglade/gateway/context.py
+++ b/packages/bambooglade/bambooglade/gateway/context.py
@@ -171,6 +171,28 @@
         """Returns the retry budget of a service."""
         return self._retry_budget_by_service[service]
 
+    def try_acquire_retry(self, service: str, *, request_id: str) -> bool:
+        """Returns whether a request may be sent to a service once more.
+
+        If so, it draws a retry from the retry budget of the service.
+
+        Args:
+            service: Name of the service.
+            request_id: Id of the request, for the log.
+        """
+        budget, now_ms = self.retry_budget(service), self.loop.now_ms()
+        is_allowed = budget.try_acquire(now_ms=now_ms)
+        self.metrics.record_retry(service=service, is_allowed=is_allowed)
+        self.log.event(
+            "retry_allowed" if is_allowed else "retry_denied",
+            request=request_id,
+            service=service,
+            retries=budget.retry_count,
+            allowed=round(budget.allowed_retries(now_ms=now_ms), 1),
+            instances=self._fleet_size(),
+        )
+        return is_allowed
+
     def _new_retry_budget(self) -> retry_budget.RetryBudget:
         return retry_budget.RetryBudget(
             ratio=self.settings.retry_ratio,
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -779,8 +779,8 @@
         )
 
     def _try_acquire_retry(self) -> bool:
-        return self._context.retry_budget(self._service.name).try_acquire(
-            now_ms=self._context.loop.now_ms()
+        return self._context.try_acquire_retry(
+            self._service.name, request_id=self._exchange.metadata.attempt_id
         )
 
     def _end_without_response(
--- a/packages/bambooglade/bambooglade/gateway/peer_forwarder.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_forwarder.py
@@ -407,8 +407,9 @@
             route.is_idempotent
             and self._possible_runs < route.max_attempts
             and self._has_untried_peer(now_ms)
-            and self._context.retry_budget(self._service.name).try_acquire(
-                now_ms=now_ms
+            and self._context.try_acquire_retry(
+                self._service.name,
+                request_id=self._exchange.metadata.attempt_id,
             )
         )
 
--- a/packages/bambooglade/bambooglade/gateway/retry_budget.py
+++ b/packages/bambooglade/bambooglade/gateway/retry_budget.py
@@ -64,14 +64,23 @@
         self._request_times_ms.append(now_ms)
         self._evict_expired(now_ms)
 
-    def try_acquire(self, *, now_ms: int) -> bool:
-        """Returns whether a retry is allowed, and counts it if it is."""
+    @property
+    def retry_count(self) -> int:
+        """Number of retries in the window, as of the last call."""
+        return len(self._retry_times_ms)
+
+    def allowed_retries(self, *, now_ms: int) -> float:
+        """Returns how many retries this instance may make in the window."""
         self._evict_expired(now_ms)
         slack = self._slack / max(1, self._fleet_size())
-        allowed = USABLE_FRACTION * (
+        return USABLE_FRACTION * (
             self._ratio * len(self._request_times_ms) + slack
         )
-        if len(self._retry_times_ms) + 1 > allowed:
+
+    def try_acquire(self, *, now_ms: int) -> bool:
+        """Returns whether a retry is allowed, and counts it if it is."""
+        allowed = self.allowed_retries(now_ms=now_ms)
+        if self.retry_count + 1 > allowed:
             return False
         self._retry_times_ms.append(now_ms)
         return True
--- a/packages/bambooglade/bambooglade/router/metrics.py
+++ b/packages/bambooglade/bambooglade/router/metrics.py
@@ -25,6 +25,7 @@
 UNUSED_TOKENS = "bambooglade_unused_tokens"
 INSTANCES = "bambooglade_instances"
 HANDED_OVER_REQUESTS_TOTAL = "bambooglade_handed_over_requests_total"
+RETRIES_TOTAL = "bambooglade_retries_total"
 UNREACHABLE_SERVICES = "bambooglade_unreachable_services"
 BRITTLE_SERVICES = "bambooglade_brittle_services"
 WAITING_REQUESTS = "bambooglade_requests_waiting_for_room"
@@ -133,6 +134,14 @@
             self._by_name[HANDED_OVER_REQUESTS_TOTAL].inc(request)
             self._by_name[SPENT_TOKENS_TOTAL].add(request, spent_tokens)
 
+    def record_retry(self, *, service: str, is_allowed: bool) -> None:
+        """Counts a request that was to be sent once more."""
+        outcome = "allowed" if is_allowed else "denied"
+        with self._lock:
+            self._by_name[RETRIES_TOTAL].inc(
+                {"service": service, "outcome": outcome}
+            )
+
     def record_platform_call(self, *, call: str, outcome: str) -> None:
         """Counts a call to a service of the platform.
 
@@ -183,6 +192,7 @@
         SPENT_TOKENS_TOTAL: "Tokens that were billed.",
         PLATFORM_CALLS_TOTAL: "Calls to the platform's services.",
         HANDED_OVER_REQUESTS_TOTAL: "Requests that were served for a peer.",
+        RETRIES_TOTAL: "Retries that the retry budget allowed or denied.",
     }
     gauges = {
         HELD_TOKENS: "Rights of lost instances, held at this primary.",
