Do not take a second of silence for the failure of a target

Callers lost streams, and the fleet repeated requests, when sound model engines stopped for a second: after 1.2 s without an event a stream was given up and sent to the next target, which was silent too, full or failing.

The class of the fault: one instance takes the silence of one request for the state of its target. A request is given up now if its target serves other requests meanwhile, if connections to it do not open, or after half of the time that callers wait (1.6 s at least), and then goes only to a target that is not silent as well. Whatever is sent once more avoids silent targets while others are left. The same holds for streams that a peer serves. A plain request is still sent elsewhere after 0.3 s, but not while all targets are silent.

The emulated engine does in order what it has put off.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/engine.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/engine.py
@@ -170,7 +170,8 @@
         self.declined_count = 0
         self.extra_fields: messages.HeaderFields = []
         self.is_closed = False
-        self._silent_until_ms = 0
+        self._is_silent = False
+        self._deferred: collections.deque = collections.deque()
         self._listener = connection_lib.Listener(
             loop, ("127.0.0.1", 0), self._accepted
         )
@@ -190,15 +191,21 @@
 
         Connections open meanwhile, as those to a stopped process do.
         """
-        self._silent_until_ms = self._loop.now_ms() + duration_ms
+        self._is_silent = True
+        self._loop.call_later(duration_ms, self._go_on)
+
+    def _go_on(self) -> None:
+        self._is_silent = False
+        while self._deferred:
+            callback, arguments = self._deferred.popleft()
+            callback(*arguments)
 
     def call_when_running(self, callback: Callable, *arguments: object) -> None:
         """Calls back now, or in order when the engine is silent no more."""
-        delay_ms = self._silent_until_ms - self._loop.now_ms()
-        if delay_ms <= 0:
-            callback(*arguments)
+        if self._is_silent:
+            self._deferred.append((callback, arguments))
         else:
-            self._loop.call_later(delay_ms, callback, *arguments)
+            callback(*arguments)
 
     def call_after_sending(self, callback: Callable[[], None]) -> None:
         """Calls back after 20 ms, when pending data has been sent."""
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -20,6 +20,7 @@
 from bambooglade.gateway import target_selector as target_selector_lib
 from bambooglade.http1 import messages
 from bambooglade.targets import crash_suspicions
+from bambooglade.targets import silence
 
 MIN_REMAINING_MS = 30
 """Remaining time below which a request is not sent.
@@ -27,13 +28,8 @@
 The network round trip alone would use it up.
 """
 
-PLAIN_PROGRESS_TIMEOUT_MS = 300
-"""Time without progress after which an idempotent request to a plain service is
-sent to another target."""
-
-STREAM_PROGRESS_TIMEOUT_MS = 1_200
-"""Time without an event after which an idempotent request to a model engine
-continues at another target."""
+SILENCE_RECHECK_MS = 100
+"""Time after which a request whose target is silent looks for another again."""
 
 MAX_DISPATCHES = 4
 """Most targets that are tried for a request that none of them executed."""
@@ -190,13 +186,7 @@
         if self._is_cut_off:
             self._hand_over()
             return
-        choice = context.target_selector.choose(
-            self._ready_targets(),
-            prompt=self._prompt,
-            excluded=self._tried_target_ids,
-            now_ms=now_ms,
-            target_latency_ms=self._route.target_latency_ms,
-        )
+        choice = self._choose_target(now_ms)
         if choice.is_room_awaited and self._await_room(remaining_ms):
             return
         if choice.retry_after_ms is not None and not self.may_have_run:
@@ -213,6 +203,50 @@
             return
         self._begin_attempt(choice, remaining_ms, now_ms=now_ms)
 
+    def _choose_target(self, now_ms: int) -> target_selector_lib.TargetChoice:
+        """Chooses a target that was not tried yet.
+
+        Once the request has failed at one, it goes to a target that is silent
+        only if no other one is left.
+        """
+        selector = self._context.target_selector
+        ready, tried = self._ready_targets(), self._tried_target_ids
+
+        def choose(excluded: set[str]) -> target_selector_lib.TargetChoice:
+            return selector.choose(
+                ready,
+                prompt=self._prompt,
+                excluded=excluded,
+                now_ms=now_ms,
+                target_latency_ms=self._route.target_latency_ms,
+            )
+
+        silent_ids = {
+            target.target_id
+            for target in ready
+            if tried and self._is_silent(target, now_ms)
+        }
+        choice = choose(tried | silent_ids)
+        return choose(tried) if silent_ids and choice.target is None else choice
+
+    def _is_silent(
+        self, target: targets_lib.RegisteredTarget, now_ms: int
+    ) -> bool:
+        """Returns whether a target leaves requests without any sign."""
+        silent_ms = self._context.target_selector.silent_ms(
+            target.target_id, now_ms=now_ms
+        )
+        return silence.is_silent_too(silent_ms, self._silence_bounds.hung_ms)
+
+    @property
+    def _silence_bounds(self) -> silence.SilenceBounds:
+        if self._prompt is None:
+            return silence.PLAIN_BOUNDS
+        return silence.stream_bounds(
+            target_latency_ms=self._route.target_latency_ms,
+            max_event_gap_ms=self._route.max_event_gap_ms,
+        )
+
     def _reject_held_off(
         self, choice: target_selector_lib.TargetChoice
     ) -> None:
@@ -449,7 +483,7 @@
         self._context.unanswered.discard(self)
         self._metadata = self._context.codec.decode_response(head)
         self._context.target_selector.record_reached(self._choice.target)
-        self._context.prober.record_response(self._choice.target)
+        self._record_response()
         now_ms = self._context.loop.now_ms()
         self._context.limits.record(
             self._choice.target,
@@ -502,6 +536,13 @@
             and not self._metadata.has_content_encoding
         )
 
+    def _record_response(self) -> None:
+        """Records that the target has sent a part of a response."""
+        self._context.prober.record_response(self._choice.target)
+        self._context.target_selector.record_response(
+            self.target_id, now_ms=self._context.loop.now_ms()
+        )
+
     def _record_first_byte(self, now_ms: int) -> None:
         if self._is_first_byte_recorded:
             return
@@ -529,7 +570,7 @@
             self._abort_attempt(str(error))
             return
         if has_event:
-            self._context.prober.record_response(self._choice.target)
+            self._record_response()
             self._record_progress()
             self._record_first_byte(self._context.loop.now_ms())
             self._start_progress_timer()
@@ -795,13 +836,8 @@
         """Starts the timer within which the target has to make progress."""
         self._cancel_progress_timer()
         self._progressed_at_ms = self._context.loop.now_ms()
-        timeout_ms = (
-            PLAIN_PROGRESS_TIMEOUT_MS
-            if self._prompt is None
-            else STREAM_PROGRESS_TIMEOUT_MS
-        )
         self._progress_timer = self._context.loop.call_later(
-            timeout_ms, self._progress_timed_out
+            self._silence_bounds.hung_ms, self._progress_timed_out
         )
 
     def _cancel_progress_timer(self) -> None:
@@ -810,15 +846,28 @@
             self._progress_timer = None
 
     def _progress_timed_out(self) -> None:
-        """Continues at another target if the request may run once more."""
+        """Checks whether the target is reached, and may give it up."""
         self._context.prober.suspect(
             self._choice.target, silent_since_ms=self._progressed_at_ms
         )
+        self._handle_silence()
+
+    def _handle_silence(self) -> None:
+        """Continues at another target if that is likely to respond.
+
+        Otherwise the request stays where it is, and looks again a little later.
+        """
         if not self._route.is_idempotent:
             return
         if self._possible_runs + 1 >= self._max_runs:
             return
-        if not self._has_untried_target() or not self._try_acquire_retry():
+        now_ms = self._context.loop.now_ms()
+        if not self._must_give_up(now_ms) or not self._has_other_target(now_ms):
+            self._progress_timer = self._context.loop.call_later(
+                SILENCE_RECHECK_MS, self._handle_silence
+            )
+            return
+        if not self._try_acquire_retry():
             return
         self.cancel()
         self._log_ignored_responses()
@@ -827,6 +876,24 @@
         self._delivery.discard_partial_event()
         self.send_next()
 
+    def _must_give_up(self, now_ms: int) -> bool:
+        selector = self._context.target_selector
+        return self._is_cut_off or silence.should_give_up(
+            self._silence_bounds,
+            silent_ms=now_ms - self._progressed_at_ms,
+            target_silent_ms=selector.silent_ms(self.target_id, now_ms=now_ms),
+            is_unreached=selector.is_unreached(self.target_id, now_ms=now_ms),
+        )
+
+    def _has_other_target(self, now_ms: int) -> bool:
+        """Returns whether a target is left that is not silent as well."""
+        return self._is_cut_off or any(
+            target.target_id not in self._tried_target_ids
+            and self._context.target_selector.may_send(target, now_ms=now_ms)
+            and not self._is_silent(target, now_ms)
+            for target in self._ready_targets()
+        )
+
     def handle_deadline(self) -> None:
         """Ends the request at its deadline."""
         is_under_way = self._attempt is not None and not self._attempt.is_ended
--- a/packages/bambooglade/bambooglade/gateway/peer_forwarder.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_forwarder.py
@@ -21,6 +21,7 @@
 from bambooglade.gateway import metadata as metadata_lib
 from bambooglade.gateway import stream_origins
 from bambooglade.http1 import messages
+from bambooglade.targets import silence
 
 MAX_PEERS = 3
 """Most peers that are tried for a request that none of them took."""
@@ -33,8 +34,9 @@
 respond, and a third one.
 """
 
-STREAM_PROGRESS_TIMEOUT_MS = 1_700
-"""The same for an event of a stream; clients leave after a gap of 2 s."""
+STREAM_MARGIN_MS = 100
+"""Time by which an event of a stream may come later from a peer than from a
+target."""
 
 CONFIGURATION_DELAY_MS = 50
 """Time after which a peer whose configuration was older is asked again.
@@ -447,12 +449,15 @@
         route = self._exchange.route
         if not route.is_idempotent:
             return
-        is_stream = route.kind is configuration_lib.RouteKind.STREAM
+        timeout_ms = PLAIN_PROGRESS_TIMEOUT_MS
+        if route.kind is configuration_lib.RouteKind.STREAM:
+            bounds = silence.stream_bounds(
+                target_latency_ms=route.target_latency_ms,
+                max_event_gap_ms=route.max_event_gap_ms,
+            )
+            timeout_ms = bounds.silent_ms + STREAM_MARGIN_MS
         self._progress_timer = self._context.loop.call_later(
-            STREAM_PROGRESS_TIMEOUT_MS
-            if is_stream
-            else PLAIN_PROGRESS_TIMEOUT_MS,
-            self._progress_timed_out,
+            timeout_ms, self._progress_timed_out
         )
 
     def _cancel_progress_timer(self) -> None:
--- a/packages/bambooglade/bambooglade/gateway/target_prober.py
+++ b/packages/bambooglade/bambooglade/gateway/target_prober.py
@@ -21,6 +21,9 @@
 RECHECK_INTERVAL_MS = 500
 """Least time between two checks of a target that is not reached."""
 
+MAX_RECORDED_CHECKS = 1_024
+"""Latest checked targets whose time is kept."""
+
 RECHECK_SPACING_MS = 50
 """Least mean time between all these checks; it bounds their number."""
 
@@ -44,6 +47,7 @@
     """
 
     __slots__ = (
+        "_checked_at_ms_by_id",
         "_checked_ids",
         "_is_closed",
         "_last_response_ms",
@@ -72,6 +76,7 @@
         self._selector = selector
         self._log = log
         self._checked_ids: set[str] = set()
+        self._checked_at_ms_by_id: dict[str, int] = {}
         self._unreached_ids: set[str] = set()
         self._last_response_ms = 0
         self._is_closed = False
@@ -131,16 +136,32 @@
     def suspect(
         self, target: targets_lib.RegisteredTarget, *, silent_since_ms: int
     ) -> None:
-        """Checks a target that is silent, if all others are silent as well.
+        """Checks a target that is silent.
+
+        If all are, one connection that opens to any of them is enough.
 
         Args:
             target: The target.
             silent_since_ms: Time since which it has sent nothing.
         """
-        is_alone = self._last_response_ms > silent_since_ms
-        if not is_alone and not self._needs_no_check(target.service):
+        if self._last_response_ms <= silent_since_ms:
+            is_checked = self._needs_no_check(target.service)
+        else:
+            is_checked = (
+                self.is_cut_off(target.service)
+                or self.is_link_full()
+                or self._was_checked_lately(target)
+            )
+        if not is_checked:
             self._check(target)
 
+    def _was_checked_lately(self, target: targets_lib.RegisteredTarget) -> bool:
+        checked_at_ms = self._checked_at_ms_by_id.get(target.target_id)
+        return (
+            checked_at_ms is not None
+            and self._loop.now_ms() - checked_at_ms < RECHECK_INTERVAL_MS
+        )
+
     def close(self) -> None:
         """Ends the checks."""
         self._is_closed = True
@@ -192,6 +213,10 @@
         if target.target_id in self._checked_ids:
             return
         self._checked_ids.add(target.target_id)
+        self._checked_at_ms_by_id.pop(target.target_id, None)
+        self._checked_at_ms_by_id[target.target_id] = self._loop.now_ms()
+        if len(self._checked_at_ms_by_id) > MAX_RECORDED_CHECKS:
+            del self._checked_at_ms_by_id[next(iter(self._checked_at_ms_by_id))]
         _Check(self._loop, self._pool, target, self._handle_result)
 
     def _handle_result(
--- a/packages/bambooglade/bambooglade/gateway/target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/target_selector.py
@@ -26,6 +26,7 @@
 from bambooglade.targets import latency
 from bambooglade.targets import request_limits
 from bambooglade.targets import requested_pauses
+from bambooglade.targets import silence
 
 PREFILL_TOKENS_PER_MS = 57.0
 """Prompt tokens that an engine processes per ms, by its data sheet."""
@@ -162,6 +163,7 @@
     """
 
     __slots__ = (
+        "_activity",
         "_availability_zone",
         "_breakers",
         "_brittle",
@@ -192,6 +194,7 @@
         self._brittle = brittle or brittle_targets.BrittleTargets(
             lambda target_id: request_limits.SenderRank(0, 1)
         )
+        self._activity = silence.TargetActivity()
         self._breakers = breaker.CircuitBreakers()
         self._latency = latency.LatencyTracker()
         self._prefixes = affinity.PrefixIndex()
@@ -403,6 +406,7 @@
                 target_id, prompt.shared_part_ids, now_ms
             )
         self._breakers.record_dispatch(target_id, now_ms)
+        self._activity.record_dispatch(target_id, now_ms=now_ms)
 
     def record_first_byte(
         self,
@@ -435,6 +439,18 @@
         load = self._load_by_target[target_id]
         load.own_running = max(0, load.own_running - 1)
         load.pending_ms_by_attempt.pop(attempt_id, None)
+        self._activity.record_end(target_id)
+
+    def record_response(self, target_id: str, *, now_ms: int) -> None:
+        """Records that a target has sent a part of a response."""
+        self._activity.record_response(target_id, now_ms=now_ms)
+
+    def silent_ms(self, target_id: str, *, now_ms: int) -> int:
+        """Returns for how long a target has sent nothing to any request.
+
+        Without requests of this instance it can't be told, and 0 is returned.
+        """
+        return self._activity.silent_ms(target_id, now_ms=now_ms)
 
     def record_success(self, target_id: str) -> None:
         """Records a complete response of a target."""
--- /dev/null
+++ b/packages/bambooglade/bambooglade/targets/silence.py
@@ -0,0 +1,187 @@
+"""When a request gives up a target that sends nothing; without I/O.
+
+A sound target may fall silent for a second or so, and then goes on with all
+its requests. A request that is given up meanwhile has cost a retry, and its
+response is lost if no other target takes it. So silence alone is no failure:
+what the target does for other requests, whether connections to it open, and
+whether other targets respond tell more.
+
+See Also:
+    bambooglade.gateway.dispatching: sends the request to another target.
+"""
+
+from __future__ import annotations
+
+MIN_CALLER_PATIENCE_MS = 2_000
+CALLER_PATIENCE_LATENCIES = 4
+CALLER_PATIENCE_GAPS = 8
+"""Time without an event after which callers leave a stream.
+
+It is the longest of the first, so many target latencies, and so many of the
+longest gaps of a response that is on time.
+"""
+
+HUNG_STREAM_MS = 1_200
+"""Silence after which a stream hangs, if its target serves other requests."""
+
+MIN_SILENT_STREAM_MS = 1_600
+"""Least silence after which a stream is given up whatever else is known.
+
+Sound targets are silent for a second or so.
+"""
+
+PATIENCE_FRACTION = 0.5
+"""Part of the callers' patience after which a silent stream is given up.
+
+The rest is needed for the first event of another target.
+"""
+
+PLAIN_RESPONSE_MS = 300
+"""Time without a response after which a plain request is given up."""
+
+RESPONSIVE_FRACTION = 0.5
+"""Part of a silence within which a target has responded if it is not silent."""
+
+
+class SilenceBounds:
+    """Times without progress that decide about a request.
+
+    Attributes:
+        hung_ms: Time after which the request is given up if its target serves
+            other requests, or is not reached.
+        silent_ms: Time after which it is given up in any case.
+    """
+
+    __slots__ = ("hung_ms", "silent_ms")
+
+    def __init__(self, *, hung_ms: int, silent_ms: int) -> None:
+        self.hung_ms = hung_ms
+        self.silent_ms = silent_ms
+
+    def __repr__(self) -> str:
+        return f"SilenceBounds({self.hung_ms}, {self.silent_ms})"
+
+
+PLAIN_BOUNDS = SilenceBounds(
+    hung_ms=PLAIN_RESPONSE_MS, silent_ms=PLAIN_RESPONSE_MS
+)
+
+
+def stream_bounds(
+    *, target_latency_ms: int, max_event_gap_ms: int | None
+) -> SilenceBounds:
+    """Returns the bounds of streams whose callers wait as long as stated.
+
+    Args:
+        target_latency_ms: Objective for the time to the first event.
+        max_event_gap_ms: Longest gap of a response that is on time; None if
+            the route states none.
+
+    Examples:
+        >>> stream_bounds(target_latency_ms=400, max_event_gap_ms=600)
+        SilenceBounds(1200, 2400)
+    """
+    patience_ms = max(
+        MIN_CALLER_PATIENCE_MS,
+        CALLER_PATIENCE_LATENCIES * target_latency_ms,
+        CALLER_PATIENCE_GAPS * (max_event_gap_ms or 0),
+    )
+    return SilenceBounds(
+        hung_ms=HUNG_STREAM_MS,
+        silent_ms=max(
+            MIN_SILENT_STREAM_MS, round(PATIENCE_FRACTION * patience_ms)
+        ),
+    )
+
+
+def is_silent_too(target_silent_ms: int, silent_ms: int) -> bool:
+    """Returns whether a target is silent like one that has been for so long."""
+    return target_silent_ms >= RESPONSIVE_FRACTION * silent_ms
+
+
+def should_give_up(
+    bounds: SilenceBounds,
+    *,
+    silent_ms: int,
+    target_silent_ms: int,
+    is_unreached: bool,
+) -> bool:
+    """Returns whether a request gives up its target.
+
+    Args:
+        bounds: Bounds of requests of its kind.
+        silent_ms: Time since the last progress of the request.
+        target_silent_ms: Time since the target sent anything to any request.
+        is_unreached: Whether a connection to the target failed lately.
+
+    Examples:
+        >>> bounds = SilenceBounds(hung_ms=1_200, silent_ms=1_600)
+        >>> should_give_up(bounds, silent_ms=1_300, target_silent_ms=1_300,
+        ...     is_unreached=False)
+        False
+        >>> should_give_up(bounds, silent_ms=1_300, target_silent_ms=40,
+        ...     is_unreached=False)
+        True
+    """
+    if silent_ms < bounds.hung_ms:
+        return False
+    return (
+        silent_ms >= bounds.silent_ms
+        or is_unreached
+        or not is_silent_too(target_silent_ms, silent_ms)
+    )
+
+
+class TargetActivity:
+    """Since when targets with requests of this instance have sent nothing.
+
+    Examples:
+        >>> activity = TargetActivity()
+        >>> activity.record_dispatch("e1", now_ms=0)
+        >>> activity.silent_ms("e1", now_ms=700)
+        700
+        >>> activity.record_response("e1", now_ms=800)
+        >>> activity.silent_ms("e1", now_ms=900)
+        100
+        >>> activity.record_end("e1")
+        >>> activity.silent_ms("e1", now_ms=5_000)
+        0
+    """
+
+    __slots__ = ("_in_flight_by_id", "_silent_since_ms_by_id")
+
+    def __init__(self) -> None:
+        self._in_flight_by_id: dict[str, int] = {}
+        self._silent_since_ms_by_id: dict[str, int] = {}
+
+    def record_dispatch(self, target_id: str, *, now_ms: int) -> None:
+        """Records that a request was sent to a target."""
+        in_flight = self._in_flight_by_id.get(target_id, 0)
+        if not in_flight:
+            self._silent_since_ms_by_id[target_id] = now_ms
+        self._in_flight_by_id[target_id] = in_flight + 1
+
+    def record_response(self, target_id: str, *, now_ms: int) -> None:
+        """Records that a target has sent a part of a response."""
+        if target_id in self._in_flight_by_id:
+            self._silent_since_ms_by_id[target_id] = now_ms
+
+    def record_end(self, target_id: str) -> None:
+        """Records that a request at a target has ended."""
+        in_flight = self._in_flight_by_id.get(target_id, 0) - 1
+        if in_flight > 0:
+            self._in_flight_by_id[target_id] = in_flight
+        else:
+            self._in_flight_by_id.pop(target_id, None)
+            self._silent_since_ms_by_id.pop(target_id, None)
+
+    def silent_ms(self, target_id: str, *, now_ms: int) -> int:
+        """Returns for how long a target has left all requests without a sign.
+
+        Without a request it can't be told, and 0 is returned.
+        """
+        since_ms = self._silent_since_ms_by_id.get(target_id, now_ms)
+        return max(0, now_ms - since_ms)
+
+    def __repr__(self) -> str:
+        return f"TargetActivity(targets={len(self._in_flight_by_id)})"
--- /dev/null
+++ b/packages/bambooglade/bambooglade/targets/tests/test_silence.py
@@ -0,0 +1,66 @@
+"""Tests of the decision when a request gives up a silent target."""
+
+from __future__ import annotations
+
+import pytest
+
+from bambooglade.targets import silence
+
+BOUNDS = silence.SilenceBounds(hung_ms=1_200, silent_ms=1_600)
+
+
+@pytest.mark.parametrize(
+    ("silent_ms", "target_silent_ms", "is_unreached", "expected"),
+    [
+        pytest.param(1_199, 0, True, False, id="too early"),
+        pytest.param(1_200, 1_200, False, False, id="target stopped"),
+        pytest.param(1_599, 1_599, False, False, id="target stopped longer"),
+        pytest.param(1_600, 1_600, False, True, id="target stopped for good"),
+        pytest.param(1_200, 1_200, True, True, id="target gone"),
+        pytest.param(1_200, 100, False, True, id="request hangs"),
+        pytest.param(1_300, 700, False, False, id="target silent for a while"),
+    ],
+)
+def test_sound_target_is_not_given_up_for_a_second_of_silence(
+    silent_ms, target_silent_ms, is_unreached, expected
+):
+    assert expected is silence.should_give_up(
+        BOUNDS,
+        silent_ms=silent_ms,
+        target_silent_ms=target_silent_ms,
+        is_unreached=is_unreached,
+    )
+
+
+@pytest.mark.parametrize(
+    ("target_latency_ms", "max_event_gap_ms", "expected_ms"),
+    [
+        (400, None, 1_600),
+        (400, 250, 1_600),
+        (400, 400, 1_600),
+        (419, 500, 2_000),
+        (419, 600, 2_400),
+        (1_000, 400, 2_000),
+    ],
+)
+def test_silent_stream_is_given_up_before_its_caller_leaves(
+    target_latency_ms, max_event_gap_ms, expected_ms
+):
+    bounds = silence.stream_bounds(
+        target_latency_ms=target_latency_ms, max_event_gap_ms=max_event_gap_ms
+    )
+    patience_ms = max(2_000, 4 * target_latency_ms, 8 * (max_event_gap_ms or 0))
+    assert bounds.silent_ms == expected_ms
+    assert bounds.hung_ms <= bounds.silent_ms < patience_ms
+
+
+def test_target_with_several_requests_is_silent_since_its_last_response():
+    activity = silence.TargetActivity()
+    activity.record_dispatch("e1", now_ms=0)
+    activity.record_dispatch("e1", now_ms=300)
+    activity.record_response("e1", now_ms=500)
+    activity.record_end("e1")
+    assert activity.silent_ms("e1", now_ms=900) == 400
+    activity.record_end("e1")
+    activity.record_dispatch("e1", now_ms=2_000)
+    assert activity.silent_ms("e1", now_ms=2_100) == 100
