Place new requests at targets that have not fallen silent

Callers waited for a second at a target that had stopped while others served: its last report of its load was older than its silence, so that a stopped target looked idle beside those that had taken over its load.

A target that has requests of this instance, and has sent nothing for 0.3 s, is expected to stay silent for as long again. Four of six cases of the new test failed before.

--- a/packages/bambooglade/bambooglade/gateway/target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/target_selector.py
@@ -75,6 +75,12 @@
 It ranks the target last.
 """
 
+MIN_SILENCE_MS = 300
+"""Time without a sign from which a target is expected to stay silent as long.
+
+A target with requests otherwise sends something every few tens of ms.
+"""
+
 SUSPECT_ZONE_PENALTY_MS = 500.0
 """Penalty for the targets of an availability zone after a failed connection
 attempt to one of them, in ms.
@@ -348,6 +354,7 @@
         total_ms += 0 if is_local else CROSS_ZONE_PENALTY_MS
         total_ms += COLD_START_PENALTY_MS if target.cold_remaining_ms else 0
         total_ms += self._suspicion_penalty_ms(target, now_ms)
+        total_ms += self._silence_penalty_ms(target, now_ms)
         return TargetChoice(
             target,
             predicted_ms=total_ms,
@@ -368,6 +375,16 @@
             return SUSPECT_ZONE_PENALTY_MS
         return 0.0
 
+    def _silence_penalty_ms(
+        self, target: targets_lib.RegisteredTarget, now_ms: int
+    ) -> float:
+        """Returns the expected delay at a target that sends nothing.
+
+        Its last report may be older than its silence.
+        """
+        silent_ms = self.silent_ms(target.target_id, now_ms=now_ms)
+        return float(silent_ms) if silent_ms >= MIN_SILENCE_MS else 0.0
+
     def _cached_tokens(
         self,
         target: targets_lib.RegisteredTarget,
--- a/packages/bambooglade/bambooglade/gateway/tests/test_target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_target_selector.py
@@ -279,3 +279,28 @@
         selector.record_failure(target.target_id, now_ms=0)
     selector.evict_missing(set())
     assert selector.state_size() == 0
+
+
+@pytest.mark.parametrize("prompt", [None, make_prompt("s1")])
+@pytest.mark.parametrize(
+    ("responded_at_ms", "is_avoided"), [(0, True), (500, True), (950, False)]
+)
+def test_new_requests_do_not_queue_at_a_target_that_has_fallen_silent(
+    prompt, responded_at_ms, is_avoided
+):
+    ready = [make_target("a"), make_target("b")]
+    selector = target_selector_lib.TargetSelector("z1")
+    first = choose(selector, ready, prompt)
+    chosen_id = first.target.target_id
+    selector.record_dispatch(
+        chosen_id, "r1", choice=first, prompt=prompt, now_ms=0
+    )
+    load = metadata.ReportedLoad(running=1, waiting=0, slots=8)
+    for target in ready:
+        selector.record_load(target.target_id, load, now_ms=0)
+    selector.record_first_byte(
+        chosen_id, "r1", took_ms=10, predicted_ms=10, now_ms=0
+    )
+    selector.record_response(chosen_id, now_ms=responded_at_ms)
+    again = choose(selector, ready, prompt, now_ms=1_000)
+    assert (again.target.target_id != chosen_id) is is_avoided
