Divide the retry budget by all instances that may be serving

The slack of a service's retry budget is divided by the number of known instances. An instance that had just started took itself for the only one until it had read who is registered, and one that heard nothing for 60 s, in an outage of the store and a partition, forgot all others; each of them then used the slack of the whole fleet. Both tests failed before (a fleet of 3 counted as 1).

An instance has no part of the slack until it knows the fleet, except in the first start of the whole system, when nothing serves yet. It forgets peers for this only when it has just read the list of registered ones. The class of the fault is that of silent targets: what is not heard of is taken for gone.

--- a/packages/bambooglade/bambooglade/discovery/peers.py
+++ b/packages/bambooglade/bambooglade/discovery/peers.py
@@ -166,6 +166,23 @@
                 self._recent = None
         self.mark_seen(listed, now_ms=now_ms)
 
+    def forget_unseen(self, *, now_ms: int) -> None:
+        """Forgets peers that were not seen within `PEER_TTL_MS`.
+
+        Call it only when the registered peers were just read: an instance that
+        hears nothing of its peers can't tell whether they are gone.
+        """
+        for name, last_seen_ms in list(self._last_seen_ms_by_name.items()):
+            if now_ms - last_seen_ms > PEER_TTL_MS:
+                del self._last_seen_ms_by_name[name]
+                del self._peer_by_name[name]
+                self._recent = None
+
+    @property
+    def max_fleet_size(self) -> int:
+        """Number of instances that may be serving, this one included."""
+        return len(self._peer_by_name) + 1
+
     def has_incarnation(self, name: str, incarnation: str) -> bool:
         """Returns whether a peer is known by this name and incarnation."""
         peer = self._peer_by_name.get(name)
--- a/packages/bambooglade/bambooglade/discovery/registration.py
+++ b/packages/bambooglade/bambooglade/discovery/registration.py
@@ -160,9 +160,9 @@
         )
         if not isinstance(response, store_api.Items):
             return False
-        self._peers.mark_seen(
-            _decode_peers(response.items), now_ms=self._loop.now_ms()
-        )
+        now_ms = self._loop.now_ms()
+        self._peers.mark_seen(_decode_peers(response.items), now_ms=now_ms)
+        self._peers.forget_unseen(now_ms=now_ms)
         return True
 
     def __repr__(self) -> str:
--- a/packages/bambooglade/bambooglade/gateway/context.py
+++ b/packages/bambooglade/bambooglade/gateway/context.py
@@ -76,7 +76,7 @@
     """
 
     __slots__ = (
-        "_fleet_size",
+        "_max_fleet_size",
         "_restarted_at_ms",
         "_retry_budget_by_service",
         "brittle",
@@ -133,7 +133,7 @@
         rights: manager_lib.RightsManager,
         metrics: metrics_lib.Metrics,
         log: event_log.EventLog,
-        fleet_size: Callable[[], int],
+        max_fleet_size: Callable[[], int | None],
         restarted_at_ms: int | None,
         random_source: random.Random,
     ) -> None:
@@ -164,7 +164,7 @@
         self.metrics = metrics
         self.log = log
         self.random_source = random_source
-        self._fleet_size = fleet_size
+        self._max_fleet_size = max_fleet_size
         self._restarted_at_ms = restarted_at_ms
         self._retry_budget_by_service: dict[str, retry_budget.RetryBudget] = (
             collections.defaultdict(self._new_retry_budget)
@@ -192,7 +192,7 @@
             service=service,
             retries=budget.retry_count,
             allowed=round(budget.allowed_retries(now_ms=now_ms), 1),
-            instances=self._fleet_size(),
+            instances=self._max_fleet_size(),
         )
         return is_allowed
 
@@ -201,6 +201,6 @@
             ratio=self.settings.retry_ratio,
             slack=self.settings.retry_slack,
             window_ms=self.settings.retry_window_ms,
-            fleet_size=self._fleet_size,
+            fleet_size=self._max_fleet_size,
             restarted_at_ms=self._restarted_at_ms,
         )
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -297,7 +297,7 @@
             rights=self.rights,
             metrics=self._metrics,
             log=self._log,
-            fleet_size=self._fleet_size,
+            max_fleet_size=self._max_fleet_size,
             restarted_at_ms=(
                 None if self.settings.is_first_start else self.loop.now_ms()
             ),
@@ -423,6 +423,17 @@
     def _fleet_size(self) -> int:
         return self._peers.fleet_size(self.loop.now_ms())
 
+    def _max_fleet_size(self) -> int | None:
+        """Returns the number of instances that may be serving, once known.
+
+        In the first start of the whole system, none serves yet.
+        """
+        if not (
+            self._registration.has_initial_peers or self.settings.is_first_start
+        ):
+            return None
+        return self._peers.max_fleet_size
+
     def _team_count(self) -> int:
         configuration = self.view.configuration
         return len(configuration.team_by_name) if configuration else 0
--- a/packages/bambooglade/bambooglade/gateway/retry_budget.py
+++ b/packages/bambooglade/bambooglade/gateway/retry_budget.py
@@ -30,7 +30,8 @@
         ratio: Allowed retries of the fleet per request.
         slack: Allowed retries of the fleet per window in addition to the ratio.
         window_ms: Length of the window, in milliseconds.
-        fleet_size: Returns the number of known instances.
+        fleet_size: Returns the number of instances that may be serving; None
+            while it is not known.
         restarted_at_ms: Start of this process, if another one served before
             in its place; None if none did.
 
@@ -59,7 +60,7 @@
         ratio: float,
         slack: float,
         window_ms: int,
-        fleet_size: Callable[[], int],
+        fleet_size: Callable[[], int | None],
         restarted_at_ms: int | None = None,
     ) -> None:
         self._ratio = ratio
@@ -86,7 +87,8 @@
         by_requests = self._ratio * len(self._request_times_ms)
         if self._is_restarted_lately(now_ms):
             return RESTARTED_FRACTION * by_requests
-        slack = self._slack / max(1, self._fleet_size())
+        fleet_size = self._fleet_size()
+        slack = self._slack / max(1, fleet_size) if fleet_size else 0.0
         return USABLE_FRACTION * (by_requests + slack)
 
     def _is_restarted_lately(self, now_ms: int) -> bool:
--- a/packages/bambooglade/bambooglade/gateway/tests/test_retry_budget.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_retry_budget.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bambooglade.discovery import peers as peers_lib
 from bambooglade.gateway import retry_budget
 
 RATIO = 0.2
@@ -96,3 +97,40 @@
         failure_at_ms=failure_at_ms,
     )
     assert_within_budget(requests, retries)
+
+
+def test_instance_that_does_not_know_its_fleet_has_no_part_of_the_slack():
+    budget = new_budget(lambda: None)
+    assert not budget.try_acquire(now_ms=0)
+    for _ in range(10):
+        budget.record_request(now_ms=0)
+    assert [budget.try_acquire(now_ms=0) for _ in range(2)] == [True, False]
+
+
+def peer(name: str) -> peers_lib.Peer:
+    return peers_lib.Peer(
+        name=name,
+        incarnation="1",
+        host="10.0.0.1",
+        port=1,
+        availability_zone="z1",
+    )
+
+
+@pytest.mark.parametrize(
+    ("is_list_read", "expected"),
+    [
+        pytest.param(False, 3, id="store away"),
+        pytest.param(True, 2, id="one is not registered any more"),
+    ],
+)
+def test_fleet_does_not_shrink_because_an_instance_hears_nothing(
+    is_list_read, expected
+):
+    peers = peers_lib.PeerList("a")
+    peers.mark_seen([peer("b"), peer("c")], now_ms=0)
+    now_ms = 2 * peers_lib.PEER_TTL_MS
+    if is_list_read:
+        peers.mark_seen([peer("b")], now_ms=now_ms)
+        peers.forget_unseen(now_ms=now_ms)
+    assert peers.max_fleet_size == expected
