Add a soak that stops engine processes while the configuration changes

The engines of the soak so far ran in its own process, so that none of them could fall silent.

Gateways, engines and callers are processes now; engines are stopped by signals after changes of the configuration, and the records of callers and engines are judged after the run.

--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/engine_process.py
@@ -0,0 +1,413 @@
+"""Engine in a separate process, which signals can stop and continue.
+
+Usage: python -m bambooglade_standins.users_platform.engine_process SETTINGS
+
+The path of a request states what it asks for: `/ROUTE/SUBJECT/EVENTS/PACE_MS`.
+With no events the response is a body after that pace, else a stream of events.
+Each event names the subject, the service and the software version, so that a
+stream that was joined from two runs shows it.
+
+See Also:
+    bambooglade_standins.users_platform.soak_pauses: runs these engines.
+"""
+
+from __future__ import annotations
+
+import collections
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import msgspec
+
+from bambooglade.core import clock as clock_lib
+from bambooglade.eventloop import connection as connection_lib
+from bambooglade.eventloop import loop as loop_lib
+from bambooglade.http1 import messages
+from bambooglade.http1 import request_parser
+from bambooglade_standins.users_platform import engine as engine_lib
+from bambooglade_standins.users_platform import pause_records
+
+FIRST_EVENT_MS = 15
+"""Time from the start of a run to its first event."""
+
+_MAX_BYTES = 10_000_000
+_NS_PER_MS = 1_000_000
+
+
+class EngineSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of one engine process.
+
+    Attributes:
+        name: Id of the engine.
+        service: Service that it belongs to.
+        version: Version of its software.
+        host: IP address to listen on.
+        port: Port to listen on.
+        slots: Requests that run at the same time.
+        queue: Most requests that wait for a slot.
+        backlog: Size of the accept queue.
+        max_connections: Most connections; further ones are reset.
+        idle_timeout_s: Time after which an idle connection is closed.
+        record_path: File to which the engine appends what it receives.
+    """
+
+    name: str
+    service: str
+    version: str
+    host: str
+    port: int
+    slots: int
+    queue: int
+    backlog: int
+    max_connections: int
+    idle_timeout_s: int
+    record_path: str
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP address and port to listen on."""
+        return self.host, self.port
+
+
+class EngineProcess:
+    """Starts, stops, continues and ends one engine process.
+
+    Args:
+        settings: Settings of the engine.
+
+    Attributes:
+        settings: Settings of the engine.
+    """
+
+    __slots__ = ("_process", "settings")
+
+    def __init__(self, settings: EngineSettings) -> None:
+        self.settings = settings
+        self._process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Starts the process."""
+        self._process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "bambooglade_standins.users_platform.engine_process",
+                msgspec.json.encode(self.settings).decode(),
+            ]
+        )
+
+    def send_signal(self, signal_number: int) -> None:
+        """Sends a signal to the process if it is running."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(signal_number)
+
+    def kill(self) -> None:
+        """Kills the process, also while it is stopped, and waits for it."""
+        self.send_signal(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+
+    def __repr__(self) -> str:
+        return f"EngineProcess({self.settings.name!r})"
+
+
+class RecordWriter:
+    """Appends records to a file, one line each.
+
+    Args:
+        path: Path of the file.
+    """
+
+    __slots__ = ("_descriptor",)
+
+    def __init__(self, path: str) -> None:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self._descriptor = os.open(path, flags, 0o644)
+
+    def write(self, record: msgspec.Struct) -> None:
+        """Writes one record, which outlives a kill of the process."""
+        os.write(self._descriptor, msgspec.json.encode(record) + b"\n")
+
+
+def monotonic_ms() -> int:
+    """Returns the time in milliseconds that all processes share."""
+    return time.monotonic_ns() // _NS_PER_MS
+
+
+class _EngineListener(connection_lib.Listener):
+    """Listener with an accept queue of a given size."""
+
+    def __init__(self, loop, address, on_accept, *, backlog: int) -> None:
+        self.BACKLOG = backlog
+        super().__init__(loop, address, on_accept)
+
+
+class _Server:
+    """Accepts connections, and runs as many requests as it has slots."""
+
+    def __init__(
+        self, loop: loop_lib.EventLoop, settings: EngineSettings
+    ) -> None:
+        self.loop = loop
+        self.settings = settings
+        self.connections: set[_Connection] = set()
+        self._running: set[_Run] = set()
+        self._waiting: collections.deque[_Run] = collections.deque()
+        self._records = RecordWriter(settings.record_path)
+        self._listener = _EngineListener(
+            loop, settings.address, self._accept, backlog=settings.backlog
+        )
+
+    def _accept(self, sock: socket.socket) -> None:
+        if len(self.connections) >= self.settings.max_connections:
+            zero_linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, zero_linger)
+            sock.close()
+            return
+        self.connections.add(_Connection(self, sock))
+
+    def load_field(self) -> tuple[bytes, bytes]:
+        """Returns the header with the current load."""
+        return (
+            b"X-Bambooglade-Engine-Load",
+            b"%d,%d,%d"
+            % (len(self._running), len(self._waiting), self.settings.slots),
+        )
+
+    def record(self, run: _Run, step: pause_records.Step) -> None:
+        """Records a step of a request."""
+        self._records.write(
+            pause_records.EngineRecord(
+                at_ms=monotonic_ms(),
+                step=step,
+                engine=self.settings.name,
+                service=self.settings.service,
+                version=self.settings.version,
+                attempt=run.attempt,
+                target=run.target,
+                after_event=run.after_event,
+                sent_events=run.sent_events,
+            )
+        )
+
+    def handle(self, run: _Run) -> None:
+        """Starts a request, lets it wait, or declines it."""
+        self.record(run, pause_records.Step.ARRIVED)
+        if run.expected_engine not in ("", self.settings.name):
+            run.decline(421)
+        elif len(self._running) < self.settings.slots:
+            self._start(run)
+        elif len(self._waiting) < self.settings.queue:
+            self._waiting.append(run)
+        else:
+            run.decline(503)
+
+    def _start(self, run: _Run) -> None:
+        self._running.add(run)
+        self.record(run, pause_records.Step.STARTED)
+        run.start()
+
+    def end(self, run: _Run, step: pause_records.Step) -> None:
+        """Records the end of a request, and starts those that wait."""
+        self.record(run, step)
+        self._running.discard(run)
+        if run in self._waiting:
+            self._waiting.remove(run)
+        while self._waiting and len(self._running) < self.settings.slots:
+            waiting = self._waiting.popleft()
+            if waiting.is_expired:
+                waiting.decline(503)
+            else:
+                self._start(waiting)
+
+
+class _Connection:
+    """One connection, which serves one request at a time."""
+
+    def __init__(self, server: _Server, sock: socket.socket) -> None:
+        self._server = server
+        self._parser = request_parser.RequestParser(
+            request_parser.RequestLimits(
+                max_header_bytes=_MAX_BYTES, max_body_bytes=_MAX_BYTES
+            )
+        )
+        self._run: _Run | None = None
+        self.connection = connection_lib.Connection(server.loop, sock, self)
+        self._timer = None
+        self._start_idle_timer()
+
+    def _start_idle_timer(self) -> None:
+        self._timer = self._server.loop.call_later(
+            self._server.settings.idle_timeout_s * 1_000, self._close
+        )
+
+    def _close(self) -> None:
+        self._server.connections.discard(self)
+        self.connection.close()
+
+    def connected(self) -> None:
+        """Never called: the socket was accepted."""
+
+    def received(self, data: bytes) -> None:
+        """Handles the complete requests."""
+        now_ms = self._server.loop.now_ms()
+        for request in self._parser.feed(data, now_ms=now_ms):
+            self._timer.cancel()
+            self._run = _Run(self._server, self, request)
+            self._server.handle(self._run)
+
+    def closed(self, *, is_clean: bool) -> None:
+        """Abandons the request whose caller has gone."""
+        del is_clean
+        self._timer.cancel()
+        self._server.connections.discard(self)
+        run, self._run = self._run, None
+        if run is not None:
+            run.abandon()
+
+    def release(self) -> None:
+        """Waits for the next request."""
+        self._run = None
+        self._timer.cancel()
+        self._start_idle_timer()
+
+
+class _Run:
+    """One request, from its arrival to its last byte."""
+
+    def __init__(
+        self,
+        server: _Server,
+        connection: _Connection,
+        request: messages.Request,
+    ) -> None:
+        self._server = server
+        self._connection = connection
+        self.target = request.target.decode()
+        _, _, self._subject, events, pace_ms = self.target.split("/")
+        self._events, self._pace_ms = int(events), int(pace_ms)
+        self.attempt = request.get(engine_lib.ATTEMPT_ID.lower()).decode()
+        self.after_event = int(request.get(b"last-event-id") or 0)
+        self.sent_events = 0
+        self.expected_engine = request.get(
+            b"x-bambooglade-expected-instance"
+        ).decode()
+        self._due_ms = server.loop.now_ms() + (
+            request.integer(b"x-bambooglade-deadline-ms") or 60_000
+        )
+        self._timer = None
+
+    @property
+    def is_expired(self) -> bool:
+        """Whether the deadline has passed."""
+        return self._server.loop.now_ms() >= self._due_ms
+
+    def _fields(self) -> messages.HeaderFields:
+        settings = self._server.settings
+        return [
+            (engine_lib.ATTEMPT_ID, self.attempt.encode()),
+            (engine_lib.SIGNATURE, f"sig-{settings.name}".encode()),
+            (b"Keep-Alive", b"timeout=%d" % settings.idle_timeout_s),
+            self._server.load_field(),
+        ]
+
+    def _send(self, data: bytes) -> None:
+        self._connection.connection.send(data)
+
+    def start(self) -> None:
+        """Begins to respond."""
+        if not self._events:
+            self._schedule(self._pace_ms, self._respond)
+            return
+        self._schedule(FIRST_EVENT_MS, self._begin_stream)
+
+    def _schedule(self, delay_ms: int, callback) -> None:
+        self._timer = self._server.loop.call_later(delay_ms, callback)
+
+    def _respond(self) -> None:
+        self._send(
+            messages.encode_response(
+                status=200,
+                fields=self._fields(),
+                body=f"{self._subject} {self.attempt}".encode(),
+            )
+        )
+        self._finish(pause_records.Step.FINISHED)
+
+    def _begin_stream(self) -> None:
+        self._send(
+            messages.encode_response_head(
+                status=200,
+                fields=[
+                    *self._fields(),
+                    (b"Content-Type", b"text/event-stream"),
+                    (b"Transfer-Encoding", b"chunked"),
+                ],
+            )
+        )
+        self._send_event()
+
+    def _send_event(self) -> None:
+        number = self.after_event + self.sent_events + 1
+        if number <= self._events:
+            settings = self._server.settings
+            data = (
+                f"id: {number}\ndata: {self._subject} {settings.service}"
+                f" {settings.version} {number}\n\n"
+            )
+            self._send(messages.encode_chunk(data.encode()))
+            self.sent_events += 1
+        if number >= self._events:
+            self._send(messages.LAST_CHUNK)
+            self._finish(pause_records.Step.FINISHED)
+        elif self.is_expired:
+            self._connection.connection.reset()
+            self._finish(pause_records.Step.EXPIRED)
+        else:
+            self._schedule(self._pace_ms, self._send_event)
+
+    def decline(self, status: int) -> None:
+        """Responds that the request was not executed."""
+        self._send(
+            messages.encode_response(
+                status=status,
+                fields=[
+                    (engine_lib.ATTEMPT_ID, self.attempt.encode()),
+                    (b"X-Bambooglade-Not-Executed", b"1"),
+                    (
+                        b"Keep-Alive",
+                        b"timeout=%d" % self._server.settings.idle_timeout_s,
+                    ),
+                    self._server.load_field(),
+                ],
+            )
+        )
+        self._server.record(self, pause_records.Step.DECLINED)
+        self._connection.release()
+
+    def _finish(self, step: pause_records.Step) -> None:
+        self._connection.release()
+        self._server.end(self, step)
+
+    def abandon(self) -> None:
+        """Ends the run, since its caller has closed the connection."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._server.end(self, pause_records.Step.ABANDONED)
+
+
+def main() -> int:
+    """Runs an engine until it is killed."""
+    settings = msgspec.json.decode(sys.argv[1], type=EngineSettings)
+    loop = loop_lib.EventLoop(clock_lib.Clock())
+    server = _Server(loop, settings)
+    loop.run(until=lambda: server is None)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/gateway_process.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/gateway_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 import os
 import pathlib
 import signal
@@ -28,11 +29,13 @@
 readiness = "{readiness}"
 controlPlane = "{peer}"
 [bounds]
-graceS = 4
+{bounds}
 [platform]
 address = "{store}"
 """
 
+DEFAULT_BOUNDS = {"graceS": 4}
+
 
 class GatewayProcess:
     """One gateway process that can be killed and restarted.
@@ -75,13 +78,18 @@
         ) + ([fault] if fault else [])
 
     def write_settings(
-        self, seeds: list[str], *, is_first_start: bool = False
+        self,
+        seeds: list[str],
+        *,
+        is_first_start: bool = False,
+        bounds: Mapping[str, float] = DEFAULT_BOUNDS,
     ) -> None:
         """Writes the settings file.
 
         Args:
             seeds: Addresses of the instances that are queried first.
             is_first_start: Whether the whole system starts for the first time.
+            bounds: Bounds of the platform, by their names in the file.
         """
         texts = [f"{host}:{port}" for host, port in self.addresses]
         text = _NODE_FILE.format(
@@ -96,6 +104,9 @@
             readiness=texts[1],
             peer=texts[2],
             store=self._store,
+            bounds="\n".join(
+                f"{key} = {value}" for key, value in bounds.items()
+            ),
         )
         self._path.write_text(text)
 
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/pause_judge.py
@@ -0,0 +1,534 @@
+"""Judges a run from what callers got and what engines received; without I/O.
+
+See Also:
+    bambooglade_standins.users_platform.pause_records: the records.
+    bambooglade_standins.users_platform.soak_pauses: the run.
+"""
+
+from __future__ import annotations
+
+import bisect
+import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Sequence
+import itertools
+
+from bambooglade_standins.users_platform import pause_records
+
+MAX_EXCESS_RUNS = 3
+"""Requests that may run on more engines than their route allows."""
+
+MAX_UNANSWERED = 3
+"""Requests on kept connections that may be passed on and not answered."""
+
+CUT_RATIO = 3.0
+"""How many times more often than otherwise requests may be cut at changes."""
+
+USED_TIME_SHARE = 0.7
+"""Part of its time after which a request that is cut is not counted."""
+
+APPLY_BOUND_MS = 2_000
+AFTER_APPLY_MS = 1_000
+"""Time after the bound for applying a change in which cuts count for it."""
+
+ROLLBACK_SLACK_MS = 250
+"""Time after the effect of a change from which it may not be undone."""
+
+PROMISES = (408, 421, 429, 503)
+_END_OF_EVENT = "\n\n"
+_SUCCESS = 200
+
+
+class Bounds:
+    """Bounds of the retry budget.
+
+    Attributes:
+        ratio: Allowed repeats per request.
+        slack: Allowed repeats per window in addition to the ratio.
+        window_ms: Length of the window.
+    """
+
+    __slots__ = ("ratio", "slack", "window_ms")
+
+    def __init__(self, *, ratio: float, slack: float, window_ms: int) -> None:
+        self.ratio = ratio
+        self.slack = slack
+        self.window_ms = window_ms
+
+
+class Violation:
+    """One broken rule.
+
+    Attributes:
+        rule: Name of the rule.
+        at_ms: Time at which it shows.
+        detail: What was seen.
+    """
+
+    __slots__ = ("at_ms", "detail", "rule")
+
+    def __init__(self, rule: str, at_ms: int, detail: str) -> None:
+        self.rule = rule
+        self.at_ms = at_ms
+        self.detail = detail
+
+    def __repr__(self) -> str:
+        return f"{self.rule} at {self.at_ms} ms: {self.detail}"
+
+
+class WindowCounts:
+    """Counts of events in windows that slide.
+
+    Args:
+        times_ms: Times of the events, in any order.
+
+    Examples:
+        >>> counts = WindowCounts([0, 5, 10])
+        >>> counts.count(0, 10), counts.count(1, 11)
+        (2, 2)
+    """
+
+    __slots__ = ("_times_ms",)
+
+    def __init__(self, times_ms: Iterable[int]) -> None:
+        self._times_ms = sorted(times_ms)
+
+    def count(self, begin_ms: float, end_ms: float) -> int:
+        """Returns the number of events from a time until before another."""
+        times_ms = self._times_ms
+        return bisect.bisect_left(times_ms, end_ms) - bisect.bisect_left(
+            times_ms, begin_ms
+        )
+
+
+class BudgetUse:
+    """The window of a service that is closest to its retry budget.
+
+    Attributes:
+        at_ms: Start of the window.
+        repeats: Arrivals beyond the first of each request.
+        allowed: Repeats that the rule allows.
+    """
+
+    __slots__ = ("allowed", "at_ms", "repeats")
+
+    def __init__(self, *, at_ms: float, repeats: int, allowed: float) -> None:
+        self.at_ms = at_ms
+        self.repeats = repeats
+        self.allowed = allowed
+
+    @property
+    def excess(self) -> float:
+        """Repeats beyond those that are allowed; negative if there are none."""
+        return self.repeats - self.allowed
+
+    def __repr__(self) -> str:
+        return f"{self.repeats} of {self.allowed:.1f} repeats"
+
+
+def worst_window(
+    repeat_times_ms: Sequence[int],
+    request_times_ms: Iterable[int],
+    bounds: Bounds,
+) -> BudgetUse | None:
+    """Returns the window with the most repeats beyond those allowed.
+
+    Requests are counted in the window, the one before it or the one half a
+    window before it, whichever has most.
+
+    Args:
+        repeat_times_ms: Times of the repeats at one service.
+        request_times_ms: Times of the requests for it.
+        bounds: The retry budget.
+
+    Returns:
+        The window; None without repeats.
+    """
+    repeats = WindowCounts(repeat_times_ms)
+    requests = WindowCounts(request_times_ms)
+    window_ms = bounds.window_ms
+    uses = []
+    for at_ms in repeat_times_ms:
+        for begin_ms in (at_ms, at_ms - window_ms + 1):
+            counted = max(
+                requests.count(
+                    begin_ms - shift_ms, begin_ms - shift_ms + window_ms
+                )
+                for shift_ms in (0, window_ms / 2, window_ms)
+            )
+            uses.append(
+                BudgetUse(
+                    at_ms=begin_ms,
+                    repeats=repeats.count(begin_ms, begin_ms + window_ms),
+                    allowed=bounds.ratio * counted + bounds.slack,
+                )
+            )
+    return max(uses, key=lambda use: use.excess, default=None)
+
+
+class Judge:
+    """Finds the broken rules of one run.
+
+    Args:
+        engine_records: What the engines received, in any order.
+        caller_records: What the callers got, in any order.
+        changes: Versions of the configuration, in order.
+        bounds: The retry budget.
+
+    Attributes:
+        budget_by_service: The worst window of each service.
+        cuts_at_changes: Requests that were cut around a change.
+        cuts_otherwise: Requests that were cut at other times.
+    """
+
+    def __init__(
+        self,
+        engine_records: Iterable[pause_records.EngineRecord],
+        caller_records: Iterable[pause_records.CallerRecord],
+        changes: Sequence[pause_records.Change],
+        bounds: Bounds,
+    ) -> None:
+        self._changes = list(changes)
+        self._bounds = bounds
+        self._engine_records = sorted(engine_records, key=lambda r: r.at_ms)
+        self._caller_records = sorted(
+            caller_records, key=lambda r: r.sent_at_ms
+        )
+        self._caller_by_attempt = {r.attempt: r for r in self._caller_records}
+        self._steps_by_attempt: dict[str, list[pause_records.EngineRecord]] = (
+            collections.defaultdict(list)
+        )
+        for record in self._engine_records:
+            self._steps_by_attempt[record.attempt].append(record)
+        self.budget_by_service: dict[str, BudgetUse] = {}
+        self.cuts_at_changes: list[pause_records.CallerRecord] = []
+        self.cuts_otherwise: list[pause_records.CallerRecord] = []
+
+    def violations(self) -> list[Violation]:
+        """Returns the broken rules, in order of time."""
+        found = itertools.chain(
+            self._budget(),
+            self._excess_runs(),
+            self._repeated_runs(),
+            self._false_promises(),
+            self._unanswered(),
+            self._cuts(),
+            self._streams(),
+            self._plain_responses(),
+            self._configuration(),
+        )
+        return sorted(found, key=lambda violation: violation.at_ms)
+
+    def _change_at(self, at_ms: int) -> pause_records.Change:
+        """Returns the newest version that was accepted by a time."""
+        known = [c for c in self._changes if c.at_ms <= at_ms]
+        return known[-1] if known else self._changes[0]
+
+    def _route(
+        self, record: pause_records.CallerRecord
+    ) -> pause_records.RouteState:
+        return self._change_at(record.sent_at_ms).route_by_kind[record.kind]
+
+    def _runs(self, attempt: str) -> list[pause_records.EngineRecord]:
+        """Returns the starts of the runs of a request."""
+        steps = self._steps_by_attempt.get(attempt, [])
+        return [s for s in steps if s.step is pause_records.Step.STARTED]
+
+    def repeats(self) -> Iterator[pause_records.EngineRecord]:
+        """Yields the arrivals at a service beyond the first of each request."""
+        seen: set[tuple[str, str]] = set()
+        for record in self._engine_records:
+            if record.step is not pause_records.Step.ARRIVED:
+                continue
+            key = record.service, record.attempt
+            if key in seen:
+                yield record
+            seen.add(key)
+
+    def _budget(self) -> Iterator[Violation]:
+        repeat_times_ms = collections.defaultdict(list)
+        for record in self.repeats():
+            repeat_times_ms[record.service].append(record.at_ms)
+        request_times_ms = collections.defaultdict(list)
+        for record in self._caller_records:
+            for service in self._route(record).services:
+                request_times_ms[service].append(record.sent_at_ms)
+        for service, times_ms in repeat_times_ms.items():
+            use = worst_window(
+                times_ms, request_times_ms[service], self._bounds
+            )
+            self.budget_by_service[service] = use
+            if use.excess > 0:
+                yield Violation("BUDGET", round(use.at_ms), f"{service}: {use}")
+
+    def _excess_runs(self) -> Iterator[Violation]:
+        excess = []
+        for record in self._caller_records:
+            engines = {run.engine for run in self._runs(record.attempt)}
+            if len(engines) > self._route(record).max_attempts:
+                excess.append(record)
+        if len(excess) > MAX_EXCESS_RUNS:
+            yield Violation(
+                "BUDGET",
+                excess[0].sent_at_ms,
+                f"{len(excess)} requests ran on too many engines:"
+                f" {_attempts(excess)}",
+            )
+
+    def _repeated_runs(self) -> Iterator[Violation]:
+        for record in self._caller_records:
+            runs = self._runs(record.attempt)
+            if len(runs) > 1 and not self._route(record).is_repeatable:
+                yield Violation(
+                    "TWICE",
+                    runs[1].at_ms,
+                    f"{record.attempt} ran at {_engines(runs)}",
+                )
+
+    def _false_promises(self) -> Iterator[Violation]:
+        for record in self._caller_records:
+            runs = self._runs(record.attempt)
+            if (
+                runs
+                and record.status in PROMISES
+                and not self._route(record).is_repeatable
+            ):
+                yield Violation(
+                    "REFUSED",
+                    record.ended_at_ms,
+                    f"{record.attempt} got {record.status} and ran at"
+                    f" {_engines(runs)}",
+                )
+
+    def _unanswered(self) -> Iterator[Violation]:
+        unanswered = [
+            record
+            for record in self._caller_records
+            if record.end is pause_records.End.CLOSED
+            and record.status is None
+            and record.idle_ms is not None
+            and record.attempt in self._steps_by_attempt
+        ]
+        if len(unanswered) > MAX_UNANSWERED:
+            yield Violation(
+                "LOST",
+                unanswered[0].ended_at_ms,
+                f"{len(unanswered)} requests from kept connections were passed"
+                f" on and not answered: {_attempts(unanswered)}",
+            )
+
+    def _is_cut(self, record: pause_records.CallerRecord) -> bool:
+        """Returns whether a gateway broke a request off without a reason."""
+        steps = self._steps_by_attempt.get(record.attempt)
+        if record.end is not pause_records.End.CLOSED or not steps:
+            return False
+        if any(s.step is pause_records.Step.EXPIRED for s in steps):
+            return False
+        time_ms = min(record.deadline_ms, self._route(record).timeout_ms)
+        used_ms = record.ended_at_ms - record.sent_at_ms
+        return used_ms < USED_TIME_SHARE * time_ms
+
+    def _is_at_change(self, at_ms: int) -> bool:
+        return any(
+            change.at_ms
+            <= at_ms
+            <= change.at_ms + APPLY_BOUND_MS + AFTER_APPLY_MS
+            for change in self._changes[1:]
+        )
+
+    def _cuts(self) -> Iterator[Violation]:
+        cut = list(filter(self._is_cut, self._caller_records))
+        self.cuts_at_changes = [
+            r for r in cut if self._is_at_change(r.ended_at_ms)
+        ]
+        self.cuts_otherwise = [
+            r for r in cut if not self._is_at_change(r.ended_at_ms)
+        ]
+        ended = len(self._caller_records)
+        ended_at_changes = sum(
+            self._is_at_change(r.ended_at_ms) for r in self._caller_records
+        )
+        rate_at_changes = len(self.cuts_at_changes) / max(1, ended_at_changes)
+        rate_otherwise = len(self.cuts_otherwise) / max(
+            1, ended - ended_at_changes
+        )
+        if self.cuts_at_changes and (
+            rate_at_changes > CUT_RATIO * rate_otherwise
+        ):
+            yield Violation(
+                "LOST",
+                self.cuts_at_changes[0].ended_at_ms,
+                f"{len(self.cuts_at_changes)} requests were cut around changes"
+                f" and {len(self.cuts_otherwise)} otherwise:"
+                f" {_attempts(self.cuts_at_changes)}",
+            )
+
+    def _streams(self) -> Iterator[Violation]:
+        place_by_subject: dict[str, tuple[str, str]] = {}
+        for record in self._caller_records:
+            if not record.events or record.status != _SUCCESS:
+                continue
+            *events, rest = record.body.split(_END_OF_EVENT)
+            is_complete = record.end is pause_records.End.COMPLETE
+            if is_complete and rest.strip("\n"):
+                yield _in_stream("MIXED", record, f"ends with {rest[:80]!r}")
+            number = record.after_event
+            if not record.after_event:
+                place_by_subject.pop(record.subject, None)
+            for text in events:
+                event = _Event.parse(text)
+                if event is None:
+                    yield _in_stream("MIXED", record, f"contains {text[:80]!r}")
+                    break
+                if event.subject != record.subject:
+                    yield _in_stream("MIXED", record, f"has {text!r}")
+                    break
+                if event.number != number + 1:
+                    yield _in_stream(
+                        "ORDER",
+                        record,
+                        f"event {event.number} follows event {number}",
+                    )
+                    break
+                number = event.number
+                place = place_by_subject.setdefault(record.subject, event.place)
+                if place != event.place:
+                    yield _in_stream(
+                        "ORDER",
+                        record,
+                        f"event {number} is of {event.place}, those before of"
+                        f" {place}",
+                    )
+                    break
+            else:
+                if is_complete and number != record.events:
+                    yield _in_stream(
+                        "ORDER",
+                        record,
+                        f"ends as complete after event {number} of"
+                        f" {record.events}",
+                    )
+
+    def _plain_responses(self) -> Iterator[Violation]:
+        for record in self._caller_records:
+            if record.events or record.status != _SUCCESS:
+                continue
+            own = f"{record.subject} {record.attempt}"
+            is_own = record.body == own
+            if record.end is not pause_records.End.COMPLETE:
+                is_own = own.startswith(record.body)
+            if not is_own:
+                yield Violation(
+                    "MIXED",
+                    record.ended_at_ms,
+                    f"{record.attempt} got {record.body[:80]!r}",
+                )
+
+    def _configuration(self) -> Iterator[Violation]:
+        """Yields requests that are handled as only an older version allows.
+
+        A stream that is resumed goes on where it began, whatever the route.
+        """
+        newest_by_gateway: dict[str, int] = {}
+        seen_ms_by_gateway_and_version: dict[tuple[str, int], int] = {}
+        records = sorted(
+            (
+                (run.at_ms, run, record)
+                for record in self._caller_records
+                if not record.after_event
+                for run in self._runs(record.attempt)
+            ),
+            key=lambda entry: entry[0],
+        )
+        for at_ms, run, record in records:
+            allowing = [
+                number
+                for number, change in enumerate(self._changes)
+                if run.service in change.route_by_kind[record.kind].services
+                and change.at_ms <= at_ms
+            ]
+            if not allowing:
+                yield Violation(
+                    "ROUTE", at_ms, f"{record.attempt} ran at {run.service}"
+                )
+                continue
+            newest, gateway = allowing[-1], record.gateway
+            due = [
+                number
+                for number, change in enumerate(self._changes)
+                if change.at_ms + APPLY_BOUND_MS < record.sent_at_ms
+            ]
+            if due and newest < due[-1]:
+                left_ms = self._changes[newest + 1].at_ms
+                yield Violation(
+                    "CONFIG",
+                    at_ms,
+                    f"{record.attempt} ran at {run.service}, which the route"
+                    f" left {record.sent_at_ms - left_ms} ms before it was"
+                    " sent",
+                )
+            seen = newest_by_gateway.get(gateway, 0)
+            seen_ms = seen_ms_by_gateway_and_version.get((gateway, seen), at_ms)
+            if newest < seen and (
+                record.sent_at_ms > seen_ms + ROLLBACK_SLACK_MS
+            ):
+                yield Violation(
+                    "CONFIG",
+                    at_ms,
+                    f"{record.attempt} was handled by {gateway} as version"
+                    f" {newest} allows, after an effect of {seen}",
+                )
+            oldest = allowing[0]
+            if oldest > seen:
+                newest_by_gateway[gateway] = oldest
+                seen_ms_by_gateway_and_version[gateway, oldest] = at_ms
+
+
+class _Event:
+    """One event of a stream.
+
+    Attributes:
+        number: Its id.
+        subject: Subject of the stream.
+        place: Service and software version of its engine.
+    """
+
+    __slots__ = ("number", "place", "subject")
+
+    def __init__(
+        self, number: int, subject: str, place: tuple[str, str]
+    ) -> None:
+        self.number = number
+        self.subject = subject
+        self.place = place
+
+    @classmethod
+    def parse(cls, text: str) -> _Event | None:
+        """Returns the event; None for text that is no event of an engine."""
+        lines = text.split("\n")
+        if len(lines) != 2 or not lines[0].startswith("id: "):
+            return None
+        words = lines[1].removeprefix("data: ").split(" ")
+        if len(words) != 4 or words[3] != lines[0].removeprefix("id: "):
+            return None
+        return cls(int(words[3]), words[0], (words[1], words[2]))
+
+
+def _in_stream(
+    rule: str, record: pause_records.CallerRecord, detail: str
+) -> Violation:
+    resumed = f" (resumes {record.resumes})" if record.resumes else ""
+    return Violation(
+        rule,
+        record.ended_at_ms,
+        f"stream {record.attempt}{resumed} at {record.gateway} {detail}",
+    )
+
+
+def _attempts(records: Sequence[pause_records.CallerRecord]) -> str:
+    return ", ".join(record.attempt for record in records[:10])
+
+
+def _engines(records: Sequence[pause_records.EngineRecord]) -> str:
+    return ", ".join(record.engine for record in records)
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/pause_records.py
@@ -0,0 +1,157 @@
+"""Records of what engines received and what callers got, for the pause soak.
+
+All times are those of the monotonic clock, which the processes share.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import enum
+import pathlib
+
+import msgspec
+
+
+class Step(enum.Enum):
+    """Step of a request at an engine.
+
+    ABANDONED: the caller closed the connection. EXPIRED: the engine broke off
+    at the deadline.
+    """
+
+    ARRIVED = "arrived"
+    STARTED = "started"
+    DECLINED = "declined"
+    FINISHED = "finished"
+    ABANDONED = "abandoned"
+    EXPIRED = "expired"
+
+
+class EngineRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One step of a request at an engine.
+
+    Attributes:
+        at_ms: Time of the step.
+        step: What happened.
+        engine: Id of the engine.
+        service: Its service.
+        version: Version of its software.
+        attempt: Id of the request.
+        target: Path of the request.
+        after_event: Event after which the stream goes on; 0 for the start.
+        sent_events: Number of events that this run has sent.
+    """
+
+    at_ms: int
+    step: Step
+    engine: str
+    service: str
+    version: str = ""
+    attempt: str
+    target: str = ""
+    after_event: int = 0
+    sent_events: int = 0
+
+
+class End(enum.Enum):
+    """How a request ended for its caller.
+
+    CLOSED: the gateway closed the connection before the response was complete.
+    ABANDONED: the caller gave up, after its deadline or a long pause. UNSENT:
+    the connection did not open.
+    """
+
+    COMPLETE = "complete"
+    CLOSED = "closed"
+    ABANDONED = "abandoned"
+    UNSENT = "unsent"
+
+
+class CallerRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One request of a caller and what it got.
+
+    Attributes:
+        attempt: Id of the request.
+        subject: What it asks for; tries of the same request share it.
+        kind: Name of its kind.
+        gateway: Name of the gateway that it was sent to.
+        sent_at_ms: Time at which it was sent.
+        ended_at_ms: Time at which it ended.
+        end: How it ended.
+        deadline_ms: Time that the caller would wait.
+        events: Number of events of the whole stream; 0 for a plain request.
+        idle_ms: Idle time of the kept connection; None for a new one.
+        after_event: Event after which the caller resumes; 0 for none.
+        resumes: Id of the request that began the stream; empty for none.
+        status: Status of the response; None if there was none.
+        body: Body that was received.
+    """
+
+    attempt: str
+    subject: str
+    kind: str
+    gateway: str
+    sent_at_ms: int
+    ended_at_ms: int
+    end: End
+    deadline_ms: int
+    events: int = 0
+    idle_ms: int | None = None
+    after_event: int = 0
+    resumes: str = ""
+    status: int | None = None
+    body: str = ""
+
+
+class RouteState(msgspec.Struct, frozen=True, kw_only=True):
+    """What one version of the configuration says of a route.
+
+    Attributes:
+        services: Services that its requests may run at.
+        timeout_ms: Longest time of a request.
+        max_attempts: Number of engines at which a request may run.
+        is_repeatable: Whether a request may run more than once.
+    """
+
+    services: tuple[str, ...]
+    timeout_ms: int
+    max_attempts: int
+    is_repeatable: bool
+
+
+class Change(msgspec.Struct, frozen=True, kw_only=True):
+    """One version of the configuration.
+
+    Attributes:
+        at_ms: Time at which the store accepted it.
+        how: What it changes.
+        idle_timeout_ms: Time that callers may keep a connection idle.
+        route_by_kind: Routes by the kind of their requests.
+    """
+
+    at_ms: int
+    how: str
+    idle_timeout_ms: int
+    route_by_kind: dict[str, RouteState]
+
+
+class Pause(msgspec.Struct, frozen=True, kw_only=True):
+    """A time in which engines were stopped.
+
+    Attributes:
+        began_at_ms: Time of the first signal.
+        ended_at_ms: Time of the last signal to continue.
+        engines: Ids of the engines.
+    """
+
+    began_at_ms: int
+    ended_at_ms: int
+    engines: tuple[str, ...]
+
+
+def read(path: pathlib.Path, kind: type) -> Iterator:
+    """Yields the records of a file; the last line may be incomplete."""
+    if not path.exists():
+        return
+    for line in path.read_bytes().split(b"\n")[:-1]:
+        yield msgspec.json.decode(line, type=kind)
