Let callers of the pause soak lose their connections and resume elsewhere

Only cut streams were resumed before, of which there are few. One in ten streams that may be resumed loses its connection once now. Prompts share eight parts and 96 sessions a kind; with one part for all, affinity sent everything to four engines.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/caller_process.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/caller_process.py
@@ -39,10 +39,21 @@
 CONNECT_TIMEOUT_MS = 1_000
 RETRY_DELAY_MS = 30
 MAX_TRIES = 4
-MAX_KEPT = 6
-"""Most kept connections to a gateway; the oldest is used first at times."""
+MAX_KEPT = 30
+"""Most kept connections to a gateway."""
+
+OLDEST_SHARE = 0.15
+"""Share of kept connections that are those idle for longest; the others are the
+latest, so that some become as old as they may."""
 
 MIN_REMAINING_MS = 100
+SHARED_PARTS = 8
+SESSIONS = 96
+"""Numbers of shared prompt parts and of sessions, for each kind."""
+
+DROPPED_SHARE = 0.1
+"""Share of streams that may be resumed whose connection breaks once."""
+
 PROMISES = (408, 421, 429, 503)
 END_OF_EVENT = b"\n\n"
 
@@ -100,8 +111,8 @@
 class _Task:
     """What a caller wants, over all its tries."""
 
-    __slots__ = ("after_event", "due_ms", "events", "kind", "pace_ms")
-    __slots__ += ("origin", "subject", "tries")
+    __slots__ = ("after_event", "drops_after", "due_ms", "events", "kind")
+    __slots__ += ("origin", "pace_ms", "subject", "tries")
 
     def __init__(
         self, kind: Kind, subject: str, *, events: int, pace_ms: int, due_ms
@@ -112,6 +123,7 @@
         self.pace_ms = pace_ms
         self.due_ms = due_ms
         self.tries = 0
+        self.drops_after = 0
         self.after_event = 0
         self.origin = ""
 
@@ -166,9 +178,14 @@
             pace_ms=self.random.randint(*kind.pace_ms),
             due_ms=engine_process.monotonic_ms() + kind.deadline_ms,
         )
-        self._send(
-            task, self.random.choice([*self.settings.address_by_gateway])
-        )
+        if (
+            kind.events[1]
+            and kind.is_repeatable
+            and self.random.random() < DROPPED_SHARE
+        ):
+            task.drops_after = self.random.randint(1, task.events - 1)
+        gateways = [*self.settings.address_by_gateway]
+        self._send(task, self.random.choice(gateways))
         pause_s = self.random.expovariate(self.settings.rate_per_s)
         self.loop.call_later(pause_s * 1_000, self._arrive)
 
@@ -201,7 +218,7 @@
                 kept.remove(connection)
         if not kept:
             return None
-        return kept.pop(0 if self.random.random() < 0.5 else -1)
+        return kept.pop(0 if self.random.random() < OLDEST_SHARE else -1)
 
     def keep(self, gateway: str, connection: connection_lib.Connection) -> None:
         """Keeps a connection for a later request."""
@@ -341,7 +358,10 @@
             (b"Authorization", b"Token " + harness_lib.KEY),
         ]
         if task.events:
-            prefix = f"common:200,{task.subject}:400"
+            number = int(task.subject[1:])
+            shared = f"{task.kind.name}{number % SHARED_PARTS}"
+            session = f"{shared}-{number % SESSIONS}"
+            prefix = f"{shared}:200,{session}:400"
             fields += [
                 (b"X-Bambooglade-Model", b"m"),
                 (
@@ -410,6 +430,11 @@
         self._body += self._parser.feed(data)
         self._watch_gap()
         self._check_end()
+        drops_after = self.task.drops_after
+        if self.end is None and 0 < drops_after <= self.received_events:
+            self.task.drops_after = 0
+            self._connection.reset()
+            self._finish(pause_records.End.DROPPED)
 
     def closed(self, *, is_clean: bool) -> None:
         """Ends the try, unless the response ends with its connection."""
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/engine_process.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/engine_process.py
@@ -242,9 +242,16 @@
 
     def _start_idle_timer(self) -> None:
         self._timer = self._server.loop.call_later(
-            self._server.settings.idle_timeout_s * 1_000, self._close
+            self._server.settings.idle_timeout_s * 1_000, self._handle_idle
         )
 
+    def _handle_idle(self) -> None:
+        """Closes the connection, unless a request has arrived meanwhile.
+
+        After the process was stopped, its timers run before it reads.
+        """
+        self._timer = self._server.loop.call_later(0, self._close)
+
     def _close(self) -> None:
         self._server.connections.discard(self)
         self.connection.close()
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/pause_records.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/pause_records.py
@@ -57,13 +57,15 @@
     """How a request ended for its caller.
 
     CLOSED: the gateway closed the connection before the response was complete.
-    ABANDONED: the caller gave up, after its deadline or a long pause. UNSENT:
-    the connection did not open.
+    ABANDONED: the caller gave up, after its deadline or a long pause. DROPPED:
+    the caller's connection broke, and the caller may resume. UNSENT: the
+    connection did not open.
     """
 
     COMPLETE = "complete"
     CLOSED = "closed"
     ABANDONED = "abandoned"
+    DROPPED = "dropped"
     UNSENT = "unsent"
 
 
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/soak_pauses.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/soak_pauses.py
@@ -84,6 +84,9 @@
     "check": 1_200,
 }
 TIMEOUT_FACTORS = (0.7, 1.0, 1.4)
+MOVED_KINDS = ("critique", "feedback", "feedback", "tag")
+"""Kinds whose routes move to other services, the resumable one more often."""
+
 ROUTE_CHOICES = (("jury",), ("panel",), ("jury", "panel"))
 
 KINDS = [
@@ -138,6 +141,7 @@
         slots: Slots of a model engine.
         queue: Requests that may wait at a model engine.
         backlog: Size of the accept queue of an engine.
+        idle_timeout_s: Time after which engines close idle connections.
     """
 
     gateways: int
@@ -147,6 +151,7 @@
     slots: int = 64
     queue: int = 192
     backlog: int = 128
+    idle_timeout_s: int = 8
 
 
 SIZES = {
@@ -249,7 +254,7 @@
                         queue=24 if is_plain else self._size.queue,
                         backlog=self._size.backlog,
                         max_connections=96 if is_plain else 360,
-                        idle_timeout_s=8,
+                        idle_timeout_s=self._size.idle_timeout_s,
                         record_path=str(self._path / f"{service}-{number}"),
                     )
                 )
@@ -340,7 +345,7 @@
                     routes[kind], timeout_ms=round(factor * timeout_ms)
                 )
         else:
-            kind = self._random.choice(["critique", "feedback", "tag"])
+            kind = self._random.choice(MOVED_KINDS)
             others = [s for s in ROUTE_CHOICES if s != routes[kind].services]
             routes[kind] = msgspec.structs.replace(
                 routes[kind], services=self._random.choice(others)
