--- a/Makefile
+++ b/Makefile
@@ -12,10 +12,12 @@
 
 # Fault soak with real processes: `make soak SEED=7 SECONDS=60`; FAULT names a
 # deliberate fault that it has to find. `make soak SEED=7 RELEASES=8` kills all
-# gateways in each of eight releases instead.
+# gateways in each of eight releases instead. `make soak SEED=7 PAUSES=quetzal`
+# stops engine processes of a fleet of that size while the configuration changes.
 SECONDS ?= 30
 FAULT ?=
 RELEASES ?= 0
+PAUSES ?=
 
 .PHONY: help env run test check format unit measure fuzz soak clean
 
@@ -56,9 +58,10 @@
 	$(BIN)/python -m benchmarks.fuzz --seed=$(SEED) --examples=$(EXAMPLES) \
 	  --steps=$(STEPS)
 
-soak: env ## Run gateway processes under faults: SEED, SECONDS or RELEASES.
+soak: env ## Run gateway processes under faults: SEED, SECONDS, RELEASES or PAUSES.
 	$(BIN)/python -m bambooglade_standins.users_platform.soak --seed=$(SEED) \
-	  --seconds=$(SECONDS) --fault=$(FAULT) --releases=$(RELEASES)
+	  --seconds=$(SECONDS) --fault=$(FAULT) --releases=$(RELEASES) \
+	  --pauses=$(PAUSES)
 
 clean: ## Remove the environment and the outputs.
 	rm -rf $(VENV) build reports run
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/caller_process.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/caller_process.py
@@ -51,9 +51,6 @@
 SESSIONS = 96
 """Numbers of shared prompt parts and of sessions, for each kind."""
 
-DROPPED_SHARE = 0.1
-"""Share of streams that may be resumed whose connection breaks once."""
-
 PROMISES = (408, 421, 429, 503)
 END_OF_EVENT = b"\n\n"
 
@@ -94,6 +91,8 @@
         begins_at_ms: Time of the first request, on the monotonic clock.
         duration_ms: Time for which requests are sent.
         changes: Versions of the configuration, at their planned times.
+        dropped_share: Share of streams that may be resumed whose connection
+            breaks once.
         record_path: File to which what callers got is appended.
     """
 
@@ -105,6 +104,7 @@
     begins_at_ms: int
     duration_ms: int
     changes: list[pause_records.Change]
+    dropped_share: float
     record_path: str
 
 
@@ -181,7 +181,7 @@
         if (
             kind.events[1]
             and kind.is_repeatable
-            and self.random.random() < DROPPED_SHARE
+            and self.random.random() < self.settings.dropped_share
         ):
             task.drops_after = self.random.randint(1, task.events - 1)
         gateways = [*self.settings.address_by_gateway]
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/deliberate_faults.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/deliberate_faults.py
@@ -116,6 +116,18 @@
     origins.merge = lambda self, seen, *, now_ms: None
 
 
+def break_off_silent_requests() -> None:
+    """Breaks a request off when its target is silent for a time."""
+
+    def break_off(self) -> None:
+        self.cancel()
+        self._exchange.fail(
+            error_responses.ErrorKind.BROKEN, "no progress within the time-out"
+        )
+
+    dispatching.Dispatcher._progress_timed_out = break_off
+
+
 FAULT_BY_NAME = {
     fault.__name__: fault
     for fault in (
@@ -130,5 +142,6 @@
         ignore_the_era_of_the_store,
         serve_without_a_path_to_any_target,
         trust_the_registered_versions,
+        break_off_silent_requests,
     )
 }
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/soak.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/soak.py
@@ -42,6 +42,7 @@
 from bambooglade_standins.users_platform import memory_store
 from bambooglade_standins.users_platform import platform_harness as harness_lib
 from bambooglade_standins.users_platform import soak_cuts
+from bambooglade_standins.users_platform import soak_pauses
 from bambooglade_standins.users_platform import soak_releases
 from bambooglade_standins.users_platform import store_server
 
@@ -646,11 +647,16 @@
 
 
 def main(
-    seed: int = 0, seconds: int = 20, fault: str = "", releases: int = 0
+    seed: int = 0,
+    seconds: int = 20,
+    fault: str = "",
+    releases: int = 0,
+    pauses: str = "",
 ) -> None:
     """Runs the soak with one seed and prints counts of response statuses.
 
-    After a violation, the outputs of the gateways are in `reports/soak-SEED`.
+    After a violation, the outputs of the gateways are in `reports/soak-SEED`,
+    or in `reports/pauses-SIZE-SEED` with the records of engines and callers.
 
     Args:
         seed: Seed of the random requests and faults.
@@ -658,16 +664,23 @@
         fault: Name of a deliberate fault of the gateways; empty for none.
         releases: Number of releases in which all gateways are killed, instead
             of the other faults.
+        pauses: Size of a fleet whose engine processes are stopped while the
+            configuration changes, instead of the other faults.
     """
     if releases:
         outcomes = soak_releases.ReleaseSoak(seed, fault=fault).run(releases)
         print(f"seed={seed} releases={releases} outcomes={dict(outcomes)}")
         return
-    soak = Soak(seed, fault=fault)
+    soak = (
+        soak_pauses.PauseSoak(seed, size=pauses, fault=fault)
+        if pauses
+        else Soak(seed, fault=fault)
+    )
     try:
         statuses = soak.run(seconds * 1_000)
     except invariants_lib.InvariantViolationError:
-        soak.write_logs(pathlib.Path("reports") / f"soak-{seed}")
+        name = f"pauses-{pauses}-{seed}" if pauses else f"soak-{seed}"
+        soak.write_logs(pathlib.Path("reports") / name)
         raise
     print(f"seed={seed} seconds={seconds} statuses={dict(statuses)}")
 
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/soak_pauses.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/soak_pauses.py
@@ -11,6 +11,8 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterator
+from collections.abc import Sequence
 import math
 import os
 import pathlib
@@ -65,7 +67,6 @@
 RATE_PER_CALLER_PROCESS = 90
 """Most requests per second of one process of callers."""
 
-ZONES = 4
 MAX_ATTEMPTS_BY_KIND = {
     "critique": 1,
     "feedback": 2,
@@ -142,6 +143,9 @@
         queue: Requests that may wait at a model engine.
         backlog: Size of the accept queue of an engine.
         idle_timeout_s: Time after which engines close idle connections.
+        zones: Number of availability zones.
+        dropped_share: Share of streams that may be resumed whose connection to
+            the caller breaks once.
     """
 
     gateways: int
@@ -152,6 +156,8 @@
     queue: int = 192
     backlog: int = 128
     idle_timeout_s: int = 8
+    zones: int = 4
+    dropped_share: float = 0.1
 
 
 SIZES = {
@@ -164,6 +170,14 @@
         queue=8,
         backlog=8,
     ),
+    "one-zone": FleetSize(
+        gateways=5,
+        engines_by_service={"jury": 2, "panel": 2, "portal": 1},
+        rate_per_s=80,
+        slack=12,
+        zones=1,
+        dropped_share=0.5,
+    ),
     "quetzal": FleetSize(
         gateways=6,
         engines_by_service={"jury": 5, "panel": 3, "portal": 4},
@@ -205,15 +219,22 @@
         seed: Seed of the requests, the changes and the pauses.
         size: Name of the fleet size.
         fault: Name of a deliberate fault of the gateways; empty for none.
+        changes: What the versions of the configuration change.
 
     Attributes:
         judge: Judge of the run; None before its end.
     """
 
     def __init__(
-        self, seed: int, *, size: str = "quetzal", fault: str = ""
+        self,
+        seed: int,
+        *,
+        size: str = "quetzal",
+        fault: str = "",
+        changes: Sequence[str] = CHANGES,
     ) -> None:
         self._seed = seed
+        self._kinds_of_changes = changes
         self._size = SIZES[size]
         self._random = random.Random(seed)
         self._directory = tempfile.TemporaryDirectory()
@@ -224,7 +245,7 @@
         self._gateways = [
             gateway_process.GatewayProcess(
                 f"edge-{number}",
-                str(number % ZONES),
+                str(number % self._size.zones),
                 self._server.address,
                 fault=fault,
                 is_cuttable=bool(fault),
@@ -238,7 +259,7 @@
         self._max_step_ms = 0
         self.judge: pause_judge.Judge | None = None
 
-    def _new_engines(self):
+    def _new_engines(self) -> Iterator[engine_process.EngineProcess]:
         for service, count in self._size.engines_by_service.items():
             is_plain = service == PLAIN_SERVICE
             for number in range(count):
@@ -331,7 +352,7 @@
         self, state: pause_records.Change, at_ms: int
     ) -> pause_records.Change:
         """Returns the next version of the configuration."""
-        how = self._random.choice(CHANGES)
+        how = self._random.choice(self._kinds_of_changes)
         idle_timeout_ms = state.idle_timeout_ms
         routes = dict(state.route_by_kind)
         if how == "idle":
@@ -435,7 +456,7 @@
                     settings.address,
                     settings.service,
                     version=settings.version,
-                    zone=f"zone-{number % ZONES}",
+                    zone=f"zone-{number % self._size.zones}",
                     slots=settings.slots,
                 ),
             )
@@ -485,6 +506,7 @@
                 begins_at_ms=begins_at_ms,
                 duration_ms=duration_ms,
                 changes=self._changes,
+                dropped_share=self._size.dropped_share,
                 record_path=str(self._path / f"callers-{number}"),
             )
             self._callers.append(
--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_pause_judge.py
@@ -0,0 +1,351 @@
+"""Tests of the judge of the pause soak, on records made by hand."""
+
+from __future__ import annotations
+
+import pytest
+
+from bambooglade_standins.users_platform import pause_judge
+from bambooglade_standins.users_platform import pause_records
+
+Step = pause_records.Step
+End = pause_records.End
+
+BOUNDS = pause_judge.Bounds(ratio=0.2, slack=2, window_ms=1_000)
+
+
+def route(*services, max_attempts=2, is_repeatable=True, timeout_ms=10_000):
+    return pause_records.RouteState(
+        services=services,
+        timeout_ms=timeout_ms,
+        max_attempts=max_attempts,
+        is_repeatable=is_repeatable,
+    )
+
+
+def change(at_ms=0, stream=None, plain=None):
+    return pause_records.Change(
+        at_ms=at_ms,
+        how="route",
+        idle_timeout_ms=5_000,
+        route_by_kind={
+            "feedback": stream or route("jury"),
+            "submit": plain
+            or route("portal", max_attempts=1, is_repeatable=False),
+        },
+    )
+
+
+def step(at_ms, what, attempt="a.1", engine="j0", service="jury"):
+    return pause_records.EngineRecord(
+        at_ms=at_ms, step=what, engine=engine, service=service, attempt=attempt
+    )
+
+
+def runs(attempt, *engines, at_ms=0, service="jury"):
+    """Returns the records of runs, each 100 ms after the one before."""
+    return [
+        step(at_ms + 100 * number, what, attempt, engine, service)
+        for number, engine in enumerate(engines)
+        for what in (Step.ARRIVED, Step.STARTED)
+    ]
+
+
+def events(*numbers, subject="a", service="jury", version="v1"):
+    return "".join(
+        f"id: {n}\ndata: {subject} {service} {version} {n}\n\n" for n in numbers
+    )
+
+
+def got(attempt="a.1", *, sent_at_ms=0, took_ms=500, kind="feedback", **fields):
+    subject = attempt.partition(".")[0]
+    is_stream = kind == "feedback"
+    default = {
+        "end": End.COMPLETE,
+        "status": 200,
+        "events": 3 if is_stream else 0,
+        "body": events(1, 2, 3, subject=subject)
+        if is_stream
+        else f"{subject} {attempt}",
+    }
+    return pause_records.CallerRecord(
+        attempt=attempt,
+        subject=subject,
+        kind=kind,
+        gateway="edge-0",
+        sent_at_ms=sent_at_ms,
+        ended_at_ms=sent_at_ms + took_ms,
+        deadline_ms=10_000,
+        **(default | fields),
+    )
+
+
+def rules(engine_records, caller_records, changes=None, bounds=BOUNDS):
+    judge = pause_judge.Judge(
+        engine_records, caller_records, changes or [change()], bounds
+    )
+    return [violation.rule for violation in judge.violations()]
+
+
+@pytest.mark.parametrize(
+    "repeats, requests, excess",
+    [
+        pytest.param([], [], None, id="none"),
+        pytest.param([0, 0], [], 0, id="slack"),
+        pytest.param([0, 0, 0], [], 1, id="beyond the slack"),
+        pytest.param([0, 500, 999], [], 1, id="in one window"),
+        pytest.param([0, 500, 1_000], [], 0, id="in no window"),
+        pytest.param([900, 1_000, 1_100], [], 1, id="across a second"),
+        pytest.param([500] * 3, [400] * 5, 0, id="requests half before"),
+        pytest.param([1_500] * 3, [600] * 5, 0, id="requests one before"),
+        pytest.param([3_000] * 3, [600] * 5, 1, id="requests long before"),
+        pytest.param([0] * 3, [2_500] * 5, 1, id="requests long after"),
+        pytest.param([0] * 4, [0] * 4 + [-600] * 5, 1, id="the most"),
+    ],
+)
+def test_budget_counts_in_sliding_windows(repeats, requests, excess):
+    use = pause_judge.worst_window(repeats, requests, BOUNDS)
+    assert (use and use.excess) == excess
+
+
+@pytest.mark.parametrize(
+    "engine_records, is_broken",
+    [
+        pytest.param(runs("a.1", "j0", "j1"), False, id="one repeat"),
+        pytest.param(
+            [
+                step(at_ms, Step.ARRIVED, "a.1", f"j{at_ms}")
+                for at_ms in range(4)
+            ],
+            True,
+            id="three repeats",
+        ),
+        pytest.param(
+            [
+                step(at_ms, what, "a.1", f"j{at_ms}")
+                for at_ms in range(4)
+                for what in (Step.ARRIVED, Step.DECLINED)
+            ],
+            True,
+            id="declined ones count",
+        ),
+        pytest.param(
+            [step(0, Step.ARRIVED, f"a.{n}") for n in range(4)],
+            False,
+            id="own retries of the caller",
+        ),
+        pytest.param(
+            [step(0, Step.ARRIVED, "a.1", f"x{n}", f"s{n}") for n in range(4)],
+            False,
+            id="first arrivals at several services",
+        ),
+    ],
+)
+def test_budget_counts_arrivals_beyond_the_first(engine_records, is_broken):
+    assert ("BUDGET" in rules(engine_records, [])) == is_broken
+
+
+@pytest.mark.parametrize("count, is_broken", [(3, False), (4, True)])
+def test_few_requests_may_run_on_more_engines(count, is_broken):
+    attempts = [f"{letter}.1" for letter in "abcd"[:count]]
+    engine_records = [
+        record
+        for attempt in attempts
+        for record in runs(attempt, "j0", "j1", "j2")
+    ]
+    wide = pause_judge.Bounds(ratio=0, slack=100, window_ms=1_000)
+    caller_records = [got(attempt) for attempt in attempts]
+    found = rules(engine_records, caller_records, bounds=wide)
+    assert found == (["BUDGET"] if is_broken else [])
+
+
+@pytest.mark.parametrize(
+    "kind, status, engines, expected",
+    [
+        ("submit", 200, ["p0"], []),
+        ("submit", 200, ["p0", "p1"], ["TWICE"]),
+        ("submit", 502, ["p0"], []),
+        ("submit", 503, [], []),
+        ("submit", 503, ["p0"], ["REFUSED"]),
+        ("submit", 421, ["p0"], ["REFUSED"]),
+        ("feedback", 503, ["j0"], []),
+    ],
+)
+def test_requests_that_may_run_once(kind, status, engines, expected):
+    service = "jury" if kind == "feedback" else "portal"
+    record = got("a.1", kind=kind, status=status)
+    assert rules(runs("a.1", *engines, service=service), [record]) == expected
+
+
+@pytest.mark.parametrize(
+    "idle_ms, status, is_passed_on, count, is_broken",
+    [
+        (100, None, True, 4, True),
+        (100, None, True, 3, False),
+        (100, None, False, 4, False),
+        (None, None, True, 4, False),
+        (100, 200, True, 4, False),
+    ],
+)
+def test_requests_from_kept_connections_are_answered(
+    idle_ms, status, is_passed_on, count, is_broken
+):
+    attempts = [f"{letter}.1" for letter in "abcd"[:count]]
+    caller_records = [
+        got(a, end=End.CLOSED, status=status, idle_ms=idle_ms, body="")
+        for a in attempts
+    ]
+    engine_records = [r for a in attempts for r in runs(a, "j0")]
+    found = rules(engine_records if is_passed_on else [], caller_records)
+    assert ("LOST" in found) == is_broken
+
+
+@pytest.mark.parametrize(
+    "cut_at_ms, other_cuts_at_ms, fields, last_step, is_broken",
+    [
+        pytest.param(2_000, [], {}, Step.ABANDONED, True, id="after a change"),
+        pytest.param(4_000, [], {}, Step.ABANDONED, True, id="in the bound"),
+        pytest.param(4_200, [], {}, Step.ABANDONED, False, id="too late"),
+        pytest.param(900, [], {}, Step.ABANDONED, False, id="before"),
+        pytest.param(
+            2_000, [9_000, 9_100], {}, Step.ABANDONED, False, id="as at others"
+        ),
+        pytest.param(2_000, [], {}, Step.EXPIRED, False, id="engine broke off"),
+        pytest.param(
+            2_000, [], {"end": End.ABANDONED}, None, False, id="caller left"
+        ),
+        pytest.param(
+            2_000, [], {"took_ms": 7_100}, None, False, id="most time used"
+        ),
+    ],
+)
+def test_requests_are_not_cut_at_changes(
+    cut_at_ms, other_cuts_at_ms, fields, last_step, is_broken
+):
+    changes = [change(at_ms=-9_000), change(at_ms=1_000)]
+    took_ms = fields.pop("took_ms", 500)
+    cut = {"end": End.CLOSED, "body": events(1)} | fields
+    caller_records = [
+        got("a.1", sent_at_ms=cut_at_ms - took_ms, took_ms=took_ms, **cut),
+        got("b.1", sent_at_ms=2_000),
+    ]
+    engine_records = runs("a.1", "j0", at_ms=cut_at_ms - took_ms)
+    if last_step is not None:
+        engine_records.append(step(cut_at_ms, last_step))
+    for number, at_ms in enumerate(other_cuts_at_ms):
+        attempt = f"c{number}.1"
+        body = events(1, subject=f"c{number}")
+        caller_records.append(
+            got(attempt, sent_at_ms=at_ms - 500, end=End.CLOSED, body=body)
+        )
+        engine_records += runs(attempt, "j0", at_ms=at_ms - 500)
+    found = rules(engine_records, caller_records, changes)
+    assert found == (["LOST"] if is_broken else [])
+
+
+@pytest.mark.parametrize(
+    "body, end, expected",
+    [
+        pytest.param(events(1, 2, 3), End.COMPLETE, [], id="whole"),
+        pytest.param(events(1, 2), End.CLOSED, [], id="broken off"),
+        pytest.param(events(1, 2) + "id: 3\nda", End.CLOSED, [], id="partial"),
+        pytest.param(events(1, 2), End.COMPLETE, ["ORDER"], id="too short"),
+        pytest.param(events(1, 3), End.CLOSED, ["ORDER"], id="missing"),
+        pytest.param(events(1, 2, 2), End.CLOSED, ["ORDER"], id="doubled"),
+        pytest.param(events(1, 2, 1), End.CLOSED, ["ORDER"], id="goes back"),
+        pytest.param(
+            events(1) + events(2, service="panel"),
+            End.CLOSED,
+            ["ORDER"],
+            id="two services",
+        ),
+        pytest.param(
+            events(1) + events(2, version="v2"),
+            End.CLOSED,
+            ["ORDER"],
+            id="two versions",
+        ),
+        pytest.param(
+            events(1) + '{"kind": "overloaded"}\n\n',
+            End.CLOSED,
+            ["MIXED"],
+            id="text of an error",
+        ),
+        pytest.param(
+            events(1, 2, 3) + "HTTP/1.1 503",
+            End.COMPLETE,
+            ["MIXED"],
+            id="head of an error",
+        ),
+        pytest.param(
+            events(1, 2, 3, subject="b"),
+            End.COMPLETE,
+            ["MIXED"],
+            id="another request",
+        ),
+    ],
+)
+def test_stream_is_whole_and_in_order(body, end, expected):
+    assert rules([], [got(body=body, end=end)]) == expected
+
+
+@pytest.mark.parametrize(
+    "after_event, body, expected",
+    [
+        pytest.param(1, events(2, 3), [], id="goes on"),
+        pytest.param(0, events(1, 2, 3, service="panel"), [], id="anew"),
+        pytest.param(1, events(2, 3, service="panel"), ["ORDER"], id="service"),
+        pytest.param(1, events(2, 3, version="v2"), ["ORDER"], id="version"),
+        pytest.param(1, events(1, 2, 3), ["ORDER"], id="from the start"),
+        pytest.param(1, events(3), ["ORDER"], id="one missing"),
+    ],
+)
+def test_resumed_stream_goes_on_where_it_began(after_event, body, expected):
+    caller_records = [
+        got("a.1", body=events(1), end=End.DROPPED),
+        got(
+            "a.2",
+            sent_at_ms=1_000,
+            body=body,
+            after_event=after_event,
+            resumes="a.1" if after_event else "",
+        ),
+    ]
+    assert rules([], caller_records) == expected
+
+
+@pytest.mark.parametrize(
+    "body, end, expected",
+    [
+        ("a a.1", End.COMPLETE, []),
+        ("a a", End.CLOSED, []),
+        ("a a", End.COMPLETE, ["MIXED"]),
+        ("b b.1", End.COMPLETE, ["MIXED"]),
+        ("a a.1 ", End.COMPLETE, ["MIXED"]),
+    ],
+)
+def test_plain_response_is_that_of_the_request(body, end, expected):
+    record = got(kind="submit", body=body, end=end)
+    assert rules([], [record]) == expected
+
+
+@pytest.mark.parametrize(
+    "sent_at_ms, service, seen_at_ms, expected",
+    [
+        pytest.param(1_500, "jury", None, [], id="not applied yet"),
+        pytest.param(2_900, "panel", None, [], id="applied"),
+        pytest.param(3_100, "jury", None, ["CONFIG"], id="applied too late"),
+        pytest.param(900, "panel", None, ["ROUTE"], id="never allowed"),
+        pytest.param(1_500, "jury", 1_300, [], id="just seen"),
+        pytest.param(1_600, "jury", 1_300, ["CONFIG"], id="undone"),
+    ],
+)
+def test_configuration_is_applied_and_not_undone(
+    sent_at_ms, service, seen_at_ms, expected
+):
+    changes = [change(), change(at_ms=1_000, stream=route("panel"))]
+    caller_records = [got("a.1", sent_at_ms=sent_at_ms)]
+    engine_records = runs("a.1", "x0", at_ms=sent_at_ms, service=service)
+    if seen_at_ms is not None:
+        caller_records.append(got("b.1", sent_at_ms=seen_at_ms))
+        engine_records += runs("b.1", "p0", at_ms=seen_at_ms, service="panel")
+    assert rules(engine_records, caller_records, changes) == expected
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_soak.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from bambooglade_standins.users_platform import invariants
 from bambooglade_standins.users_platform import soak
+from bambooglade_standins.users_platform import soak_pauses
 from bambooglade_standins.users_platform import soak_releases
 
 CI_DURATION_MS = 6_000
@@ -61,3 +62,25 @@
         soak_releases.ReleaseSoak(1, fault="trust_the_registered_versions").run(
             8
         )
+
+
+PAUSES_DURATION_MS = 10_000
+
+
+def test_rules_hold_while_engine_processes_are_stopped():
+    ends = soak_pauses.PauseSoak(1, size="small").run(PAUSES_DURATION_MS)
+    assert ends["feedback complete 200"] > 50
+
+
+def test_pause_soak_detects_silent_requests_that_are_broken_off():
+    run = soak_pauses.PauseSoak(
+        1, size="small", fault="break_off_silent_requests"
+    )
+    with pytest.raises(invariants.InvariantViolationError, match="LOST"):
+        run.run(PAUSES_DURATION_MS)
+
+
+@pytest.mark.xfail(reason="issue 46, see KNOWN-RED.txt", strict=True)
+def test_resumed_streams_stay_at_their_service_when_a_route_moves():
+    run = soak_pauses.PauseSoak(12, size="one-zone", changes=["route"])
+    run.run(13_000)
