Show streams that are joined at an instance that is out of step

Hypotheses, before any change: (1) an instance takes the versions that it saw for all there are, however long ago it was told; (2) the holders that it asks don't answer, which counts as "not recorded"; (3) a peer vouches for the versions that it knew before it was cut off itself.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/platform_harness.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/platform_harness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from concurrent import futures
 import itertools
 import os
@@ -296,7 +297,40 @@
         """Leaves all calls between gateways without a response."""
         peers = {gateway.settings.peer_address for gateway in self.gateways}
         for client in self._clients:
-            client.unresponsive_addresses = peers
+            client.unresponsive_addresses |= peers
+
+    def cut_off(self, gateway: int) -> None:
+        """Cuts a gateway off from the store and all others, both ways."""
+        self.cut_between(gateway, range(len(self.gateways)))
+        self.cut_from_store(gateway)
+
+    def cut_from_store(self, gateway: int) -> None:
+        """Leaves a gateway's calls to the store without a response."""
+        self._clients[gateway].unresponsive_addresses.add(self._server.address)
+
+    def cut_between(self, gateway: int, others: Iterable[int]) -> None:
+        """Leaves calls between a gateway and others without a response."""
+        address_by_number = {
+            number: self.gateways[number].settings.peer_address
+            for number in (gateway, *others)
+        }
+        for number in set(address_by_number) - {gateway}:
+            for here, there in ((gateway, number), (number, gateway)):
+                self._clients[here].unresponsive_addresses.add(
+                    address_by_number[there]
+                )
+
+    def restore_links_between(self, gateway: int, other: int) -> None:
+        """Ends a cut between two gateways."""
+        for here, there in ((gateway, other), (other, gateway)):
+            self._clients[here].unresponsive_addresses.discard(
+                self.gateways[there].settings.peer_address
+            )
+
+    def restore_links(self) -> None:
+        """Ends all cuts between gateways, and from the store."""
+        for client in self._clients:
+            client.unresponsive_addresses.clear()
 
     def configure(self, value: bytes) -> None:
         """Writes an encoded configuration to the store."""
@@ -494,7 +528,16 @@
         """Sends a request, as `HttpClient` does."""
         if address in self.unresponsive_addresses:
             return tasks.sleep(self._call_loop, timeout_ms)
-        return super().call(address, timeout_ms=timeout_ms, **request)
+        result: futures.Future = futures.Future()
+
+        def finish(done: futures.Future) -> None:
+            """Drops a response that crosses a cut."""
+            is_cut = address in self.unresponsive_addresses
+            tasks.complete(result, None if is_cut else done.result())
+
+        call = super().call(address, timeout_ms=timeout_ms, **request)
+        call.add_done_callback(finish)
+        return result
 
 
 class Caller:
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -132,7 +132,7 @@
             loop,
             store,
             origins,
-            is_recorder=self._is_version_recorder,
+            is_recorder=lambda: self.records_versions,
             is_first_start=settings.is_first_start,
             log=log,
         )
@@ -391,8 +391,9 @@
     def _observe_versions(self) -> None:
         self._origins.observe(self.view.target_by_id)
 
-    def _is_version_recorder(self) -> bool:
-        """Returns whether this instance records the versions of services.
+    @property
+    def records_versions(self) -> bool:
+        """Whether this instance records the versions of services.
 
         Until it knows the fleet, it would take itself for the only one.
         """
