Take a version for the only one only if the store confirms it at that moment

Cause: what an instance had seen was taken for all there is, without a time up to which it holds. "Up for 60 s" says nothing of the last seconds; holders that don't respond counted as "not recorded"; a peer vouched for what it knew before it was cut off itself. Of the same class: what came and went while a view was not followed, and a record of versions that no recorder could write.

Change: knowledge of versions has an end as well as a beginning. The end is the time at which the last read of the store began, so that a response that a process reads after it stood still proves nothing new. A resumption whose origin nobody has recorded reads what has changed until now, in calls that resumptions of one moment share, at most 10 times a second; an instance that the store does not answer asks its holders to do so. Where nobody can, the caller gets 503 at once and the request has not run. A list after a pause ends the knowledge of the past until the record or a peer that followed fills it. While the store does not respond, origins are sent to holders even of the only version, so that streams go on then. An instance that is no recorder checks the record after each change and writes what is missing, what came and went meanwhile included.

Messages: earlier builds don't state `is_confirmed` and are not trusted for the present; they ignore `needs_confirmation`.

The own interface resumes a chat only within one response, at the instance that began it: nothing to change.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_watcher.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_watcher.py
@@ -32,7 +32,7 @@
         self.store_monitor = dependency_monitor.DependencyMonitor(
             "store", log=self.log
         )
-        store_watcher_lib.StoreWatcher(
+        self.watcher = store_watcher_lib.StoreWatcher(
             self.loop,
             self.client,
             self.view,
@@ -50,7 +50,8 @@
             ),
             contact=self.store_monitor,
             random_source=random.Random(1),
-        ).start()
+        )
+        self.watcher.start()
         self.configure(1)
         self.loop.advance(APPLY_BOUND_MS)
 
@@ -183,3 +184,73 @@
     registrations[0].stop()
     harness.loop.advance(1_000)
     assert harness.store.peek(registration_lib.PEER_PREFIX + "a") is None
+
+
+@pytest.mark.parametrize(
+    ("fault", "is_successful"),
+    [
+        (memory_store.Fault.NONE, True),
+        (memory_store.Fault.BUSY, False),
+        (memory_store.Fault.UNRESPONSIVE, False),
+    ],
+)
+def test_catch_up_confirms_the_view_only_if_the_store_responds(
+    harness, fault, is_successful
+):
+    harness.loop.advance(1_000)
+    asked_at_ms = harness.loop.now_ms()
+    harness.store.fault = fault
+    done = harness.watcher.catch_up()
+    harness.loop.advance(50)
+    assert done.result(timeout=0) == is_successful
+    assert (harness.view.read_at_ms >= asked_at_ms) == is_successful
+
+
+def test_catch_up_includes_what_was_written_before_it(harness):
+    harness.register_engine("e1")
+    done = harness.watcher.catch_up()
+    harness.register_engine("e2")
+    while not done.done():
+        harness.loop.advance(1)
+    assert {"e1", "e2"} == set(harness.ready_targets())
+
+
+def test_catch_ups_of_one_moment_share_the_calls_to_the_store(harness):
+    first = harness.watcher.catch_up()
+    harness.loop.advance(1)
+    call_count = harness.store.call_count
+    rest = [harness.watcher.catch_up() for _ in range(50)]
+    assert all(done is rest[0] for done in rest)
+    assert rest[0] is not first
+    harness.loop.advance(store_watcher_lib.MIN_CATCH_UP_INTERVAL_MS + 50)
+    assert rest[0].result(timeout=0)
+    assert harness.store.call_count <= call_count + 4
+
+
+def test_watch_that_ends_late_confirms_nothing_after_its_beginning(harness):
+    """A process that was suspended reads old responses when it resumes."""
+    harness.loop.advance(1_000)
+    read_at_ms = harness.view.targets_read_at_ms
+    while harness.view.targets_read_at_ms == read_at_ms:
+        harness.loop.advance(1)
+    age_ms = harness.loop.now_ms() - harness.view.targets_read_at_ms
+    assert age_ms >= store_watcher_lib.WATCH_TIMEOUT_MS
+
+
+@pytest.mark.parametrize("is_in_outage", [False, True])
+def test_targets_that_may_have_come_and_gone_unseen_are_noticed(
+    harness, is_in_outage
+):
+    seen = []
+    harness.view.registration_listeners.append(
+        lambda target: seen.append(target.target_id)
+    )
+    if is_in_outage:
+        harness.store.fault = memory_store.Fault.UNRESPONSIVE
+        harness.loop.advance(5_000)
+    harness.register_engine("e1")
+    harness.store.put_now("servers/e1", None)
+    harness.store.fault = memory_store.Fault.NONE
+    harness.loop.advance(1_000)
+    assert seen == ([] if is_in_outage else ["e1"])
+    assert bool(harness.view.unseen_until_ms) == is_in_outage
--- a/packages/bambooglade/bambooglade/discovery/peer_puller.py
+++ b/packages/bambooglade/bambooglade/discovery/peer_puller.py
@@ -206,7 +206,7 @@
             return
         network_ms = self._loop.now_ms() - requested_at_ms - response.waited_ms
         checked_at_ms = self._loop.now_ms() - age_ms - network_ms
-        self._apply_response(response, relay.address)
+        self._apply_response(response, relay.address, is_relay=True)
         self._view.targets_checked_at_ms = checked_at_ms
         if self._lacks_configuration(response):
             yield self._read_configuration()
@@ -297,8 +297,17 @@
             return None
 
     def _apply_response(
-        self, response: view_messages.ViewResponse, address: tuple[str, int]
+        self,
+        response: view_messages.ViewResponse,
+        address: tuple[str, int],
+        *,
+        is_relay: bool = False,
     ) -> None:
+        """Applies what a peer knows.
+
+        A target that comes and goes between two responses is not among the
+        changes. Responses of a relay follow each other without a pause.
+        """
         now_ms = self._loop.now_ms()
         source = f"peer:{address[0]}"
         is_newest_era = self._era.observe(response.store_era, source=source)
@@ -329,6 +338,7 @@
                 store_api.Items(items, at_revision=response.targets_revision),
                 now_ms=now_ms,
                 source=source,
+                is_every_change=is_relay,
             )
 
     def _apply_configuration(
--- a/packages/bambooglade/bambooglade/discovery/store_watcher.py
+++ b/packages/bambooglade/bambooglade/discovery/store_watcher.py
@@ -47,6 +47,15 @@
 RELAY_WATCH_INTERVAL_FRACTION = 0.15
 """Mean watch interval in a large fleet, as a fraction of `stale_after_ms`."""
 
+CATCH_UP_WAIT_MS = 1
+"""Wait of a watch that returns what has changed until now."""
+
+MIN_CATCH_UP_INTERVAL_MS = 100
+"""Shortest time between two calls of `StoreWatcher.catch_up` to the store.
+
+It limits the calls when many requests need one at the same moment.
+"""
+
 IDLE_POLL_INTERVAL_MS = 250
 """Interval at which an idle watcher checks whether it has to call the store."""
 
@@ -65,10 +74,12 @@
     """
 
     __slots__ = (
+        "_catch_up_started_at_ms",
         "_codec",
         "_contact",
         "_is_stopped",
         "_loop",
+        "_next_catch_up",
         "_random",
         "_relays",
         "_store",
@@ -94,6 +105,8 @@
         self._contact = contact
         self._random = random_source
         self._is_stopped = False
+        self._next_catch_up: futures.Future | None = None
+        self._catch_up_started_at_ms = 0
         store.era.listeners.append(self._begin_era)
 
     def _begin_era(self) -> None:
@@ -101,10 +114,7 @@
 
     def start(self) -> None:
         """Starts to watch the configuration and the targets."""
-        for prefix, is_targets in (
-            (self._codec.configuration_key, False),
-            (self._codec.target_prefix, True),
-        ):
+        for prefix, is_targets in self._prefixes:
             tasks.keep_running(
                 self._loop,
                 functools.partial(self._watch_forever, prefix, is_targets),
@@ -118,6 +128,67 @@
         """Reads the configuration; the future completes when the read ends."""
         return tasks.spawn(self._read_all(self._codec.configuration_key, False))
 
+    def catch_up(self) -> futures.Future:
+        """Reads what has changed until now, whether or not a relay does.
+
+        Calls that have to wait share one read.
+
+        Returns:
+            A future with whether the store has responded to reads that began
+            after this call.
+        """
+        if self._next_catch_up is None:
+            self._next_catch_up = futures.Future()
+            due_ms = self._catch_up_started_at_ms + MIN_CATCH_UP_INTERVAL_MS
+            self._loop.call_later(
+                due_ms - self._loop.now_ms(), self._start_catch_up
+            )
+        return self._next_catch_up
+
+    def _start_catch_up(self) -> None:
+        done, self._next_catch_up = self._next_catch_up, None
+        self._catch_up_started_at_ms = self._loop.now_ms()
+        tasks.spawn(self._catch_up(done))
+
+    def _catch_up(self, done: futures.Future) -> tasks.Task:
+        is_successful = False
+        try:
+            first, second = (
+                tasks.spawn(self._read_changes(prefix, is_targets))
+                for prefix, is_targets in self._prefixes
+            )
+            is_successful = (yield first) and (yield second)
+        finally:
+            tasks.complete(done, is_successful)
+
+    def _read_changes(self, prefix: str, is_targets: bool) -> tasks.Task:
+        """Reads what has changed; returns whether the store responded."""
+        revision = self._revision(is_targets)
+        if revision == 0:
+            return (yield tasks.spawn(self._read_all(prefix, is_targets)))
+        return (
+            yield tasks.spawn(
+                self._watch(
+                    prefix, revision, is_targets, wait_ms=CATCH_UP_WAIT_MS
+                )
+            )
+        )
+
+    def _revision(self, is_targets: bool) -> int:
+        """Returns the revision as of which a part of the view is complete."""
+        view = self._view
+        return (
+            view.targets_revision if is_targets else view.configuration_revision
+        )
+
+    @property
+    def _prefixes(self) -> tuple[tuple[str, bool], ...]:
+        """The watched prefixes, and whether they hold targets."""
+        return (
+            (self._codec.configuration_key, False),
+            (self._codec.target_prefix, True),
+        )
+
     def _watch_forever(self, prefix: str, is_targets: bool) -> tasks.Task:
         """Watches a prefix; after a failure, reads the current items instead.
 
@@ -130,19 +201,19 @@
             if not self._should_call_store(is_targets):
                 yield tasks.sleep(self._loop, IDLE_POLL_INTERVAL_MS)
                 continue
-            view = self._view
-            revision = (
-                view.targets_revision
-                if is_targets
-                else view.configuration_revision
-            )
+            revision = self._revision(is_targets)
             if revision == 0 or not is_successful:
                 is_successful = yield tasks.spawn(
                     self._read_all(prefix, is_targets)
                 )
             else:
                 is_successful = yield tasks.spawn(
-                    self._watch(prefix, revision, is_targets)
+                    self._watch(
+                        prefix,
+                        revision,
+                        is_targets,
+                        wait_ms=self._watch_timeout_ms,
+                    )
                 )
             yield self._sleep_with_jitter(self._delay_ms(is_successful))
 
@@ -179,8 +250,10 @@
         earlier era is read again.
         """
         era, items, first_revision = -1, [], 0
+        began_at_ms = self._loop.now_ms()
         while era != self._store.era.number:
             era = self._store.era.number
+            began_at_ms = self._loop.now_ms()
             pages = yield from self._read_pages(prefix)
             if pages is None:
                 return False
@@ -195,9 +268,9 @@
                 source="store",
                 recovery_ends_at_ms=self._contact.recovery_ends_at_ms,
             )
-            self._view.targets_checked_at_ms = self._loop.now_ms()
+            self._confirm_targets(began_at_ms)
         else:
-            self._apply_configuration(items, first_revision)
+            self._apply_configuration(items, first_revision, began_at_ms)
         return True
 
     def _read_pages(self, prefix: str) -> tasks.Task:
@@ -216,20 +289,28 @@
                 return items, first_revision
             after_key = response.items[-1].key
 
+    def _confirm_targets(self, began_at_ms: int) -> None:
+        """Records that the targets include all that a read returned."""
+        self._view.targets_checked_at_ms = self._loop.now_ms()
+        self._view.targets_read_at_ms = max(
+            began_at_ms, self._view.targets_read_at_ms or 0
+        )
+
+    @property
+    def _watch_timeout_ms(self) -> int:
+        if not self._relays.uses_relays():
+            return WATCH_TIMEOUT_MS
+        return round(RELAY_WATCH_TIMEOUT_FRACTION * self._relays.stale_after_ms)
+
     def _watch(
-        self, prefix: str, revision: int, is_targets: bool
+        self, prefix: str, revision: int, is_targets: bool, *, wait_ms: int
     ) -> tasks.Task:
         """Watches once; returns whether the store responded.
 
         In a new era, the revision after which was watched may exist again, so
         that the response lacks changes without any sign of it.
         """
-        era = self._store.era.number
-        wait_ms = WATCH_TIMEOUT_MS
-        if self._relays.uses_relays():
-            wait_ms = round(
-                RELAY_WATCH_TIMEOUT_FRACTION * self._relays.stale_after_ms
-            )
+        era, began_at_ms = self._store.era.number, self._loop.now_ms()
         response = yield self._store.watch(
             prefix,
             after_revision=revision,
@@ -249,13 +330,18 @@
                 source="store",
                 recovery_ends_at_ms=self._contact.recovery_ends_at_ms,
             )
-            self._view.targets_checked_at_ms = self._loop.now_ms()
+            self._confirm_targets(began_at_ms)
         else:
-            self._apply_configuration(response.items, response.at_revision)
+            self._apply_configuration(
+                response.items, response.at_revision, began_at_ms
+            )
         return True
 
     def _apply_configuration(
-        self, items: list[store_api.Item], at_revision: int
+        self,
+        items: list[store_api.Item],
+        at_revision: int,
+        began_at_ms: int,
     ) -> None:
         for item in items:
             if item.key == self._codec.configuration_key:
@@ -263,6 +349,9 @@
         self._view.confirm_configuration(
             at_revision, now_ms=self._loop.now_ms()
         )
+        self._view.configuration_read_at_ms = max(
+            began_at_ms, self._view.configuration_read_at_ms or 0
+        )
 
     def _record_response(self, response: store_api.Response) -> bool:
         now_ms = self._loop.now_ms()
--- a/packages/bambooglade/bambooglade/discovery/view.py
+++ b/packages/bambooglade/bambooglade/discovery/view.py
@@ -78,8 +78,17 @@
             complete.
         targets_checked_at_ms: Time at which the targets were last confirmed as
             complete; None if they never were.
+        configuration_read_at_ms: Time at which the latest call to the store
+            began whose response the configuration includes; None before it.
+            Unlike the time of the response, it holds for a process that was
+            suspended.
+        targets_read_at_ms: The same for the targets.
+        unseen_until_ms: Time until which targets may have come and gone unseen
+            here, since the changes were not followed; 0 if they were.
         target_by_id: Registered targets, including draining ones.
         listeners: Called after each change that affects requests.
+        registration_listeners: Called with each target as it is registered,
+            also if it is gone by the time at which `listeners` are called.
     """
 
     __slots__ = (
@@ -99,11 +108,15 @@
         "configuration",
         "configuration_checked_at_ms",
         "configuration_item",
+        "configuration_read_at_ms",
         "configuration_revision",
         "listeners",
+        "registration_listeners",
         "target_by_id",
         "targets_checked_at_ms",
+        "targets_read_at_ms",
         "targets_revision",
+        "unseen_until_ms",
     )
 
     def __init__(
@@ -135,7 +148,13 @@
         self.configuration_revision = 0
         self.configuration_checked_at_ms: int | None = None
         self.targets_checked_at_ms: int | None = None
+        self.configuration_read_at_ms: int | None = None
+        self.targets_read_at_ms: int | None = None
+        self.unseen_until_ms = 0
         self.listeners: list[Callable[[], None]] = []
+        self.registration_listeners: list[
+            Callable[[targets_lib.RegisteredTarget], None]
+        ] = []
 
     @property
     def checked_at_ms(self) -> int | None:
@@ -143,6 +162,12 @@
         times = (self.configuration_checked_at_ms, self.targets_checked_at_ms)
         return None if None in times else min(times)
 
+    @property
+    def read_at_ms(self) -> int | None:
+        """Time until which the whole view includes all changes, at least."""
+        times = (self.configuration_read_at_ms, self.targets_read_at_ms)
+        return None if None in times else min(times)
+
     @property
     def is_ready(self) -> bool:
         """Whether the view is complete enough to serve requests."""
@@ -290,6 +315,7 @@
         *,
         now_ms: int,
         source: str,
+        is_every_change: bool = True,
         recovery_ends_at_ms: int = 0,
     ) -> None:
         """Applies changes of target entries after the current revision.
@@ -298,11 +324,16 @@
             changes: Items that were written or deleted.
             now_ms: Current time.
             source: Origin of the changes, for the log.
+            is_every_change: Whether no target may have come and gone between
+                the current revision and the changes.
             recovery_ends_at_ms: Time until which an entry may be missing that
                 expired in an outage of the store although its target still
                 runs; 0 if there was none.
         """
         recovery_ends_at_ms = max(recovery_ends_at_ms, self._restore_ends_at_ms)
+        is_newer = changes.at_revision > self.targets_revision
+        if self._has_targets and is_newer and not is_every_change:
+            self.unseen_until_ms = now_ms
         changes_before = self._change_count
         for item in changes.items:
             self._apply_target_item(item, now_ms, source, recovery_ends_at_ms)
@@ -353,6 +384,7 @@
             changes,
             now_ms=now_ms,
             source=source,
+            is_every_change=False,
             recovery_ends_at_ms=recovery_ends_at_ms,
         )
 
@@ -483,6 +515,8 @@
             self._remove(target_id, source=source)
             self._record_change(item)
             return
+        for listener in list(self.registration_listeners):
+            listener(target)
         grace_until_ms = self._grace_until_ms_by_id.pop(target_id, None)
         current = self.target_by_id.get(target_id)
         if (
--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -322,7 +322,8 @@
             self.reject_unexecuted(
                 error_responses.ErrorKind.STREAM_ORIGIN_UNKNOWN,
                 "no instance that responds knows where the stream began, and"
-                " the targets of the route differ in their software version",
+                " the targets of the route differ in their software version, or"
+                " nobody that reaches the store confirms that they don't",
             )
         elif origin.service not in self.route.service_names:
             self.reject_unexecuted(
--- a/packages/bambooglade/bambooglade/gateway/origin_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/origin_replication.py
@@ -2,10 +2,15 @@
 
 A caller may resume a stream at any instance, also after the instance at which
 it began is gone. Where its origin can't be told otherwise, because the route
-has several services or the targets of the service differ in version, it is
-therefore sent to another instance of each availability zone, its holders, and
-looked up there. While versions differ, one instance of the own zone writes it
-to the store as well, in case all instances are killed.
+has several services, the targets of the service differ in version or the store
+can't tell whether they do, it is therefore sent to another instance of each
+availability zone, its holders, and looked up there. While versions differ, one
+instance of the own zone writes it to the store as well, in case all instances
+are killed.
+
+An origin that nobody has recorded may be the only one possible. That holds only
+if the versions are known up to the time of the resumption: an instance that was
+cut off, or stood still, has not seen those that appeared meanwhile.
 """
 
 from __future__ import annotations
@@ -30,6 +35,7 @@
 from bambooglade.gateway import origin_archive
 from bambooglade.gateway import stream_origins
 from bambooglade.gateway import version_archive
+from bambooglade.store import dependency_monitor
 
 RECORD_PATH = "/v1/stream-origins"
 LOOKUP_PATH = "/v1/stream-origins/lookup"
@@ -40,6 +46,9 @@
 CALL_TIMEOUT_MS = 150
 """Timeout of a call to a holder; peers respond within a few milliseconds."""
 
+CATCH_UP_TIMEOUT_MS = 250
+"""Time in which the store has to confirm the versions, for one resumption."""
+
 SHARD_COUNT = 64
 """Number of groups of streams that share their holders, and thus messages."""
 
@@ -64,9 +73,16 @@
 
 
 class OriginLookup(msgspec.Struct, frozen=True, kw_only=True):
-    """Question to a holder for the origin of one stream."""
+    """Question to a holder for the origin of one stream.
+
+    Attributes:
+        stream_id: Id of the stream.
+        needs_confirmation: Whether the holder asks the store for the versions
+            first; earlier builds don't.
+    """
 
     stream_id: str
+    needs_confirmation: bool = False
 
 
 class OriginLookupResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -76,10 +92,13 @@
         origin: Where the stream began; None if the holder doesn't know it.
         seen_versions: Versions that the holder knows; a build that states none
             knows them for no time.
+        is_confirmed: Whether they include all that the store listed after the
+            lookup had arrived.
     """
 
     origin: stream_origins.StreamOrigin | None = None
     seen_versions: stream_origins.SeenVersions = stream_origins.SeenVersions()
+    is_confirmed: bool = False
 
 
 class OriginReplicator:
@@ -93,6 +112,10 @@
         log: Records holders without a response.
         archive: Keeps origins in the store.
         versions: Keeps the versions of services in the store.
+        catch_up: Reads from the store what has changed until now; returns a
+            future with whether that was read. `observe` is called before it
+            completes.
+        contact: Tracks whether the store is reachable.
         origins: Origins and versions that are known here.
 
     Attributes:
@@ -101,12 +124,16 @@
 
     __slots__ = (
         "_archive",
+        "_catch_up",
         "_client",
+        "_contact",
         "_due",
+        "_holder_responded_at_ms",
         "_local_instance",
         "_log",
         "_loop",
         "_peers",
+        "_sent_ids",
         "_versions",
         "_waiting",
         "origins",
@@ -122,9 +149,13 @@
         origins: stream_origins.StreamOrigins,
         archive: origin_archive.OriginArchive,
         versions: version_archive.VersionArchive,
+        catch_up: Callable[[], futures.Future],
+        contact: dependency_monitor.DependencyMonitor,
         log: event_log.EventLog,
     ) -> None:
         self._archive = archive
+        self._catch_up = catch_up
+        self._contact = contact
         self._versions = versions
         self._loop = loop
         self._client = client
@@ -135,6 +166,9 @@
         self._waiting: collections.deque[stream_origins.OriginRecord] = (
             collections.deque(maxlen=stream_origins.MAX_ORIGINS)
         )
+        # Those of them that were sent while the store did not respond.
+        self._sent_ids: set[str] = set()
+        self._holder_responded_at_ms = -1
         self._due: list[stream_origins.OriginRecord] = []
         self.origins = origins
 
@@ -158,20 +192,40 @@
             self._schedule([record])
         else:
             self._waiting.append(record)
+            if self._contact.is_unavailable:
+                self._send_waiting()
+
+    def observe_target(self, target: targets_lib.RegisteredTarget) -> None:
+        """Records the version of a target that has been registered."""
+        self.origins.observe([target], now_ms=self._loop.now_ms())
 
     def observe(
-        self, target_by_id: dict[str, targets_lib.RegisteredTarget]
+        self,
+        target_by_id: dict[str, targets_lib.RegisteredTarget],
+        *,
+        until_ms: int | None,
+        unseen_until_ms: int = 0,
     ) -> None:
         """Records the versions of the registered targets.
 
         When a second version of a service appears, the origins of its earlier
         streams are sent as well.
+
+        Args:
+            target_by_id: The registered targets.
+            until_ms: Time until which they include all changes; None if that
+                is unknown.
+            unseen_until_ms: Time until which targets may have come and gone
+                unseen; 0 if none have.
         """
         now_ms = self._loop.now_ms()
+        self.origins.confirm(
+            until_ms=until_ms or 0, unseen_until_ms=unseen_until_ms
+        )
         self.origins.observe(target_by_id.values(), now_ms=now_ms)
         self._versions.observe(target_by_id.values())
         while self._waiting and not self._is_known(self._waiting[0], now_ms):
-            self._waiting.popleft()
+            self._sent_ids.discard(self._waiting.popleft().stream_id)
         due = list(filter(self._has_several_versions, self._waiting))
         if due:
             self._schedule(due)
@@ -181,6 +235,16 @@
             self._waiting = collections.deque(
                 waiting, maxlen=stream_origins.MAX_ORIGINS
             )
+            self._sent_ids.difference_update(r.stream_id for r in due)
+        if self._contact.is_unavailable:
+            self._send_waiting()
+
+    def _send_waiting(self) -> None:
+        """Sends what nobody can tell from the versions without the store."""
+        unsent = [r for r in self._waiting if r.stream_id not in self._sent_ids]
+        if unsent:
+            self._sent_ids.update(record.stream_id for record in unsent)
+            self._schedule(unsent)
 
     def resolve(
         self,
@@ -200,22 +264,24 @@
         Returns:
             A future with the `StreamOrigin`, or None if it is unknown. An
             origin that nobody recorded is the only one possible, if there is
-            only one. The store is asked only if neither this instance nor its
-            peers know.
+            only one, and if the store or a peer that reaches it confirms that.
+            The store is asked only if neither this instance nor its peers
+            know.
         """
         return tasks.spawn(self._resolve(attempt_id, stream_id, services))
 
     def _resolve(
         self, attempt_id: str, stream_id: str | None, services: Sequence[str]
     ) -> tasks.Task:
-        found = source = None
-        if stream_id is not None:
-            found = yield self.find(stream_id)
-            source = "instances"
-        origin = found or self._sole_origin(services)
-        if origin is None and not self._knows_recent_versions:
-            yield self._versions.load()
-            origin = self._sole_origin(services)
+        as_of_ms = self._loop.now_ms()
+        source = "instances"
+        found = origin = yield self.find(stream_id or attempt_id)
+        if found is None and self._may_be_sole(services):
+            yield from self._confirm_versions(stream_id or attempt_id, as_of_ms)
+            is_current = self.origins.is_current(as_of_ms)
+            if is_current and not self._knows_recent_versions:
+                yield self._versions.load()
+            origin = self._sole_origin(services, as_of_ms)
         if origin is None and stream_id is not None:
             found = origin = yield from self._find_archived(stream_id, services)
             source = "store"
@@ -226,6 +292,7 @@
             is_recorded=found is not None,
             source=source if found else None,
             knows_recent_versions=self._knows_recent_versions,
+            is_current=self.origins.is_current(as_of_ms),
             service=origin.service if origin else None,
             software_version=origin.software_version if origin else None,
         )
@@ -235,11 +302,30 @@
     def _knows_recent_versions(self) -> bool:
         return self.origins.knows_recent_versions(now_ms=self._loop.now_ms())
 
+    def _may_be_sole(self, services: Sequence[str]) -> bool:
+        """Returns whether, as far as is known, there is one possible origin."""
+        return len(services) == 1 and not self.origins.has_several_versions(
+            services[0]
+        )
+
     def _sole_origin(
-        self, services: Sequence[str]
+        self, services: Sequence[str], as_of_ms: int
     ) -> stream_origins.StreamOrigin | None:
+        if not self.origins.is_current(as_of_ms):
+            return None
         return self.origins.sole_origin(services, now_ms=self._loop.now_ms())
 
+    def _confirm_versions(self, stream_id: str, as_of_ms: int) -> tasks.Task:
+        """Learns all versions up to now, from the store or through a peer."""
+        if not self._contact.is_unavailable:
+            yield tasks.with_timeout(
+                self._loop, self._catch_up(), CATCH_UP_TIMEOUT_MS
+            )
+        if self.origins.is_current(as_of_ms):
+            return
+        if self._holder_responded_at_ms >= as_of_ms:
+            yield self._ask_holders(stream_id, confirm_as_of_ms=as_of_ms)
+
     def _find_archived(
         self, stream_id: str, services: Sequence[str]
     ) -> tasks.Task:
@@ -259,24 +345,55 @@
             A future with the `StreamOrigin`, or None if neither this instance
             nor a holder that responds knows it.
         """
-        found: futures.Future = futures.Future()
         known = self.origins.find(stream_id, now_ms=self._loop.now_ms())
+        if known is None:
+            return self._ask_holders(stream_id)
+        found: futures.Future = futures.Future()
+        tasks.complete(found, known)
+        return found
+
+    def _ask_holders(
+        self, stream_id: str, *, confirm_as_of_ms: int | None = None
+    ) -> futures.Future:
+        """Asks the holders of a stream for its origin and for the versions.
+
+        Args:
+            stream_id: Id of the stream.
+            confirm_as_of_ms: Time until which one of them has to know all
+                versions; None to ask for what they know without the store.
+
+        Returns:
+            A future with the origin; None if no holder that responds knows it,
+            or as soon as the versions are known.
+        """
+        found: futures.Future = futures.Future()
         holders = self._ranked_holders(stream_id, LOOKUPS_PER_ZONE)
-        if known is not None or not holders:
-            tasks.complete(found, known)
-            return found
+        if not holders:
+            tasks.complete(found, None)
         missing = {holder.name for holder in holders}
+        asked_at_ms = self._loop.now_ms()
+        needs_confirmation = confirm_as_of_ms is not None
 
         def complete(holder: peers_lib.Peer, done: futures.Future) -> None:
             """Completes with the first origin, or after the last response."""
-            origin = self._decode_lookup(holder, done.result())
+            origin = self._decode_lookup(
+                holder, done.result(), asked_at_ms=asked_at_ms
+            )
             missing.discard(holder.name)
-            if origin is not None or not missing:
+            is_confirmed = needs_confirmation and self.origins.is_current(
+                confirm_as_of_ms
+            )
+            if origin is not None or is_confirmed or not missing:
                 tasks.complete(found, origin)
 
-        body = msgspec.json.encode(OriginLookup(stream_id=stream_id))
+        body = msgspec.json.encode(
+            OriginLookup(
+                stream_id=stream_id, needs_confirmation=needs_confirmation
+            )
+        )
+        timeout_ms = CALL_TIMEOUT_MS + needs_confirmation * CATCH_UP_TIMEOUT_MS
         for holder in holders:
-            call = self._call(holder, LOOKUP_PATH, body)
+            call = self._call(holder, LOOKUP_PATH, body, timeout_ms=timeout_ms)
             call.add_done_callback(functools.partial(complete, holder))
         return found
 
@@ -297,12 +414,21 @@
                 filter(self._has_several_versions, message.records)
             )
 
-    def respond_to_lookup(self, lookup: OriginLookup) -> OriginLookupResponse:
-        """Returns the origin and the versions that this instance knows."""
+    def respond_to_lookup(self, lookup: OriginLookup) -> futures.Future:
+        """Returns a future with the `OriginLookupResponse` of this instance."""
+        return tasks.spawn(self._respond_to_lookup(lookup))
+
+    def _respond_to_lookup(self, lookup: OriginLookup) -> tasks.Task:
+        received_at_ms = self._loop.now_ms()
+        if lookup.needs_confirmation and not self._contact.is_unavailable:
+            yield tasks.with_timeout(
+                self._loop, self._catch_up(), CATCH_UP_TIMEOUT_MS
+            )
         now_ms = self._loop.now_ms()
         return OriginLookupResponse(
             origin=self.origins.find(lookup.stream_id, now_ms=now_ms),
             seen_versions=self.origins.seen_versions(now_ms=now_ms),
+            is_confirmed=self.origins.is_current(received_at_ms),
         )
 
     def _schedule(self, records: list[stream_origins.OriginRecord]) -> None:
@@ -379,18 +505,27 @@
         ]
 
     def _call(
-        self, holder: peers_lib.Peer, path: str, body: bytes
+        self,
+        holder: peers_lib.Peer,
+        path: str,
+        body: bytes,
+        *,
+        timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> futures.Future:
         return self._client.call(
             holder.address,
             method="POST",
             target=path,
             body=body,
-            timeout_ms=CALL_TIMEOUT_MS,
+            timeout_ms=timeout_ms,
         )
 
     def _decode_lookup(
-        self, holder: peers_lib.Peer, response: http_client.Response | None
+        self,
+        holder: peers_lib.Peer,
+        response: http_client.Response | None,
+        *,
+        asked_at_ms: int,
     ) -> stream_origins.StreamOrigin | None:
         if response is None or response.status != _OK:
             self._log_failed_call(holder, response, records=0)
@@ -399,15 +534,20 @@
             decoded = msgspec.json.decode(
                 response.body, type=OriginLookupResponse
             )
-            self.origins.merge(
-                decoded.seen_versions, now_ms=self._loop.now_ms()
-            )
-            return decoded.origin
         except msgspec.DecodeError as error:
             self._log.event(
                 "peer_answer_malformed", peer=holder.name, error=error
             )
             return None
+        now_ms = self._loop.now_ms()
+        self._holder_responded_at_ms = now_ms
+        if decoded.is_confirmed:
+            self.origins.merge(
+                decoded.seen_versions, now_ms=now_ms, until_ms=asked_at_ms
+            )
+        else:
+            self.origins.merge_versions(decoded.seen_versions, now_ms=now_ms)
+        return decoded.origin
 
     def _log_failed_call(
         self,
--- a/packages/bambooglade/bambooglade/gateway/peer_api.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_api.py
@@ -200,9 +200,14 @@
         self._origins.apply_records(message)
         return http_server.Reply(200, b"{}")
 
-    def _handle_origin_lookup(self, body: bytes) -> http_server.Reply:
+    def _handle_origin_lookup(self, body: bytes) -> futures.Future:
         lookup = msgspec.json.decode(body, type=origin_replication.OriginLookup)
-        response = self._origins.respond_to_lookup(lookup)
+        return tasks.spawn(self._respond_to_lookup(lookup))
+
+    def _respond_to_lookup(
+        self, lookup: origin_replication.OriginLookup
+    ) -> tasks.Task:
+        response = yield self._origins.respond_to_lookup(lookup)
         return http_server.Reply(200, msgspec.json.encode(response))
 
     def _handle_suspicions(self, body: bytes) -> http_server.Reply:
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from concurrent import futures
 import os
 import random
 import signal
@@ -126,7 +127,8 @@
                 stream_origins.SINCE_EVER_MS
                 if settings.is_first_start
                 else loop.now_ms()
-            )
+            ),
+            known_until_ms=loop.now_ms(),
         )
         self._versions = version_archive.VersionArchive(
             loop,
@@ -134,6 +136,7 @@
             origins,
             is_recorder=lambda: self.records_versions,
             is_first_start=settings.is_first_start,
+            random_source=self._random_source,
             log=log,
         )
         self._origins = origin_replication.OriginReplicator(
@@ -150,9 +153,12 @@
                 log=log,
             ),
             versions=self._versions,
+            catch_up=self._catch_up,
+            contact=self._contact,
             log=log,
         )
         self.view.listeners.append(self._observe_versions)
+        self.view.registration_listeners.append(self._origins.observe_target)
         self._relays = relays_lib.RelaySelector(
             self.local_instance,
             peers=self.known_peers,
@@ -307,7 +313,7 @@
         client: http_client.HttpClient,
         item_codec: item_codec_lib.ItemCodec,
     ):
-        follower = store_watcher_lib.StoreWatcher(
+        self._follower = store_watcher_lib.StoreWatcher(
             self.loop,
             store,
             self.view,
@@ -331,7 +337,7 @@
             era=store.era,
             peers=self._peers,
             relays=self._relays,
-            read_configuration=follower.read_configuration,
+            read_configuration=self._follower.read_configuration,
             quarantine=self.quarantine,
             leaving=self.leaving,
             local_instance=self.local_instance,
@@ -341,7 +347,7 @@
             random_source=self._random_source,
         )
         return (
-            follower,
+            self._follower,
             self._registration,
             self._puller,
             self.quarantine,
@@ -389,7 +395,20 @@
         return self._peers.recent(now_ms=self.loop.now_ms())
 
     def _observe_versions(self) -> None:
-        self._origins.observe(self.view.target_by_id)
+        self._origins.observe(
+            self.view.target_by_id,
+            until_ms=self.view.read_at_ms,
+            unseen_until_ms=self.view.unseen_until_ms,
+        )
+
+    def _catch_up(self) -> futures.Future:
+        """Reads what has changed until now; returns whether that was read."""
+        return tasks.spawn(self._read_changes())
+
+    def _read_changes(self) -> tasks.Task:
+        is_successful = yield self._follower.catch_up()
+        self._observe_versions()
+        return is_successful
 
     @property
     def records_versions(self) -> bool:
--- a/packages/bambooglade/bambooglade/gateway/stream_origins.py
+++ b/packages/bambooglade/bambooglade/gateway/stream_origins.py
@@ -70,6 +70,7 @@
 
     Args:
         known_since_ms: Time since which all versions are observed here.
+        known_until_ms: Time until which they are, so far.
 
     See Also:
         bambooglade.gateway.origin_replication: shares origins with peers.
@@ -86,12 +87,18 @@
 
     __slots__ = (
         "_known_since_ms",
+        "_known_until_ms",
         "_origin_by_stream_id",
         "_seen_at_ms_by_service_and_version",
+        "_unseen_until_ms",
     )
 
-    def __init__(self, *, known_since_ms: int = SINCE_EVER_MS) -> None:
+    def __init__(
+        self, *, known_since_ms: int = SINCE_EVER_MS, known_until_ms: int = 0
+    ) -> None:
         self._known_since_ms = known_since_ms
+        self._known_until_ms = max(known_since_ms, known_until_ms)
+        self._unseen_until_ms = 0
         self._origin_by_stream_id: collections.OrderedDict[
             str, tuple[StreamOrigin, int]
         ] = collections.OrderedDict()
@@ -147,6 +154,19 @@
         for stream_id in list(self._expired(now_ms)):
             del self._origin_by_stream_id[stream_id]
 
+    def confirm(self, *, until_ms: int, unseen_until_ms: int = 0) -> None:
+        """Records for which time all versions are observed here.
+
+        Args:
+            until_ms: Time until which they are.
+            unseen_until_ms: Time until which some may have come and gone
+                unseen; 0 if none have.
+        """
+        if unseen_until_ms > self._unseen_until_ms:
+            self._unseen_until_ms = unseen_until_ms
+            self._known_since_ms = max(self._known_since_ms, unseen_until_ms)
+        self._known_until_ms = max(self._known_until_ms, until_ms)
+
     def seen_versions(self, *, now_ms: int) -> SeenVersions:
         """Returns the recent versions of all services, for other instances."""
         return SeenVersions(
@@ -162,16 +182,33 @@
             known_for_ms=max(0, now_ms - self._known_since_ms),
         )
 
-    def merge(self, seen: SeenVersions, *, now_ms: int) -> None:
+    def merge(
+        self, seen: SeenVersions, *, now_ms: int, until_ms: int | None = None
+    ) -> None:
         """Adds what another source knows of the versions.
 
+        Args:
+            seen: What it knew when it was asked.
+            now_ms: Current time.
+            until_ms: Time until which it knows all versions; None if that is
+                no later than they are known here.
+        """
+        since_ms = now_ms - max(0, seen.known_for_ms)
+        if until_ms is None or since_ms <= self._known_until_ms:
+            self._known_since_ms = min(self._known_since_ms, since_ms)
+        else:
+            # Between the two, versions may have come and gone unseen by both.
+            self._known_since_ms = since_ms
+        self._known_until_ms = max(self._known_until_ms, until_ms or 0)
+        self.merge_versions(seen, now_ms=now_ms)
+
+    def merge_versions(self, seen: SeenVersions, *, now_ms: int) -> None:
+        """Adds the versions that another source has seen, maybe not all.
+
         Args:
             seen: What it knew when it was asked.
             now_ms: Current time.
         """
-        self._known_since_ms = min(
-            self._known_since_ms, now_ms - max(0, seen.known_for_ms)
-        )
         for (
             service,
             age_ms_by_version,
@@ -191,6 +228,23 @@
         """
         return now_ms - self._known_since_ms > RETENTION_MS
 
+    def is_current(self, as_of_ms: int) -> bool:
+        """Returns whether every version is known that served until a time."""
+        return self._known_until_ms >= as_of_ms
+
+    def recent_versions(self, *, now_ms: int) -> dict[str, dict[str, int]]:
+        """Returns when each version of each service was seen last."""
+        return {
+            service: {
+                version: at_ms
+                for version, at_ms in seen_at_ms.items()
+                if now_ms - at_ms <= RETENTION_MS
+            }
+            for service, seen_at_ms in (
+                self._seen_at_ms_by_service_and_version.items()
+            )
+        }
+
     def has_several_versions(self, service: str) -> bool:
         """Returns whether recent targets of a service differ in version."""
         return len(self._recent_versions(service)) > 1
--- a/packages/bambooglade/bambooglade/gateway/tests/test_origin_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_origin_replication.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from concurrent import futures
+import random
 
 import msgspec
 import pytest
@@ -15,6 +16,7 @@
 from bambooglade.gateway import origin_replication
 from bambooglade.gateway import stream_origins
 from bambooglade.gateway import version_archive
+from bambooglade.store import dependency_monitor
 from bambooglade_standins.users_platform import memory_store
 from bambooglade_standins.users_platform import virtual_loop
 
@@ -68,7 +70,9 @@
     return StubClient()
 
 
-def new_replicator(loop, client, local_instance, peers, store=None):
+def new_replicator(
+    loop, client, local_instance, peers, store=None, catch_up=futures.Future
+):
     """Returns the replicator of an instance that has known the fleet for long.
 
     It writes to the store only if the entries of the fleet say that it may.
@@ -97,8 +101,11 @@
             origins,
             is_recorder=lambda: False,
             is_first_start=True,
+            random_source=random.Random(1),
             log=log,
         ),
+        catch_up=catch_up,
+        contact=dependency_monitor.DependencyMonitor("store", log=log),
         log=log,
     )
 
@@ -110,7 +117,9 @@
 
 
 def observe(replicator, *versions: str) -> None:
-    replicator.observe({version: target(version) for version in versions})
+    replicator.observe(
+        {version: target(version) for version in versions}, until_ms=None
+    )
 
 
 @pytest.mark.parametrize(
@@ -183,6 +192,77 @@
     assert lookup.result(timeout=0) == found
 
 
+def lookup_response(*versions: str, **fields) -> http_client.Response:
+    """Returns the response of a holder that doesn't know the origin."""
+    seen = stream_origins.SeenVersions(
+        age_ms_by_version_by_service={"jury": dict.fromkeys(versions, 0)},
+        known_for_ms=EXPIRED_MS,
+    )
+    return http_client.Response(
+        200, msgspec.json.encode({"seen_versions": seen, **fields})
+    )
+
+
+UNCONFIRMED = lookup_response("v1")
+"""As instances of 15486ae respond."""
+
+CONFIRMED = lookup_response("v1", is_confirmed=True)
+CONFIRMED_TWO = lookup_response("v1", "v2", is_confirmed=True)
+
+
+@pytest.mark.parametrize(
+    ("stood_still_ms", "is_caught_up", "first", "second", "is_found"),
+    [
+        (0, True, UNCONFIRMED, None, True),
+        (0, True, None, None, True),
+        (0, False, UNCONFIRMED, UNCONFIRMED, False),
+        (0, False, UNCONFIRMED, UNKNOWN, False),
+        (0, False, UNCONFIRMED, MALFORMED, False),
+        (0, False, UNCONFIRMED, CONFIRMED, True),
+        (0, False, UNCONFIRMED, CONFIRMED_TWO, False),
+        (0, False, None, None, False),
+        (5_000, False, UNCONFIRMED, None, False),
+        (5_000, True, UNCONFIRMED, None, True),
+    ],
+)
+def test_unrecorded_origin_counts_only_if_the_versions_are_confirmed(
+    loop, client, stood_still_ms, is_caught_up, first, second, is_found
+):
+    def catch_up() -> futures.Future:
+        done: futures.Future = futures.Future()
+        if is_caught_up:
+            replicator.observe({"v1": target("v1")}, until_ms=loop.now_ms())
+            done.set_result(True)
+        return done
+
+    peers = [peer(number) for number in range(1, 9)]
+    replicator = new_replicator(loop, client, peer(0), peers, catch_up=catch_up)
+    replicator.observe({"v1": target("v1")}, until_ms=loop.now_ms())
+    loop.advance(1 + stood_still_ms)
+    resolved = replicator.resolve("a2", stream_id="a1", services=["jury"])
+    for response in (first, second):
+        pending, client.responses = client.responses, []
+        for call in pending:
+            if not call.done():
+                call.set_result(response)
+        loop.advance(origin_replication.CATCH_UP_TIMEOUT_MS)
+    assert resolved.result(timeout=0) == (ORIGIN if is_found else None)
+
+
+def test_holder_confirms_nothing_that_it_learned_before_the_lookup(
+    loop, client
+):
+    replicator = new_replicator(loop, client, peer(0), [])
+    replicator.observe({"v1": target("v1")}, until_ms=loop.now_ms())
+    loop.advance(1)
+    lookup = origin_replication.OriginLookup(
+        stream_id="a1", needs_confirmation=True
+    )
+    responded = replicator.respond_to_lookup(lookup)
+    loop.advance(origin_replication.CATCH_UP_TIMEOUT_MS)
+    assert not responded.result(timeout=0).is_confirmed
+
+
 def test_holder_and_reader_agree_while_the_origin_ranks_first(client, loop):
     """Whichever instance records the stream, every other one asks a holder."""
     members = [peer(number) for number in range(9)]
--- a/packages/bambooglade/bambooglade/gateway/tests/test_stream_origins.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_stream_origins.py
@@ -84,6 +84,40 @@
     assert origin == (ORIGIN if is_known else None)
 
 
+@pytest.mark.parametrize(
+    ("peer_known_for_ms", "is_filled"),
+    [(RETENTION_MS + 1, True), (10_000, True), (9_999, False)],
+)
+def test_peer_fills_the_time_of_a_cut_only_if_it_followed_the_targets_then(
+    peer_known_for_ms, is_filled
+):
+    now_ms, cut_at_ms = 1_000_000, 990_000
+    origins = stream_origins.StreamOrigins()
+    origins.observe([target("v1")], now_ms=cut_at_ms)
+    origins.confirm(until_ms=cut_at_ms)
+    origins.merge(
+        stream_origins.SeenVersions(known_for_ms=peer_known_for_ms),
+        now_ms=now_ms,
+        until_ms=now_ms,
+    )
+    assert origins.is_current(now_ms)
+    assert origins.knows_recent_versions(now_ms=now_ms) == is_filled
+
+
+@pytest.mark.parametrize("repeats", [1, 2])
+def test_versions_that_came_and_went_unseen_make_the_others_uncertain(repeats):
+    origins = stream_origins.StreamOrigins()
+    for _ in range(repeats):
+        origins.confirm(until_ms=5_000, unseen_until_ms=4_000)
+    assert not origins.knows_recent_versions(now_ms=5_000)
+    origins.merge(
+        stream_origins.SeenVersions(known_for_ms=RETENTION_MS + 1),
+        now_ms=5_000,
+    )
+    origins.confirm(until_ms=6_000, unseen_until_ms=4_000)
+    assert origins.knows_recent_versions(now_ms=6_000)
+
+
 def test_merged_versions_are_passed_on_with_their_age():
     origins = stream_origins.StreamOrigins(known_since_ms=0)
     origins.observe([target("v1")], now_ms=1_000)
--- a/packages/bambooglade/bambooglade/gateway/tests/test_version_archive.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_version_archive.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import msgspec
 import pytest
 
@@ -48,6 +50,7 @@
             self.origins,
             is_recorder=lambda: is_recorder,
             is_first_start=is_first_start,
+            random_source=random.Random(1),
             log=log,
         )
 
@@ -222,6 +225,42 @@
     assert recorded(store) == {"v1": False, "v2": True}
 
 
+@pytest.mark.parametrize("is_recorder_away", [False, True])
+@pytest.mark.parametrize("is_back", [False, True])
+def test_change_that_no_recorder_wrote_is_recorded_by_another_instance(
+    loop, store, is_back, is_recorder_away
+):
+    """The store turns the recorder away while a version comes and goes."""
+    recorder = Instance(loop, store, is_first_start=True)
+    other = Instance(loop, store, is_first_start=True, is_recorder=False)
+    for instance in (recorder, other):
+        instance.observe("v1")
+    if not is_recorder_away:
+        recorder.observe("v1", "v2")
+    other.observe("v1", "v2", duration_ms=500)
+    if is_back:
+        other.observe("v1")
+    versions = ("v1",) if is_back else ("v1", "v2")
+    for _ in range(6):
+        other.observe(*versions, duration_ms=500)
+    assert recorded(store) == {"v1": True, "v2": not is_back}
+
+
+def test_instances_that_are_no_recorders_read_once_a_change(loop, store):
+    recorder = Instance(loop, store, is_first_start=True)
+    others = [
+        Instance(loop, store, is_first_start=True, is_recorder=False)
+        for _ in range(5)
+    ]
+    for versions in (("v1",), ("v1", "v2")):
+        recorder.observe(*versions)
+        call_count = store.call_count
+        for _ in range(100):
+            for instance in others:
+                instance.observe(*versions, duration_ms=20)
+        assert store.call_count == call_count + len(others)
+
+
 def test_time_of_a_clock_that_is_ahead_counts_as_now(loop, store):
     record = version_archive.VersionRecord(
         known_since_ms=0,
--- a/packages/bambooglade/bambooglade/gateway/version_archive.py
+++ b/packages/bambooglade/bambooglade/gateway/version_archive.py
@@ -3,7 +3,8 @@
 After all instances were killed, none of them remembers which versions served
 before. What is registered then may have replaced the version at which a stream
 began, so the versions and the times at which they left are recorded in one key.
-It is written only when a version appears or leaves.
+It is written only when a version appears or leaves, by a few recorders, or by
+whichever instance finds that none of them has done so.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from concurrent import futures
+import random
 
 import msgspec
 
@@ -24,11 +26,20 @@
 KEY = "bambooglade/software-versions"
 
 RECORDER_COUNT = 3
-"""Instances of different availability zones that write the record.
+"""Instances of different availability zones that write the record at once.
 
 One of them may be cut off from the store.
 """
 
+CHECK_DELAY_MS = 1_000
+"""Time after a change at which the other instances check the record.
+
+They write what is missing, in case no recorder has reached the store.
+"""
+
+CHECK_SPREAD_MS = 1_000
+"""Time over which these checks are spread at random."""
+
 COMMIT_TIMEOUT_MS = 1_000
 
 RETRY_DELAY_MS = 700
@@ -70,13 +81,19 @@
         )
 
     def updated(
-        self, versions_by_service: dict[str, set[str]], *, now_ms: int
+        self,
+        versions_by_service: dict[str, set[str]],
+        *,
+        now_ms: int,
+        seen_at_ms_by_service: dict[str, dict[str, int]] | None = None,
     ) -> VersionRecord:
         """Returns the record with the versions that are registered now.
 
         Args:
             versions_by_service: Versions of the registered targets.
             now_ms: Current time.
+            seen_at_ms_by_service: When recent versions were seen last; those
+                that were never recorded have left since.
 
         Examples:
             >>> record = VersionRecord(known_since_ms=0).updated(
@@ -87,12 +104,15 @@
         """
         updated: dict[str, dict[str, int | None]] = {}
         recorded = self.left_at_ms_by_version_by_service
-        for service in sorted({*recorded, *versions_by_service}):
+        seen = seen_at_ms_by_service or {}
+        for service in sorted({*recorded, *versions_by_service, *seen}):
             present = versions_by_service.get(service, set())
-            left_at_ms = {
-                version: now_ms if at_ms is None else at_ms
-                for version, at_ms in recorded.get(service, {}).items()
-            }
+            left_at_ms = dict(seen.get(service, {}))
+            for version, at_ms in recorded.get(service, {}).items():
+                left_at_ms[version] = max(
+                    now_ms if at_ms is None else at_ms,
+                    left_at_ms.get(version, 0),
+                )
             kept = {
                 version: at_ms
                 for version, at_ms in left_at_ms.items()
@@ -113,15 +133,26 @@
             },
         )
 
-    def lists(self, versions_by_service: dict[str, set[str]]) -> bool:
-        """Returns whether exactly these versions are recorded as present."""
+    def lists(
+        self,
+        versions_by_service: dict[str, set[str]],
+        seen_at_ms_by_service: dict[str, dict[str, int]],
+    ) -> bool:
+        """Returns whether exactly these versions are recorded.
+
+        Args:
+            versions_by_service: Versions of the registered targets.
+            seen_at_ms_by_service: Versions that were seen recently.
+        """
+        recorded = self.left_at_ms_by_version_by_service
         return versions_by_service == {
             service: present
-            for service, left_at_ms in (
-                self.left_at_ms_by_version_by_service.items()
-            )
+            for service, left_at_ms in recorded.items()
             if (present := {v for v, at in left_at_ms.items() if at is None})
-        }
+        } and all(
+            seen_at_ms.keys() <= recorded.get(service, {}).keys()
+            for service, seen_at_ms in seen_at_ms_by_service.items()
+        )
 
 
 class VersionArchive:
@@ -131,12 +162,15 @@
         loop: The event loop.
         store: The store.
         origins: Receives what the record says.
-        is_recorder: Returns whether this instance writes the record.
+        is_recorder: Returns whether this instance writes the record at once;
+            otherwise it checks that a recorder has written it.
         is_first_start: Whether no target served before this instance started.
+        random_source: Source of the time at which it checks.
         log: Receives an event for each change of the record.
     """
 
     __slots__ = (
+        "_check_at_ms",
         "_is_busy",
         "_is_first_start",
         "_is_recorder",
@@ -145,6 +179,7 @@
         "_log",
         "_loop",
         "_origins",
+        "_random",
         "_record",
         "_retry_at_ms",
         "_revision",
@@ -160,6 +195,7 @@
         *,
         is_recorder: Callable[[], bool],
         is_first_start: bool,
+        random_source: random.Random,
         log: event_log.EventLog,
     ) -> None:
         self._loop = loop
@@ -167,7 +203,10 @@
         self._origins = origins
         self._is_recorder = is_recorder
         self._is_first_start = is_first_start
+        self._random = random_source
         self._log = log
+        # Time of the next check; None if nothing has changed since the last.
+        self._check_at_ms: int | None = None
         self._record: VersionRecord | None = None
         self._revision = 0
         self._loaded: futures.Future | None = None
@@ -209,41 +248,57 @@
         return self._loaded
 
     def observe(self, targets: Iterable[targets_lib.RegisteredTarget]) -> None:
-        """Records a change of the registered versions, if this is a recorder.
+        """Records a change of the versions.
+
+        An instance that is no recorder does so later, and only if the record
+        lacks the change by then.
 
         Args:
             targets: All registered targets, including draining ones.
         """
+        now_ms = self._loop.now_ms()
         is_able = not self._is_busy and not self._is_stopped
-        if (
-            not is_able
-            or self._loop.now_ms() < self._retry_at_ms
-            or not self._is_recorder()
-        ):
+        if not is_able or now_ms < self._retry_at_ms:
             return
         versions_by_service: dict[str, set[str]] = {}
         for target in targets:
             versions = versions_by_service.setdefault(target.service, set())
             versions.add(target.software_version)
-        self._versions_by_service = versions_by_service
-        if versions_by_service and not self._is_recorded:
+        if versions_by_service != self._versions_by_service:
+            self._versions_by_service = versions_by_service
+            spread_ms = self._random.random() * CHECK_SPREAD_MS
+            self._check_at_ms = now_ms + CHECK_DELAY_MS + round(spread_ms)
+        if not versions_by_service:
+            return
+        is_recorder = self._is_recorder()
+        if not is_recorder and (
+            self._check_at_ms is None or now_ms < self._check_at_ms
+        ):
+            return
+        if not is_recorder:
+            # What was read before may have been written by others since.
+            self._forget_record()
+        if not self._is_recorded:
             self._is_busy = True
             tasks.spawn(self._write_changes())
 
     @property
     def _is_recorded(self) -> bool:
         return self._record is not None and self._record.lists(
-            self._versions_by_service
+            self._versions_by_service, self._recent_versions
         )
 
+    @property
+    def _recent_versions(self) -> dict[str, dict[str, int]]:
+        return self._origins.recent_versions(now_ms=self._loop.now_ms())
+
     def _write_changes(self) -> tasks.Task:
         try:
             for _ in range(MAX_CONFLICTS):
                 if self._record is None and not (yield self.load()):
                     break
-                if self._is_recorded:
-                    return
-                if (yield from self._write()):
+                if self._is_recorded or (yield from self._write()):
+                    self._check_at_ms = None
                     return
             self._retry_at_ms = self._loop.now_ms() + RETRY_DELAY_MS
         finally:
@@ -252,7 +307,11 @@
     def _write(self) -> tasks.Task:
         """Writes the record once; returns whether it was written."""
         now_ms = self._loop.now_ms()
-        record = self._record.updated(self._versions_by_service, now_ms=now_ms)
+        record = self._record.updated(
+            self._versions_by_service,
+            now_ms=now_ms,
+            seen_at_ms_by_service=self._recent_versions,
+        )
         era = self._store.era.number
         write = store_api.Write(
             KEY, msgspec.json.encode(record), expected_revision=self._revision
