Do not give up a silent stream because no connection opens

A stream whose target can't be connected to is given up after 1.6 s of silence, no longer at once. The new test failed before.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_silent_targets.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_silent_targets.py
@@ -6,6 +6,7 @@
 
 from bambooglade_standins.users_platform import engine as engine_lib
 from bambooglade_standins.users_platform import platform_harness as harness_lib
+from bambooglade_standins.users_platform import target_links
 
 EVENTS = 12
 EVENT_MS = 40
@@ -137,6 +138,23 @@
     assert all(c.is_complete for c in callers)
 
 
+def test_streams_are_not_cut_for_silence_while_no_connection_opens(harness):
+    harness.has_cuttable_links = True
+    engines = [
+        harness.add_engine(name, "jury", default=stream_slowly(harness))
+        for name in ("j1", "j2", "j3")
+    ]
+    harness.start_gateway()
+    callers = start_streams(harness)
+    harness.links[0].cut(target_links.Cut.REFUSE)
+    for engine in engines:
+        engine.fall_silent(SILENCE_MS)
+    harness.run_until(lambda: all(c.is_finished for c in callers))
+    assert [c.body for c in callers] == [whole_stream()] * CALLERS
+    assert all(c.is_complete for c in callers)
+    assert run_count(engines) == CALLERS
+
+
 def test_stream_goes_on_elsewhere_if_its_target_stays_silent(harness):
     gone = harness.add_engine("j1", "jury", default=stream_slowly(harness))
     harness.start_gateway()
--- a/packages/bambooglade/bambooglade/targets/silence.py
+++ b/packages/bambooglade/bambooglade/targets/silence.py
@@ -48,22 +48,32 @@
 
     Attributes:
         hung_ms: Time after which the request is given up if its target serves
-            other requests, or is not reached.
+            other requests.
+        unreached_ms: Time after which it is given up if connections to the
+            target do not open. A stopped process may not accept any either.
         silent_ms: Time after which it is given up in any case.
     """
 
-    __slots__ = ("hung_ms", "silent_ms")
+    __slots__ = ("hung_ms", "silent_ms", "unreached_ms")
 
-    def __init__(self, *, hung_ms: int, silent_ms: int) -> None:
+    def __init__(
+        self, *, hung_ms: int, unreached_ms: int, silent_ms: int
+    ) -> None:
         self.hung_ms = hung_ms
+        self.unreached_ms = unreached_ms
         self.silent_ms = silent_ms
 
     def __repr__(self) -> str:
-        return f"SilenceBounds({self.hung_ms}, {self.silent_ms})"
+        return (
+            f"SilenceBounds({self.hung_ms}, {self.unreached_ms},"
+            f" {self.silent_ms})"
+        )
 
 
 PLAIN_BOUNDS = SilenceBounds(
-    hung_ms=PLAIN_RESPONSE_MS, silent_ms=PLAIN_RESPONSE_MS
+    hung_ms=PLAIN_RESPONSE_MS,
+    unreached_ms=PLAIN_RESPONSE_MS,
+    silent_ms=PLAIN_RESPONSE_MS,
 )
 
 
@@ -79,7 +89,7 @@
 
     Examples:
         >>> stream_bounds(target_latency_ms=400, max_event_gap_ms=600)
-        SilenceBounds(1200, 2400)
+        SilenceBounds(1200, 1600, 2400)
     """
     patience_ms = max(
         MIN_CALLER_PATIENCE_MS,
@@ -88,6 +98,7 @@
     )
     return SilenceBounds(
         hung_ms=HUNG_STREAM_MS,
+        unreached_ms=MIN_SILENT_STREAM_MS,
         silent_ms=max(
             MIN_SILENT_STREAM_MS, round(PATIENCE_FRACTION * patience_ms)
         ),
@@ -112,10 +123,10 @@
         bounds: Bounds of requests of its kind.
         silent_ms: Time since the last progress of the request.
         target_silent_ms: Time since the target sent anything to any request.
-        is_unreached: Whether a connection to the target failed lately.
+        is_unreached: Whether connections to the target fail.
 
     Examples:
-        >>> bounds = SilenceBounds(hung_ms=1_200, silent_ms=1_600)
+        >>> bounds = stream_bounds(target_latency_ms=400, max_event_gap_ms=None)
         >>> should_give_up(bounds, silent_ms=1_300, target_silent_ms=1_300,
         ...     is_unreached=False)
         False
@@ -123,12 +134,12 @@
         ...     is_unreached=False)
         True
     """
-    if silent_ms < bounds.hung_ms:
-        return False
-    return (
-        silent_ms >= bounds.silent_ms
-        or is_unreached
-        or not is_silent_too(target_silent_ms, silent_ms)
+    if silent_ms >= bounds.silent_ms:
+        return True
+    if is_unreached and silent_ms >= bounds.unreached_ms:
+        return True
+    return silent_ms >= bounds.hung_ms and not is_silent_too(
+        target_silent_ms, silent_ms
     )
 
 
