Read what has arrived before timers run after a standstill

A gateway process that had been stopped and continued took its own standstill for silence of others: the signal ends the wait for sockets without events, so that due timers ran before the data that had arrived was read. Requests were given up and sent once more, idle connections closed and deadlines answered although the responses lay in the sockets.

After a late wait the sockets are asked again, and timers that come due in a long callback wait for the next step.

--- a/packages/bambooglade/bambooglade/eventloop/loop.py
+++ b/packages/bambooglade/bambooglade/eventloop/loop.py
@@ -15,6 +15,12 @@
 READ = selectors.EVENT_READ
 WRITE = selectors.EVENT_WRITE
 
+MIN_LATE_MS = 10
+"""Lateness from which sockets are read again before timers run."""
+
+MIN_STANDSTILL_MS = 200
+"""Time without processor from which the process has stood still."""
+
 _MAX_WAIT_MS = 60_000
 _MS_PER_S = 1_000
 
@@ -61,6 +67,10 @@
         clock: The clock of the timers. It has to count while the machine is
             suspended.
 
+    Attributes:
+        resumed_at_ms: End of the last standstill of the process. What others
+            have not done before it says nothing about them.
+
     Examples:
         >>> loop = EventLoop(clock_lib.Clock())
         >>> done = []
@@ -70,13 +80,22 @@
         ['due']
     """
 
-    __slots__ = ("_clock", "_order", "_selector", "_timers")
+    __slots__ = (
+        "_clock",
+        "_order",
+        "_selector",
+        "_timers",
+        "_woken_at_ms",
+        "resumed_at_ms",
+    )
 
     def __init__(self, clock: clock_lib.Clock) -> None:
         self._clock = clock
         self._selector = selectors.DefaultSelector()
         self._timers: list[tuple[int, int, Timer]] = []
         self._order = itertools.count()
+        self._woken_at_ms = clock.now_ms()
+        self.resumed_at_ms = 0
 
     @property
     def clock(self) -> clock_lib.Clock:
@@ -127,12 +146,38 @@
 
     def run_once(self, max_wait_ms: int = _MAX_WAIT_MS) -> None:
         """Waits for the next events or timers, and runs their callbacks."""
+        began_at_ms = self.now_ms()
         wait_ms = min(max_wait_ms, self._next_timer_in_ms())
-        for key, ready in self._selector.select(wait_ms / _MS_PER_S):
+        events = self._selector.select(wait_ms / _MS_PER_S)
+        woken_at_ms = self.now_ms()
+        late_ms = woken_at_ms - began_at_ms - wait_ms
+        self._record_step(began_at_ms, woken_at_ms, late_ms)
+        if not events and late_ms >= MIN_LATE_MS:
+            # The signal that continues a process ends its wait without events.
+            events = self._selector.select(0)
+        for key, ready in events:
             current = self._selector.get_map().get(key.fd)
             if current is not None and current.data == key.data:
                 _call(key.data, ready)
-        self._run_timers()
+        # What came due in a long callback waits until sockets are read again.
+        now_ms = self.now_ms()
+        is_late = now_ms - woken_at_ms >= MIN_LATE_MS
+        self._run_timers(woken_at_ms if is_late else now_ms)
+
+    def _record_step(
+        self, began_at_ms: int, woken_at_ms: int, late_ms: int
+    ) -> None:
+        """Records a standstill before or in a wait.
+
+        Args:
+            began_at_ms: Time at which the wait began.
+            woken_at_ms: Time at which it ended.
+            late_ms: Time by which that was late.
+        """
+        busy_ms = began_at_ms - self._woken_at_ms
+        if max(late_ms, busy_ms) > MIN_STANDSTILL_MS:
+            self.resumed_at_ms = woken_at_ms
+        self._woken_at_ms = woken_at_ms
 
     def _next_timer_in_ms(self) -> int:
         while self._timers and self._timers[0][2].is_cancelled:
@@ -141,8 +186,9 @@
             return _MAX_WAIT_MS
         return max(0, self._timers[0][0] - self.now_ms())
 
-    def _run_timers(self) -> None:
-        now_ms = self.now_ms()
+    def _run_timers(self, until_ms: int | None = None) -> None:
+        """Runs the timers that are due now, or were due at a time."""
+        now_ms = self.now_ms() if until_ms is None else until_ms
         due: list[Timer] = []
         while self._timers and self._timers[0][0] <= now_ms:
             due.append(heapq.heappop(self._timers)[2])
--- a/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
+++ b/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from concurrent import futures
+import selectors
 import socket
+import time
 
 import pytest
 
@@ -36,6 +38,52 @@
     assert seen == ["early", "late"]
 
 
+STANDSTILL_S = 0.3
+
+
+class InterruptedSelector(selectors.DefaultSelector):
+    """Returns nothing at first, as after a signal that continues a process."""
+
+    is_interrupted = True
+
+    def select(self, timeout=None):
+        if self.is_interrupted:
+            self.is_interrupted = False
+            time.sleep((timeout or 0) + STANDSTILL_S)
+            return []
+        return super().select(timeout)
+
+
+def test_data_that_came_while_the_process_stood_still_is_read_before_timers(
+    monkeypatch,
+):
+    monkeypatch.setattr(selectors, "DefaultSelector", InterruptedSelector)
+    loop = loop_lib.EventLoop(clock_lib.Clock())
+    reader, writer = socket.socketpair()
+    seen = []
+    loop.watch(reader, loop_lib.READ, lambda events: seen.append("data"))
+    loop.call_later(10, seen.append, "timer")
+    writer.send(b"x")
+    loop.run(until=lambda: "timer" in seen)
+    loop.close()
+    reader.close()
+    writer.close()
+    assert seen[0] == "data"
+
+
+@pytest.mark.parametrize(
+    ("stands_still_ms", "is_noticed"), [(0, False), (300, True)]
+)
+def test_loop_notices_that_the_process_stood_still(
+    loop, stands_still_ms, is_noticed
+):
+    loop.call_later(0, time.sleep, stands_still_ms / 1_000)
+    loop.run_once()
+    loop.call_later(1, lambda: None)
+    loop.run_once()
+    assert (loop.resumed_at_ms > 0) is is_noticed
+
+
 def test_failing_callback_does_not_stop_the_loop(loop):
     seen = []
     loop.call_later(0, lambda: 1 / 0)
@@ -309,3 +357,23 @@
     timeout = tasks.sleep(loop, 4 * tasks.RESTART_PAUSE_MS)
     loop.run(until=lambda: len(starts) == 2 or timeout.done())
     assert starts == [0, 1]
+
+
+def test_data_that_came_during_a_callback_is_read_before_timers(loop):
+    reader, writer = socket.socketpair()
+    trigger, starter = socket.socketpair()
+    seen = []
+
+    def stand_still(events: int) -> None:
+        trigger.recv(1)
+        time.sleep(STANDSTILL_S)
+        writer.send(b"x")
+
+    loop.watch(reader, loop_lib.READ, lambda events: seen.append("data"))
+    loop.watch(trigger, loop_lib.READ, stand_still)
+    loop.call_later(50, seen.append, "timer")
+    starter.send(b"x")
+    loop.run(until=lambda: "timer" in seen)
+    for sock in (reader, writer, trigger, starter):
+        sock.close()
+    assert seen[0] == "data"
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -880,7 +880,8 @@
         selector = self._context.target_selector
         return silence.should_give_up(
             self._silence_bounds,
-            silent_ms=now_ms - self._progressed_at_ms,
+            silent_ms=now_ms
+            - max(self._progressed_at_ms, self._context.loop.resumed_at_ms),
             target_silent_ms=selector.silent_ms(self.target_id, now_ms=now_ms),
             is_unreached=(
                 self._is_cut_off
--- a/packages/bambooglade/bambooglade/gateway/peer_forwarder.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_forwarder.py
@@ -449,16 +449,20 @@
         route = self._exchange.route
         if not route.is_idempotent:
             return
-        timeout_ms = PLAIN_PROGRESS_TIMEOUT_MS
-        if route.kind is configuration_lib.RouteKind.STREAM:
-            bounds = silence.stream_bounds(
-                target_latency_ms=route.target_latency_ms,
-                max_event_gap_ms=route.max_event_gap_ms,
-            )
-            timeout_ms = bounds.silent_ms + STREAM_MARGIN_MS
         self._progress_timer = self._context.loop.call_later(
-            timeout_ms, self._progress_timed_out
+            self._progress_timeout_ms, self._progress_timed_out
+        )
+
+    @property
+    def _progress_timeout_ms(self) -> int:
+        route = self._exchange.route
+        if route.kind is not configuration_lib.RouteKind.STREAM:
+            return PLAIN_PROGRESS_TIMEOUT_MS
+        bounds = silence.stream_bounds(
+            target_latency_ms=route.target_latency_ms,
+            max_event_gap_ms=route.max_event_gap_ms,
         )
+        return bounds.silent_ms + STREAM_MARGIN_MS
 
     def _cancel_progress_timer(self) -> None:
         if self._progress_timer is not None:
@@ -467,6 +471,10 @@
 
     def _progress_timed_out(self) -> None:
         """Asks another peer if the request may run once more."""
+        loop = self._context.loop
+        if loop.now_ms() - loop.resumed_at_ms < self._progress_timeout_ms:
+            self._start_progress_timer()
+            return
         self._possible_runs += 1
         if not self._try_acquire_rerun():
             self._possible_runs -= 1
