Do not take a stream that waits at a busy target for one that hangs

A stream whose first event took 1.5 s at a busy target was given up after 1.2 s, since its target served others meanwhile; if the next target declined, it was cut although its first event would have come 0.3 s later. Only a stream that has begun hangs if its target serves others.

--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -883,6 +883,7 @@
             silent_ms=now_ms
             - max(self._progressed_at_ms, self._context.loop.resumed_at_ms),
             target_silent_ms=selector.silent_ms(self.target_id, now_ms=now_ms),
+            has_begun=self._attempt_event_count > 0,
             is_unreached=(
                 self._is_cut_off
                 or selector.is_unreached(self.target_id, now_ms=now_ms)
--- a/packages/bambooglade/bambooglade/targets/silence.py
+++ b/packages/bambooglade/bambooglade/targets/silence.py
@@ -115,6 +115,7 @@
     *,
     silent_ms: int,
     target_silent_ms: int,
+    has_begun: bool,
     is_unreached: bool,
 ) -> bool:
     """Returns whether a request gives up its target.
@@ -123,24 +124,25 @@
         bounds: Bounds of requests of its kind.
         silent_ms: Time since the last progress of the request.
         target_silent_ms: Time since the target sent anything to any request.
+        has_begun: Whether the response has begun. Before, the request may be
+            waiting at a target that serves others.
         is_unreached: Whether connections to the target fail.
 
     Examples:
         >>> bounds = stream_bounds(target_latency_ms=400, max_event_gap_ms=None)
         >>> should_give_up(bounds, silent_ms=1_300, target_silent_ms=1_300,
-        ...     is_unreached=False)
+        ...     has_begun=True, is_unreached=False)
         False
         >>> should_give_up(bounds, silent_ms=1_300, target_silent_ms=40,
-        ...     is_unreached=False)
+        ...     has_begun=True, is_unreached=False)
         True
     """
     if silent_ms >= bounds.silent_ms:
         return True
     if is_unreached and silent_ms >= bounds.unreached_ms:
         return True
-    return silent_ms >= bounds.hung_ms and not is_silent_too(
-        target_silent_ms, silent_ms
-    )
+    is_hung = has_begun and not is_silent_too(target_silent_ms, silent_ms)
+    return is_hung and silent_ms >= bounds.hung_ms
 
 
 class TargetActivity:
--- a/packages/bambooglade/bambooglade/targets/tests/test_silence.py
+++ b/packages/bambooglade/bambooglade/targets/tests/test_silence.py
@@ -12,25 +12,36 @@
 
 
 @pytest.mark.parametrize(
-    ("silent_ms", "target_silent_ms", "is_unreached", "expected"),
+    ("silent_ms", "target_silent_ms", "has_begun", "is_unreached", "expected"),
     [
-        pytest.param(1_199, 0, True, False, id="too early"),
-        pytest.param(1_200, 1_200, False, False, id="target stopped"),
-        pytest.param(1_999, 1_999, False, False, id="target stopped longer"),
-        pytest.param(2_000, 2_000, False, True, id="target stopped for good"),
-        pytest.param(1_599, 1_599, True, False, id="target accepts nothing"),
-        pytest.param(1_600, 1_600, True, True, id="target gone"),
-        pytest.param(1_200, 100, False, True, id="request hangs"),
-        pytest.param(1_300, 700, False, False, id="target silent for a while"),
+        pytest.param(1_199, 0, True, True, False, id="too early"),
+        pytest.param(1_200, 1_200, True, False, False, id="target stopped"),
+        pytest.param(
+            1_999, 1_999, True, False, False, id="target stopped longer"
+        ),
+        pytest.param(
+            2_000, 2_000, True, False, True, id="target stopped for good"
+        ),
+        pytest.param(
+            1_599, 1_599, True, True, False, id="target accepts nothing"
+        ),
+        pytest.param(1_600, 1_600, True, True, True, id="target gone"),
+        pytest.param(1_200, 100, True, False, True, id="request hangs"),
+        pytest.param(1_500, 100, False, False, False, id="request waits"),
+        pytest.param(2_000, 100, False, False, True, id="request waits long"),
+        pytest.param(
+            1_300, 700, True, False, False, id="target silent for a while"
+        ),
     ],
 )
 def test_sound_target_is_not_given_up_for_a_second_of_silence(
-    silent_ms, target_silent_ms, is_unreached, expected
+    silent_ms, target_silent_ms, has_begun, is_unreached, expected
 ):
     assert expected is silence.should_give_up(
         BOUNDS,
         silent_ms=silent_ms,
         target_silent_ms=target_silent_ms,
+        has_begun=has_begun,
         is_unreached=is_unreached,
     )
 
