Take parts of a plain response for progress, and retry later what was denied

A safe request was sent again 0.3 s after the head of its response although bytes of the body kept arriving. And a request whose retry the budget had denied once stayed at its silent target until its deadline, also when the budget allowed it half a second later. Both cases of test_silence_elsewhere.py failed before.

Parts of a body restart the time-out, and a denied retry is tried again every 0.5 s.

--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -31,6 +31,9 @@
 SILENCE_RECHECK_MS = 100
 """Time after which a request whose target is silent looks for another again."""
 
+DENIED_RECHECK_MS = 500
+"""The same after the retry budget has denied a retry."""
+
 MAX_DISPATCHES = 4
 """Most targets that are tried for a request that none of them executed."""
 
@@ -562,6 +565,9 @@
             self._body_bytes += len(data)
             if self._body_bytes > delivery_lib.MAX_BUFFERED_BYTES:
                 self._abort_attempt("the response exceeds the buffer limit")
+            else:
+                self._record_response()
+                self._start_progress_timer()
             return
         self.may_have_run = True
         try:
@@ -863,11 +869,10 @@
             return
         now_ms = self._context.loop.now_ms()
         if not self._must_give_up(now_ms) or not self._has_other_target(now_ms):
-            self._progress_timer = self._context.loop.call_later(
-                SILENCE_RECHECK_MS, self._handle_silence
-            )
+            self._look_again_in(SILENCE_RECHECK_MS)
             return
         if not self._try_acquire_retry():
+            self._look_again_in(DENIED_RECHECK_MS)
             return
         self.cancel()
         self._log_ignored_responses()
@@ -876,6 +881,11 @@
         self._delivery.discard_partial_event()
         self.send_next()
 
+    def _look_again_in(self, delay_ms: int) -> None:
+        self._progress_timer = self._context.loop.call_later(
+            delay_ms, self._handle_silence
+        )
+
     def _must_give_up(self, now_ms: int) -> bool:
         selector = self._context.target_selector
         return silence.should_give_up(
