--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -149,9 +149,6 @@
         self.attempts = 0
         self.may_have_run = False
         self.target_id = ""
-        context.retry_budget(service.name).record_request(
-            now_ms=context.loop.now_ms()
-        )
 
     @property
     def _route(self) -> configuration_lib.Route:
--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -53,6 +53,7 @@
         "_handover",
         "_has_reservation",
         "_identity",
+        "_is_counted",
         "_is_trial",
         "_origin",
         "_service",
@@ -87,6 +88,7 @@
         self._origin: stream_origins.StreamOrigin | None = None
         self._has_reservation = False
         self._identity = ""
+        self._is_counted = False
         self._is_trial = False
         self._timer = None
         self.route: configuration_lib.Route | None = None
@@ -173,6 +175,7 @@
                     error_responses.ErrorKind.TARGETS_UNREACHABLE, detail
                 )
             return
+        self._count_for_retries()
         spent = self.spent_tokens
         self._settle()
         self._spent_before_handover = spent
@@ -397,7 +400,16 @@
                 )
             )
 
+    def _count_for_retries(self) -> None:
+        """Counts a request of a caller once in the fleet's retry budget."""
+        if self._handover is None and not self._is_counted:
+            self._is_counted = True
+            self._context.retry_budget(self._service.name).record_request(
+                now_ms=self._context.loop.now_ms()
+            )
+
     def _dispatch(self) -> None:
+        self._count_for_retries()
         possible_runs, max_runs = 0, self.route.max_attempts
         if self._handover is not None:
             # The sender can't know of a second run if no response arrives.
