Do not keep requests from targets for a silence that is not their own

And streams that were given up at a silent target counted as its failures, so that it was shut out for 2 s after it had gone on.

A target counts as stopped only if it has interrupted a response, and for 2 s at most; a request given up at a target that was silent as a whole is no failure of the target.

--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -540,7 +540,9 @@
         """Records that the target has sent a part of a response."""
         self._context.prober.record_response(self._choice.target)
         self._context.target_selector.record_response(
-            self.target_id, now_ms=self._context.loop.now_ms()
+            self.target_id,
+            self._exchange.metadata.attempt_id,
+            now_ms=self._context.loop.now_ms(),
         )
 
     def _record_first_byte(self, now_ms: int) -> None:
@@ -739,9 +741,18 @@
             self._delivery.respond(head, b"".join(self._body))
             self._exchange.finish(head.status)
 
-    def _record_failure(self, reason: str) -> None:
+    def _record_failure(
+        self, reason: str, *, is_of_target: bool = True
+    ) -> None:
+        """Logs the failure of an attempt.
+
+        Args:
+            reason: What was found.
+            is_of_target: Whether it counts against the target. A target that
+                was silent as a whole needs not be avoided once it goes on.
+        """
         now_ms = self._context.loop.now_ms()
-        if not self._is_cut_off:
+        if is_of_target and not self._is_cut_off:
             self._context.target_selector.record_failure(
                 self.target_id, now_ms=now_ms
             )
@@ -871,10 +882,13 @@
         if not self._try_acquire_retry():
             self._look_again_in(DENIED_RECHECK_MS)
             return
+        is_stopped = self._is_silent(self._choice.target, now_ms)
         self.cancel()
         self._log_ignored_responses()
         self._possible_runs += 1
-        self._record_failure("no progress within the time-out")
+        self._record_failure(
+            "no progress within the time-out", is_of_target=not is_stopped
+        )
         self._delivery.discard_partial_event()
         self.send_next()
 
--- a/packages/bambooglade/bambooglade/gateway/target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/target_selector.py
@@ -81,6 +81,12 @@
 A target with requests otherwise sends something every few tens of ms.
 """
 
+MAX_SILENCE_MS = 2_000
+"""Time without a sign up to which that is so.
+
+After it, a single stream that hangs must not keep all others away.
+"""
+
 SUSPECT_ZONE_PENALTY_MS = 500.0
 """Penalty for the targets of an availability zone after a failed connection
 attempt to one of them, in ms.
@@ -382,8 +388,9 @@
 
         Its last report may be older than its silence.
         """
-        silent_ms = self.silent_ms(target.target_id, now_ms=now_ms)
-        return float(silent_ms) if silent_ms >= MIN_SILENCE_MS else 0.0
+        stopped_ms = self._activity.stopped_ms(target.target_id, now_ms=now_ms)
+        is_stopped = MIN_SILENCE_MS <= stopped_ms <= MAX_SILENCE_MS
+        return float(stopped_ms) if is_stopped else 0.0
 
     def _cached_tokens(
         self,
@@ -456,11 +463,13 @@
         load = self._load_by_target[target_id]
         load.own_running = max(0, load.own_running - 1)
         load.pending_ms_by_attempt.pop(attempt_id, None)
-        self._activity.record_end(target_id)
+        self._activity.record_end(target_id, attempt_id)
 
-    def record_response(self, target_id: str, *, now_ms: int) -> None:
+    def record_response(
+        self, target_id: str, attempt_id: str, *, now_ms: int
+    ) -> None:
         """Records that a target has sent a part of a response."""
-        self._activity.record_response(target_id, now_ms=now_ms)
+        self._activity.record_response(target_id, attempt_id, now_ms=now_ms)
 
     def silent_ms(self, target_id: str, *, now_ms: int) -> int:
         """Returns for how long a target has sent nothing to any request.
--- a/packages/bambooglade/bambooglade/gateway/tests/test_target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_target_selector.py
@@ -272,6 +272,6 @@
     selector.record_first_byte(
         chosen_id, "r1", took_ms=10, predicted_ms=10, now_ms=0
     )
-    selector.record_response(chosen_id, now_ms=responded_at_ms)
+    selector.record_response(chosen_id, "r1", now_ms=responded_at_ms)
     again = choose(selector, ready, prompt, now_ms=1_000)
     assert (again.target.target_id != chosen_id) is is_avoided
--- a/packages/bambooglade/bambooglade/targets/silence.py
+++ b/packages/bambooglade/bambooglade/targets/silence.py
@@ -153,48 +153,68 @@
         >>> activity.record_dispatch("e1", now_ms=0)
         >>> activity.silent_ms("e1", now_ms=700)
         700
-        >>> activity.record_response("e1", now_ms=800)
+        >>> activity.record_response("e1", "r1", now_ms=800)
         >>> activity.silent_ms("e1", now_ms=900)
         100
-        >>> activity.record_end("e1")
+        >>> activity.record_end("e1", "r1")
         >>> activity.silent_ms("e1", now_ms=5_000)
         0
     """
 
-    __slots__ = ("_in_flight_by_id", "_silent_since_ms_by_id")
+    __slots__ = (
+        "_begun_ids_by_target_id",
+        "_in_flight_by_target_id",
+        "_silent_since_ms_by_target_id",
+    )
 
     def __init__(self) -> None:
-        self._in_flight_by_id: dict[str, int] = {}
-        self._silent_since_ms_by_id: dict[str, int] = {}
+        self._in_flight_by_target_id: dict[str, int] = {}
+        self._silent_since_ms_by_target_id: dict[str, int] = {}
+        self._begun_ids_by_target_id: dict[str, set[str]] = {}
 
     def record_dispatch(self, target_id: str, *, now_ms: int) -> None:
         """Records that a request was sent to a target."""
-        in_flight = self._in_flight_by_id.get(target_id, 0)
+        in_flight = self._in_flight_by_target_id.get(target_id, 0)
         if not in_flight:
-            self._silent_since_ms_by_id[target_id] = now_ms
-        self._in_flight_by_id[target_id] = in_flight + 1
+            self._silent_since_ms_by_target_id[target_id] = now_ms
+            self._begun_ids_by_target_id[target_id] = set()
+        self._in_flight_by_target_id[target_id] = in_flight + 1
 
-    def record_response(self, target_id: str, *, now_ms: int) -> None:
+    def record_response(
+        self, target_id: str, request_id: str, *, now_ms: int
+    ) -> None:
         """Records that a target has sent a part of a response."""
-        if target_id in self._in_flight_by_id:
-            self._silent_since_ms_by_id[target_id] = now_ms
+        if target_id in self._in_flight_by_target_id:
+            self._silent_since_ms_by_target_id[target_id] = now_ms
+            self._begun_ids_by_target_id[target_id].add(request_id)
 
-    def record_end(self, target_id: str) -> None:
+    def record_end(self, target_id: str, request_id: str) -> None:
         """Records that a request at a target has ended."""
-        in_flight = self._in_flight_by_id.get(target_id, 0) - 1
+        in_flight = self._in_flight_by_target_id.get(target_id, 0) - 1
         if in_flight > 0:
-            self._in_flight_by_id[target_id] = in_flight
+            self._in_flight_by_target_id[target_id] = in_flight
+            self._begun_ids_by_target_id[target_id].discard(request_id)
         else:
-            self._in_flight_by_id.pop(target_id, None)
-            self._silent_since_ms_by_id.pop(target_id, None)
+            self._in_flight_by_target_id.pop(target_id, None)
+            self._silent_since_ms_by_target_id.pop(target_id, None)
+            self._begun_ids_by_target_id.pop(target_id, None)
 
     def silent_ms(self, target_id: str, *, now_ms: int) -> int:
         """Returns for how long a target has left all requests without a sign.
 
         Without a request it can't be told, and 0 is returned.
         """
-        since_ms = self._silent_since_ms_by_id.get(target_id, now_ms)
+        since_ms = self._silent_since_ms_by_target_id.get(target_id, now_ms)
         return max(0, now_ms - since_ms)
 
+    def stopped_ms(self, target_id: str, *, now_ms: int) -> int:
+        """Returns for how long a target has interrupted responses.
+
+        Requests whose response has not begun may be waiting, or hang alone.
+        """
+        if not self._begun_ids_by_target_id.get(target_id):
+            return 0
+        return self.silent_ms(target_id, now_ms=now_ms)
+
     def __repr__(self) -> str:
-        return f"TargetActivity(targets={len(self._in_flight_by_id)})"
+        return f"TargetActivity(targets={len(self._in_flight_by_target_id)})"
--- a/packages/bambooglade/bambooglade/targets/tests/test_silence.py
+++ b/packages/bambooglade/bambooglade/targets/tests/test_silence.py
@@ -73,9 +73,20 @@
     activity = silence.TargetActivity()
     activity.record_dispatch("e1", now_ms=0)
     activity.record_dispatch("e1", now_ms=300)
-    activity.record_response("e1", now_ms=500)
-    activity.record_end("e1")
+    activity.record_response("e1", "r1", now_ms=500)
+    activity.record_end("e1", "r2")
     assert activity.silent_ms("e1", now_ms=900) == 400
-    activity.record_end("e1")
+    assert activity.stopped_ms("e1", now_ms=900) == 400
+    activity.record_end("e1", "r1")
     activity.record_dispatch("e1", now_ms=2_000)
     assert activity.silent_ms("e1", now_ms=2_100) == 100
+    assert activity.stopped_ms("e1", now_ms=2_100) == 0
+
+
+def test_target_with_only_a_hung_request_does_not_count_as_stopped():
+    activity = silence.TargetActivity()
+    activity.record_dispatch("e1", now_ms=0)
+    activity.record_dispatch("e1", now_ms=100)
+    activity.record_response("e1", "r2", now_ms=150)
+    activity.record_end("e1", "r2")
+    assert activity.stopped_ms("e1", now_ms=1_500) == 0
