Refuse documents that are nested too deeply like other malformed ones

What callers saw: with one entry of an engine that was nested 100,000 levels deep, and the last one of the list, a gateway was ready and had no target: each request got 503 until another entry changed. An entry that replaced the one of an engine left that engine in use. A store answer of this kind never ended its call, so that the watch that waited for it stood still.

Cause: msgspec raises RecursionError for these, which is no DecodeError. Each place that decodes what others write catches only the latter: engine entries, answers of the store, of peers and of targets, the operator's configuration, ledgers, suspicions, archives, and on the project's own interface lists, pages, envelopes, reports and events. The error ended the task in the middle of the list; it was started again, and took the rest for known.

Change: json_documents.decode raises a DecodeError of its own, and is the one way by which documents of others are decoded. The callers stay as they are, as they handle DecodeError already.

--- /dev/null
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_odd_entries.py
@@ -0,0 +1,131 @@
+"""Tests of entries among those of the engines that another writer has left."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from bambooglade_standins.users_platform import platform_harness as harness_lib
+
+ODD_KEY = "servers/p2"
+"""Between the keys of the sound engines p1 and p3."""
+
+APPLY_BOUND_MS = 2_000
+RESPONSE_BOUND_MS = 500
+_DEPTH = 100_000
+
+
+def entry(*, without: str = "", **changes) -> bytes:
+    """Returns an entry of a sound engine, with some fields changed."""
+    sound = harness_lib.engine_registration(("127.0.0.1", 9), "portal")
+    fields = {**msgspec.json.decode(sound), **changes}
+    fields.pop(without, None)
+    return msgspec.json.encode(fields)
+
+
+def with_raw(name: str, text: bytes) -> bytes:
+    """Returns an entry with the text of a field as it is."""
+    return entry(without=name)[:-1] + b',"%s":%s}' % (name.encode(), text)
+
+
+ODD_ENTRIES = {
+    "nested_lists": with_raw("x", b"[" * _DEPTH + b"]" * _DEPTH),
+    "nested_objects": with_raw("x", b'{"a":' * _DEPTH + b"1" + b"}" * _DEPTH),
+    "nested_without_end": with_raw("x", b"[" * _DEPTH),
+    "slots_of_5000_digits": with_raw("slots", b"9" * 5_000),
+    "slots_as_float": with_raw("slots", b"1e30"),
+    "no_slots": entry(slots=0),
+    "negative_slots": entry(slots=-1),
+    "cold_time_beyond_float": with_raw("coldRemainingMs", b"1e999"),
+    "cold_time_nan": with_raw("coldRemainingMs", b"NaN"),
+    "cold_time_infinite": with_raw("coldRemainingMs", b"Infinity"),
+    "port_of_5000_digits": entry(address="127.0.0.1:" + "9" * 5_000),
+    "no_port": entry(address="127.0.0.1"),
+    "no_address": entry(address=""),
+    "no_utf8": b"\xff\xfe\x00",
+    "no_utf8_in_service": entry(service="@").replace(b"@", b"\xff"),
+    "lone_surrogate": entry(service="@").replace(b"@", rb"\ud800"),
+    "unknown_state": entry(state="leaving"),
+    "no_service": entry(without="service"),
+    "service_of_other_type": entry(service=["portal"]),
+    "null": b"null",
+    "list": b"[]",
+    "text": b"text",
+    "empty": b"",
+    "megabyte_without_end": b'{"x":"' + b"a" * 1_000_000,
+}
+
+
+@pytest.fixture
+def harness():
+    built = harness_lib.PlatformHarness()
+    built.configure(harness_lib.configuration())
+    for name in ("p1", "p3"):
+        built.add_engine(name, "portal")
+    yield built
+    built.close()
+
+
+def known_targets(gateway) -> set[str]:
+    return {t.target_id for t in gateway.view.ready_targets("portal")}
+
+
+def assert_serves(harness, names: set[str], gateway: int = 0) -> None:
+    """Asserts that a gateway uses these engines, and soon a new one as well."""
+    process = harness.gateways[gateway]
+    harness.run_until(
+        lambda: known_targets(process) == names, max_wait_ms=APPLY_BOUND_MS
+    )
+    started_ms = harness.loop.now_ms()
+    for _ in range(4):
+        assert harness.call("/plain/1", gateway=gateway).status == 200
+    assert harness.loop.now_ms() - started_ms < 4 * RESPONSE_BOUND_MS
+    if "p4" not in harness.engine_by_name:
+        harness.add_engine("p4", "portal")
+    harness.run_until(
+        lambda: known_targets(process) == names | {"p4"},
+        max_wait_ms=APPLY_BOUND_MS,
+    )
+
+
+@pytest.mark.parametrize("key", [ODD_KEY, "servers/p9"])
+@pytest.mark.parametrize("value", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_odd_entry_at_the_start_costs_nobody_else(harness, value, key):
+    harness.store.put_now(key, value)
+    harness.start_gateway()
+    assert_serves(harness, {"p1", "p3"})
+
+
+@pytest.mark.parametrize("value", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_odd_entry_while_watching_costs_nobody_else(harness, value):
+    harness.start_gateway()
+    harness.store.put_now(ODD_KEY, value)
+    assert_serves(harness, {"p1", "p3"})
+
+
+@pytest.mark.parametrize("value", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_odd_entry_replaces_the_sound_one_of_its_engine(harness, value):
+    harness.add_engine("p2", "portal")
+    harness.start_gateway()
+    harness.run_until(
+        lambda: known_targets(harness.gateways[0]) == {"p1", "p2", "p3"}
+    )
+    harness.store.put_now(ODD_KEY, value)
+    assert_serves(harness, {"p1", "p3"})
+    harness.register("p2", "portal")
+    harness.run_until(
+        lambda: known_targets(harness.gateways[0]) == {"p1", "p2", "p3", "p4"},
+        max_wait_ms=APPLY_BOUND_MS,
+    )
+
+
+@pytest.mark.parametrize(
+    "name",
+    ["nested_lists", "no_utf8"],
+)
+def test_odd_entry_that_a_peer_passes_on_costs_nobody_else(harness, name):
+    harness.store.put_now(ODD_KEY, ODD_ENTRIES[name])
+    harness.start_gateway("edge-0")
+    harness.seeds = (harness.gateways[0].settings.peer_address,)
+    harness.start_gateway("edge-1", is_store_down=True)
+    assert_serves(harness, {"p1", "p3"}, gateway=1)
--- a/packages/bambooglade/bambooglade/discovery/peer_puller.py
+++ b/packages/bambooglade/bambooglade/discovery/peer_puller.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from bambooglade.core import event_log
+from bambooglade.core import json_documents
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import relays as relays_lib
 from bambooglade.discovery import targets as targets_lib
@@ -287,8 +288,8 @@
         if http_response is None or http_response.status != _OK:
             return None
         try:
-            return msgspec.json.decode(
-                http_response.body, type=view_messages.ViewResponse
+            return json_documents.decode(
+                http_response.body, view_messages.ViewResponse
             )
         except msgspec.DecodeError as error:
             self._log.event(
--- a/packages/bambooglade/bambooglade/discovery/registration.py
+++ b/packages/bambooglade/bambooglade/discovery/registration.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bambooglade.core import json_documents
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
@@ -172,6 +173,6 @@
 def _decode_peers(items: list[store_api.Item]) -> Iterator[peers_lib.Peer]:
     for item in items:
         try:
-            yield msgspec.json.decode(item.value, type=peers_lib.Peer)
+            yield json_documents.decode(item.value, peers_lib.Peer)
         except msgspec.DecodeError:
             continue
--- a/packages/bambooglade/bambooglade/gateway/handover.py
+++ b/packages/bambooglade/bambooglade/gateway/handover.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from bambooglade.core import json_documents
 from bambooglade.gateway import stream_origins
 from bambooglade.http1 import messages
 
@@ -56,7 +57,7 @@
     Raises:
         msgspec.DecodeError: The field is missing or malformed.
     """
-    return msgspec.json.decode(request.get(FIELD.lower()), type=Handover)
+    return json_documents.decode(request.get(FIELD.lower()), Handover)
 
 
 def strip(request: messages.Request) -> messages.Request:
--- a/packages/bambooglade/bambooglade/gateway/origin_archive.py
+++ b/packages/bambooglade/bambooglade/gateway/origin_archive.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from bambooglade.core import event_log
+from bambooglade.core import json_documents
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
 from bambooglade.gateway import stream_origins
@@ -265,7 +266,7 @@
 
     def _decode(self, item: store_api.Item) -> list[ArchivedOrigins]:
         try:
-            return msgspec.json.decode(item.value, type=list[ArchivedOrigins])
+            return json_documents.decode(item.value, list[ArchivedOrigins])
         except msgspec.DecodeError as error:
             self._log.event("record_malformed", key=item.key, error=error)
             return []
--- a/packages/bambooglade/bambooglade/gateway/origin_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/origin_replication.py
@@ -22,6 +22,7 @@
 
 from bambooglade.core import event_log
 from bambooglade.core import hashing
+from bambooglade.core import json_documents
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import targets as targets_lib
 from bambooglade.eventloop import http_client
@@ -396,9 +397,7 @@
             self._log_failed_call(holder, response, records=0)
             return None
         try:
-            decoded = msgspec.json.decode(
-                response.body, type=OriginLookupResponse
-            )
+            decoded = json_documents.decode(response.body, OriginLookupResponse)
             self.origins.merge(
                 decoded.seen_versions, now_ms=self._loop.now_ms()
             )
--- a/packages/bambooglade/bambooglade/gateway/peer_api.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_api.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bambooglade.core import event_log
+from bambooglade.core import json_documents
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import view as view_lib
 from bambooglade.discovery import view_messages
@@ -121,7 +122,7 @@
             return http_server.Reply(400)
 
     def _handle_view(self, body: bytes) -> futures.Future:
-        request = msgspec.json.decode(body, type=view_messages.ViewRequest)
+        request = json_documents.decode(body, view_messages.ViewRequest)
         self._peers.mark_seen([request.asker], now_ms=self._loop.now_ms())
         return tasks.spawn(self._respond_with_view(request))
 
@@ -173,18 +174,18 @@
             tasks.complete(changed, None)
 
     def _handle_loan(self, body: bytes) -> futures.Future:
-        request = msgspec.json.decode(body, type=lending.LoanRequest)
+        request = json_documents.decode(body, lending.LoanRequest)
         self._peers.mark_seen([request.borrower], now_ms=self._loop.now_ms())
         return tasks.spawn(self._lend(request))
 
     def _handle_repayment(self, body: bytes) -> http_server.Reply:
-        request = msgspec.json.decode(body, type=lending.Repayment)
+        request = json_documents.decode(body, lending.Repayment)
         self._peers.mark_seen([request.sender], now_ms=self._loop.now_ms())
         self._rights.apply_repayment(request.tokens_by_team)
         return http_server.Reply(200, b"{}")
 
     def _handle_ledger_copies(self, body: bytes) -> http_server.Reply:
-        message = msgspec.json.decode(body, type=ledger_copies.CopiesMessage)
+        message = json_documents.decode(body, ledger_copies.CopiesMessage)
         self._peers.mark_seen([message.sender], now_ms=self._loop.now_ms())
         source = f"peer:{message.sender.name}"
         for copy in message.copies:
@@ -193,44 +194,40 @@
         return http_server.Reply(200, b"{}")
 
     def _handle_origins(self, body: bytes) -> http_server.Reply:
-        message = msgspec.json.decode(
-            body, type=origin_replication.OriginRecords
-        )
+        message = json_documents.decode(body, origin_replication.OriginRecords)
         self._peers.mark_seen([message.sender], now_ms=self._loop.now_ms())
         self._origins.apply_records(message)
         return http_server.Reply(200, b"{}")
 
     def _handle_origin_lookup(self, body: bytes) -> http_server.Reply:
-        lookup = msgspec.json.decode(body, type=origin_replication.OriginLookup)
+        lookup = json_documents.decode(body, origin_replication.OriginLookup)
         response = self._origins.respond_to_lookup(lookup)
         return http_server.Reply(200, msgspec.json.encode(response))
 
     def _handle_suspicions(self, body: bytes) -> http_server.Reply:
-        message = msgspec.json.decode(
-            body, type=request_quarantine.SuspicionMessage
+        message = json_documents.decode(
+            body, request_quarantine.SuspicionMessage
         )
         self._peers.mark_seen([message.sender], now_ms=self._loop.now_ms())
         self._quarantine.apply_message(message)
         return http_server.Reply(200, b"{}")
 
     def _handle_limits(self, body: bytes) -> http_server.Reply:
-        message = msgspec.json.decode(body, type=limit_replication.LimitMessage)
+        message = json_documents.decode(body, limit_replication.LimitMessage)
         self._peers.mark_seen([message.sender], now_ms=self._loop.now_ms())
         self._limits.apply_message(message)
         return http_server.Reply(200, b"{}")
 
     def _handle_leaving(self, body: bytes) -> http_server.Reply:
-        message = msgspec.json.decode(
-            body, type=leaving_replication.LeavingMessage
+        message = json_documents.decode(
+            body, leaving_replication.LeavingMessage
         )
         self._peers.mark_seen([message.sender], now_ms=self._loop.now_ms())
         self._leaving.apply_message(message)
         return http_server.Reply(200, b"{}")
 
     def _handle_busy_targets(self, body: bytes) -> http_server.Reply:
-        message = msgspec.json.decode(
-            body, type=brittle_replication.BusyMessage
-        )
+        message = json_documents.decode(body, brittle_replication.BusyMessage)
         self._peers.mark_seen([message.sender], now_ms=self._loop.now_ms())
         self._brittle.apply_message(message)
         return http_server.Reply(200, b"{}")
--- a/packages/bambooglade/bambooglade/gateway/request_quarantine.py
+++ b/packages/bambooglade/bambooglade/gateway/request_quarantine.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from bambooglade.core import event_log
+from bambooglade.core import json_documents
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import relays as relays_lib
 from bambooglade.eventloop import http_client
@@ -566,8 +567,8 @@
             suspicion_id = item.key.removeprefix(STORE_PREFIX)
             if item.value is not None:
                 try:
-                    suspicion = msgspec.json.decode(
-                        item.value, type=crash_suspicions.Suspicion
+                    suspicion = json_documents.decode(
+                        item.value, crash_suspicions.Suspicion
                     )
                 except msgspec.DecodeError as error:
                     self._log.event(
--- a/packages/bambooglade/bambooglade/gateway/version_archive.py
+++ b/packages/bambooglade/bambooglade/gateway/version_archive.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from bambooglade.core import event_log
+from bambooglade.core import json_documents
 from bambooglade.discovery import targets as targets_lib
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
@@ -288,7 +289,7 @@
         """Returns the record of a key; a new one if it can't be read."""
         if item.value is not None:
             try:
-                return msgspec.json.decode(item.value, type=VersionRecord)
+                return json_documents.decode(item.value, VersionRecord)
             except msgspec.DecodeError as error:
                 self._log.event("record_malformed", key=KEY, error=error)
         seen = self._origins.seen_versions(now_ms=now_ms)
--- a/packages/bambooglade/bambooglade/platform/engine_entries.py
+++ b/packages/bambooglade/bambooglade/platform/engine_entries.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bambooglade.core import json_documents
 from bambooglade.discovery import targets
 
 ENTRY_PREFIX = "servers/"
@@ -42,7 +43,7 @@
         MalformedEntryError: The entry is not that of a usable target.
     """
     try:
-        entry = msgspec.json.decode(value, type=_Entry)
+        entry = json_documents.decode(value, _Entry)
         host, _, port = entry.address.rpartition(":")
         address = (host, int(port))
     except (msgspec.DecodeError, ValueError) as error:
--- a/packages/bambooglade/bambooglade/platform/operator_configuration.py
+++ b/packages/bambooglade/bambooglade/platform/operator_configuration.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from bambooglade.core import json_documents
 from bambooglade.gateway import configuration
 
 CONFIGURATION_KEY = "op/config"
@@ -98,7 +99,7 @@
         MalformedConfigurationError: The value is not a configuration.
     """
     try:
-        wire = _DECODER.decode(value)
+        wire = json_documents.decode_with(_DECODER, value)
         return configuration.Configuration(
             version=wire.version,
             routes=[_route(route) for route in wire.routes],
--- a/packages/bambooglade/bambooglade/platform/store.py
+++ b/packages/bambooglade/bambooglade/platform/store.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from bambooglade.core import event_log
+from bambooglade.core import json_documents
 from bambooglade.eventloop import http_client
 from bambooglade.eventloop import tasks
 from bambooglade.http1 import messages
@@ -290,7 +291,7 @@
     def _decode_body(
         self, response: http_client.Response, wire_type: type[Wire]
     ) -> Wire:
-        return msgspec.json.decode(response.body, type=wire_type)
+        return json_documents.decode(response.body, wire_type)
 
     def __repr__(self) -> str:
         return f"PlatformStore(address={self._address})"
--- a/packages/bambooglade/bambooglade/rights/ledger.py
+++ b/packages/bambooglade/bambooglade/rights/ledger.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from bambooglade.core import json_documents
+
 KEY_PREFIX = "bambooglade/rights/"
 
 
@@ -141,7 +143,7 @@
     if value is None:
         return Ledger()
     try:
-        return msgspec.json.decode(value, type=Ledger)
+        return json_documents.decode(value, Ledger)
     except msgspec.DecodeError as error:
         raise MalformedLedgerError(
             f"malformed ledger: {error}; restore its last valid value"
--- a/packages/bambooglade/bambooglade/rights/lending.py
+++ b/packages/bambooglade/bambooglade/rights/lending.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from bambooglade.core import json_documents
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.eventloop import http_client
 from bambooglade.eventloop import loop as loop_lib
@@ -346,6 +347,6 @@
     if response is None or response.status != _OK:
         return None
     try:
-        return msgspec.json.decode(response.body, type=LoanResponse)
+        return json_documents.decode(response.body, LoanResponse)
     except msgspec.DecodeError:
         return None
--- a/packages/bambooglade/bambooglade/router/caller_chat.py
+++ b/packages/bambooglade/bambooglade/router/caller_chat.py
@@ -11,6 +11,7 @@
 from werkzeug import wrappers
 
 from bambooglade.core import failures
+from bambooglade.core import json_documents
 from bambooglade.operations import calls
 from bambooglade.router import call_session
 from bambooglade.router import chat_request
@@ -246,7 +247,7 @@
 
 
 def _as_events(body: bytes) -> bytes:
-    completion = msgspec.json.decode(body, type=ChatCompletion)
+    completion = json_documents.decode(body, ChatCompletion)
     message = completion.choices[0].message
     choice = ChatChoice(
         delta=stream_validation.Message(
--- a/packages/bambooglade/bambooglade/router/chat_request.py
+++ b/packages/bambooglade/bambooglade/router/chat_request.py
@@ -8,6 +8,7 @@
 import result
 
 from bambooglade.core import failures
+from bambooglade.core import json_documents
 
 DEFAULT_MAX_TOKENS = 512
 MAX_TOKENS_LIMIT = 32_768
@@ -111,9 +112,9 @@
         (5, 14)
     """
     try:
-        fields = msgspec.json.decode(body, type=_CheckedFields)
-        raw_by_field = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        fields = json_documents.decode(body, _CheckedFields)
+        raw_by_field = json_documents.decode(body, dict[str, msgspec.Raw])
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return result.Err(
             failures.BadRequest(
                 detail=f"The body is not a valid chat request: {error}."
--- a/packages/bambooglade/bambooglade/router/engine_stream.py
+++ b/packages/bambooglade/bambooglade/router/engine_stream.py
@@ -10,6 +10,7 @@
 import result
 
 from bambooglade.core import clock as clocks
+from bambooglade.core import json_documents
 from bambooglade.targets import stream_validation
 from bambooglade.transport import client as client_lib
 from bambooglade.transport import messages
@@ -142,8 +143,8 @@
                 self._record_event_time()
                 if data == sse.DONE:
                     continue
-                event = msgspec.json.decode(
-                    data, type=stream_validation.EngineEvent
+                event = json_documents.decode(
+                    data, stream_validation.EngineEvent
                 )
                 verdict = self._validator.classify(event)
                 if verdict is stream_validation.Verdict.TOKEN:
--- a/packages/bambooglade/bambooglade/router/operator_api.py
+++ b/packages/bambooglade/bambooglade/router/operator_api.py
@@ -26,6 +26,7 @@
 
 from bambooglade.core import failures
 from bambooglade.core import identifiers
+from bambooglade.core import json_documents
 from bambooglade.router import operator_messages as messages
 from bambooglade.table import rows
 
@@ -278,7 +279,7 @@
     request: wrappers.Request, body: type[msgspec.Struct]
 ) -> result.Result[msgspec.Struct, failures.BadRequest]:
     try:
-        return result.Ok(msgspec.json.decode(request.get_data(), type=body))
+        return result.Ok(json_documents.decode(request.get_data(), body))
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return result.Err(
             failures.BadRequest(
--- a/packages/bambooglade/bambooglade/router/order_worker.py
+++ b/packages/bambooglade/bambooglade/router/order_worker.py
@@ -17,6 +17,7 @@
 from bambooglade.core import clock as clocks
 from bambooglade.core import hashing
 from bambooglade.core import identifiers
+from bambooglade.core import json_documents
 from bambooglade.shards import assignments
 from bambooglade.table import rows
 from bambooglade.table import view
@@ -181,6 +182,6 @@
     if response.head.status not in _STATE_STATUSES:
         return None
     try:
-        return msgspec.json.decode(response.body, type=orders.EngineState)
+        return json_documents.decode(response.body, orders.EngineState)
     except msgspec.MsgspecError:
         return None
--- a/packages/bambooglade/bambooglade/router/target_watcher.py
+++ b/packages/bambooglade/bambooglade/router/target_watcher.py
@@ -11,6 +11,7 @@
 import result
 
 from bambooglade.core import identifiers
+from bambooglade.core import json_documents
 from bambooglade.router import target_directory
 from bambooglade.router import ticker
 from bambooglade.store import services
@@ -152,9 +153,7 @@
         ):
             return None
         try:
-            return msgspec.json.decode(
-                transfer.ok_value.body, type=response_type
-            )
+            return json_documents.decode(transfer.ok_value.body, response_type)
         except msgspec.MsgspecError as error:
             logging.warning("event=bad_report url=%s error=%r", url, error)
             return None
--- a/packages/bambooglade/bambooglade/router/tests/test_engine_stream.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_engine_stream.py
@@ -162,3 +162,31 @@
     assert len(tokens) == token_count
     assert attempt_result.outcome == "truncated response"
     assert not attempt_result.has_all_tokens
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        b'{"id":"a1","seq":1,"x":' + b"[" * 60_000 + b"]" * 60_000 + b"}",
+        b'{"id":"a1","seq":' + b"9" * 5_000 + b"}",
+        b'{"id":"\xff","seq":1}',
+        b"HTTP/1.1 500 Internal Server Error",
+    ],
+    ids=["nested_too_deeply", "too_large_number", "no_utf8", "no_json"],
+)
+def test_event_that_cannot_be_decoded_ends_the_attempt(event):
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+    data = b"".join((head, engine_event(0, text="a"), sse.encode(event)))
+    with raw_server.listening(raw_server.respond_then_close(data)) as (url, _):
+        attempt = engine_stream.EngineStream(
+            client=client_lib.HttpClient(),
+            clock=clocks.Clock(),
+            validator=stream_validation.StreamValidator("a1", next_seq=0),
+            on_head=lambda head: "",
+            is_abandoned=lambda: False,
+        )
+        request = messages.Request(method="POST", url=url, body=b"{}")
+        tokens, attempt_result = collect(attempt.run(request))
+    assert len(tokens) == 1
+    assert attempt_result.outcome.startswith("malformed event")
+    assert not attempt_result.has_all_tokens
--- a/packages/bambooglade/bambooglade/router/tests/test_target_watcher.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_target_watcher.py
@@ -4,6 +4,7 @@
 
 import threading
 
+import msgspec
 import pytest
 
 from bambooglade.core import clock as clocks
@@ -15,6 +16,7 @@
 from bambooglade.targets import leaving
 from bambooglade.transport import client as client_lib
 from bambooglade.transport import messages
+from bambooglade.transport.tests import raw_server
 from bambooglade_standins.engine import server as engine_server
 
 LEAVING_BOUND_S = 3.0  # required bound after a leaving target is announced
@@ -130,3 +132,23 @@
     engines.watcher.poll_platform()
     assert engines.chosen() is not None
     engines.close()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b'{"x":' + b"[" * 60_000 + b"]" * 60_000 + b"}", b"\xff", b"[]"],
+    ids=["nested_too_deeply", "no_json", "no_object"],
+)
+def test_report_that_cannot_be_decoded_is_ignored(body):
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    engines = WatchedEngines()
+    with raw_server.listening(raw_server.respond_then_close(data + body)) as (
+        url,
+        _,
+    ):
+        target = engines.directory.all_targets()[0]
+        engines.watcher.poll(
+            msgspec.structs.replace(target, url=url.rstrip("/"))
+        )
+    assert engines.chosen() is not None
+    engines.close()
--- a/packages/bambooglade/bambooglade/shards/document.py
+++ b/packages/bambooglade/bambooglade/shards/document.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from bambooglade.core import identifiers
+from bambooglade.core import json_documents
 from bambooglade.shards import assignments
 
 KEY_PREFIX = "accounts"
@@ -171,7 +172,7 @@
     """Decodes a stored value; returns an empty document for a missing key."""
     if value is None:
         return ShardDocument()
-    return msgspec.json.decode(value, type=ShardDocument)
+    return json_documents.decode(value, ShardDocument)
 
 
 def violations(old: ShardDocument, new: ShardDocument) -> Iterator[str]:
--- a/packages/bambooglade/bambooglade/shards/registry_set.py
+++ b/packages/bambooglade/bambooglade/shards/registry_set.py
@@ -9,6 +9,7 @@
 
 from bambooglade.core import effects
 from bambooglade.core import identifiers
+from bambooglade.core import json_documents
 from bambooglade.shards import assignments
 from bambooglade.shards import document as documents
 from bambooglade.shards import messages
@@ -119,7 +120,7 @@
 
     def _decode_record(self, copy: messages.RecordCopy) -> registries.Record:
         record_type = self._factory_by_name[copy.book].record_type
-        return msgspec.json.decode(copy.record, type=record_type)
+        return json_documents.decode(copy.record, record_type)
 
     def __repr__(self) -> str:
         return f"RegistrySet({', '.join(self.by_name)})"
--- a/packages/bambooglade/bambooglade/store/key_value.py
+++ b/packages/bambooglade/bambooglade/store/key_value.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from bambooglade.core import effects
+from bambooglade.core import json_documents
 from bambooglade.store import services
 from bambooglade.transport import client as http_client
 from bambooglade.transport import messages
@@ -133,7 +134,7 @@
         parts = self._client.stream(request, cancelled=self._closed.is_set)
         for line in _lines(_body(parts)):
             try:
-                result = msgspec.json.decode(line, type=_WatchResponse).result
+                result = json_documents.decode(line, _WatchResponse).result
             except msgspec.DecodeError:
                 return
             if result.canceled:
@@ -229,7 +230,7 @@
     if body is None:
         return None
     try:
-        return msgspec.json.decode(body, type=response_type)
+        return json_documents.decode(body, response_type)
     except msgspec.DecodeError:
         return None
 
--- a/packages/bambooglade/bambooglade/store/platform_http.py
+++ b/packages/bambooglade/bambooglade/store/platform_http.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bambooglade.core import identifiers
+from bambooglade.core import json_documents
 from bambooglade.store import services
 from bambooglade.transport import client as http_client
 from bambooglade.transport import messages
@@ -98,6 +99,6 @@
     if response.is_err() or response.unwrap().head.status != _OK:
         return None
     try:
-        return msgspec.json.decode(response.unwrap().body, type=response_type)
+        return json_documents.decode(response.unwrap().body, response_type)
     except msgspec.DecodeError:
         return None
--- a/packages/bambooglade/bambooglade/table/pages.py
+++ b/packages/bambooglade/bambooglade/table/pages.py
@@ -14,6 +14,7 @@
 
 from bambooglade.core import hashing
 from bambooglade.core import identifiers
+from bambooglade.core import json_documents
 from bambooglade.table import rows
 
 KEY_PREFIX = "table"
@@ -189,6 +190,6 @@
     if value is None:
         return Page()
     try:
-        return _DECODER.decode(value)
+        return json_documents.decode_with(_DECODER, value)
     except msgspec.DecodeError:
         return None
--- a/packages/bambooglade/bambooglade/transport/codec.py
+++ b/packages/bambooglade/bambooglade/transport/codec.py
@@ -18,6 +18,7 @@
 from bambooglade.core import effects
 from bambooglade.core import failures
 from bambooglade.core import identifiers
+from bambooglade.core import json_documents
 
 
 class Envelope(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -78,7 +79,7 @@
         """
         for raw in encoded:
             try:
-                yield self._decoder.decode(raw)
+                yield json_documents.decode_with(self._decoder, raw)
             except msgspec.DecodeError as error:
                 logging.warning("event=message_ignored reason=%r", str(error))
 
@@ -91,7 +92,9 @@
     ) -> result.Result[Envelope, MalformedEnvelope]:
         """Returns the decoded envelope, or a failure if it is malformed."""
         try:
-            return result.Ok(self._envelope_decoder.decode(body))
+            return result.Ok(
+                json_documents.decode_with(self._envelope_decoder, body)
+            )
         except msgspec.DecodeError as error:
             return result.Err(MalformedEnvelope(detail=str(error)))
 
