Refuse entries of targets whose values can't be used

What callers saw: a target whose entry had a port of 65,536 or more, port 0, a host name or an IPv6 address was chosen for requests; opening a connection to it raises an error. Slots of 400 digits made the choice of a target fail for each request of the service: three of three got 503 at their deadline of 2 s. A host name would have been resolved in the event loop. An id with a line break became a header field of its own at the next target.

Cause: the decoder of entries checked types, but not that a number, an address or a name can be used by those that read it. Class: a value of another process is checked where it is used, or nowhere, and not where it is decoded.

The view takes any error of the decoder as one of this entry, logs it once for each reason with the key and the source, and counts such entries in bambooglade_malformed_targets until they are replaced or deleted.

The raw entry is still handed to peers, each of which refuses it by itself.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_odd_entries.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_odd_entries.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from bambooglade_standins.users_platform import engine as engine_lib
 from bambooglade_standins.users_platform import platform_harness as harness_lib
 
 ODD_KEY = "servers/p2"
@@ -33,18 +34,43 @@
     "nested_objects": with_raw("x", b'{"a":' * _DEPTH + b"1" + b"}" * _DEPTH),
     "nested_without_end": with_raw("x", b"[" * _DEPTH),
     "slots_of_5000_digits": with_raw("slots", b"9" * 5_000),
+    "slots_of_400_digits": with_raw("slots", b"9" * 400),
+    "slots_beyond_int64": with_raw("slots", b"9" * 20),
     "slots_as_float": with_raw("slots", b"1e30"),
     "no_slots": entry(slots=0),
     "negative_slots": entry(slots=-1),
+    "start_of_400_digits": with_raw("born", b"9" * 400),
+    "start_beyond_int64": with_raw("born", b"9" * 20),
+    "negative_start": entry(born=-1),
     "cold_time_beyond_float": with_raw("coldRemainingMs", b"1e999"),
+    "cold_time_near_the_largest_float": with_raw("coldRemainingMs", b"1e300"),
     "cold_time_nan": with_raw("coldRemainingMs", b"NaN"),
     "cold_time_infinite": with_raw("coldRemainingMs", b"Infinity"),
+    "port_0": entry(address="127.0.0.1:0"),
+    "port_65536": entry(address="127.0.0.1:65536"),
+    "negative_port": entry(address="127.0.0.1:-1"),
     "port_of_5000_digits": entry(address="127.0.0.1:" + "9" * 5_000),
+    "port_with_underscore": entry(address="127.0.0.1:8_0"),
+    "port_in_other_digits": entry(address="127.0.0.1:\u0668\u0660"),
     "no_port": entry(address="127.0.0.1"),
     "no_address": entry(address=""),
+    "host_name": entry(address="localhost:80"),
+    "host_with_null": entry(address="a\0b:80"),
+    "host_that_has_no_encoding": entry(address="\u00e9" * 70 + ":80"),
+    "host_of_100000_characters": entry(address="a" * 100_000 + ":80"),
+    "ipv6": entry(address="[::1]:80"),
+    "ipv6_without_brackets": entry(address="::1:80"),
+    "octet_out_of_range": entry(address="127.0.0.256:80"),
+    "unspecified_address": entry(address="0.0.0.0:80"),
+    "multicast_address": entry(address="224.0.0.1:80"),
+    "broadcast_address": entry(address="255.255.255.255:80"),
     "no_utf8": b"\xff\xfe\x00",
     "no_utf8_in_service": entry(service="@").replace(b"@", b"\xff"),
     "lone_surrogate": entry(service="@").replace(b"@", rb"\ud800"),
+    "service_with_line_feed": entry(service="portal\r\nX: y"),
+    "service_of_100000_characters": entry(service="x" * 100_000),
+    "version_of_100000_characters": entry(version="x" * 100_000),
+    "zone_of_100000_characters": entry(zone="x" * 100_000),
     "unknown_state": entry(state="leaving"),
     "no_service": entry(without="service"),
     "service_of_other_type": entry(service=["portal"]),
@@ -121,7 +147,14 @@
 
 @pytest.mark.parametrize(
     "name",
-    ["nested_lists", "no_utf8"],
+    [
+        "nested_lists",
+        "slots_beyond_int64",
+        "start_of_400_digits",
+        "port_65536",
+        "no_utf8",
+        "service_with_line_feed",
+    ],
 )
 def test_odd_entry_that_a_peer_passes_on_costs_nobody_else(harness, name):
     harness.store.put_now(ODD_KEY, ODD_ENTRIES[name])
@@ -129,3 +162,29 @@
     harness.seeds = (harness.gateways[0].settings.peer_address,)
     harness.start_gateway("edge-1", is_store_down=True)
     assert_serves(harness, {"p1", "p3"}, gateway=1)
+
+
+@pytest.mark.parametrize(
+    "key", ["servers/", "servers/p2\r\nX-Injected: 1", "servers/p\u00e9 2"]
+)
+def test_id_that_fits_no_header_field_names_no_engine(harness, key):
+    address = harness.engine_by_name["p1"].address
+    harness.store.put_now(
+        key, harness_lib.engine_registration(address, "portal")
+    )
+    harness.start_gateway()
+    assert_serves(harness, {"p1", "p3"})
+    for engine in harness.engine_by_name.values():
+        assert not any(r.has(b"x-injected") for r in engine.requests)
+
+
+@pytest.mark.parametrize("value", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_odd_entry_is_counted_until_it_is_replaced(harness, value):
+    harness.store.put_now(ODD_KEY, value)
+    gateway = harness.start_gateway()
+    assert gateway.view.malformed_count == 1
+    harness.add_engine("p2", "portal", default=engine_lib.respond_with_name)
+    harness.run_until(
+        lambda: gateway.view.malformed_count == 0, max_wait_ms=APPLY_BOUND_MS
+    )
+    assert known_targets(gateway) == {"p1", "p2", "p3"}
--- a/packages/bambooglade/bambooglade/discovery/tests/test_view.py
+++ b/packages/bambooglade/bambooglade/discovery/tests/test_view.py
@@ -160,3 +160,50 @@
     apply_changes(view, target("a", 1), target("b", 2))
     view.remove_target("a", reason="misdirected")
     assert ready_ids(view) == ["b"]
+
+
+class FailingCodec(TextCodec):
+    """Codec that fails on some targets with any kind of error."""
+
+    def decode_target(self, key, value):
+        if value == b"odd":
+            raise RuntimeError("odd entry")
+        return super().decode_target(key, value)
+
+
+class RecordingLog(event_log.EventLog):
+    """Event log that keeps the names and fields of all events."""
+
+    def __init__(self) -> None:
+        super().__init__(clock_lib.ManualClock())
+        self.events: list[tuple[str, dict[str, object]]] = []
+
+    def event(self, name, **fields):
+        self.events.append((name, fields))
+
+
+def test_entry_that_fails_to_decode_does_not_end_the_list():
+    log = RecordingLog()
+    view = view_lib.FleetView(FailingCodec(), log=log)
+    items = [target("a", 1), target("b", 2, b"odd"), target("c", 3)]
+    for revision in (3, 4):
+        view.apply_target_list(
+            items, at_revision=revision, now_ms=0, source="test"
+        )
+        view.begin_era(now_ms=0)
+    apply_changes(view, target("b", 5, b"odd"))
+    assert [t.target_id for t in view.ready_targets("s")] == ["a", "c"]
+    assert view.malformed_count == 1
+    malformed = [f for name, f in log.events if name == "target_malformed"]
+    assert [fields["key"] for fields in malformed] == ["targets/b"]
+    assert "odd entry" in malformed[0]["error"]
+    apply_changes(view, target("b", 6))
+    assert [t.target_id for t in view.ready_targets("s")] == ["a", "b", "c"]
+    assert view.malformed_count == 0
+
+
+def test_deleted_malformed_entry_is_no_longer_counted(view):
+    apply_changes(view, target("a", 1, b"odd"))
+    assert view.malformed_count == 1
+    apply_changes(view, target("a", 2, None))
+    assert view.malformed_count == 0
--- a/packages/bambooglade/bambooglade/discovery/view.py
+++ b/packages/bambooglade/bambooglade/discovery/view.py
@@ -93,6 +93,7 @@
         "_item_by_key",
         "_leaving_started_at_ms_by_id",
         "_log",
+        "_malformed_reason_by_key",
         "_restore_ends_at_ms",
         "_targets_by_service",
         "_tombstone_by_key",
@@ -115,6 +116,7 @@
         self._tombstone_by_key: collections.OrderedDict[str, _Tombstone] = (
             collections.OrderedDict()
         )
+        self._malformed_reason_by_key: dict[str, str] = {}
         self._has_targets = False
         self._first_revision = 0
         self._restore_ends_at_ms = 0
@@ -148,6 +150,11 @@
         """Whether the view is complete enough to serve requests."""
         return self.configuration is not None and self._has_targets
 
+    @property
+    def malformed_count(self) -> int:
+        """Number of target entries that can't be decoded."""
+        return len(self._malformed_reason_by_key)
+
     def target_items(self) -> list[store_api.Item]:
         """Returns the items of all targets, for peers."""
         return list(self._item_by_key.values())
@@ -371,11 +378,11 @@
                 or item.revision > self._first_revision
             ):
                 continue
-            try:
-                target = self._codec.decode_target(item.key, item.value)
-            except ValueError:
-                continue
-            if target.started_at_ms <= tombstone.started_at_ms:
+            target, _ = self._decode_target(item)
+            if (
+                target is not None
+                and target.started_at_ms <= tombstone.started_at_ms
+            ):
                 tombstone.revision = item.revision
 
     def expire_lapsed_targets(self, now_ms: int) -> None:
@@ -454,6 +461,7 @@
         target_id = item.key.removeprefix(self._codec.target_prefix)
         if item.value is None:
             self._item_by_key.pop(item.key, None)
+            self._malformed_reason_by_key.pop(item.key, None)
             self._changed_at_revision_by_key.pop(item.key, None)
             self._change_count += 1
             self._add_tombstone(item, target_id)
@@ -470,19 +478,13 @@
     def _apply_registration(
         self, target_id: str, item: store_api.Item, source: str
     ) -> None:
-        try:
-            target = self._codec.decode_target(item.key, item.value)
-        except ValueError as error:
-            self._log.event(
-                "target_malformed",
-                target=target_id,
-                revision=item.revision,
-                error=error,
-                remedy="the target is removed until it writes a valid entry",
-            )
+        target, reason = self._decode_target(item)
+        if target is None:
+            self._record_malformed(item, reason, source=source)
             self._remove(target_id, source=source)
             self._record_change(item)
             return
+        self._malformed_reason_by_key.pop(item.key, None)
         grace_until_ms = self._grace_until_ms_by_id.pop(target_id, None)
         current = self.target_by_id.get(target_id)
         if (
@@ -504,6 +506,37 @@
                 source=source,
             )
 
+    def _decode_target(
+        self, item: store_api.Item
+    ) -> tuple[targets_lib.RegisteredTarget | None, str]:
+        """Returns the target of an entry; None and the reason if it has none.
+
+        Any process may write entries, and one of them must not keep the others
+        from being read.
+        """
+        try:
+            return self._codec.decode_target(item.key, item.value), ""
+        except ValueError as error:
+            return None, str(error)
+        except Exception as error:  # noqa: BLE001 - costs only this entry
+            return None, repr(error)
+
+    def _record_malformed(
+        self, item: store_api.Item, reason: str, *, source: str
+    ) -> None:
+        """Counts a malformed entry, and logs it once for each reason."""
+        if self._malformed_reason_by_key.get(item.key) == reason:
+            return
+        self._malformed_reason_by_key[item.key] = reason
+        self._log.event(
+            "target_malformed",
+            key=item.key,
+            revision=item.revision,
+            source=source,
+            error=reason,
+            remedy="the target is not used until it writes a valid entry",
+        )
+
     def _record_change(self, item: store_api.Item) -> None:
         self._changed_at_revision_by_key[item.key] = item.revision
         self._change_count += 1
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -523,6 +523,9 @@
             metrics_lib.UNREACHABLE_SERVICES,
             len(self.unreachable_services),
         )
+        self._metrics.set_gauge(
+            metrics_lib.MALFORMED_TARGETS, self.view.malformed_count
+        )
         self._metrics.set_gauge(
             metrics_lib.BRITTLE_SERVICES,
             len(
--- a/packages/bambooglade/bambooglade/platform/tests/test_decoding.py
+++ b/packages/bambooglade/bambooglade/platform/tests/test_decoding.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import socket
+
+import hypothesis
+from hypothesis import strategies
 import msgspec
 import pytest
 
@@ -153,6 +157,77 @@
 """
 
 
+_JSON_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(),
+    lambda values: (
+        strategies.lists(values)
+        | strategies.dictionaries(strategies.text(), values)
+    ),
+    max_leaves=8,
+)
+_ANY_FIELDS = strategies.dictionaries(
+    strategies.sampled_from([*ENTRY, "coldRemainingMs"]), _JSON_VALUES
+)
+_FIELDS_OF_RIGHT_TYPE = strategies.fixed_dictionaries(
+    {},
+    optional={
+        "address": strategies.from_regex(
+            r"[0-9.:]{1,16}:-?[0-9]{1,6}", fullmatch=True
+        ),
+        "slots": strategies.integers(),
+        "born": strategies.integers(),
+        "coldRemainingMs": strategies.floats(
+            allow_nan=False, allow_infinity=False
+        ),
+        "service": strategies.text(),
+        "version": strategies.text(),
+    },
+)
+
+
+def assert_usable_or_malformed(key: str, value: bytes) -> None:
+    try:
+        target = engine_entries.decode(key, value)
+    except engine_entries.MalformedEntryError:
+        return
+    socket.inet_aton(target.address[0])
+    assert 0 < target.address[1] < 65_536
+    assert 0 < target.slots / 2 < 1e9
+    assert target.run.started_at_ms < 2**63
+    assert 0 <= target.cold_remaining_ms < 1e9
+    assert b"\n" not in target.target_id.encode()
+
+
+@hypothesis.settings(deadline=None, max_examples=300)
+@hypothesis.given(
+    changes=_ANY_FIELDS | _FIELDS_OF_RIGHT_TYPE,
+    target_id=strategies.text(
+        strategies.characters(blacklist_categories=["Cs"])
+    ),
+)
+def test_any_entry_is_usable_or_malformed(changes, target_id):
+    value = msgspec.json.encode({**ENTRY, **changes})
+    assert_usable_or_malformed(f"servers/{target_id}", value)
+
+
+@hypothesis.settings(deadline=None, max_examples=300)
+@hypothesis.given(
+    start=strategies.integers(0, 150),
+    removed_bytes=strategies.integers(0, 20),
+    inserted=strategies.binary(max_size=30),
+)
+def test_entry_with_any_damage_is_usable_or_malformed(
+    start, removed_bytes, inserted
+):
+    value = msgspec.json.encode(ENTRY)
+    damaged = value[:start] + inserted + value[start + removed_bytes :]
+    assert_usable_or_malformed("servers/i-1", damaged)
+
+
 def test_decodes_node_file():
     decoded = node_file.decode(NODE_FILE)
     assert decoded.instance == "edge-1"
--- a/packages/bambooglade/bambooglade/router/metrics.py
+++ b/packages/bambooglade/bambooglade/router/metrics.py
@@ -26,6 +26,7 @@
 INSTANCES = "bambooglade_instances"
 HANDED_OVER_REQUESTS_TOTAL = "bambooglade_handed_over_requests_total"
 UNREACHABLE_SERVICES = "bambooglade_unreachable_services"
+MALFORMED_TARGETS = "bambooglade_malformed_targets"
 BRITTLE_SERVICES = "bambooglade_brittle_services"
 WAITING_REQUESTS = "bambooglade_requests_waiting_for_room"
 QUARANTINES = "bambooglade_quarantined_prompts"
@@ -190,6 +191,7 @@
         INSTANCES: "Instances that this one believes to be alive.",
         QUARANTINES: "Prompt parts that are kept from all targets.",
         UNREACHABLE_SERVICES: "Services of which no target is reached.",
+        MALFORMED_TARGETS: "Entries of targets that can't be decoded.",
         BRITTLE_SERVICES: "Services whose targets bear few rejections.",
         WAITING_REQUESTS: "Requests that wait for room at such a target.",
         SHARDS_SERVED: "Shards that this instance is primary of.",
