Take a connection that can't be opened for one that is lost

What callers saw: of eight requests at once, those for which a target was chosen to which no connection can be opened got 503 at their deadline of 2 s, though two sound targets were free.

Cause: opening a connection raises for some addresses, and when the process has no descriptor left. The error left ConnectionPool.send, so that the attempt had no end. Class: a failure has two ways to be reported, and one has no receiver.

Change: connect returns a connection that is lost in the next step of the loop and logs connect_failed.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_odd_entries.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_odd_entries.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from bambooglade.platform import engine_entries
 from bambooglade_standins.users_platform import engine as engine_lib
 from bambooglade_standins.users_platform import platform_harness as harness_lib
 
@@ -188,3 +189,28 @@
         lambda: gateway.view.malformed_count == 0, max_wait_ms=APPLY_BOUND_MS
     )
     assert known_targets(gateway) == {"p1", "p2", "p3"}
+
+
+@pytest.mark.parametrize("path", ["/plain/1", "/status/1"])
+@pytest.mark.parametrize(
+    "odd_address", [("127.0.0.1", 65_536), ("a\0b", 80), ("\u00e9" * 70, 80)]
+)
+def test_target_to_which_no_connection_can_be_opened_delays_no_request(
+    harness, monkeypatch, path, odd_address
+):
+    decode = engine_entries.decode
+
+    def decode_with_odd_address(key, value):
+        target = decode(key, value)
+        if key == ODD_KEY:
+            target.address = odd_address
+        return target
+
+    monkeypatch.setattr(engine_entries, "decode", decode_with_odd_address)
+    harness.store.put_now(ODD_KEY, entry())
+    harness.start_gateway()
+    started_ms = harness.loop.now_ms()
+    started = [harness.start_call(path) for _ in range(8)]
+    harness.run_until(lambda: all(caller.is_finished for caller in started))
+    assert [caller.status for caller in started] == [200] * 8
+    assert harness.loop.now_ms() - started_ms < RESPONSE_BOUND_MS
--- a/packages/bambooglade/bambooglade/eventloop/connection.py
+++ b/packages/bambooglade/bambooglade/eventloop/connection.py
@@ -6,6 +6,8 @@
 import socket
 from typing import Protocol
 
+from absl import logging
+
 from bambooglade.eventloop import loop as loop_lib
 
 READ_BYTES = 65_536
@@ -247,19 +249,77 @@
         return f"Connection(open={self._is_open}, unsent={len(self._unsent)})"
 
 
+class UnopenedConnection:
+    """A connection for which no socket could be opened.
+
+    It has the interface of `Connection`, and is lost in the next step of the
+    loop.
+
+    Args:
+        loop: The event loop.
+        handler: Receives that the connection is lost, unless it is closed
+            before.
+    """
+
+    __slots__ = ("_handler", "_is_open")
+
+    sent_bytes = 0
+    unsent_bytes = 0
+    is_open = False
+
+    def __init__(self, loop: loop_lib.EventLoop, handler: Handler) -> None:
+        self._handler = handler
+        self._is_open = True
+        loop.call_later(0, self._handle_loss)
+
+    def set_handler(self, handler: Handler) -> None:
+        """Replaces the handler that receives the loss."""
+        self._handler = handler
+
+    def send(self, data: bytes) -> None:
+        """Drops the bytes."""
+        del data
+
+    def close(self) -> None:
+        """Closes the connection without a callback to the handler."""
+        self._is_open = False
+
+    def _handle_loss(self) -> None:
+        if self._is_open:
+            self._is_open = False
+            self._handler.closed(is_clean=False)
+
+    def __repr__(self) -> str:
+        return "UnopenedConnection()"
+
+
 def connect(
     loop: loop_lib.EventLoop, address: tuple[str, int], handler: Handler
-) -> Connection:
+) -> Connection | UnopenedConnection:
     """Starts to connect; the handler receives the result.
 
     Args:
         loop: The event loop.
         address: IP address and port.
-        handler: `connected` is called on success, `closed` on a failure.
+        handler: `connected` is called on success, `closed` on a failure, and
+            neither of them within this call.
+
+    Returns:
+        The connection; one that never opens if there is no socket left, or no
+        connection to this address is possible.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    configure(sock)
-    error = sock.connect_ex(address)
+    sock = None
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        configure(sock)
+        error = sock.connect_ex(address)
+    except (OSError, OverflowError, TypeError, ValueError) as failure:
+        logging.warning(
+            "event=connect_failed address=%.80r error=%r", address, failure
+        )
+        if sock is not None:
+            sock.close()
+        return UnopenedConnection(loop, handler)
     connection = Connection(loop, sock, handler, is_connecting=True)
     if error and error not in _IN_PROGRESS:
         loop.call_later(0, connection._handle_broken)
--- a/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
+++ b/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
@@ -309,3 +309,68 @@
     timeout = tasks.sleep(loop, 4 * tasks.RESTART_PAUSE_MS)
     loop.run(until=lambda: len(starts) == 2 or timeout.done())
     assert starts == [0, 1]
+
+
+UNUSABLE_ADDRESSES = [
+    ("127.0.0.1", 65_536),
+    ("127.0.0.1", -1),
+    ("127.0.0.1", 10**400),
+    ("a\0b", 80),
+    ("\u00e9" * 70, 80),
+    ("::1", 80),
+    ("255.255.255.255", 80),
+]
+
+
+class ClosedRecorder:
+    """Handler that counts the losses of its connection."""
+
+    def __init__(self) -> None:
+        self.lost_count = 0
+
+    def connected(self) -> None:
+        raise AssertionError("no connection is possible")
+
+    def closed(self, *, is_clean: bool) -> None:
+        assert not is_clean
+        self.lost_count += 1
+
+
+@pytest.mark.parametrize("address", UNUSABLE_ADDRESSES)
+def test_connection_to_an_unusable_address_is_lost(loop, address):
+    handler = ClosedRecorder()
+    connection = connection_lib.connect(loop, address, handler)
+    connection.send(b"request")
+    assert handler.lost_count == 0
+    loop.run(until=lambda: handler.lost_count)
+    assert connection.sent_bytes == 0
+    assert not connection.is_open
+
+
+@pytest.mark.parametrize("address", UNUSABLE_ADDRESSES)
+def test_closed_connection_to_an_unusable_address_has_no_callback(
+    loop, address
+):
+    handler = ClosedRecorder()
+    connection_lib.connect(loop, address, handler).close()
+    loop.run_once(max_wait_ms=10)
+    assert handler.lost_count == 0
+
+
+@pytest.mark.parametrize("address", UNUSABLE_ADDRESSES)
+def test_call_to_an_unusable_address_ends_at_once(loop, address):
+    client = http_client.HttpClient(loop)
+    started_ms = loop.now_ms()
+    call = client.call(address, method="GET", target="/", timeout_ms=5_000)
+    assert run(loop, call) is None
+    assert loop.now_ms() - started_ms < 1_000
+
+
+def test_connection_without_a_socket_is_lost(loop, monkeypatch):
+    def raise_too_many_files(*arguments):
+        raise OSError(24, "Too many open files")
+
+    handler = ClosedRecorder()
+    monkeypatch.setattr(connection_lib.socket, "socket", raise_too_many_files)
+    connection_lib.connect(loop, ("127.0.0.1", 80), handler)
+    loop.run(until=lambda: handler.lost_count)
