Read a number of a header field only if it has not too many digits

What callers saw: a target's signed answer with X-Bambooglade-Engine-Load or Keep-Alive of 5,000 digits became a 504 at the deadline. A request with a token usage or a prompt part of 4,400 digits, or a byte over 127 in the id of a part, got no answer at all.

Cause: int refuses more than 4,300 digits with a ValueError, and the id of a part was decoded as UTF-8. Both errors left the callback of the connection, where nobody answers for them. Class: as for entries, a value is used before it is checked.

Change: a field that has no number of at most 15 digits (20 for those that state bytes or times of a request) counts as missing, as one without digits does; ids of parts are Latin-1, as all other ids are.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_odd_entries.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_odd_entries.py
@@ -214,3 +214,56 @@
     harness.run_until(lambda: all(caller.is_finished for caller in started))
     assert [caller.status for caller in started] == [200] * 8
     assert harness.loop.now_ms() - started_ms < RESPONSE_BOUND_MS
+
+
+@pytest.mark.parametrize("path", ["/plain/1", "/status/1"])
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (b"X-Bambooglade-Engine-Load", b"9" * 5_000 + b",0,8"),
+        (b"X-Bambooglade-Engine-Load", b"1,2," + b"9" * 400),
+        (b"X-Bambooglade-Engine-Load", b"\xff,-1,1e9"),
+        (b"Keep-Alive", b"timeout=" + b"9" * 5_000),
+        (b"Keep-Alive", b"timeout=\xff"),
+        (b"Retry-After", b"9" * 5_000),
+        (b"Server-Limit", b"9" * 5_000),
+        (b"Server-Brittle", b"9" * 5_000),
+    ],
+)
+def test_response_with_a_number_too_large_is_delivered(
+    harness, path, name, value
+):
+    for engine in harness.engine_by_name.values():
+        engine.extra_fields = [(name, value)]
+    harness.start_gateway()
+    for _ in range(2):
+        started_ms = harness.loop.now_ms()
+        assert harness.call(path).status == 200
+        assert harness.loop.now_ms() - started_ms < RESPONSE_BOUND_MS
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (b"X-Bambooglade-Token-Usage", b"9" * 2_100 + b"," + b"9" * 2_100),
+        (b"X-Bambooglade-Token-Usage", b"1," + b"9" * 4_400),
+        (b"X-Bambooglade-Prefix-Hash", b"\xff\x80:5"),
+        (b"X-Bambooglade-Prefix-Hash", b"ab:" + b"9" * 4_400),
+        (b"X-Bambooglade-Deadline-Ms", b"9" * 4_400),
+        (b"X-Bambooglade-Length-Hint", b"9" * 4_400),
+    ],
+)
+@pytest.mark.parametrize("path", ["/plain/1", "/status/1", "/resume/1"])
+def test_request_with_an_odd_field_is_answered(harness, path, name, value):
+    harness.configure(
+        harness_lib.configuration(version=2).replace(
+            b'"maxHeaderBytes":4096', b'"maxHeaderBytes":16384'
+        )
+    )
+    harness.add_engine("j1", "jury", default=engine_lib.stream_events(2))
+    harness.start_gateway()
+    started_ms = harness.loop.now_ms()
+    prompt = None if name.endswith(b"Token-Usage") else "1,2"
+    caller = harness.call(path, prompt=prompt, extra=[(name, value)])
+    assert caller.status is not None
+    assert harness.loop.now_ms() - started_ms < RESPONSE_BOUND_MS
--- a/packages/bambooglade/bambooglade/http1/messages.py
+++ b/packages/bambooglade/bambooglade/http1/messages.py
@@ -14,6 +14,10 @@
 
 HeaderFields = list[tuple[bytes, bytes]]
 
+MAX_INTEGER_DIGITS = 20
+"""Most digits of a number in a field; the largest length of a body has as many.
+"""
+
 _HOP_BY_HOP = frozenset(
     (
         b"connection",
@@ -76,9 +80,13 @@
         }
 
     def integer(self, name: bytes) -> int | None:
-        """Returns the value of a field as an integer; None if it isn't one."""
+        """Returns the value of a field as an integer; None if it isn't one.
+
+        A number with too many digits isn't one either.
+        """
         value = self.get(name).strip()
-        return int(value) if value.isdigit() else None
+        is_number = value.isdigit() and len(value) <= MAX_INTEGER_DIGITS
+        return int(value) if is_number else None
 
 
 class Request(Head):
--- a/packages/bambooglade/bambooglade/platform/headers.py
+++ b/packages/bambooglade/bambooglade/platform/headers.py
@@ -38,6 +38,7 @@
 # Rejections in a second above which an engine falls over.
 _BRITTLE = b"server-brittle"
 _COUNT = re.compile(rb"0{0,40}[1-9][0-9]{0,8}")
+_WHOLE_NUMBER = re.compile(rb"0{0,40}[0-9]{1,15}")
 _DECIMAL_NUMBER = re.compile(rb"[0-9]{1,40}(\.[0-9]{1,9})?")
 
 _FLEET_FIELDS = frozenset(
@@ -93,13 +94,15 @@
 
 def _prompt(request: messages.Request) -> metadata.Prompt | None:
     counts = request.get(_USAGE).split(b",")
-    if len(counts) != 2 or not all(c.strip().isdigit() for c in counts):
+    if len(counts) != 2 or not all(map(_is_whole_number, counts)):
         return None
     parts = []
     for entry in request.get(_PREFIX).split(b","):
         part_id, _, tokens = entry.strip().partition(b":")
-        if tokens.isdigit():
-            parts.append(metadata.PromptPart(part_id.decode(), int(tokens)))
+        if _is_whole_number(tokens):
+            parts.append(
+                metadata.PromptPart(part_id.decode("latin-1"), int(tokens))
+            )
     return metadata.Prompt(
         input_tokens=int(counts[0]),
         max_output_tokens=int(counts[1]),
@@ -197,13 +200,18 @@
 
 
 def _load(value: bytes) -> metadata.ReportedLoad | None:
-    counts = [count.strip() for count in value.split(b",")]
-    if len(counts) != 3 or not all(count.isdigit() for count in counts):
+    counts = value.split(b",")
+    if len(counts) != 3 or not all(map(_is_whole_number, counts)):
         return None
     running, waiting, slots = map(int, counts)
     return metadata.ReportedLoad(running=running, waiting=waiting, slots=slots)
 
 
+def _is_whole_number(value: bytes) -> bool:
+    """Returns whether a value is a number that is not too long to count."""
+    return _WHOLE_NUMBER.fullmatch(value.strip()) is not None
+
+
 def _decimal(value: bytes) -> float | None:
     """Returns a number; None if there is none or it is not a decimal one."""
     text = value.strip()
@@ -222,6 +230,6 @@
 def _idle_timeout_ms(value: bytes) -> int | None:
     for parameter in value.split(b","):
         name, _, seconds = parameter.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.isdigit():
+        if name.lower() == b"timeout" and _is_whole_number(seconds):
             return int(seconds) * 1_000
     return None
