Continue a stream only with a response of its own kind

What callers saw: a stream had broken off, and the next target answered with a signed success that is no stream. A JSON or untyped body came into the middle of the stream as if it were an event; after 204, 206 or an empty body the stream ended as if it were complete, with events missing. A first answer of 204 was followed by the end of a chunked body, which belongs to no request.

Cause: a signed 2xx on a streaming route was taken for events, whatever its status, type and framing. Class: what continues a response is checked like a new response, and not against what has begun.

Errors of any other status, in any framing, did not reach the stream before either.

Change: after the head of a stream, only a response of the same status and media type is streamed; another success is a broken response, which is tried again while the route allows it, and else cuts the connection. A response without a body is never a stream.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/platform_harness.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/platform_harness.py
@@ -529,6 +529,11 @@
         complete = response_parser.ResponseState.COMPLETE
         return self._parser.state is complete
 
+    @property
+    def has_extra_bytes(self) -> bool:
+        """Whether bytes followed the end of the response."""
+        return self._parser.has_extra_bytes
+
     @property
     def is_finished(self) -> bool:
         """Whether the response or the connection has ended."""
--- a/packages/bambooglade/bambooglade/gateway/delivery.py
+++ b/packages/bambooglade/bambooglade/gateway/delivery.py
@@ -60,6 +60,7 @@
         "_first_event_at_ms",
         "_responder",
         "_splitter",
+        "_stream_head",
         "is_started",
     )
 
@@ -68,6 +69,7 @@
         self._splitter = event_stream.EventSplitter()
         self._first_event_at_ms: int | None = None
         self._events_before_response = 0
+        self._stream_head: messages.ResponseHead | None = None
         self.is_started = False
 
     @property
@@ -96,11 +98,26 @@
         self.is_started = True
         self._responder.respond(head.status, _forwarded_fields(head), body)
 
+    def can_stream(self, head: messages.ResponseHead) -> bool:
+        """Returns whether a target's response begins or continues the stream.
+
+        Once the caller has the head of a stream, only a response of the same
+        status and media type is a part of it.
+        """
+        if head.framing is messages.Framing.NONE:
+            return False
+        first = self._stream_head
+        return first is None or (
+            (head.status, _media_type(head))
+            == (first.status, _media_type(first))
+        )
+
     def start_stream(self, head: messages.ResponseHead) -> None:
         """Begins with a target's stream; the first one's head is sent."""
         self._events_before_response = self.event_count
         if not self.is_started:
             self.is_started = True
+            self._stream_head = head
             self._responder.start_stream(head.status, _forwarded_fields(head))
 
     def send_events(self, data: bytes) -> bool:
@@ -159,6 +176,10 @@
         return f"Delivery(started={self.is_started}, events={self.event_count})"
 
 
+def _media_type(head: messages.ResponseHead) -> bytes:
+    return head.get(b"content-type").partition(b";")[0].strip().lower()
+
+
 def _forwarded_fields(head: messages.ResponseHead) -> messages.HeaderFields:
     return [
         (name, value)
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -493,6 +493,7 @@
         return (
             self._route.kind is configuration_lib.RouteKind.STREAM
             and self._is_verified_success(head)
+            and self._delivery.can_stream(head)
         )
 
     def _is_verified_success(self, head: messages.ResponseHead) -> bool:
@@ -647,13 +648,9 @@
         self.may_have_run = True
         self._possible_runs += 1
         if self._is_verified_success(head):
-            truncation = (
-                self._delivery.find_truncation(head.framing)
-                if self._is_stream(head)
-                else ""
-            )
-            if truncation:
-                self._handle_broken_response(truncation)
+            fault = self._find_fault(head)
+            if fault:
+                self._handle_broken_response(fault)
                 return
             self._context.target_selector.record_success(self.target_id)
             self._context.room_queue.record_work(
@@ -669,6 +666,18 @@
         else:
             self._handle_error_status(head)
 
+    def _find_fault(self, head: messages.ResponseHead) -> str:
+        """Returns why a success can't be delivered; empty if it can."""
+        if self._is_stream(head):
+            return self._delivery.find_truncation(head.framing)
+        if self._delivery.is_started:
+            return (
+                f"the target responded with status {head.status} and content"
+                f" type {head.get(b'content-type').decode('latin-1')!r}, which"
+                " does not continue the stream"
+            )
+        return ""
+
     def _deliver_success(self, head: messages.ResponseHead) -> None:
         self._context.quarantine.record_success(self._exchange.suspects)
         if self._is_stream(head):
--- a/packages/bambooglade/bambooglade/gateway/peer_forwarder.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_forwarder.py
@@ -242,7 +242,14 @@
     def _is_stream(self, head: messages.ResponseHead) -> bool:
         route = self._exchange.route
         return route.kind is configuration_lib.RouteKind.STREAM and (
-            head.status in _SUCCESSES and self._metadata.is_signed
+            self._is_verified_success(head) and self._delivery.can_stream(head)
+        )
+
+    def _is_verified_success(self, head: messages.ResponseHead) -> bool:
+        return (
+            head.status in _SUCCESSES
+            and self._metadata.is_signed
+            and not self._metadata.has_content_encoding
         )
 
     def body_received(self, data: bytes) -> None:
@@ -369,16 +376,19 @@
 
     def _deliver(self, head: messages.ResponseHead) -> None:
         """Passes on a whole response, unless a promise in it would be false."""
-        if self._metadata.is_signed:
+        is_success = head.status in _SUCCESSES
+        if self._metadata.is_signed and (
+            not is_success or self._is_verified_success(head)
+        ):
             self._delivery.respond(head, b"".join(self._body))
             self._exchange.finish(head.status)
             return
         is_not_run = head.status in _NOT_RUN_STATUSES
-        if head.status in _SUCCESSES or (is_not_run and self.may_have_run):
+        if is_success or (is_not_run and self.may_have_run):
             self._exchange.fail(
                 error_responses.ErrorKind.BROKEN,
                 f"a peer responded with status {head.status} without a"
-                " target's signature",
+                " target's signature, or with a content encoding",
             )
             return
         self._delivery.respond(head, b"".join(self._body))
