Count a refusal of a target that continues a stream as no run

What callers saw: a stream that may run twice broke off, the next target declined it without running it (503 or 421), and the stream was cut although a third target was free.

Cause: a decline was only taken for one before the stream had begun. After that it counted as an error status, and thus as a second run.

Change: a decline is handled as one in any state of the stream. It draws on the retry budget as before, and if none is left, the connection is cut: a request that may have run is never answered with a promise.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_errors_inside_streams.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_errors_inside_streams.py
@@ -304,6 +304,34 @@
     assert not caller.has_extra_bytes
 
 
+@pytest.mark.parametrize("events", [1, 3])
+@pytest.mark.parametrize("end", BREAKS)
+@pytest.mark.parametrize(
+    "response",
+    [
+        decline(503),
+        decline(503, extra=[(b"Retry-After", b"0.1")]),
+        decline(421),
+    ],
+)
+def test_stream_that_the_next_target_declines_goes_on_at_a_third_one(
+    harness, end, events, response
+):
+    for name in ("j1", "j2", "j3"):
+        harness.add_engine(name, "jury")
+    harness.start_gateway()
+    responses = [response, engine_lib.stream_events(EVENTS)]
+
+    def respond_next(call: engine_lib.Call) -> None:
+        responses.pop(0)(call)
+
+    caller = begin_then_break(harness, end, events, respond_next)
+    assert caller.is_complete
+    assert_stream_is_sound(caller)
+    engines = harness.engine_by_name.values()
+    assert sum(len(e.requests) - e.declined_count for e in engines) == 2
+
+
 def test_second_run_that_is_declined_ends_without_a_false_promise(harness):
     for name in ("j1", "j2", "j3"):
         harness.add_engine(name, "jury")
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -635,7 +635,7 @@
 
     def _handle_complete_response(self, head: messages.ResponseHead) -> None:
         metadata = self._metadata
-        if metadata.is_not_executed and not self._delivery.is_started:
+        if metadata.is_not_executed:
             if metadata.is_misdirected:
                 self._context.view.remove_target(
                     self.target_id, reason="misdirected"
