Abort a stream instead of sending a second response into it

All ways by which a request is ended were read: each that is left after a stream has begun goes through Exchange.fail, which cuts the connection.

Cause: that this is so depended on may_have_run being set wherever a stream has begun; Exchange._reject, Delivery.respond and Delivery.send_error didn't look at the stream themselves, and would have sent a second head.

Evidence: both cases of test_whole_response_inside_a_stream_aborts_it, which call Delivery directly, fail without the change and pass with it.

Change: Delivery aborts a stream when a whole response is to be sent, and Exchange logs such an end as aborted.

--- a/packages/bambooglade/bambooglade/gateway/delivery.py
+++ b/packages/bambooglade/bambooglade/gateway/delivery.py
@@ -94,7 +94,10 @@
         return self._first_event_at_ms - request.received_at_ms
 
     def respond(self, head: messages.ResponseHead, body: bytes) -> None:
-        """Sends a target's complete response."""
+        """Sends a target's complete response; inside a stream, aborts it."""
+        if self._stream_head is not None:
+            self.abort()
+            return
         self.is_started = True
         self._responder.respond(head.status, _forwarded_fields(head), body)
 
@@ -162,7 +165,10 @@
         *,
         extra_fields: messages.HeaderFields = (),
     ) -> None:
-        """Sends an error response of the gateway itself."""
+        """Sends an error of the gateway itself; inside a stream, aborts it."""
+        if self._stream_head is not None:
+            self.abort()
+            return
         self.is_started = True
         self._responder.respond(
             error.status, [*error.fields(), *extra_fields], error.body()
--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -517,6 +517,9 @@
         self._end("ended_by_peer", outcome, "", status)
 
     def _reject(self, error: error_responses.ErrorResponse) -> None:
+        if self._delivery.is_started:
+            self.fail(error.kind, error.detail)
+            return
         if self.is_ended:
             return
         declined: messages.HeaderFields = []
