Refuse load reports with counts that can't be calculated with

What callers saw: nothing yet; by reading, a target that reports 10^400 running requests makes the estimate of the load fail for each request of its service, and an age far below 0 keeps out all later reports.

Cause: as for entries of targets, a number was not checked where it was decoded.

Evidence: the row of 400 digits in test_report_that_cannot_be_decoded_is_ignored fails without the change (OverflowError in the choice of a target) and passes with it; the row below 0 passes in both.

Change: counts and ages are from 0 to 10^9; other reports are malformed, which is logged, and the last good one counts until it expires.

--- a/packages/bambooglade/bambooglade/router/tests/test_target_watcher.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_target_watcher.py
@@ -136,8 +136,14 @@
 
 @pytest.mark.parametrize(
     "body",
-    [b'{"x":' + b"[" * 60_000 + b"]" * 60_000 + b"}", b"\xff", b"[]"],
-    ids=["nested_too_deeply", "no_json", "no_object"],
+    [
+        b'{"x":' + b"[" * 60_000 + b"]" * 60_000 + b"}",
+        b"\xff",
+        b"[]",
+        b'{"running":' + b"9" * 400 + b"}",
+        b'{"age_ms":-' + b"9" * 400 + b"}",
+    ],
+    ids=["nested_too_deeply", "no_json", "no_object", "too_large", "too_small"],
 )
 def test_report_that_cannot_be_decoded_is_ignored(body):
     data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
--- a/packages/bambooglade/bambooglade/targets/load.py
+++ b/packages/bambooglade/bambooglade/targets/load.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import math
+from typing import Annotated
 
 import msgspec
 
@@ -26,6 +27,12 @@
 _HISTORY_LENGTH = 1_024
 
 
+MAX_COUNT = 1_000_000_000
+"""Greatest number in a report; one beyond it is malformed."""
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+
+
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
     """Load as reported by a target.
 
@@ -36,9 +43,9 @@
         leaving: Whether the target is about to stop.
     """
 
-    running: int = 0
-    waiting: int = 0
-    age_ms: int = 0
+    running: _Count = 0
+    waiting: _Count = 0
+    age_ms: _Count = 0
     leaving: bool = False
 
 
