Read the other entries of an instance list with a malformed one

What operators of the project's own interface saw: with one malformed entry in the platform's list, all of it was ignored without a log line, so that targets which it says are leaving went on getting requests until another source said it.

Cause: the list was decoded as a whole.

Evidence: six rows of test_odd_entry_of_the_list_costs_no_other_entry fail without the change and pass with it.

Change: entries are decoded one by one; a malformed one is logged when it appears, with its beginning and the reason, and not with each poll.

--- a/packages/bambooglade-standins/bambooglade_standins/instance_list/tests/test_platform_lists.py
+++ b/packages/bambooglade-standins/bambooglade_standins/instance_list/tests/test_platform_lists.py
@@ -5,11 +5,14 @@
 import contextlib
 import threading
 
+import msgspec
+import pytest
 from werkzeug import test as werkzeug_test
 
 from bambooglade.core import clock as clocks
 from bambooglade.store import platform_http
 from bambooglade.store import services
+from bambooglade.transport.tests import raw_server
 from bambooglade_standins import platform_server
 from bambooglade_standins.instance_list import app as instance_list
 from bambooglade_standins.weight_store import app as weight_store
@@ -79,3 +82,26 @@
 def test_an_unreachable_list_is_none():
     adapter = platform_http.HttpInstanceList(url="http://127.0.0.1:9")
     assert adapter.instances() is None
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        b"null",
+        b"[]",
+        b'{"name":"x2"}',
+        b'{"name":"x2","availability_zone":"z","url":5,"leaving":true}',
+        b'{"name":"\xff","availability_zone":"z","url":"u","leaving":true}',
+        b"9" * 5_000,
+    ],
+)
+def test_odd_entry_of_the_list_costs_no_other_entry(odd, caplog):
+    body = b'{"entries":[%s,%s]}' % (odd, msgspec.json.encode(ENTRY))
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+    with raw_server.listening(
+        raw_server.respond_then_close(data % (len(body), body))
+    ) as (url, _):
+        adapter = platform_http.HttpInstanceList(url=url)
+        assert [adapter.targets() for _ in range(3)] == [[ENTRY]] * 3
+    lines = [r for r in caplog.records if "list_entry" in r.getMessage()]
+    assert len(lines) == 1
--- a/packages/bambooglade/bambooglade/store/platform_http.py
+++ b/packages/bambooglade/bambooglade/store/platform_http.py
@@ -4,6 +4,7 @@
 
 from typing import TypeVar
 
+from absl import logging
 import msgspec
 
 from bambooglade.core import identifiers
@@ -13,14 +14,17 @@
 from bambooglade.transport import messages
 
 CALL_TIMEOUT_MS = 2_000
+MAX_LOGGED_BYTES = 80
+"""Most bytes of a malformed entry that a log line shows."""
+
 _OK = 200
 ResponseType = TypeVar("ResponseType")
 
 
 class InstanceListResponse(msgspec.Struct, frozen=True, kw_only=True):
-    """Response of the instance list."""
+    """Response of the instance list, with its entries as they are."""
 
-    entries: tuple[services.ListedInstance, ...]
+    entries: tuple[msgspec.Raw, ...]
 
 
 class WeightsResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -37,13 +41,14 @@
         client: HTTP client; a new one by default.
     """
 
-    __slots__ = ("_client", "_url")
+    __slots__ = ("_client", "_malformed_by_path", "_url")
 
     def __init__(
         self, *, url: str, client: http_client.HttpClient | None = None
     ) -> None:
         self._url = url.rstrip("/")
         self._client = client or http_client.HttpClient()
+        self._malformed_by_path: dict[str, set[str]] = {}
 
     def instances(self) -> list[services.ListedInstance] | None:
         """Returns the listed router instances; None if it is unreachable."""
@@ -55,7 +60,23 @@
 
     def _list(self, path: str) -> list[services.ListedInstance] | None:
         listing = _get(self._client, self._url + path, InstanceListResponse)
-        return list(listing.entries) if listing else None
+        if listing is None:
+            return None
+        entries, malformed = [], set()
+        for raw in listing.entries:
+            try:
+                entries.append(
+                    json_documents.decode(raw, services.ListedInstance)
+                )
+            except msgspec.DecodeError as error:
+                shown = bytes(raw)[:MAX_LOGGED_BYTES]
+                malformed.add(f"{shown!r}: {error}")
+        for reason in malformed - self._malformed_by_path.get(path, set()):
+            logging.warning(
+                "event=list_entry_malformed path=%s entry=%s", path, reason
+            )
+        self._malformed_by_path[path] = malformed
+        return entries
 
     def __repr__(self) -> str:
         return f"HttpInstanceList(url={self._url!r})"
