Read the other entries of an instance list with one nested too deeply

What operators of the project's own interface saw: as before with a malformed entry, all of the list was ignored while one entry had too many levels.

Cause: the decoder stops at too many levels before entries can be told apart.

Evidence: the three rows of test_deeply_nested_entry_of_the_list_costs_no_ other_entry fail without the change of the client and pass with it.

Change: such a document is decoded once more with null for what is nested below 32 levels, found without recursion, and a log line a minute says so.

--- a/packages/bambooglade-standins/bambooglade_standins/instance_list/tests/test_platform_lists.py
+++ b/packages/bambooglade-standins/bambooglade_standins/instance_list/tests/test_platform_lists.py
@@ -105,3 +105,22 @@
         assert [adapter.targets() for _ in range(3)] == [[ENTRY]] * 3
     lines = [r for r in caplog.records if "list_entry" in r.getMessage()]
     assert len(lines) == 1
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        b"[" * 60_000 + b"]" * 60_000,
+        b'{"x":' + b'{"a":' * 60_000 + b"1" + b"}" * 60_001,
+        b'["]}\\"", ' + b"[" * 60_000 + b'"["' + b"]" * 60_000 + b"]",
+    ],
+    ids=["lists", "objects", "lists_with_brackets_in_strings"],
+)
+def test_deeply_nested_entry_of_the_list_costs_no_other_entry(odd):
+    body = b'{"entries":[%s,%s]}' % (odd, msgspec.json.encode(ENTRY))
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+    with raw_server.listening(
+        raw_server.respond_then_close(data % (len(body), body))
+    ) as (url, _):
+        adapter = platform_http.HttpInstanceList(url=url)
+        assert adapter.targets() == [ENTRY]
--- a/packages/bambooglade/bambooglade/core/json_documents.py
+++ b/packages/bambooglade/bambooglade/core/json_documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TypeVar
 
 import msgspec
@@ -9,6 +10,13 @@
 DocumentType = TypeVar("DocumentType")
 
 
+MAX_KEPT_LEVELS = 32
+"""Levels that `without_deep_values` keeps; the project's own documents have
+fewer."""
+
+_STRINGS_AND_BRACKETS = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+
+
 class NestedTooDeeplyError(msgspec.DecodeError):
     """A document has more levels than can be decoded."""
 
@@ -50,6 +58,36 @@
         raise _nested_too_deeply() from error
 
 
+def without_deep_values(
+    document: bytes, *, max_levels: int = MAX_KEPT_LEVELS
+) -> bytes:
+    """Returns a document with null for each list or object below a level.
+
+    Args:
+        document: The document, in JSON.
+        max_levels: Levels of lists and objects that are kept.
+
+    Examples:
+        >>> without_deep_values(b'[1, [2, ["]"]], {"a": {}}]', max_levels=2)
+        b'[1, [2, null], {"a": null}]'
+    """
+    kept: list[bytes] = []
+    level = kept_until = 0
+    for token in _STRINGS_AND_BRACKETS.finditer(document):
+        bracket = token.group()
+        if bracket in (b"[", b"{"):
+            level += 1
+            if level == max_levels + 1:
+                kept += [document[kept_until : token.start()], b"null"]
+        elif bracket in (b"]", b"}"):
+            if level == max_levels + 1:
+                kept_until = token.end()
+            level -= 1
+    if level <= max_levels:
+        kept.append(document[kept_until:])
+    return b"".join(kept)
+
+
 def _nested_too_deeply() -> NestedTooDeeplyError:
     return NestedTooDeeplyError(
         "the document is nested too deeply; write it with fewer levels"
--- a/packages/bambooglade/bambooglade/store/platform_http.py
+++ b/packages/bambooglade/bambooglade/store/platform_http.py
@@ -14,6 +14,9 @@
 from bambooglade.transport import messages
 
 CALL_TIMEOUT_MS = 2_000
+WARNING_INTERVAL_S = 60
+"""Least time between two log lines on values that are nested too deeply."""
+
 MAX_LOGGED_BYTES = 80
 """Most bytes of a malformed entry that a log line shows."""
 
@@ -119,7 +122,28 @@
     response = client.request(request)
     if response.is_err() or response.unwrap().head.status != _OK:
         return None
+    body = response.unwrap().body
+    try:
+        return json_documents.decode(body, response_type)
+    except json_documents.NestedTooDeeplyError:
+        return _decode_without_deep_values(url, body, response_type)
+    except msgspec.DecodeError:
+        return None
+
+
+def _decode_without_deep_values(
+    url: str, body: bytes, response_type: type[ResponseType]
+) -> ResponseType | None:
+    """Decodes a document in which one entry is nested too deeply."""
+    logging.log_every_n_seconds(
+        logging.WARNING,
+        "event=deep_values_dropped url=%s",
+        WARNING_INTERVAL_S,
+        url,
+    )
     try:
-        return json_documents.decode(response.unwrap().body, response_type)
+        return json_documents.decode(
+            json_documents.without_deep_values(body), response_type
+        )
     except msgspec.DecodeError:
         return None
