Read the other items of a store answer with a value that is no base64

What callers saw: nothing yet; the users' store writes base64 itself. With one such value, each list and watch with it ended as malformed, so that no target and no configuration was learned.

Cause: as for the instance list, an answer was decoded as a whole.

--- a/packages/bambooglade/bambooglade/platform/store.py
+++ b/packages/bambooglade/bambooglade/platform/store.py
@@ -307,7 +307,12 @@
 def _item(wire: _WireItem) -> store_api.Item:
     if wire.deleted or wire.value is None:
         return store_api.Item(wire.key, None, wire.revision)
-    return store_api.Item(wire.key, base64.b64decode(wire.value), wire.revision)
+    try:
+        value = base64.b64decode(wire.value)
+    except ValueError:
+        # Malformed for all readers of values, which log the key.
+        value = b""
+    return store_api.Item(wire.key, value, wire.revision)
 
 
 def _transaction(writes: list[store_api.Write]) -> _WireTransaction:
--- a/packages/bambooglade/bambooglade/platform/tests/test_store_responses.py
+++ b/packages/bambooglade/bambooglade/platform/tests/test_store_responses.py
@@ -4,6 +4,7 @@
 
 from concurrent import futures
 
+import msgspec
 import pytest
 
 from bambooglade.core import clock as clock_lib
@@ -67,3 +68,18 @@
 def test_conflict_that_cannot_be_read_ends_the_call(body):
     done = new_store(body, status=412).commit([store_api.Write("k", b"v")])
     assert isinstance(done.result(timeout=0), store_api.NoResponse)
+
+
+@pytest.mark.parametrize("odd", ["not base64", "a", "====", "\u00e9", "YQ="])
+@pytest.mark.parametrize("call", [CALLS["read_prefix"], CALLS["watch"]])
+def test_value_that_is_no_base64_costs_no_other_item(call, odd):
+    items = [
+        {"key": "servers/a", "revision": 1, "value": odd},
+        {"key": "servers/b", "revision": 2, "value": "YQ=="},
+    ]
+    body = msgspec.json.encode({"entries": items, "events": items, "at": 2})
+    response = call(new_store(body)).result(timeout=0)
+    assert [(item.key, item.value) for item in response.items] == [
+        ("servers/a", b""),
+        ("servers/b", b"a"),
+    ]
