Test errors after a broken stream on the project's own interface

What was looked for: the report of errors inside streams, in the interface of the project itself. 21 answers of the next target after 0, 1 and 5 tokens do not reach the caller in any of 63 cases; the stream goes on and is complete.

--- a/packages/bambooglade/bambooglade/router/tests/test_dispatch_chat.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_dispatch_chat.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import msgspec
 import pytest
 
@@ -14,6 +16,7 @@
 from bambooglade.transport import messages
 from bambooglade.transport import problems
 from bambooglade.transport import sse
+from bambooglade.transport.tests import raw_server
 from bambooglade_standins import faults as faults_lib
 from bambooglade_standins.engine import app as engine_app
 from bambooglade_standins.engine import generation
@@ -417,3 +420,91 @@
     problem = msgspec.json.decode(responses[-1].body, type=problems.Problem)
     assert (problem.kind, problem.ran) == ("prompt_quarantined", "no")
     assert len(attempts) <= 5
+
+
+ERROR_TEXT = b"error-text-of-a-target"
+
+
+class ScriptedTarget:
+    """A target that sends the same bytes to each connection."""
+
+    def __init__(self, data: bytes) -> None:
+        self._resources = contextlib.ExitStack()
+        url, self.requests = self._resources.enter_context(
+            raw_server.listening(raw_server.respond_then_close(data))
+        )
+        self.url = url.rstrip("/")
+
+    def stop(self) -> None:
+        self._resources.close()
+
+
+def encode_response(
+    status: bytes,
+    body: bytes = ERROR_TEXT,
+    *,
+    fields: bytes = b"Content-Type: application/json\r\n",
+    has_length: bool = True,
+) -> bytes:
+    length = b"Content-Length: %d\r\n" % len(body) if has_length else b""
+    return b"HTTP/1.1 %s\r\n%s%s\r\n%s" % (status, fields, length, body)
+
+
+_CHUNKED = b"Transfer-Encoding: chunked\r\n"
+_EVENTS = b"Content-Type: text/event-stream\r\n"
+NEXT_RESPONSES = {
+    "500": encode_response(b"500 X"),
+    "500_as_event": encode_response(b"500 X", sse.encode(ERROR_TEXT)),
+    "500_until_close": encode_response(b"500 X", has_length=False),
+    "500_in_chunks": encode_response(
+        b"500 X", b"5\r\nerror\r\n0\r\n\r\n", fields=_CHUNKED, has_length=False
+    ),
+    "503": encode_response(b"503 X"),
+    "503_pause": encode_response(b"503 X", fields=b"Retry-After: 0.1\r\n"),
+    "429": encode_response(b"429 X"),
+    "421": encode_response(b"421 X"),
+    "404": encode_response(b"404 X"),
+    "400": encode_response(b"400 X"),
+    "302": encode_response(b"302 X", fields=b"Location: /elsewhere\r\n"),
+    "204": encode_response(b"204 X", b"", has_length=False),
+    "206": encode_response(b"206 X", sse.encode(ERROR_TEXT), fields=_EVENTS),
+    "200_json": encode_response(b"200 OK"),
+    "200_as_event": encode_response(
+        b"200 OK", sse.encode(ERROR_TEXT), fields=_EVENTS
+    ),
+    "200_end": encode_response(b"200 OK", sse.encode(sse.DONE), fields=_EVENTS),
+    "200_empty": encode_response(b"200 OK", b"", fields=_EVENTS),
+    "200_encoded": encode_response(
+        b"200 OK", b"\x1f\x8b\n\n", fields=b"Content-Encoding: gzip\r\n"
+    ),
+    "103_then_500": b"HTTP/1.1 103 X\r\n\r\n" + encode_response(b"500 X"),
+    "malformed_head": b"HTP/9 " + ERROR_TEXT + b"\r\n\r\n",
+    "nothing": b"",
+}
+
+
+@pytest.mark.parametrize("die_at_token", [0, 1, 5])
+@pytest.mark.parametrize(
+    "next_response", NEXT_RESPONSES.values(), ids=NEXT_RESPONSES
+)
+def test_error_of_the_next_target_is_not_inside_the_stream(
+    next_response, die_at_token
+):
+    faults = faults_lib.Faults(die_at_token=die_at_token, remaining=1)
+    engines = {
+        "e1": start_engine("e1", faults=faults)[0],
+        "e2": ScriptedTarget(next_response),
+    }
+    with caller_api_harness.running_harness(
+        engines, caller_api_harness.MODEL
+    ) as harness:
+        response = harness.send(
+            "POST",
+            "/v1/chat/completions",
+            body=chat_body(),
+            Idempotency_Key="k1",
+        )
+    assert any(r.startswith(b"POST") for r in engines["e2"].requests)
+    assert ERROR_TEXT not in response.body
+    assert b"HTTP/1.1" not in response.body
+    assert text_of(response.body) == COMPLETE_TEXT
