--- a/packages/bambooglade/bambooglade/platform/store.py
+++ b/packages/bambooglade/bambooglade/platform/store.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from bambooglade.core import event_log
+from bambooglade.core import json_documents
 from bambooglade.eventloop import http_client
 from bambooglade.eventloop import tasks
 from bambooglade.http1 import messages
@@ -290,7 +291,7 @@
     def _decode_body(
         self, response: http_client.Response, wire_type: type[Wire]
     ) -> Wire:
-        return msgspec.json.decode(response.body, type=wire_type)
+        return json_documents.decode(response.body, wire_type)
 
     def __repr__(self) -> str:
         return f"PlatformStore(address={self._address})"
@@ -306,7 +307,12 @@
 def _item(wire: _WireItem) -> store_api.Item:
     if wire.deleted or wire.value is None:
         return store_api.Item(wire.key, None, wire.revision)
-    return store_api.Item(wire.key, base64.b64decode(wire.value), wire.revision)
+    try:
+        value = base64.b64decode(wire.value)
+    except ValueError:
+        # Malformed for all readers of values, which log the key.
+        value = b""
+    return store_api.Item(wire.key, value, wire.revision)
 
 
 def _transaction(writes: list[store_api.Write]) -> _WireTransaction:
