Show that a silent engine's stream is broken off if the next one takes nothing

Streams of a sound engine that was stopped for 1.1 to 1.3 s ended in the middle for their callers.

A stream is given up after 1.2 s of silence. If the next engine declines it, is over its connections and resets, or opens none, the gateway has no run left and breaks the response off. The engines of the soak take fewer connections while their queue is long now, as the protocol allows.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/engine_process.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/engine_process.py
@@ -50,7 +50,8 @@
         slots: Requests that run at the same time.
         queue: Most requests that wait for a slot.
         backlog: Size of the accept queue.
-        max_connections: Most connections; further ones are reset.
+        max_connections: Most connections, or half of them while the queue is
+            longer than the slots; further ones are reset.
         idle_timeout_s: Time after which an idle connection is closed.
         record_path: File to which the engine appends what it receives.
     """
@@ -163,7 +164,10 @@
         )
 
     def _accept(self, sock: socket.socket) -> None:
-        if len(self.connections) >= self.settings.max_connections:
+        limit = self.settings.max_connections
+        if len(self._waiting) > self.settings.slots:
+            limit //= 2
+        if len(self.connections) >= limit:
             zero_linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, zero_linger)
             sock.close()
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/soak_pauses.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/soak_pauses.py
@@ -142,6 +142,7 @@
         slots: Slots of a model engine.
         queue: Requests that may wait at a model engine.
         backlog: Size of the accept queue of an engine.
+        max_connections: Most connections of a model engine.
         idle_timeout_s: Time after which engines close idle connections.
         zones: Number of availability zones.
         dropped_share: Share of streams that may be resumed whose connection to
@@ -155,6 +156,7 @@
     slots: int = 64
     queue: int = 192
     backlog: int = 128
+    max_connections: int = 360
     idle_timeout_s: int = 8
     zones: int = 4
     dropped_share: float = 0.1
@@ -274,7 +276,9 @@
                         slots=6 if is_plain else self._size.slots,
                         queue=24 if is_plain else self._size.queue,
                         backlog=self._size.backlog,
-                        max_connections=96 if is_plain else 360,
+                        max_connections=(
+                            96 if is_plain else self._size.max_connections
+                        ),
                         idle_timeout_s=self._size.idle_timeout_s,
                         record_path=str(self._path / f"{service}-{number}"),
                     )
@@ -413,7 +417,7 @@
         services = [
             {
                 "name": name,
-                "maxConnections": 360,
+                "maxConnections": self._size.max_connections,
                 "engine": {
                     "slots": self._size.slots,
                     "kvCapacityTokens": 500_000,
