Split the plan of the pause soak from its run, and notice ended processes

The module chose fleets and changes, wrote configurations and ran processes. What is chosen is a module of its own now, without I/O; seeds give the same plans. A process that ended by itself went unnoticed; it fails the run now, and pauses are recorded at the times at which the signals were sent.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/engine_process.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/engine_process.py
@@ -101,9 +101,14 @@
             ]
         )
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process is running, or stopped by a signal."""
+        return self._process is not None and self._process.poll() is None
+
     def send_signal(self, signal_number: int) -> None:
         """Sends a signal to the process if it is running."""
-        if self._process is not None and self._process.poll() is None:
+        if self.is_running:
             self._process.send_signal(signal_number)
 
     def kill(self) -> None:
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/soak_pauses.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/soak_pauses.py
@@ -16,7 +16,6 @@
 import math
 import os
 import pathlib
-import random
 import signal
 import subprocess
 import sys
@@ -33,30 +32,11 @@
 from bambooglade_standins.users_platform import invariants as invariants_lib
 from bambooglade_standins.users_platform import memory_store
 from bambooglade_standins.users_platform import pause_judge
+from bambooglade_standins.users_platform import pause_plan
 from bambooglade_standins.users_platform import pause_records
 from bambooglade_standins.users_platform import platform_harness as harness_lib
 from bambooglade_standins.users_platform import store_server
 
-ENGINE_SERVICES = ("jury", "panel")
-"""Services of model engines, between which routes move."""
-
-PLAIN_SERVICE = "portal"
-VERSION = "v1"
-IDLE_TIMEOUTS_MS = (2_500, 4_000, 6_000, 10_000, 15_000)
-PAUSE_DELAY_MS = 600
-"""Time from a change of the configuration until engines are stopped."""
-
-PAUSES_MS = (1_000, 1_300)
-"""Shortest and longest pause."""
-
-CHANGE_PERIOD_MS = 6_000
-OVERLAP_DELAY_MS = 700
-"""Time after a change until another one, which falls into the pause."""
-
-OVERLAP_SHARE = 0.4
-FIRST_CHANGE_MS = 4_000
-PAUSED_SHARES = (0.6, 1.0)
-CHANGES = ("idle", "timeout", "route")
 START_BOUND_MS = 20_000
 DISCOVERY_MS = 4_000
 """Time that gateways have to find each other before callers begin."""
@@ -67,149 +47,6 @@
 RATE_PER_CALLER_PROCESS = 90
 """Most requests per second of one process of callers."""
 
-MAX_ATTEMPTS_BY_KIND = {
-    "critique": 1,
-    "feedback": 2,
-    "tag": 1,
-    "submit": 1,
-    "check": 2,
-}
-"""Numbers of engines at which a request of each kind may run."""
-
-REPEATABLE_KINDS = ("feedback", "check")
-TIMEOUT_MS_BY_KIND = {
-    "critique": 15_000,
-    "feedback": 12_000,
-    "tag": 3_000,
-    "submit": 1_200,
-    "check": 1_200,
-}
-TIMEOUT_FACTORS = (0.7, 1.0, 1.4)
-MOVED_KINDS = ("critique", "feedback", "feedback", "tag")
-"""Kinds whose routes move to other services, the resumable one more often."""
-
-ROUTE_CHOICES = (("jury",), ("panel",), ("jury", "panel"))
-
-KINDS = [
-    caller_process.Kind(
-        name="critique",
-        weight=13.1,
-        events=(30, 64),
-        pace_ms=(20, 50),
-        deadline_ms=15_000,
-        max_gap_ms=4_000,
-    ),
-    caller_process.Kind(
-        name="feedback",
-        weight=21.1,
-        events=(20, 64),
-        pace_ms=(20, 50),
-        deadline_ms=12_000,
-        max_gap_ms=3_200,
-        is_repeatable=True,
-    ),
-    caller_process.Kind(
-        name="tag",
-        weight=19.4,
-        events=(4, 8),
-        pace_ms=(20, 50),
-        deadline_ms=3_000,
-        max_gap_ms=3_200,
-    ),
-    caller_process.Kind(
-        name="submit", weight=13.4, pace_ms=(20, 60), deadline_ms=2_500
-    ),
-    caller_process.Kind(
-        name="check",
-        weight=8.0,
-        method="GET",
-        pace_ms=(20, 60),
-        deadline_ms=2_500,
-        is_repeatable=True,
-    ),
-]
-"""Kinds of requests, with the mix of the deployments."""
-
-
-class FleetSize(msgspec.Struct, frozen=True, kw_only=True):
-    """Numbers of processes, and the load.
-
-    Attributes:
-        gateways: Number of gateways.
-        engines_by_service: Number of engines of each service.
-        rate_per_s: Requests per second.
-        slack: Slack of the retry budget.
-        slots: Slots of a model engine.
-        queue: Requests that may wait at a model engine.
-        backlog: Size of the accept queue of an engine.
-        max_connections: Most connections of a model engine.
-        idle_timeout_s: Time after which engines close idle connections.
-        zones: Number of availability zones.
-        dropped_share: Share of streams that may be resumed whose connection to
-            the caller breaks once.
-    """
-
-    gateways: int
-    engines_by_service: dict[str, int]
-    rate_per_s: float
-    slack: float
-    slots: int = 64
-    queue: int = 192
-    backlog: int = 128
-    max_connections: int = 360
-    idle_timeout_s: int = 8
-    zones: int = 4
-    dropped_share: float = 0.1
-
-
-SIZES = {
-    "small": FleetSize(
-        gateways=3,
-        engines_by_service={"jury": 3, "panel": 2, "portal": 2},
-        rate_per_s=40,
-        slack=12,
-        slots=24,
-        queue=8,
-        backlog=8,
-    ),
-    "one-zone": FleetSize(
-        gateways=5,
-        engines_by_service={"jury": 2, "panel": 2, "portal": 1},
-        rate_per_s=80,
-        slack=12,
-        zones=1,
-        dropped_share=0.5,
-    ),
-    "quetzal": FleetSize(
-        gateways=6,
-        engines_by_service={"jury": 5, "panel": 3, "portal": 4},
-        rate_per_s=75,
-        slack=52,
-    ),
-    "quetzal-heavy": FleetSize(
-        gateways=6,
-        engines_by_service={"jury": 5, "panel": 3, "portal": 4},
-        rate_per_s=140,
-        slack=52,
-        slots=24,
-        queue=12,
-        backlog=16,
-    ),
-    "thistle-meals": FleetSize(
-        gateways=9,
-        engines_by_service={"jury": 5, "panel": 3, "portal": 4},
-        rate_per_s=82,
-        slack=58,
-    ),
-    "grown": FleetSize(
-        gateways=40,
-        engines_by_service={"jury": 20, "panel": 10, "portal": 12},
-        rate_per_s=250,
-        slack=200,
-    ),
-}
-"""Sizes of the deployments, and smaller ones."""
-
 RETRY_RATIO = 0.2
 BUDGET_WINDOW_S = 10
 
@@ -233,12 +70,11 @@
         *,
         size: str = "quetzal",
         fault: str = "",
-        changes: Sequence[str] = CHANGES,
+        changes: Sequence[str] = pause_plan.CHANGES,
     ) -> None:
         self._seed = seed
         self._kinds_of_changes = changes
-        self._size = SIZES[size]
-        self._random = random.Random(seed)
+        self._size = pause_plan.SIZES[size]
         self._directory = tempfile.TemporaryDirectory()
         self._path = pathlib.Path(self._directory.name)
         self._loop = loop_lib.EventLoop(clock_lib.Clock())
@@ -258,19 +94,18 @@
         self._callers: list[subprocess.Popen] = []
         self._changes: list[pause_records.Change] = []
         self._pauses: list[pause_records.Pause] = []
-        self._max_step_ms = 0
         self.judge: pause_judge.Judge | None = None
 
     def _new_engines(self) -> Iterator[engine_process.EngineProcess]:
         for service, count in self._size.engines_by_service.items():
-            is_plain = service == PLAIN_SERVICE
+            is_plain = service == pause_plan.PLAIN_SERVICE
             for number in range(count):
                 host, port = harness_lib.free_address()
                 yield engine_process.EngineProcess(
                     engine_process.EngineSettings(
                         name=f"{service}-{number}",
                         service=service,
-                        version=VERSION,
+                        version=pause_plan.VERSION,
                         host=host,
                         port=port,
                         slots=6 if is_plain else self._size.slots,
@@ -291,163 +126,36 @@
             invariants.InvariantViolationError: A rule was broken.
         """
         try:
-            self._plan(duration_ms)
+            plan = pause_plan.Plan(
+                self._seed,
+                self._size,
+                kinds_of_changes=self._kinds_of_changes,
+                duration_ms=duration_ms,
+            )
+            self._changes, self._pauses = plan.changes, plan.pauses
             self._start()
             begins_at_ms = engine_process.monotonic_ms() + DISCOVERY_MS
             self._schedule(begins_at_ms)
             self._start_callers(begins_at_ms, duration_ms)
             self._run_until_callers_end(DISCOVERY_MS + duration_ms)
+            self._check_processes()
         finally:
             self._close()
         return self._check()
 
-    def _plan(self, duration_ms: int) -> None:
-        """Chooses the changes and the pauses, at times from the beginning."""
-        state = self._first_state()
-        self._changes = [state]
-        at_ms = FIRST_CHANGE_MS
-        while at_ms + PAUSE_DELAY_MS + PAUSES_MS[1] < duration_ms:
-            state = self._changed(state, at_ms)
-            self._changes.append(state)
-            self._plan_pause(at_ms + PAUSE_DELAY_MS)
-            if self._random.random() < OVERLAP_SHARE:
-                state = self._changed(state, at_ms + OVERLAP_DELAY_MS)
-                self._changes.append(state)
-            at_ms += CHANGE_PERIOD_MS
-
-    def _plan_pause(self, at_ms: int) -> None:
-        service = self._random.choice(ENGINE_SERVICES)
-        share = self._random.choice(PAUSED_SHARES)
-        names = [
-            engine.settings.name
-            for engine in self._engines
-            if engine.settings.service == service
-        ]
-        count = math.ceil(share * len(names))
-        self._pauses.append(
-            pause_records.Pause(
-                began_at_ms=at_ms,
-                ended_at_ms=at_ms + self._random.randint(*PAUSES_MS),
-                engines=tuple(sorted(self._random.sample(names, count))),
-            )
-        )
-
-    def _first_state(self) -> pause_records.Change:
-        return pause_records.Change(
-            at_ms=0,
-            how="first",
-            idle_timeout_ms=self._random.choice(IDLE_TIMEOUTS_MS),
-            route_by_kind={
-                kind: pause_records.RouteState(
-                    services=(
-                        ("jury",)
-                        if any(k.name == kind and k.events[1] for k in KINDS)
-                        else (PLAIN_SERVICE,)
-                    ),
-                    timeout_ms=timeout_ms,
-                    max_attempts=MAX_ATTEMPTS_BY_KIND[kind],
-                    is_repeatable=kind in REPEATABLE_KINDS,
-                )
-                for kind, timeout_ms in TIMEOUT_MS_BY_KIND.items()
-            },
-        )
-
-    def _changed(
-        self, state: pause_records.Change, at_ms: int
-    ) -> pause_records.Change:
-        """Returns the next version of the configuration."""
-        how = self._random.choice(self._kinds_of_changes)
-        idle_timeout_ms = state.idle_timeout_ms
-        routes = dict(state.route_by_kind)
-        if how == "idle":
-            idle_timeout_ms = self._random.choice(
-                [t for t in IDLE_TIMEOUTS_MS if t != idle_timeout_ms]
-            )
-        elif how == "timeout":
-            factor = self._random.choice(TIMEOUT_FACTORS)
-            for kind, timeout_ms in TIMEOUT_MS_BY_KIND.items():
-                routes[kind] = msgspec.structs.replace(
-                    routes[kind], timeout_ms=round(factor * timeout_ms)
-                )
-        else:
-            kind = self._random.choice(MOVED_KINDS)
-            others = [s for s in ROUTE_CHOICES if s != routes[kind].services]
-            routes[kind] = msgspec.structs.replace(
-                routes[kind], services=self._random.choice(others)
-            )
-        return pause_records.Change(
-            at_ms=at_ms,
-            how=how,
-            idle_timeout_ms=idle_timeout_ms,
-            route_by_kind=routes,
-        )
-
     def _configure(self, number: int) -> None:
         """Writes a planned version, and records when it was accepted."""
         change = self._changes[number]
-        self._store.put_now("op/config", self._encode(change, number))
+        self._store.put_now(
+            "op/config",
+            pause_plan.encode_configuration(
+                change, version=2 + 3 * number, size=self._size
+            ),
+        )
         self._changes[number] = msgspec.structs.replace(
             change, at_ms=engine_process.monotonic_ms()
         )
 
-    def _encode(self, change: pause_records.Change, number: int) -> bytes:
-        routes = [
-            {
-                "name": kind,
-                "hostname": harness_lib.HOST.decode(),
-                "pathPrefix": f"/{kind}/",
-                "routeType": _route_type(kind),
-                "timeoutMs": route.timeout_ms,
-                "targetLatencyMs": 400,
-                "priority": 1,
-                "service": route.services[0],
-                "trafficSplit": (
-                    [{"service": s, "weight": 0.5} for s in route.services]
-                    if len(route.services) > 1
-                    else []
-                ),
-                "maxAttempts": route.max_attempts,
-                "public": False,
-                "sessionAffinity": _is_stream(kind),
-                "streamResumption": _is_stream(kind) and route.is_repeatable,
-                "targetGapMs": 400,
-            }
-            for kind, route in change.route_by_kind.items()
-        ]
-        services = [
-            {
-                "name": name,
-                "maxConnections": self._size.max_connections,
-                "engine": {
-                    "slots": self._size.slots,
-                    "kvCapacityTokens": 500_000,
-                    "stride": 6,
-                },
-            }
-            for name in ENGINE_SERVICES
-        ]
-        services.append({"name": PLAIN_SERVICE, "maxConnections": 96})
-        return msgspec.json.encode(
-            {
-                "version": 2 + 3 * number,
-                "routes": routes,
-                "services": services,
-                "limits": {
-                    "maxHeaderBytes": 4_096,
-                    "maxBodyBytes": 100_000,
-                    "headerTimeoutMs": 3_000,
-                    "idleTimeoutMs": change.idle_timeout_ms,
-                },
-                "tenants": [
-                    {
-                        "name": harness_lib.TEAM,
-                        "apiKeys": [harness_lib.KEY.decode()],
-                        "prepaid": 10**9,
-                    }
-                ],
-            }
-        )
-
     def _start(self) -> None:
         self._configure(0)
         for engine in self._engines:
@@ -506,7 +214,7 @@
                     for gateway in self._gateways
                 },
                 rate_per_s=self._size.rate_per_s / count,
-                kinds=KINDS,
+                kinds=pause_plan.KINDS,
                 begins_at_ms=begins_at_ms,
                 duration_ms=duration_ms,
                 changes=self._changes,
@@ -526,31 +234,35 @@
 
     def _schedule(self, begins_at_ms: int) -> None:
         """Schedules the planned changes and pauses."""
-        offset_ms = begins_at_ms
         delay_ms = begins_at_ms - engine_process.monotonic_ms()
         for number, change in enumerate(self._changes[1:], start=1):
             self._loop.call_later(
                 delay_ms + change.at_ms, self._configure, number
             )
             self._changes[number] = msgspec.structs.replace(
-                change, at_ms=offset_ms + change.at_ms
+                change, at_ms=begins_at_ms + change.at_ms
             )
-        for pause in self._pauses:
-            for at_ms, signal_number in (
-                (pause.began_at_ms, signal.SIGSTOP),
-                (pause.ended_at_ms, signal.SIGCONT),
-            ):
-                self._loop.call_later(
-                    delay_ms + at_ms, self._signal, pause, signal_number
-                )
-        self._pauses = [
-            msgspec.structs.replace(
-                pause,
-                began_at_ms=offset_ms + pause.began_at_ms,
-                ended_at_ms=offset_ms + pause.ended_at_ms,
+        for number, pause in enumerate(self._pauses):
+            self._loop.call_later(
+                delay_ms + pause.began_at_ms, self._stop_engines, number
             )
-            for pause in self._pauses
-        ]
+            self._loop.call_later(
+                delay_ms + pause.ended_at_ms, self._continue_engines, number
+            )
+
+    def _stop_engines(self, number: int) -> None:
+        pause = self._pauses[number]
+        self._pauses[number] = msgspec.structs.replace(
+            pause, began_at_ms=engine_process.monotonic_ms()
+        )
+        self._signal(pause, signal.SIGSTOP)
+
+    def _continue_engines(self, number: int) -> None:
+        pause = self._pauses[number]
+        self._signal(pause, signal.SIGCONT)
+        self._pauses[number] = msgspec.structs.replace(
+            pause, ended_at_ms=engine_process.monotonic_ms()
+        )
 
     def _signal(self, pause: pause_records.Pause, signal_number: int) -> None:
         for engine in self._engines:
@@ -566,6 +278,16 @@
                     "callers have not ended their requests in time"
                 )
 
+    def _check_processes(self) -> None:
+        """Checks that no process has ended by itself."""
+        ended = [g for g in self._gateways if not g.is_running]
+        ended += [e for e in self._engines if not e.is_running]
+        ended += [c.args[-1] for c in self._callers if c.returncode]
+        if ended:
+            raise invariants_lib.InvariantViolationError(
+                f"processes have ended by themselves: {ended}"
+            )
+
     def _run_for(self, duration_ms: int) -> None:
         due_ms = self._loop.now_ms() + duration_ms
         while self._loop.now_ms() < due_ms:
@@ -646,13 +368,3 @@
 
     def __repr__(self) -> str:
         return f"PauseSoak(seed={self._seed})"
-
-
-def _is_stream(kind: str) -> bool:
-    return any(k.name == kind and k.events[1] for k in KINDS)
-
-
-def _route_type(kind: str) -> str:
-    if _is_stream(kind):
-        return "streaming"
-    return "safe" if kind in REPEATABLE_KINDS else "unsafe"
