Show streams that are joined after their route moved to another service

Found by reading.

Hypotheses, before any change: (1) the services of the route as it is now count as all at which a stream may have begun; (2) an instance that was started since knows nothing else; (3) one that missed the move sends it to the former service.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_streams_out_of_step.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_streams_out_of_step.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from bambooglade_standins.users_platform import engine as engine_lib
@@ -241,3 +242,79 @@
     start_gateways(harness, 4)
     assert resume(harness, stream_id).status == 503
     assert called_engines(harness) == set()
+
+
+def route_to(service: str, version: int, *, prefix: str = "/resume/") -> bytes:
+    """Returns a configuration with a resumable route to a service."""
+    value = msgspec.json.decode(
+        harness_lib.configuration(version=version, prepaid=None)
+    )
+    (route,) = (r for r in value["routes"] if r["name"] == "resume")
+    if prefix == route["pathPrefix"]:
+        route["service"] = service
+    else:
+        value["routes"].append(
+            {
+                **route,
+                "name": "longer",
+                "pathPrefix": prefix,
+                "service": service,
+            }
+        )
+    jury = next(s for s in value["services"] if s["name"] == "jury")
+    value["services"].append({**jury, "name": "panel"})
+    return msgspec.json.encode(value)
+
+
+def configure(harness, value: bytes, gateways) -> None:
+    """Writes a configuration, and waits until these gateways apply it."""
+    version = msgspec.json.decode(value)["version"]
+    harness.configure(value)
+    harness.run_until(
+        lambda: all(
+            harness.gateways[number].view.configuration.version == version
+            for number in gateways
+        )
+    )
+
+
+@pytest.mark.parametrize("prefix", ["/resume/", "/resume/1/"])
+@pytest.mark.parametrize("changes", [1, 2])
+@pytest.mark.parametrize("is_origin_gone", [False, True])
+@pytest.mark.parametrize("restarted", [False, True])
+def test_stream_is_not_joined_at_the_service_to_which_its_route_moved(
+    harness, restarted, is_origin_gone, changes, prefix
+):
+    add_engine(harness, "j1")
+    add_engine(harness, "p1", service="panel")
+    start_gateways(harness, 3)
+    stream_id = begin_stream(harness, "j1")
+    for version in range(2, 2 + changes):
+        value = route_to("panel", version, prefix=prefix)
+        configure(harness, value, range(3))
+    if is_origin_gone:
+        harness.gateways[BEGUN_AT].close()
+    if restarted:
+        harness.gateways[RESUMED_AT].close()
+        harness.start_gateway("edge-0")
+        harness.run_until(lambda: harness.gateways[-1].known_peers())
+    caller = resume(harness, stream_id, gateway=-1 if restarted else 0)
+    assert (caller.status, called_engines(harness)) == (503, set())
+
+
+@pytest.mark.parametrize("is_back", [False, True])
+def test_stream_is_not_joined_at_the_service_from_which_its_route_moved(
+    harness, is_back
+):
+    add_engine(harness, "j1")
+    add_engine(harness, "p1", service="panel")
+    start_gateways(harness, 2)
+    harness.cut_off(RESUMED_AT)
+    configure(harness, route_to("panel", 2), [BEGUN_AT])
+    stream_id = begin_stream(harness, "p1")
+    harness.gateways[BEGUN_AT].close()
+    if is_back:
+        harness.restore_links()
+    caller = resume(harness, stream_id)
+    assert called_engines(harness) <= {"p1"}
+    assert (caller.status == 200) == bool(called_engines(harness))
