Count the services that a route has left among those of its streams

What callers saw: with one software version, a stream that had begun at one service was taken up after its route had moved, at another instance, and went on at the service to which the route leads now (ORDER).

Cause: as with versions, what is configured now was taken for all there was. An origin that nobody recorded counted as the only one possible if the route has one service now.

A changed route also sends the origins of its streams to their holders: a stream goes on after its route was split, which was refused before. The route of a resumed request is looked up again once its origin is known, since the store is read meanwhile.

Messages: earlier builds ignore `host` and `path` and name no services.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_streams_out_of_step.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_streams_out_of_step.py
@@ -318,3 +318,21 @@
     caller = resume(harness, stream_id)
     assert called_engines(harness) <= {"p1"}
     assert (caller.status == 200) == bool(called_engines(harness))
+
+
+def test_stream_goes_on_after_its_route_was_split(harness):
+    add_engine(harness, "j1")
+    add_engine(harness, "p1", service="panel")
+    start_gateways(harness, 3)
+    stream_id = begin_stream(harness, "j1")
+    value = msgspec.json.decode(route_to("panel", 2))
+    (route,) = (r for r in value["routes"] if r["name"] == "resume")
+    del route["service"]
+    route["trafficSplit"] = [
+        {"service": service, "weight": 1} for service in ("jury", "panel")
+    ]
+    configure(harness, msgspec.json.encode(value), range(3))
+    harness.run_for(100)
+    harness.gateways[BEGUN_AT].close()
+    assert resume(harness, stream_id).status == 200
+    assert called_engines(harness) == {"j1"}
--- a/packages/bambooglade/bambooglade/gateway/configuration.py
+++ b/packages/bambooglade/bambooglade/gateway/configuration.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 import enum
 
@@ -269,6 +270,11 @@
         """Whether requests on routes that are not public need a key."""
         return bool(self.team_by_name)
 
+    @property
+    def routes(self) -> Iterable[Route]:
+        """All routes."""
+        return self._route_by_prefix.values()
+
     @property
     def route_count(self) -> int:
         """Number of routes."""
--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -309,7 +309,8 @@
         self._context.origins.resolve(
             self.metadata.attempt_id,
             stream_id=stream_id,
-            services=self.route.service_names,
+            host=self.request.host,
+            path=self.request.path,
         ).add_done_callback(lambda done: self._handle_origin(done.result()))
 
     def _handle_origin(
@@ -318,6 +319,11 @@
         """Continues with a resumed stream where it began, or rejects it."""
         if self.is_ended:
             return
+        # The configuration may have changed since.
+        error = self._authenticate_and_route(self._context.view.configuration)
+        if error is not None:
+            self._reject(error)
+            return
         if origin is None:
             self.reject_unexecuted(
                 error_responses.ErrorKind.STREAM_ORIGIN_UNKNOWN,
--- a/packages/bambooglade/bambooglade/gateway/origin_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/origin_replication.py
@@ -10,7 +10,8 @@
 
 An origin that nobody has recorded may be the only one possible. That holds only
 if the versions are known up to the time of the resumption: an instance that was
-cut off, or stood still, has not seen those that appeared meanwhile.
+cut off, or stood still, has not seen what appeared meanwhile. The services
+that the route has left recently count as well.
 """
 
 from __future__ import annotations
@@ -32,7 +33,9 @@
 from bambooglade.eventloop import http_client
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
+from bambooglade.gateway import configuration as configuration_lib
 from bambooglade.gateway import origin_archive
+from bambooglade.gateway import route_history
 from bambooglade.gateway import stream_origins
 from bambooglade.gateway import version_archive
 from bambooglade.store import dependency_monitor
@@ -79,10 +82,14 @@
         stream_id: Id of the stream.
         needs_confirmation: Whether the holder asks the store for the versions
             first; earlier builds don't.
+        host: Host of the request that resumes it; empty from earlier builds.
+        path: Path of that request, one character per byte.
     """
 
     stream_id: str
     needs_confirmation: bool = False
+    host: str = ""
+    path: str = ""
 
 
 class OriginLookupResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -94,11 +101,52 @@
             knows them for no time.
         is_confirmed: Whether they include all that the store listed after the
             lookup had arrived.
+        services: Services that got requests for the path recently, as far as
+            the holder knows; earlier builds state none.
     """
 
     origin: stream_origins.StreamOrigin | None = None
     seen_versions: stream_origins.SeenVersions = stream_origins.SeenVersions()
     is_confirmed: bool = False
+    services: list[str] = []
+
+
+class _Resumption:
+    """A stream that a caller resumes.
+
+    Attributes:
+        stream_id: Id of the stream.
+        host: Host of the request that resumes it.
+        path: Path of that request.
+        as_of_ms: Time at which it was received.
+        services_at_peers: Services that got requests for the path recently, as
+            peers know.
+    """
+
+    __slots__ = ("as_of_ms", "host", "path", "services_at_peers", "stream_id")
+
+    def __init__(
+        self, stream_id: str, *, host: bytes, path: bytes, as_of_ms: int
+    ) -> None:
+        self.stream_id = stream_id
+        self.host = host
+        self.path = path
+        self.as_of_ms = as_of_ms
+        self.services_at_peers: set[str] = set()
+
+    def encode_lookup(self, *, needs_confirmation: bool) -> bytes:
+        """Returns the question to a holder."""
+        return msgspec.json.encode(
+            OriginLookup(
+                stream_id=self.stream_id,
+                needs_confirmation=needs_confirmation,
+                host=self.host.decode("latin-1"),
+                path=self.path.decode("latin-1"),
+            )
+        )
+
+    def __repr__(self) -> str:
+        return f"_Resumption({self.stream_id!r})"
 
 
 class OriginReplicator:
@@ -117,6 +165,7 @@
             completes.
         contact: Tracks whether the store is reachable.
         origins: Origins and versions that are known here.
+        routes: Services to which routes led.
 
     Attributes:
         origins: Origins that are known to this instance.
@@ -133,6 +182,7 @@
         "_log",
         "_loop",
         "_peers",
+        "_routes",
         "_sent_ids",
         "_versions",
         "_waiting",
@@ -147,6 +197,7 @@
         peers: Callable[[], list[peers_lib.Peer]],
         local_instance: peers_lib.Peer,
         origins: stream_origins.StreamOrigins,
+        routes: route_history.RouteHistory,
         archive: origin_archive.OriginArchive,
         versions: version_archive.VersionArchive,
         catch_up: Callable[[], futures.Future],
@@ -160,13 +211,14 @@
         self._loop = loop
         self._client = client
         self._peers = peers
+        self._routes = routes
         self._local_instance = local_instance
         self._log = log
         # Origins that are sent if a second version of their service appears.
         self._waiting: collections.deque[stream_origins.OriginRecord] = (
             collections.deque(maxlen=stream_origins.MAX_ORIGINS)
         )
-        # Those of them that were sent while the store did not respond.
+        # Those of them that were sent all the same.
         self._sent_ids: set[str] = set()
         self._holder_responded_at_ms = -1
         self._due: list[stream_origins.OriginRecord] = []
@@ -239,8 +291,16 @@
         if self._contact.is_unavailable:
             self._send_waiting()
 
+    def observe_configuration(
+        self, configuration: configuration_lib.Configuration
+    ) -> None:
+        """Records where routes lead; sends origins if some lead elsewhere."""
+        now_ms = self._loop.now_ms()
+        if self._routes.observe(configuration, now_ms=now_ms):
+            self._send_waiting()
+
     def _send_waiting(self) -> None:
-        """Sends what nobody can tell from the versions without the store."""
+        """Sends the origins of streams that may be taken for others."""
         unsent = [r for r in self._waiting if r.stream_id not in self._sent_ids]
         if unsent:
             self._sent_ids.update(record.stream_id for record in unsent)
@@ -251,7 +311,8 @@
         attempt_id: str,
         *,
         stream_id: str | None,
-        services: Sequence[str],
+        host: bytes,
+        path: bytes,
     ) -> futures.Future:
         """Finds out where a stream began that a caller resumes.
 
@@ -259,7 +320,8 @@
             attempt_id: Id of the request that resumes it, for the log.
             stream_id: Id of the request that received its first event; None if
                 the caller states none.
-            services: The services of the route.
+            host: Host of the request that resumes it.
+            path: Path of that request.
 
         Returns:
             A future with the `StreamOrigin`, or None if it is unknown. An
@@ -268,22 +330,28 @@
             The store is asked only if neither this instance nor its peers
             know.
         """
-        return tasks.spawn(self._resolve(attempt_id, stream_id, services))
+        resumption = _Resumption(
+            stream_id or attempt_id,
+            host=host,
+            path=path,
+            as_of_ms=self._loop.now_ms(),
+        )
+        return tasks.spawn(self._resolve(attempt_id, stream_id, resumption))
 
     def _resolve(
-        self, attempt_id: str, stream_id: str | None, services: Sequence[str]
+        self, attempt_id: str, stream_id: str | None, resumption: _Resumption
     ) -> tasks.Task:
-        as_of_ms = self._loop.now_ms()
+        as_of_ms = resumption.as_of_ms
         source = "instances"
-        found = origin = yield self.find(stream_id or attempt_id)
-        if found is None and self._may_be_sole(services):
-            yield from self._confirm_versions(stream_id or attempt_id, as_of_ms)
+        found = origin = yield self._find(resumption)
+        if found is None and self._may_be_sole(resumption):
+            yield from self._confirm_versions(resumption)
             is_current = self.origins.is_current(as_of_ms)
             if is_current and not self._knows_recent_versions:
                 yield self._versions.load()
-            origin = self._sole_origin(services, as_of_ms)
+            origin = self._sole_origin(resumption)
         if origin is None and stream_id is not None:
-            found = origin = yield from self._find_archived(stream_id, services)
+            found = origin = yield from self._find_archived(resumption)
             source = "store"
         self._log.event(
             "stream_origin_found" if origin else "stream_origin_unknown",
@@ -293,6 +361,7 @@
             source=source if found else None,
             knows_recent_versions=self._knows_recent_versions,
             is_current=self.origins.is_current(as_of_ms),
+            possible_services=self._possible_services(resumption),
             service=origin.service if origin else None,
             software_version=origin.software_version if origin else None,
         )
@@ -302,21 +371,35 @@
     def _knows_recent_versions(self) -> bool:
         return self.origins.knows_recent_versions(now_ms=self._loop.now_ms())
 
-    def _may_be_sole(self, services: Sequence[str]) -> bool:
+    def _possible_services(self, resumption: _Resumption) -> list[str]:
+        """Returns the services at which a stream may have begun."""
+        known = self._routes.possible_services(
+            resumption.host, resumption.path, now_ms=self._loop.now_ms()
+        )
+        return sorted(known | resumption.services_at_peers)
+
+    def _may_be_sole(self, resumption: _Resumption) -> bool:
         """Returns whether, as far as is known, there is one possible origin."""
+        services = self._possible_services(resumption)
         return len(services) == 1 and not self.origins.has_several_versions(
             services[0]
         )
 
     def _sole_origin(
-        self, services: Sequence[str], as_of_ms: int
+        self, resumption: _Resumption
     ) -> stream_origins.StreamOrigin | None:
-        if not self.origins.is_current(as_of_ms):
+        if not self.origins.is_current(resumption.as_of_ms):
             return None
-        return self.origins.sole_origin(services, now_ms=self._loop.now_ms())
+        return self.origins.sole_origin(
+            self._possible_services(resumption), now_ms=self._loop.now_ms()
+        )
 
-    def _confirm_versions(self, stream_id: str, as_of_ms: int) -> tasks.Task:
-        """Learns all versions up to now, from the store or through a peer."""
+    def _confirm_versions(self, resumption: _Resumption) -> tasks.Task:
+        """Learns all that may have served up to now.
+
+        The store tells it, or a peer that asks the store.
+        """
+        as_of_ms = resumption.as_of_ms
         if not self._contact.is_unavailable:
             yield tasks.with_timeout(
                 self._loop, self._catch_up(), CATCH_UP_TIMEOUT_MS
@@ -324,18 +407,17 @@
         if self.origins.is_current(as_of_ms):
             return
         if self._holder_responded_at_ms >= as_of_ms:
-            yield self._ask_holders(stream_id, confirm_as_of_ms=as_of_ms)
+            yield self._ask_holders(resumption, needs_confirmation=True)
 
-    def _find_archived(
-        self, stream_id: str, services: Sequence[str]
-    ) -> tasks.Task:
+    def _find_archived(self, resumption: _Resumption) -> tasks.Task:
         """Looks an origin up in the store, if it may be there."""
+        services = self._possible_services(resumption)
         if not any(map(self.origins.has_several_versions, services)):
             return None
-        origin = yield self._archive.find(stream_id)
+        origin = yield self._archive.find(resumption.stream_id)
         if origin is not None:
             now_ms = self._loop.now_ms()
-            self.origins.record(stream_id, origin, now_ms=now_ms)
+            self.origins.record(resumption.stream_id, origin, now_ms=now_ms)
         return origin
 
     def find(self, stream_id: str) -> futures.Future:
@@ -345,52 +427,55 @@
             A future with the `StreamOrigin`, or None if neither this instance
             nor a holder that responds knows it.
         """
-        known = self.origins.find(stream_id, now_ms=self._loop.now_ms())
+        resumption = _Resumption(
+            stream_id, host=b"", path=b"", as_of_ms=self._loop.now_ms()
+        )
+        return self._find(resumption)
+
+    def _find(self, resumption: _Resumption) -> futures.Future:
+        known = self.origins.find(
+            resumption.stream_id, now_ms=self._loop.now_ms()
+        )
         if known is None:
-            return self._ask_holders(stream_id)
+            return self._ask_holders(resumption)
         found: futures.Future = futures.Future()
         tasks.complete(found, known)
         return found
 
     def _ask_holders(
-        self, stream_id: str, *, confirm_as_of_ms: int | None = None
+        self, resumption: _Resumption, *, needs_confirmation: bool = False
     ) -> futures.Future:
         """Asks the holders of a stream for its origin and for the versions.
 
         Args:
-            stream_id: Id of the stream.
-            confirm_as_of_ms: Time until which one of them has to know all
-                versions; None to ask for what they know without the store.
+            resumption: The stream.
+            needs_confirmation: Whether they ask the store for the versions,
+                and the first one that knows all of them is enough.
 
         Returns:
             A future with the origin; None if no holder that responds knows it,
             or as soon as the versions are known.
         """
         found: futures.Future = futures.Future()
-        holders = self._ranked_holders(stream_id, LOOKUPS_PER_ZONE)
+        holders = self._ranked_holders(resumption.stream_id, LOOKUPS_PER_ZONE)
         if not holders:
             tasks.complete(found, None)
         missing = {holder.name for holder in holders}
         asked_at_ms = self._loop.now_ms()
-        needs_confirmation = confirm_as_of_ms is not None
 
         def complete(holder: peers_lib.Peer, done: futures.Future) -> None:
             """Completes with the first origin, or after the last response."""
             origin = self._decode_lookup(
-                holder, done.result(), asked_at_ms=asked_at_ms
+                holder, done.result(), resumption, asked_at_ms=asked_at_ms
             )
             missing.discard(holder.name)
             is_confirmed = needs_confirmation and self.origins.is_current(
-                confirm_as_of_ms
+                resumption.as_of_ms
             )
             if origin is not None or is_confirmed or not missing:
                 tasks.complete(found, origin)
 
-        body = msgspec.json.encode(
-            OriginLookup(
-                stream_id=stream_id, needs_confirmation=needs_confirmation
-            )
-        )
+        body = resumption.encode_lookup(needs_confirmation=needs_confirmation)
         timeout_ms = CALL_TIMEOUT_MS + needs_confirmation * CATCH_UP_TIMEOUT_MS
         for holder in holders:
             call = self._call(holder, LOOKUP_PATH, body, timeout_ms=timeout_ms)
@@ -429,6 +514,13 @@
             origin=self.origins.find(lookup.stream_id, now_ms=now_ms),
             seen_versions=self.origins.seen_versions(now_ms=now_ms),
             is_confirmed=self.origins.is_current(received_at_ms),
+            services=sorted(
+                self._routes.possible_services(
+                    lookup.host.encode("latin-1", "replace"),
+                    lookup.path.encode("latin-1", "replace"),
+                    now_ms=now_ms,
+                )
+            ),
         )
 
     def _schedule(self, records: list[stream_origins.OriginRecord]) -> None:
@@ -524,6 +616,7 @@
         self,
         holder: peers_lib.Peer,
         response: http_client.Response | None,
+        resumption: _Resumption,
         *,
         asked_at_ms: int,
     ) -> stream_origins.StreamOrigin | None:
@@ -541,6 +634,7 @@
             return None
         now_ms = self._loop.now_ms()
         self._holder_responded_at_ms = now_ms
+        resumption.services_at_peers.update(decoded.services)
         if decoded.is_confirmed:
             self.origins.merge(
                 decoded.seen_versions, now_ms=now_ms, until_ms=asked_at_ms
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -35,6 +35,7 @@
 from bambooglade.gateway import origin_replication
 from bambooglade.gateway import peer_api
 from bambooglade.gateway import request_quarantine
+from bambooglade.gateway import route_history
 from bambooglade.gateway import settings as settings_lib
 from bambooglade.gateway import stream_origins
 from bambooglade.gateway import target_prober
@@ -145,6 +146,7 @@
             peers=self.known_peers,
             local_instance=self.local_instance,
             origins=origins,
+            routes=route_history.RouteHistory(),
             archive=origin_archive.OriginArchive(
                 loop,
                 store,
@@ -157,6 +159,7 @@
             contact=self._contact,
             log=log,
         )
+        self.view.listeners.append(self._observe_configuration)
         self.view.listeners.append(self._observe_versions)
         self.view.registration_listeners.append(self._origins.observe_target)
         self._relays = relays_lib.RelaySelector(
@@ -394,6 +397,10 @@
         """Returns the other instances that were seen recently."""
         return self._peers.recent(now_ms=self.loop.now_ms())
 
+    def _observe_configuration(self) -> None:
+        if self.view.configuration is not None:
+            self._origins.observe_configuration(self.view.configuration)
+
     def _observe_versions(self) -> None:
         self._origins.observe(
             self.view.target_by_id,
--- a/packages/bambooglade/bambooglade/gateway/tests/test_origin_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_origin_replication.py
@@ -12,8 +12,10 @@
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import targets as targets_lib
 from bambooglade.eventloop import http_client
+from bambooglade.gateway import configuration as configuration_lib
 from bambooglade.gateway import origin_archive
 from bambooglade.gateway import origin_replication
+from bambooglade.gateway import route_history
 from bambooglade.gateway import stream_origins
 from bambooglade.gateway import version_archive
 from bambooglade.store import dependency_monitor
@@ -25,6 +27,24 @@
 EXPIRED_MS = stream_origins.RETENTION_MS + 1
 
 
+CONFIGURATION = configuration_lib.Configuration(
+    version=1,
+    routes=[
+        configuration_lib.Route(
+            name="r",
+            host=b"h",
+            path_prefix=b"/r/",
+            kind=configuration_lib.RouteKind.STREAM,
+            services=[configuration_lib.WeightedService("jury", 1)],
+            timeout_ms=1_000,
+            target_latency_ms=100,
+        )
+    ],
+    services=[],
+    teams=[],
+)
+
+
 class StubClient:
     """Records calls, whose responses the test sets."""
 
@@ -82,12 +102,15 @@
         store or memory_store.MemoryStore(loop), log=log
     )
     origins = stream_origins.StreamOrigins()
+    routes = route_history.RouteHistory()
+    routes.observe(CONFIGURATION, now_ms=loop.now_ms())
     return origin_replication.OriginReplicator(
         loop,
         client,
         peers=lambda: peers,
         local_instance=local_instance,
         origins=origins,
+        routes=routes,
         archive=origin_archive.OriginArchive(
             loop,
             store,
@@ -207,6 +230,8 @@
 """As instances of 15486ae respond."""
 
 CONFIRMED = lookup_response("v1", is_confirmed=True)
+CONFIRMED_MOVED = lookup_response("v1", is_confirmed=True, services=["panel"])
+UNCONFIRMED_MOVED = lookup_response("v1", services=["jury", "panel"])
 CONFIRMED_TWO = lookup_response("v1", "v2", is_confirmed=True)
 
 
@@ -220,6 +245,8 @@
         (0, False, UNCONFIRMED, MALFORMED, False),
         (0, False, UNCONFIRMED, CONFIRMED, True),
         (0, False, UNCONFIRMED, CONFIRMED_TWO, False),
+        (0, False, UNCONFIRMED, CONFIRMED_MOVED, False),
+        (0, True, UNCONFIRMED_MOVED, None, False),
         (0, False, None, None, False),
         (5_000, False, UNCONFIRMED, None, False),
         (5_000, True, UNCONFIRMED, None, True),
@@ -239,7 +266,7 @@
     replicator = new_replicator(loop, client, peer(0), peers, catch_up=catch_up)
     replicator.observe({"v1": target("v1")}, until_ms=loop.now_ms())
     loop.advance(1 + stood_still_ms)
-    resolved = replicator.resolve("a2", stream_id="a1", services=["jury"])
+    resolved = replicator.resolve("a2", stream_id="a1", host=b"h", path=b"/r/1")
     for response in (first, second):
         pending, client.responses = client.responses, []
         for call in pending:
