Reset the connection of an attempt that is given up

An attempt that is cancelled, or whose response is malformed, resets its connection now, to targets and peers; so does a call to the store or a peer that has timed out. Connections without a request under way, and those whose response was complete, are closed as before.

--- a/packages/bambooglade/bambooglade/eventloop/connection.py
+++ b/packages/bambooglade/bambooglade/eventloop/connection.py
@@ -134,7 +134,11 @@
             self._sock.close()
 
     def reset(self) -> None:
-        """Closes with a reset, so that the peer sees an incomplete response."""
+        """Closes with a reset.
+
+        The peer sees an incomplete message, and what was not delivered yet
+        never is.
+        """
         if self._is_open:
             zero_linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
             self._sock.setsockopt(
@@ -284,6 +288,10 @@
         """Closes the connection without a callback to the handler."""
         self._is_open = False
 
+    def reset(self) -> None:
+        """Closes the connection without a callback to the handler."""
+        self.close()
+
     def _handle_loss(self) -> None:
         if self._is_open:
             self._is_open = False
--- a/packages/bambooglade/bambooglade/eventloop/http_client.py
+++ b/packages/bambooglade/bambooglade/eventloop/http_client.py
@@ -227,7 +227,8 @@
             self._finish(None)
 
     def _timed_out(self) -> None:
-        self._connection.close()
+        # A call that a cut holds up must not be carried out later.
+        self._connection.reset()
         self._finish(None)
 
     def _finish(self, response: Response | None) -> None:
--- a/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
+++ b/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
@@ -415,12 +415,13 @@
     assert not connection.is_open
 
 
+@pytest.mark.parametrize("end", ["close", "reset"])
 @pytest.mark.parametrize("address", UNUSABLE_ADDRESSES)
 def test_closed_connection_to_an_unusable_address_has_no_callback(
-    loop, address
+    loop, address, end
 ):
     handler = ClosedRecorder()
-    connection_lib.connect(loop, address, handler).close()
+    getattr(connection_lib.connect(loop, address, handler), end)()
     loop.run_once(max_wait_ms=10)
     assert handler.lost_count == 0
 
--- a/packages/bambooglade/bambooglade/gateway/connection_pool.py
+++ b/packages/bambooglade/bambooglade/gateway/connection_pool.py
@@ -234,10 +234,14 @@
         self._check_end(reason)
 
     def cancel(self) -> None:
-        """Cancels the attempt and closes the connection to the target."""
+        """Cancels the attempt, and resets the connection to the target.
+
+        After a regular end, a request that a cut holds up would be delivered
+        later.
+        """
         if not self.is_ended:
             self._mark_ended()
-            self._connection.close()
+            self._connection.reset()
 
     def _record_connect_time(self, *, is_open: bool) -> None:
         took_ms = self._loop.now_ms() - self._started_at_ms
@@ -257,7 +261,7 @@
             self._finish(AttemptOutcome.COMPLETE, "")
         elif state is response_parser.ResponseState.MALFORMED:
             was_sent = self.is_sent
-            self._connection.close()
+            self._connection.reset()
             outcome = (
                 AttemptOutcome.BROKEN if was_sent else AttemptOutcome.NOT_SENT
             )
