Keep a silent stream at its target until another one has taken it

A stream that was given up was lost if no other target took it.

The attempt at the silent target is kept until the next one has sent the head of its response, for 0.3 s at most. If that one declines, fails or is not reached, or if the silent target goes on first, the request stays where it was.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/engine.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/engine.py
@@ -192,9 +192,10 @@
         Connections open meanwhile, as those to a stopped process do.
         """
         self._is_silent = True
-        self._loop.call_later(duration_ms, self._go_on)
+        self._loop.call_later(duration_ms, self.go_on)
 
-    def _go_on(self) -> None:
+    def go_on(self) -> None:
+        """Ends the silence, and does what was put off."""
         self._is_silent = False
         while self._deferred:
             callback, arguments = self._deferred.popleft()
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_silent_targets.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_silent_targets.py
@@ -11,6 +11,10 @@
 EVENTS = 12
 EVENT_MS = 40
 SILENCE_MS = 1_300
+LONG_SILENCE_MS = 1_900
+"""Silence in which a stream is sent to the next target."""
+
+MAX_OVERLAP_MS = 400
 DEADLINE_MS = 6_000
 CALLERS = 8
 
@@ -184,3 +188,75 @@
     harness.run_until(lambda: all(c.is_finished for c in callers))
     assert [c.status for c in callers] == [200] * CALLERS
     assert run_count(engines) == CALLERS
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        refuse_connections,
+        decline_requests,
+        reset_requests,
+        answer_with_an_error,
+    ],
+)
+def test_stream_stays_at_its_silent_target_if_the_next_does_not_take_over(
+    harness, spoil
+):
+    sound = harness.add_engine("j1", "jury", default=stream_slowly(harness))
+    harness.start_gateway()
+    callers = start_streams(harness)
+    other = harness.add_engine("j2", "jury")
+    harness.run_for(200)
+    spoil(harness, other)
+    sound.fall_silent(LONG_SILENCE_MS)
+    harness.run_until(lambda: all(c.is_finished for c in callers))
+    assert [c.body for c in callers] == [whole_stream()] * CALLERS
+    assert all(c.is_complete for c in callers)
+    if spoil is not refuse_connections:
+        assert other.requests
+
+
+def test_stream_goes_on_at_its_target_if_that_responds_before_the_next(harness):
+    sound = harness.add_engine("j1", "jury", default=stream_slowly(harness))
+    harness.start_gateway()
+    (caller,) = start_streams(harness, 1)
+    waiting = harness.add_engine("j2", "jury", default=lambda call: None)
+    harness.run_for(200)
+    sound.fall_silent(60_000)
+    harness.run_until(lambda: waiting.requests)
+    sound.go_on()
+    harness.run_until(lambda: caller.is_finished)
+    assert (caller.is_complete, caller.body) == (True, whole_stream())
+    harness.run_until(lambda: not waiting.open_connections)
+
+
+def test_stream_is_at_two_targets_only_for_a_moment(harness):
+    calls: list[engine_lib.Call] = []
+
+    def behave(call: engine_lib.Call) -> None:
+        calls.append(call)
+        stream_slowly(harness)(call)
+
+    sound = harness.add_engine("j1", "jury", default=behave)
+    harness.start_gateway()
+    start_streams(harness, 1)
+    waiting = harness.add_engine("j2", "jury", default=lambda call: None)
+    harness.run_for(200)
+    sound.fall_silent(60_000)
+    harness.run_until(lambda: waiting.requests)
+    assert calls[0].is_open
+    harness.run_for(MAX_OVERLAP_MS)
+    assert not calls[0].is_open
+
+
+def test_stream_goes_on_only_once_if_both_targets_respond(harness):
+    sound = harness.add_engine("j1", "jury", default=stream_slowly(harness))
+    harness.start_gateway()
+    (caller,) = start_streams(harness, 1)
+    other = harness.add_engine("j2", "jury", default=stream_slowly(harness))
+    harness.run_for(200)
+    sound.fall_silent(60_000)
+    harness.run_until(lambda: other.requests)
+    sound.go_on()
+    harness.run_until(lambda: caller.is_finished)
+    assert (caller.is_complete, caller.body) == (True, whole_stream())
--- a/packages/bambooglade/bambooglade/gateway/connection_pool.py
+++ b/packages/bambooglade/bambooglade/gateway/connection_pool.py
@@ -205,6 +205,10 @@
         """Whether a part of the request may have reached the target."""
         return self._connection.sent_bytes > 0
 
+    def set_handler(self, handler: AttemptHandler) -> None:
+        """Replaces the handler that receives the response."""
+        self._handler = handler
+
     def connected(self) -> None:
         """Sends the request on the new connection."""
         self._connect_timer.cancel()
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -34,6 +34,12 @@
 DENIED_RECHECK_MS = 500
 """The same after the retry budget has denied a retry."""
 
+MAX_OVERLAP_MS = 300
+"""Longest time for which a stream is at two targets at once.
+
+Both could be working on it.
+"""
+
 MAX_DISPATCHES = 4
 """Most targets that are tried for a request that none of them executed."""
 
@@ -96,6 +102,8 @@
         "_progress_timer",
         "_progressed_at_ms",
         "_prompt",
+        "_reserve",
+        "_reserve_timer",
         "_sent_at_ms",
         "_service",
         "_target_run",
@@ -135,6 +143,8 @@
         self._metadata: metadata_lib.ResponseMetadata | None = None
         self._progress_timer = None
         self._progressed_at_ms = 0
+        self._reserve: _SilentAttempt | None = None
+        self._reserve_timer = None
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._tried_target_ids: set[str] = set()
@@ -315,6 +325,7 @@
         )
 
     def _hand_over(self, among: Collection[str] | None = None) -> None:
+        self._drop_reserve()
         self._exchange.hand_over(
             possible_runs=self._possible_runs, origin=self._origin, among=among
         )
@@ -521,6 +532,7 @@
             self._record_first_byte(now_ms)
             self._start_progress_timer()
         if self._is_stream(head):
+            self._drop_reserve()
             self._delivery.start_stream(head)
 
     def _is_stream(self, head: messages.ResponseHead) -> bool:
@@ -661,7 +673,9 @@
     def _end_attempt(
         self, outcome: connection_pool.AttemptOutcome, reason: str
     ) -> None:
-        if outcome is connection_pool.AttemptOutcome.COMPLETE:
+        if self._reserve is not None:
+            self._return_to_silent_target(outcome, reason)
+        elif outcome is connection_pool.AttemptOutcome.COMPLETE:
             self._handle_complete_response(self._attempt.head)
         elif outcome is connection_pool.AttemptOutcome.NOT_SENT:
             self._unreached_count += 1
@@ -682,11 +696,7 @@
     def _handle_complete_response(self, head: messages.ResponseHead) -> None:
         metadata = self._metadata
         if metadata.is_not_executed:
-            if metadata.is_misdirected:
-                self._context.view.remove_target(
-                    self.target_id, reason="misdirected"
-                )
-                self._context.pool.close_address(self._choice.target.address)
+            self._handle_misdirection()
             self._retry_unexecuted(
                 f"the target declined the request with status {head.status}"
             )
@@ -712,6 +722,14 @@
         else:
             self._handle_error_status(head)
 
+    def _handle_misdirection(self) -> None:
+        """Forgets a target at whose address another one has responded."""
+        if self._metadata.is_misdirected:
+            self._context.view.remove_target(
+                self.target_id, reason="misdirected"
+            )
+            self._context.pool.close_address(self._choice.target.address)
+
     def _find_fault(self, head: messages.ResponseHead) -> str:
         """Returns why a success can't be delivered; empty if it can."""
         if self._is_stream(head):
@@ -850,6 +868,9 @@
     def _end_without_response(
         self, kind: error_responses.ErrorKind, detail: str
     ) -> None:
+        if self._reserve is not None:
+            self._resume_reserve()
+            return
         if self.may_have_run:
             self._exchange.fail(error_responses.ErrorKind.BROKEN, detail)
         else:
@@ -882,7 +903,10 @@
         """
         if not self._route.is_idempotent:
             return
-        if self._possible_runs + 1 >= self._max_runs:
+        if (
+            self._possible_runs + 1 >= self._max_runs
+            or self.attempts >= MAX_DISPATCHES
+        ):
             return
         now_ms = self._context.loop.now_ms()
         if not self._must_give_up(now_ms) or not self._has_other_target(now_ms):
@@ -892,14 +916,97 @@
             self._look_again_in(DENIED_RECHECK_MS)
             return
         is_stopped = self._is_silent(self._choice.target, now_ms)
-        self.cancel()
+        is_kept = self._prompt is not None and not self._is_cut_off
+        if is_kept:
+            self._cancel_progress_timer()
+            self.may_have_run = True
+        else:
+            self.cancel()
         self._log_ignored_responses()
         self._possible_runs += 1
         self._record_failure(
             "no progress within the time-out", is_of_target=not is_stopped
         )
-        self._delivery.discard_partial_event()
+        if is_kept:
+            self._reserve = _SilentAttempt(self)
+            self._reserve_timer = self._context.loop.call_later(
+                MAX_OVERLAP_MS, self._drop_reserve
+            )
+        else:
+            self._delivery.discard_partial_event()
         self.send_next()
+        if self._reserve is not None and not self._has_next_attempt:
+            self._drop_reserve()
+
+    @property
+    def _has_next_attempt(self) -> bool:
+        """Whether the request was sent on while a silent attempt is kept."""
+        return self._attempt is not self._reserve.attempt
+
+    def _drop_reserve(self) -> None:
+        """Cancels the attempt at a silent target, if one is kept."""
+        reserve = self._take_reserve()
+        if reserve is not None:
+            reserve.attempt.cancel()
+            self._context.target_selector.record_end(
+                reserve.target_id, self._exchange.metadata.attempt_id
+            )
+            self._delivery.discard_partial_event()
+
+    def _take_reserve(self) -> _SilentAttempt | None:
+        reserve, self._reserve = self._reserve, None
+        if self._reserve_timer is not None:
+            self._reserve_timer.cancel()
+            self._reserve_timer = None
+        return reserve
+
+    def _return_to_silent_target(
+        self, outcome: connection_pool.AttemptOutcome, reason: str
+    ) -> None:
+        """Stays at the silent target, since the next one did not take over."""
+        outcomes = connection_pool.AttemptOutcome
+        is_declined = (
+            outcome is outcomes.COMPLETE and self._metadata.is_not_executed
+        )
+        if outcome is outcomes.NOT_SENT:
+            self._context.prober.record_failure(self._choice.target)
+        elif is_declined:
+            self._handle_misdirection()
+        else:
+            self._possible_runs += 1
+            self._record_suspected_crash()
+        self._record_failure(
+            reason or "the target did not continue the stream",
+            is_of_target=not is_declined,
+        )
+        self._resume_reserve()
+
+    def _resume_reserve(self) -> None:
+        """Makes the attempt at the silent target the current one again."""
+        reserve = self._take_reserve()
+        reserve.restore()
+        self._possible_runs -= 1
+        self._look_again_in(DENIED_RECHECK_MS)
+
+    def resume_silent_attempt(self) -> None:
+        """Goes on with the attempt that was silent, and cancels the next."""
+        attempt = self._attempt
+        if not attempt.is_ended:
+            attempt.cancel()
+            self._context.target_selector.record_end(
+                self.target_id, self._exchange.metadata.attempt_id
+            )
+            self._possible_runs += attempt.is_sent
+        self._cancel_progress_timer()
+        self._resume_reserve()
+
+    def forget_silent_attempt(self) -> None:
+        """Forgets the attempt at a silent target, which has ended."""
+        reserve = self._take_reserve()
+        self._context.target_selector.record_end(
+            reserve.target_id, self._exchange.metadata.attempt_id
+        )
+        self._delivery.discard_partial_event()
 
     def _look_again_in(self, delay_ms: int) -> None:
         self._progress_timer = self._context.loop.call_later(
@@ -953,6 +1060,7 @@
             self._is_waiting = False
             self._context.room_queue.discard(self._service.name, self)
         self._cancel_progress_timer()
+        self._drop_reserve()
         attempt = self._attempt
         if attempt is not None and not attempt.is_ended:
             self.may_have_run = self.may_have_run or attempt.is_sent
@@ -963,3 +1071,67 @@
 
     def __repr__(self) -> str:
         return f"Dispatcher(attempts={self.attempts})"
+
+
+class _SilentAttempt:
+    """An attempt that is kept while the next target is asked.
+
+    It is the current one again if its target sends anything, or if the next one
+    does not take the request.
+
+    Attributes:
+        attempt: The attempt.
+        target_id: Id of its target.
+    """
+
+    _KEPT_NAMES = (
+        "target_id",
+        "_attempt",
+        "_body",
+        "_body_bytes",
+        "_choice",
+        "_events_before_attempt",
+        "_is_first_byte_recorded",
+        "_is_progress_recorded",
+        "_metadata",
+        "_progressed_at_ms",
+        "_sent_at_ms",
+        "_target_run",
+    )
+
+    __slots__ = ("_dispatcher", "_kept_by_name", "attempt", "target_id")
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self._dispatcher = dispatcher
+        self._kept_by_name = {
+            name: getattr(dispatcher, name) for name in self._KEPT_NAMES
+        }
+        self.attempt: connection_pool.Attempt = self._kept_by_name["_attempt"]
+        self.target_id: str = dispatcher.target_id
+        self.attempt.set_handler(self)
+
+    def restore(self) -> None:
+        """Makes it the current attempt of its dispatcher again."""
+        for name, value in self._kept_by_name.items():
+            setattr(self._dispatcher, name, value)
+        self.attempt.set_handler(self._dispatcher)
+
+    def head_received(self, head: messages.ResponseHead) -> None:
+        """Goes on with this attempt."""
+        self._dispatcher.resume_silent_attempt()
+        self._dispatcher.head_received(head)
+
+    def body_received(self, data: bytes) -> None:
+        """Goes on with this attempt."""
+        self._dispatcher.resume_silent_attempt()
+        self._dispatcher.body_received(data)
+
+    def attempt_ended(
+        self, outcome: connection_pool.AttemptOutcome, reason: str
+    ) -> None:
+        """Leaves the request to the next target."""
+        del outcome, reason
+        self._dispatcher.forget_silent_attempt()
+
+    def __repr__(self) -> str:
+        return f"_SilentAttempt(target_id={self.target_id!r})"
