Read the speed of a machine from the load that targets report

Requests to services whose targets report four figures of load went by the own requests of each instance alone, so callers waited at targets that had said that they were slow or full.

Cause: the decoder took three figures only and dropped the whole header otherwise.

Change: the fourth figure becomes ReportedLoad.slowdown, 1.0 being normal and None if it is absent or unreadable, which leaves the other figures usable. Five figures are still rejected. The prediction of the target selector is multiplied by it; its weight halves every 150 ms, since the speed changes many times a second, and it is bounded by 0.2 and 10.

Evidence: table tests of the decoder and of the selection; the tests of platform/ and of gateway/tests/test_target_selector.py pass (180).

--- a/packages/bambooglade/bambooglade/gateway/metadata.py
+++ b/packages/bambooglade/bambooglade/gateway/metadata.py
@@ -154,14 +154,24 @@
         running: Number of requests that the target processes.
         waiting: Number of requests that the target has queued.
         slots: Number of requests that the target can process concurrently.
+        slowdown: How long work takes on the target's machine at the moment,
+            relative to the normal time; None if it does not state that.
     """
 
-    __slots__ = ("running", "slots", "waiting")
+    __slots__ = ("running", "slots", "slowdown", "waiting")
 
-    def __init__(self, *, running: int, waiting: int, slots: int) -> None:
+    def __init__(
+        self,
+        *,
+        running: int,
+        waiting: int,
+        slots: int,
+        slowdown: float | None = None,
+    ) -> None:
         self.running = running
         self.waiting = waiting
         self.slots = slots
+        self.slowdown = slowdown
 
 
 class ResponseMetadata:
--- a/packages/bambooglade/bambooglade/gateway/target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/target_selector.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
+import math
 import random
 
 from bambooglade.core import hashing
@@ -67,6 +68,16 @@
 REPORTED_LOAD_MAX_AGE_MS = 2_000
 """Age above which a reported load is ignored."""
 
+SLOWDOWN_HALF_LIFE_MS = 150
+"""Time after which a reported slowdown counts half.
+
+The speed of a machine changes many times a second.
+"""
+
+MIN_SLOWDOWN = 0.2
+MAX_SLOWDOWN = 10.0
+"""Bounds of the slowdown that is believed."""
+
 SUSPECT_PERIOD_MS = 1_500
 """How long a target is avoided after a failed connection attempt."""
 
@@ -367,7 +378,8 @@
             target.target_id, median_ms=median_ms, now_ms=now_ms
         )
         is_local = target.availability_zone == self._availability_zone
-        total_ms = (work_ms + queueing_ms) * slowness
+        slowdown = _current_slowdown(load, now_ms)
+        total_ms = (work_ms + queueing_ms) * slowness * slowdown
         total_ms += 0 if is_local else CROSS_ZONE_PENALTY_MS
         total_ms += COLD_START_PENALTY_MS if target.cold_remaining_ms else 0
         total_ms += self._failure_penalty_ms(target.target_id, now_ms)
@@ -379,7 +391,7 @@
             cached_tokens=cached,
             reason=(
                 f"work_ms={work_ms:.0f} ahead_ms={queueing_ms:.0f}"
-                f" slowness={slowness:.1f}"
+                f" slowness={slowness:.1f} slowdown={slowdown:.2f}"
             ),
         )
 
@@ -611,6 +623,16 @@
     return [by_id[target_id] for target_id in order]
 
 
+def _current_slowdown(load: _TargetLoad, now_ms: int) -> float:
+    """Returns the slowdown of a machine, which an old report does not tell."""
+    reported = load.reported
+    if reported is None or reported.slowdown is None:
+        return 1.0
+    age_ms = max(0, now_ms - load.reported_at_ms)
+    stated = min(max(MIN_SLOWDOWN, reported.slowdown), MAX_SLOWDOWN)
+    return 1.0 + (stated - 1.0) * math.exp2(-age_ms / SLOWDOWN_HALF_LIFE_MS)
+
+
 def _queueing_ms(
     target: targets_lib.RegisteredTarget,
     load: _TargetLoad,
--- a/packages/bambooglade/bambooglade/gateway/tests/test_target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_target_selector.py
@@ -275,3 +275,41 @@
     selector.record_response(chosen_id, "r1", now_ms=responded_at_ms)
     again = choose(selector, ready, prompt, now_ms=1_000)
     assert (again.target.target_id != chosen_id) is is_avoided
+
+
+@pytest.mark.parametrize(
+    ("slowdown", "age_ms", "is_avoided"),
+    [
+        (None, 0, False),
+        (1.0, 0, False),
+        (3.0, 0, True),
+        (3.0, 100, True),
+        (3.0, 1_000, False),
+        (10_000.0, 1_000, False),
+        (0.0, 0, False),
+    ],
+)
+@pytest.mark.parametrize(
+    "prompt",
+    [None, metadata.Prompt(input_tokens=2_000, max_output_tokens=9)],
+)
+def test_slow_machine_is_avoided_while_its_report_is_fresh(
+    prompt, slowdown, age_ms, is_avoided
+):
+    # Guards against sending to a machine that has just said that it is slow,
+    # and against avoiding it long after, since the speed changes quickly.
+    ready = [make_target("a"), make_target("b", "z2")]
+    selector = target_selector_lib.TargetSelector("z1")
+    slow = choose(selector, ready, prompt, now_ms=0).target.target_id
+    load = metadata.ReportedLoad(
+        running=0, waiting=0, slots=8, slowdown=slowdown
+    )
+    selector.record_load(slow, load, now_ms=0)
+    choice = selector.choose(
+        ready,
+        prompt=prompt,
+        excluded=frozenset(),
+        now_ms=age_ms,
+        target_latency_ms=60,
+    )
+    assert (choice.target.target_id != slow) is is_avoided
--- a/packages/bambooglade/bambooglade/platform/headers.py
+++ b/packages/bambooglade/bambooglade/platform/headers.py
@@ -32,6 +32,8 @@
 _SIGNATURE = b"x-bambooglade-engine-signature"
 _NOT_EXECUTED = b"x-bambooglade-not-executed"
 _LOAD = b"x-bambooglade-engine-load"
+# The fourth figure of the load of a machine on which work takes its usual time.
+_NORMAL_SPEED = 100
 # Requests per second that the engine takes from all instances together.
 _REQUEST_LIMIT = b"server-limit"
 _LEAVING = b"server-leaving"
@@ -200,11 +202,28 @@
 
 
 def _load(value: bytes) -> metadata.ReportedLoad | None:
-    counts = value.split(b",")
-    if len(counts) != 3 or not all(map(_is_whole_number, counts)):
+    """Returns the load of an engine; None if it can't be read.
+
+    An unreadable speed does not make the other figures unusable.
+    """
+    figures = value.split(b",")
+    counts, speed = figures[:3], b"".join(figures[3:])
+    if len(figures) not in (3, 4) or not all(map(_is_whole_number, counts)):
         return None
     running, waiting, slots = map(int, counts)
-    return metadata.ReportedLoad(running=running, waiting=waiting, slots=slots)
+    return metadata.ReportedLoad(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        slowdown=_slowdown(speed),
+    )
+
+
+def _slowdown(value: bytes) -> float | None:
+    """Returns how long work takes, 1.0 being normal; None if unknown."""
+    if not _is_whole_number(value) or not int(value):
+        return None
+    return int(value) / _NORMAL_SPEED
 
 
 def _is_whole_number(value: bytes) -> bool:
--- a/packages/bambooglade/bambooglade/platform/tests/test_decoding.py
+++ b/packages/bambooglade/bambooglade/platform/tests/test_decoding.py
@@ -365,3 +365,38 @@
         is_persistent=True,
     )
     assert headers.decode_response(head).max_rejections_per_s == expected
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (b"3,1,8", (3, 1, 8, None)),
+        (b"3,1,8,100", (3, 1, 8, 1.0)),
+        (b" 3 , 1 , 8 , 250 ", (3, 1, 8, 2.5)),
+        (b"0,0,8,40", (0, 0, 8, 0.4)),
+        (b"3,1,8,0", (3, 1, 8, None)),
+        (b"3,1,8,", (3, 1, 8, None)),
+        (b"3,1,8,-5", (3, 1, 8, None)),
+        (b"3,1,8,fast", (3, 1, 8, None)),
+        (b"3,1,8," + b"9" * 400, (3, 1, 8, None)),
+        (b"3,1,x,100", None),
+        (b"3,1", None),
+        (b"3,1,8,100,7", None),
+        (b"", None),
+    ],
+)
+def test_decodes_the_load_of_an_engine_with_or_without_its_speed(
+    value, expected
+):
+    # Four figures were rejected as a whole, so that the load of such services
+    # was unknown.
+    head = messages.ResponseHead(
+        status=200,
+        fields=[(b"X-Bambooglade-Engine-Load", value)],
+        framing=messages.Framing.LENGTH,
+        is_persistent=True,
+    )
+    load = headers.decode_response(head).load
+    assert expected == (
+        load and (load.running, load.waiting, load.slots, load.slowdown)
+    )
