Test gateway processes under clients that nobody controls

What callers saw: clients that sent many incomplete or pipelined requests made a process run out of memory, and all its requests ended.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/gateway_process.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/gateway_process.py
@@ -34,12 +34,17 @@
 controlPlane = "{peer}"
 [bounds]
 {bounds}
+[limits]
+{limits}
 [platform]
 address = "{store}"
 """
 
 DEFAULT_BOUNDS = {"graceS": 4}
 
+NO_LIMITS: Mapping[str, float] = {}
+"""Limits of the machine that a settings file does not state."""
+
 
 class GatewayProcess:
     """One gateway process that can be killed and restarted.
@@ -93,6 +98,7 @@
         *,
         is_first_start: bool = False,
         bounds: Mapping[str, float] = DEFAULT_BOUNDS,
+        limits: Mapping[str, float] = NO_LIMITS,
     ) -> None:
         """Writes the settings file.
 
@@ -100,6 +106,7 @@
             seeds: Addresses of the instances that are queried first.
             is_first_start: Whether the whole system starts for the first time.
             bounds: Bounds of the platform, by their names in the file.
+            limits: Limits of the machine, by their names in the file.
         """
         texts = [f"{host}:{port}" for host, port in self.addresses]
         text = _NODE_FILE.format(
@@ -117,6 +124,9 @@
             bounds="\n".join(
                 f"{key} = {value}" for key, value in bounds.items()
             ),
+            limits="\n".join(
+                f"{key} = {value}" for key, value in limits.items()
+            ),
         )
         self._path.write_text(text)
 
@@ -141,8 +151,29 @@
         """Whether the process is running."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def forwarding_address(self) -> tuple[str, int]:
+        """Address on which requests of peers are taken."""
+        host, port = self.addresses[3]
+        return host, port + 1
+
+    @property
+    def open_descriptors(self) -> int:
+        """Number of open descriptors of the running process; 0 if unknown."""
+        if not self.is_running:
+            return 0
+        try:
+            return len(os.listdir(f"/proc/{self._process.pid}/fd"))
+        except OSError:
+            return 0
+
     @property
     def peak_memory_mb(self) -> int:
+        """Most memory that the running process has used; 0 if unknown."""
+        return self.peak_memory_kib // 1_024
+
+    @property
+    def peak_memory_kib(self) -> int:
         """Most memory that the running process has used; 0 if unknown."""
         if not self.is_running:
             return 0
@@ -152,7 +183,7 @@
         except OSError:
             return 0
         peaks = [line.split()[1] for line in lines if line.startswith("VmHWM")]
-        return int(peaks[0]) // 1_024 if peaks else 0
+        return int(peaks[0]) if peaks else 0
 
     def start(self, *, now_ms: int = 0) -> None:
         """Starts the process."""
