Reject requests that would wait too long for the instance's own link

Cause: congestion is noticed by connections that open slowly, when the link is full already. Connections that time out then count as a cut between the instance and its targets, requests are handed to peers over the same link, and sent up to four times.

Change: what was sent and has not left the link yet is estimated from the link's capacity in the settings. A request that would wait for longer than half of the target latency of its service is rejected at once, less urgent ones earlier. While the link was full within a second, no cut is concluded and nothing is handed over.

--- a/packages/bambooglade/bambooglade/eventloop/connection.py
+++ b/packages/bambooglade/bambooglade/eventloop/connection.py
@@ -208,11 +208,16 @@
         except OSError:
             self._loop.call_later(0, self._handle_broken)
             return
-        self.sent_bytes += sent
+        self._record_sent(sent)
         if sent < len(data):
             self._unsent += data[sent:]
             self._update_watch()
 
+    def _record_sent(self, sent: int) -> None:
+        self.sent_bytes += sent
+        if sent:
+            self._loop.link.record_sent(sent, now_ms=self._loop.now_ms())
+
     def _handle_broken(self) -> None:
         self._handle_loss(is_clean=False)
 
@@ -260,7 +265,7 @@
         except OSError:
             self._handle_loss(is_clean=False)
             return
-        self.sent_bytes += sent
+        self._record_sent(sent)
         del self._unsent[:sent]
         self._share.resize(len(self._unsent))
 
--- a/packages/bambooglade/bambooglade/eventloop/loop.py
+++ b/packages/bambooglade/bambooglade/eventloop/loop.py
@@ -12,6 +12,7 @@
 
 from bambooglade.core import clock as clock_lib
 from bambooglade.eventloop import byte_budget as byte_budget_lib
+from bambooglade.scheduling import link_budget as link_budget_lib
 
 READ = selectors.EVENT_READ
 WRITE = selectors.EVENT_WRITE
@@ -70,6 +71,7 @@
 
     Attributes:
         byte_budget: Bytes that messages of the process may take at a time.
+        link: What the network link of the instance still has to send.
         resumed_at_ms: End of the last standstill of the process. What others
             have not done before it says nothing about them.
 
@@ -89,6 +91,7 @@
         "_timers",
         "_woken_at_ms",
         "byte_budget",
+        "link",
         "resumed_at_ms",
     )
 
@@ -99,6 +102,7 @@
         self._order = itertools.count()
         self._woken_at_ms = clock.now_ms()
         self.byte_budget = byte_budget_lib.ByteBudget()
+        self.link = link_budget_lib.LinkBudget()
         self.resumed_at_ms = 0
 
     @property
--- a/packages/bambooglade/bambooglade/gateway/configuration.py
+++ b/packages/bambooglade/bambooglade/gateway/configuration.py
@@ -10,6 +10,8 @@
 from collections.abc import Sequence
 import enum
 
+from bambooglade.scheduling import urgency as urgency_lib
+
 
 class RouteKind(enum.Enum):
     """Which retries the requests of a route allow.
@@ -233,6 +235,7 @@
     __slots__ = (
         "_prefix_lengths_by_host",
         "_route_by_prefix",
+        "_urgency_by_service_and_priority",
         "limits",
         "service_by_name",
         "team_by_key",
@@ -257,6 +260,9 @@
         self._route_by_prefix = {
             (route.host, route.path_prefix): route for route in routes
         }
+        self._urgency_by_service_and_priority = urgency_lib.rank_routes(
+            route for route in routes if route.services
+        )
         lengths: dict[bytes, set[int]] = {}
         for route in routes:
             lengths.setdefault(route.host, set()).add(len(route.path_prefix))
@@ -285,6 +291,15 @@
         known = self.service_by_name.get(name)
         return known or Service(name=name, max_connections=1)
 
+    def urgency(self, service: str, route: Route) -> urgency_lib.Urgency:
+        """Returns how urgent a route is among those of a service."""
+        known = self._urgency_by_service_and_priority.get(
+            (service, route.priority)
+        )
+        return known or urgency_lib.Urgency(
+            rank=0, target_latency_ms=route.target_latency_ms
+        )
+
     def find_route(self, host: bytes, path: bytes) -> Route | None:
         """Returns the route with the longest prefix of the path, or None."""
         for length in self._prefix_lengths_by_host.get(host, ()):
--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -21,6 +21,7 @@
 from bambooglade.http1 import messages
 from bambooglade.rights import manager as manager_lib
 from bambooglade.router import metrics as metrics_lib
+from bambooglade.scheduling import link_budget
 from bambooglade.targets import crash_suspicions
 from bambooglade.targets import request_identity
 
@@ -247,6 +248,13 @@
                 "connections to targets open slowly on this instance;"
                 " other instances are free"
             )
+        elif not self._has_link_room(now_ms):
+            kind = error_responses.ErrorKind.CONGESTED
+            detail = (
+                f"the link of this instance is busy for"
+                f" {self._context.loop.link.wait_ms(now_ms)} ms; other"
+                " instances are free"
+            )
         elif self._handover is not None and self._is_cut_off:
             kind = error_responses.ErrorKind.TARGETS_UNREACHABLE
             detail = "this instance reaches no target of the service either"
@@ -254,6 +262,18 @@
             return None
         return self._other_instance_response(kind, detail)
 
+    def _has_link_room(self, now_ms: int) -> bool:
+        """Returns whether the own link would send the request soon enough."""
+        urgency = self._context.view.configuration.urgency(
+            self._service.name, self.route
+        )
+        return self._context.loop.link.may_admit(
+            max_wait_ms=link_budget.max_wait_ms(
+                rank=urgency.rank, target_latency_ms=urgency.target_latency_ms
+            ),
+            now_ms=now_ms,
+        )
+
     def _authenticate_and_route(
         self, configuration: configuration_lib.Configuration
     ) -> error_responses.ErrorResponse | None:
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -47,6 +47,7 @@
 from bambooglade.rights import lending
 from bambooglade.rights import manager as manager_lib
 from bambooglade.router import metrics as metrics_lib
+from bambooglade.scheduling import link_budget
 from bambooglade.store import dependency_monitor
 from bambooglade.store import store_api
 from bambooglade.targets import requested_pauses
@@ -106,6 +107,7 @@
         self.settings = settings
         self.loop = loop
         loop.byte_budget.set_memory(settings.memory_mb)
+        loop.link = link_budget.LinkBudget(settings.link_mbps)
         self._connect = connect
         self._log = log
         self._era = store.era
--- a/packages/bambooglade/bambooglade/gateway/target_prober.py
+++ b/packages/bambooglade/bambooglade/gateway/target_prober.py
@@ -102,8 +102,15 @@
         self.reachability.record_response(target, now_ms=self._last_response_ms)
 
     def is_link_full(self) -> bool:
-        """Returns whether the own link carries packets, but slowly."""
-        return self.reachability.is_link_full(self._loop.now_ms())
+        """Returns whether the own link carries packets, but slowly.
+
+        Either connections show it, or this instance has sent more than the
+        link carries.
+        """
+        now_ms = self._loop.now_ms()
+        return self._loop.link.is_busy(
+            now_ms
+        ) or self.reachability.is_link_full(now_ms)
 
     def record_connected(
         self, target: targets_lib.RegisteredTarget, took_ms: int
@@ -154,7 +161,9 @@
         ready = self._view.ready_targets(service)
         self._selector.record_connect_failure(target, now_ms=now_ms)
         self._schedule_recheck(target)
-        if self.reachability.record_failure(target, ready, now_ms=now_ms):
+        if self.reachability.record_failure(
+            target, ready, now_ms=now_ms, is_link_full=self.is_link_full()
+        ):
             self._handle_cut(service, ready)
         elif not self._needs_no_check(service):
             for unverified in self.reachability.unverified(
--- /dev/null
+++ b/packages/bambooglade/bambooglade/scheduling/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions under load."""
--- a/packages/bambooglade/bambooglade/targets/reachability.py
+++ b/packages/bambooglade/bambooglade/targets/reachability.py
@@ -114,6 +114,7 @@
         ready: Sequence[targets_lib.RegisteredTarget],
         *,
         now_ms: int,
+        is_link_full: bool = False,
     ) -> bool:
         """Records that a connection to a target did not open.
 
@@ -121,6 +122,7 @@
             target: The target.
             ready: All ready targets of its service.
             now_ms: The current time.
+            is_link_full: Whether the own link explains the failure.
 
         Returns:
             Whether this shows that the instance is cut off from the service.
@@ -133,6 +135,7 @@
         links.opened_since_ms = None
         if (
             links.is_cut_off
+            or is_link_full
             or self.is_link_full(now_ms)
             or self.unverified(target.service, ready, now_ms=now_ms)
         ):
