Size the stock of a home by its part of a team's demand

Cause: each of the four homes of a team counts on an equal part of what is left. The home of the busy zone held 0.6 of 12.1 million tokens, a second of its demand, and judged the budget as scarce, since a quarter of it does not cover much.

Change: each ledger shows how fast the whole fleet draws. A home whose part of the demand is more than 1.5 times an equal one counts on that part. Others are as before.

--- a/packages/bambooglade/bambooglade/rights/ledger_client.py
+++ b/packages/bambooglade/bambooglade/rights/ledger_client.py
@@ -18,6 +18,7 @@
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
 from bambooglade.rights import account as account_lib
+from bambooglade.rights import demand_share
 from bambooglade.rights import homes as homes_lib
 from bambooglade.rights import ledger as ledger_lib
 from bambooglade.rights import ledger_copies
@@ -104,6 +105,9 @@
         self._outages_before_items = 0
         self._last_pending_count = 0
         self._free_tokens_by_team: dict[str, int] = {}
+        self._growth_by_team: dict[str, demand_share.LedgerGrowth] = (
+            collections.defaultdict(demand_share.LedgerGrowth)
+        )
         self._committed_returns_by_team: dict[str, int] = {}
         self._exhausted_teams: set[str] = set()
         self._needed_tokens_by_team: collections.Counter[str] = (
@@ -334,15 +338,23 @@
 
     def _stock(self, team: str) -> stock_policy.Stock:
         account = self._account_by_team[team]
-        home_count = self._homes.count()
+        home_count, now_ms = self._homes.count(), self._loop.now_ms()
+        demand_tokens = account.outage_demand_tokens(
+            now_ms=now_ms, home_count=home_count
+        )
         return stock_policy.Stock(
             available_tokens=account.available_tokens,
             free_tokens=self._free_tokens_by_team.get(team, 0),
-            outage_demand_tokens=account.outage_demand_tokens(
-                now_ms=self._loop.now_ms(), home_count=home_count
-            ),
+            outage_demand_tokens=demand_tokens,
             largest_request_tokens=account.largest_request_tokens,
             home_count=home_count,
+            home_share=demand_share.home_share(
+                own_tokens=demand_tokens,
+                fleet_tokens=self._growth_by_team[team].expected_tokens(
+                    account_lib.STOCK_HORIZON_MS, now_ms=now_ms
+                ),
+                home_count=home_count,
+            ),
         )
 
     def _teams_to_update(self, needed: collections.Counter[str]) -> list[str]:
@@ -409,6 +421,7 @@
             ledger.granted_by_holder.get(self._holder, 0)
         )
         now_ms = self._loop.now_ms()
+        self._growth_by_team[team].record(ledger.total_tokens, now_ms=now_ms)
         if not self._recovery.may_draw(team, now_ms=now_ms):
             return self._ledger_after_recovery(team, ledger, prepaid)
         if self._recovery.is_unconfirmed(
--- a/packages/bambooglade/bambooglade/rights/stock_policy.py
+++ b/packages/bambooglade/bambooglade/rights/stock_policy.py
@@ -50,6 +50,8 @@
         outage_demand_tokens: Expected demand during an outage.
         largest_request_tokens: Upper bound of the largest recent request.
         home_count: Number of homes of the team.
+        home_share: Part of the rights that this home may count on; None for an
+            equal part.
 
     Attributes:
         desired_tokens: Desired size of the stock.
@@ -77,11 +79,13 @@
         outage_demand_tokens: float,
         largest_request_tokens: float,
         home_count: int,
+        home_share: float | None = None,
     ) -> None:
         self._available_tokens = available_tokens
         self._free_tokens = free_tokens
         self._largest_request_tokens = largest_request_tokens
-        share = free_tokens / home_count + available_tokens
+        part = 1 / home_count if home_share is None else home_share
+        share = free_tokens * part + available_tokens
         max_tokens = share * max_stock_share(share, outage_demand_tokens)
         min_tokens = min(max_tokens, share * MIN_STOCK_SHARE)
         self.desired_tokens = round(
--- a/packages/bambooglade/bambooglade/scheduling/link_budget.py
+++ b/packages/bambooglade/bambooglade/scheduling/link_budget.py
@@ -1,12 +1,12 @@
 """Admits requests while this instance's network link has room; without I/O.
 
-A load balancer that selects instances by a hash of the caller sends all requests
-of a large caller to one instance, even if its link carries only a few Mbit/s,
-while other instances are idle. Every byte of a request leaves that link once
-more on the way to a target. If more is sent than the link carries, connections
-time out, requests are repeated, and nothing is served. So what the link is
-still sending is estimated, and requests that would wait for it for too long are
-rejected at once; the caller's retry reaches another instance.
+A load balancer that selects instances by a hash of the caller sends all the
+requests of a large caller to one instance, even if its link carries only a few
+Mbit/s, while other instances are idle. Every byte of a request leaves that link
+once more on the way to a target. If more is sent than the link carries,
+connections time out, requests are repeated, and nothing is served. So what the
+link is still sending is estimated, and requests that would wait for it for too
+long are rejected at once; the caller's retry reaches another instance.
 
 See Also:
     bambooglade.gateway.congestion: notices a full link by slow connections,
