Count what the link of an instance receives for its admission as well

Cause: each request and response crosses the link in both directions, and responses that were admitted arrive on top of the bodies of requests that are rejected.

Change: received bytes count like sent ones; the direction that is fuller decides.

Evidence: test_link_that_receives_without_a_pause_is_full.

--- a/packages/bambooglade/bambooglade/eventloop/connection.py
+++ b/packages/bambooglade/bambooglade/eventloop/connection.py
@@ -278,6 +278,9 @@
             self._handle_loss(is_clean=False)
             return
         if data:
+            self._loop.link.record_received(
+                len(data), now_ms=self._loop.now_ms()
+            )
             self._handler.received(data)
         else:
             self._handle_loss(is_clean=True)
--- a/packages/bambooglade/bambooglade/scheduling/link_budget.py
+++ b/packages/bambooglade/bambooglade/scheduling/link_budget.py
@@ -40,11 +40,15 @@
 
 
 class LinkBudget:
-    """Estimates how long sent bytes wait for the link of an instance.
+    """Estimates how long bytes wait for the link of an instance.
+
+    Both directions count. What waits to be received can't be seen here, but a
+    link that receives more than the usable part of its capacity for some time
+    is full.
 
     Args:
-        link_mbps: Capacity of the link in Mbit/s; 0 if it is unknown, which
-            means that no request ever waits.
+        link_mbps: Capacity of the link in Mbit/s in each direction; 0 if it is
+            unknown, which means that no request ever waits.
 
     Examples:
         >>> link = LinkBudget(8.0)
@@ -55,43 +59,43 @@
         False
     """
 
-    __slots__ = (
-        "_busy_until_ms",
-        "_bytes_per_ms",
-        "_queued_bytes",
-        "_updated_at_ms",
-    )
+    __slots__ = ("_busy_until_ms", "_bytes_per_ms", "_received", "_sent")
 
     def __init__(self, link_mbps: float = 0.0) -> None:
         self._bytes_per_ms = (
             link_mbps * _BYTES_PER_MS_PER_MBPS * USABLE_FRACTION
         )
-        self._queued_bytes = 0.0
-        self._updated_at_ms = 0
+        self._sent = _Direction()
+        self._received = _Direction()
         self._busy_until_ms = 0
 
     def record_sent(self, size_bytes: int, *, now_ms: int) -> None:
         """Records bytes that the system took over for sending."""
+        self._record(self._sent, size_bytes, now_ms)
+
+    def record_received(self, size_bytes: int, *, now_ms: int) -> None:
+        """Records bytes that have arrived."""
+        self._record(self._received, size_bytes, now_ms)
+
+    def _record(
+        self, direction: _Direction, size_bytes: int, now_ms: int
+    ) -> None:
         if not self._bytes_per_ms:
             return
-        self._drain(now_ms)
-        self._queued_bytes += size_bytes + PACKET_OVERHEAD_BYTES
-        if self._queued_bytes >= BUSY_WAIT_MS * self._bytes_per_ms:
+        direction.drain(self._bytes_per_ms, now_ms)
+        direction.queued_bytes += size_bytes + PACKET_OVERHEAD_BYTES
+        if direction.queued_bytes >= BUSY_WAIT_MS * self._bytes_per_ms:
             self._busy_until_ms = now_ms + BUSY_HOLD_MS
 
-    def _drain(self, now_ms: int) -> None:
-        elapsed_ms = max(0, now_ms - self._updated_at_ms)
-        self._updated_at_ms = max(now_ms, self._updated_at_ms)
-        self._queued_bytes = max(
-            0.0, self._queued_bytes - elapsed_ms * self._bytes_per_ms
-        )
-
     def wait_ms(self, now_ms: int) -> int:
-        """Returns how long a byte that is sent now waits for the link."""
+        """Returns how long a byte waits for the link now."""
         if not self._bytes_per_ms:
             return 0
-        self._drain(now_ms)
-        return round(self._queued_bytes / self._bytes_per_ms)
+        directions = (self._sent, self._received)
+        for direction in directions:
+            direction.drain(self._bytes_per_ms, now_ms)
+        longest = max(direction.queued_bytes for direction in directions)
+        return round(longest / self._bytes_per_ms)
 
     def may_admit(self, *, max_wait_ms: float, now_ms: int) -> bool:
         """Returns whether a request would not wait for longer than it may."""
@@ -106,7 +110,28 @@
         return now_ms < self._busy_until_ms
 
     def __repr__(self) -> str:
-        return f"LinkBudget(queued_bytes={self._queued_bytes:.0f})"
+        return f"LinkBudget(sent={self._sent!r}, received={self._received!r})"
+
+
+class _Direction:
+    """Bytes of one direction beyond what the link has carried so far."""
+
+    __slots__ = ("_updated_at_ms", "queued_bytes")
+
+    def __init__(self) -> None:
+        self._updated_at_ms = 0
+        self.queued_bytes = 0.0
+
+    def drain(self, bytes_per_ms: float, now_ms: int) -> None:
+        """Removes what the link has carried since the last call."""
+        elapsed_ms = max(0, now_ms - self._updated_at_ms)
+        self._updated_at_ms += elapsed_ms
+        self.queued_bytes = max(
+            0.0, self.queued_bytes - elapsed_ms * bytes_per_ms
+        )
+
+    def __repr__(self) -> str:
+        return f"_Direction(queued_bytes={self.queued_bytes:.0f})"
 
 
 def max_wait_ms(*, rank: int, target_latency_ms: int) -> float:
--- a/packages/bambooglade/bambooglade/scheduling/tests/test_link_budget.py
+++ b/packages/bambooglade/bambooglade/scheduling/tests/test_link_budget.py
@@ -99,3 +99,14 @@
     budget.record_sent(round(100 * BYTES_PER_MS), now_ms=0)
     assert budget.is_busy(now_ms=500)
     assert not budget.is_busy(now_ms=2_000)
+
+
+def test_link_that_receives_without_a_pause_is_full():
+    budget = link_budget.LinkBudget(LINK_MBPS)
+    for now_ms in range(0, 3_000, 10):
+        budget.record_received(
+            round(10 * BYTES_PER_MS) - link_budget.PACKET_OVERHEAD_BYTES,
+            now_ms=now_ms,
+        )
+    assert budget.wait_ms(now_ms=3_000) >= 200
+    assert budget.wait_ms(now_ms=4_000) == 0
