Send no requests to targets of evacuated zones

Operators could not empty a zone: its targets got requests until each was taken out of service by itself. They now write `op/evacuate/ZONE`, and delete it to end the evacuation.

The watch of the configuration covers the prefix `op/`, so that no call to the store is added. The view leaves out targets of evacuated zones, for new requests, retries, resumed streams and requests of peers alike; running requests go on. If none is left, callers get 503 at once, whose detail names the reason. Requests and responses by which instances exchange their views carry the records, both ways, and a change ends the wait of those that wait at a relay. An instance whose relay is of the previous build reads the prefix from the store itself.

The configuration that a peer told no longer raises the revision after which the store is watched: the key of a zone may have been written before it, and the peer need not know of it. An instance is ready only after it has read the prefix, or after a peer that has told it. A target whose zone may be switched off is no evidence that the instance is cut off from a service.

Events: zone_evacuated, zone_evacuation_ended, zone_evacuation_malformed, zone_evacuations_full; gauge: bambooglade_evacuated_zones.

--- a/packages/bambooglade/bambooglade/discovery/codec.py
+++ b/packages/bambooglade/bambooglade/discovery/codec.py
@@ -13,10 +13,15 @@
 
     Attributes:
         configuration_key: Key of the configuration.
+        operator_prefix: Key prefix of all that operators write, with the
+            configuration.
+        evacuation_prefix: Key prefix of the zones that are evacuated.
         target_prefix: Key prefix of the target entries.
     """
 
     configuration_key: str
+    operator_prefix: str
+    evacuation_prefix: str
     target_prefix: str
 
     def decode_configuration(self, value: bytes) -> configuration.Configuration:
@@ -27,6 +32,14 @@
         """
         ...
 
+    def decode_evacuated_zone(self, key: str) -> str:
+        """Returns the availability zone that a key evacuates.
+
+        Raises:
+            ValueError: The key names no zone.
+        """
+        ...
+
     def decode_target(self, key: str, value: bytes) -> targets.RegisteredTarget:
         """Decodes a target entry.
 
--- a/packages/bambooglade/bambooglade/discovery/evacuations.py
+++ b/packages/bambooglade/bambooglade/discovery/evacuations.py
@@ -45,6 +45,9 @@
 keys: it recognizes an outdated record by the revision of that read.
 """
 
+MAX_MALFORMED_KEYS = 256
+"""Most malformed keys that are remembered, so that each is logged once."""
+
 MAX_ZONE_CHARACTERS = 200
 """Longest name of a zone; keys of the store have at most 200 bytes."""
 
@@ -129,6 +132,7 @@
         "_has_changed",
         "_is_full",
         "_log",
+        "_malformed_keys",
         "_settles_at_ms",
         "known_since_ms",
         "listeners",
@@ -145,6 +149,8 @@
         self._settles_at_ms = 0
         self._has_changed = False
         self._is_full = False
+        # A dict for its order; the values are not used.
+        self._malformed_keys: dict[str, None] = {}
         self.known_since_ms: int | None = None
         self.listeners: list[Callable[[], None]] = []
 
@@ -267,6 +273,30 @@
         if self.known_since_ms is None:
             self.known_since_ms = now_ms
 
+    def record_malformed(
+        self, key: str, *, revision: int, error: ValueError
+    ) -> None:
+        """Logs once that a key evacuates no zone, since it names none.
+
+        Args:
+            key: The key.
+            revision: Revision of the key.
+            error: What is wrong with it.
+        """
+        if key in self._malformed_keys:
+            return
+        self._malformed_keys[key] = None
+        if len(self._malformed_keys) > MAX_MALFORMED_KEYS:
+            del self._malformed_keys[next(iter(self._malformed_keys))]
+        self._log.event(
+            "zone_evacuation_malformed",
+            key=key,
+            revision=revision,
+            source="store",
+            error=error,
+            remedy="the key has no effect; name the zone as its targets do",
+        )
+
     def settle(self, *, now_ms: int) -> None:
         """Applies the list of a new era once its time for repetition is over.
 
--- a/packages/bambooglade/bambooglade/discovery/peer_puller.py
+++ b/packages/bambooglade/bambooglade/discovery/peer_puller.py
@@ -211,7 +211,9 @@
         self._view.targets_checked_at_ms = checked_at_ms
         if self._lacks_configuration(response):
             yield self._read_configuration()
-        else:
+        elif response.evacuations is not None:
+            # A relay of the previous build does not know of evacuations, so
+            # that this instance watches the operators' keys itself.
             self._view.configuration_checked_at_ms = checked_at_ms
 
     def _is_of_newest_era(
@@ -277,6 +279,9 @@
             configuration_version=(
                 self._view.configuration.version if item else None
             ),
+            evacuations=self._view.evacuations.records(
+                now_ms=self._loop.now_ms()
+            ),
         )
         http_response: http_client.Response | None = yield self._client.call(
             address,
@@ -312,6 +317,11 @@
         now_ms = self._loop.now_ms()
         source = f"peer:{address[0]}"
         is_newest_era = self._era.observe(response.store_era, source=source)
+        if response.evacuations is not None:
+            self._view.evacuations.merge(
+                response.evacuations, now_ms=now_ms, source=source
+            )
+            self._view.evacuations.mark_known(now_ms=now_ms)
         self._peers.mark_seen(response.peers, now_ms=now_ms)
         self._leaving.apply_runs(response.leaving, source=source)
         if response.suspicions is not None:
--- a/packages/bambooglade/bambooglade/discovery/store_watcher.py
+++ b/packages/bambooglade/bambooglade/discovery/store_watcher.py
@@ -1,4 +1,8 @@
-"""Reads the configuration and targets from the store and watches them."""
+"""Reads the operators' keys and the targets from the store and watches them.
+
+The operators' keys are the configuration and the evacuated zones. One watch of
+their common prefix covers both.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +11,7 @@
 import random
 
 from bambooglade.discovery import codec as codec_lib
+from bambooglade.discovery import operator_keys
 from bambooglade.discovery import relays as relays_lib
 from bambooglade.discovery import view as view_lib
 from bambooglade.eventloop import loop as loop_lib
@@ -67,7 +72,7 @@
         loop: The event loop.
         store: The store.
         view: View that is kept up to date.
-        codec: Defines the keys of the configuration and the targets.
+        codec: Defines the keys of the operators and the targets.
         relays: Decides whether a relay watches the store for this instance.
         contact: Records responses and failures of the store.
         random_source: Source of the jitter in the intervals.
@@ -113,7 +118,7 @@
         self._view.begin_era(now_ms=self._loop.now_ms())
 
     def start(self) -> None:
-        """Starts to watch the configuration and the targets."""
+        """Starts to watch the operators' keys and the targets."""
         for prefix, is_targets in self._prefixes:
             tasks.keep_running(
                 self._loop,
@@ -125,8 +130,8 @@
         self._is_stopped = True
 
     def read_configuration(self) -> futures.Future:
-        """Reads the configuration; the future completes when the read ends."""
-        return tasks.spawn(self._read_all(self._codec.configuration_key, False))
+        """Reads the operators' keys, and completes when the read ends."""
+        return tasks.spawn(self._read_all(self._codec.operator_prefix, False))
 
     def catch_up(self) -> futures.Future:
         """Reads what has changed until now, whether or not a relay does.
@@ -185,7 +190,7 @@
     def _prefixes(self) -> tuple[tuple[str, bool], ...]:
         """The watched prefixes, and whether they hold targets."""
         return (
-            (self._codec.configuration_key, False),
+            (self._codec.operator_prefix, False),
             (self._codec.target_prefix, True),
         )
 
@@ -225,8 +230,14 @@
         """
         if self._contact.is_unavailable:
             return not (is_targets and self._relays.uses_relays())
+        view = self._view
         return self._relays.must_watch_store(
-            now_ms=self._loop.now_ms(), checked_at_ms=self._view.checked_at_ms
+            now_ms=self._loop.now_ms(),
+            checked_at_ms=(
+                view.targets_checked_at_ms
+                if is_targets
+                else view.configuration_checked_at_ms
+            ),
         )
 
     def _delay_ms(self, is_successful: bool) -> int:
@@ -270,7 +281,9 @@
             )
             self._confirm_targets(began_at_ms)
         else:
-            self._apply_configuration(items, first_revision, began_at_ms)
+            self._apply_operator_keys(
+                items, first_revision, began_at_ms, is_list=True
+            )
         return True
 
     def _read_pages(self, prefix: str) -> tasks.Task:
@@ -332,17 +345,46 @@
             )
             self._confirm_targets(began_at_ms)
         else:
-            self._apply_configuration(
-                response.items, response.at_revision, began_at_ms
+            self._apply_operator_keys(
+                response.items,
+                response.at_revision,
+                began_at_ms,
+                is_list=False,
             )
         return True
 
-    def _apply_configuration(
+    def _apply_operator_keys(
         self,
         items: list[store_api.Item],
         at_revision: int,
         began_at_ms: int,
+        *,
+        is_list: bool,
     ) -> None:
+        """Applies the evacuated zones first, as a configuration may use them.
+
+        Args:
+            items: Items that were read or that changed.
+            at_revision: Revision up to which they are complete.
+            began_at_ms: Time at which the call to the store began.
+            is_list: Whether they are all items instead of the changes only.
+        """
+        evacuations, era = self._view.evacuations, self._store.era.number
+        apply_zones = (
+            evacuations.apply_list if is_list else evacuations.apply_changes
+        )
+        apply_zones(
+            operator_keys.zone_records(
+                items,
+                codec=self._codec,
+                era=era,
+                record_malformed=evacuations.record_malformed,
+            ),
+            era=era,
+            at_revision=at_revision,
+            now_ms=self._loop.now_ms(),
+            source="store",
+        )
         for item in items:
             if item.key == self._codec.configuration_key:
                 self._view.apply_configuration(item, source="store")
--- a/packages/bambooglade/bambooglade/discovery/view.py
+++ b/packages/bambooglade/bambooglade/discovery/view.py
@@ -1,4 +1,4 @@
-"""View of an instance of the configuration and the targets.
+"""View of an instance of the configuration, the zones and the targets.
 
 An older item never replaces a newer one, whether it comes from the store or
 from a peer. Configurations are ordered by their version, and targets by the
@@ -15,6 +15,7 @@
 
 from bambooglade.core import event_log
 from bambooglade.discovery import codec as codec_lib
+from bambooglade.discovery import evacuations as evacuations_lib
 from bambooglade.discovery import targets as targets_lib
 from bambooglade.gateway import configuration as configuration_lib
 from bambooglade.store import store_api
@@ -71,7 +72,8 @@
         configuration_item: Item of the configuration, for peers; None before
             the first.
         configuration_revision: Revision of the store as of which the
-            configuration is the newest.
+            configuration and the evacuated zones were read. What a peer told
+            does not raise it: the peer may know one of the two only.
         configuration_checked_at_ms: Time at which the configuration was last
             confirmed as the newest; None if it never was.
         targets_revision: Revision of the store as of which the targets are
@@ -86,6 +88,7 @@
         unseen_until_ms: Time until which targets may have come and gone unseen
             here, since the changes were not followed; 0 if they were.
         target_by_id: Registered targets, including draining ones.
+        evacuations: Zones whose targets get no requests.
         listeners: Called after each change that affects requests.
         registration_listeners: Called with each target as it is registered,
             also if it is gone by the time at which `listeners` are called.
@@ -96,6 +99,7 @@
         "_changed_at_revision_by_key",
         "_codec",
         "_compacted_revision",
+        "_evacuated_services",
         "_first_revision",
         "_grace_until_ms_by_id",
         "_has_targets",
@@ -111,6 +115,7 @@
         "configuration_item",
         "configuration_read_at_ms",
         "configuration_revision",
+        "evacuations",
         "listeners",
         "registration_listeners",
         "target_by_id",
@@ -143,6 +148,9 @@
         self._targets_by_service: dict[
             str, list[targets_lib.RegisteredTarget]
         ] = {}
+        self._evacuated_services: set[str] = set()
+        self.evacuations = evacuations_lib.ZoneEvacuations(log)
+        self.evacuations.listeners.append(self._handle_evacuations)
         self.configuration: configuration_lib.Configuration | None = None
         self.configuration_item: store_api.Item | None = None
         self.target_by_id: dict[str, targets_lib.RegisteredTarget] = {}
@@ -173,7 +181,11 @@
     @property
     def is_ready(self) -> bool:
         """Whether the view is complete enough to serve requests."""
-        return self.configuration is not None and self._has_targets
+        return (
+            self.configuration is not None
+            and self._has_targets
+            and self.evacuations.is_known
+        )
 
     @property
     def malformed_count(self) -> int:
@@ -211,9 +223,20 @@
         return after_revision > self._compacted_revision
 
     def ready_targets(self, service: str) -> list[targets_lib.RegisteredTarget]:
-        """Returns the targets of a service that accept new requests."""
+        """Returns the targets of a service that accept new requests.
+
+        Targets of evacuated zones are not among them.
+        """
         return self._targets_by_service.get(service, [])
 
+    def is_evacuated(self, target: targets_lib.RegisteredTarget) -> bool:
+        """Returns whether the zone of a target is evacuated."""
+        return self.evacuations.is_evacuated(target.availability_zone)
+
+    def has_evacuated_targets(self, service: str) -> bool:
+        """Returns whether targets of a service are left out for their zone."""
+        return service in self._evacuated_services
+
     def begin_era(self, *, now_ms: int) -> None:
         """Prepares for the contents of a store that is back from a copy.
 
@@ -301,9 +324,6 @@
             or (item.revision > known.revision)
         ):
             self.configuration_item = item
-        self.configuration_revision = max(
-            self.configuration_revision, item.revision
-        )
 
     def _is_outdated(self, version: int, revision: int) -> bool:
         if self.configuration is None:
@@ -312,7 +332,7 @@
         return (version, revision) <= known
 
     def confirm_configuration(self, revision: int, *, now_ms: int) -> None:
-        """Records that the configuration is the newest as of a revision."""
+        """Records that the operators' keys were read as of a revision."""
         self.configuration_revision = max(self.configuration_revision, revision)
         self.configuration_checked_at_ms = now_ms
 
@@ -418,7 +438,12 @@
                 tombstone.revision = item.revision
 
     def expire_lapsed_targets(self, now_ms: int) -> None:
-        """Removes targets whose grace period ended without a new entry."""
+        """Ends what was kept for a time only.
+
+        These are targets whose grace period ended without a new entry, and
+        evacuations that a store from an older copy does not have.
+        """
+        self.evacuations.settle(now_ms=now_ms)
         due = [
             target_id
             for target_id, until_ms in self._grace_until_ms_by_id.items()
@@ -575,6 +600,10 @@
         self._changed_at_revision_by_key[item.key] = item.revision
         self._change_count += 1
 
+    def _handle_evacuations(self) -> None:
+        self._rebuild_index()
+        self._notify_listeners()
+
     def _notify_listeners(self) -> None:
         for listener in list(self.listeners):
             listener()
@@ -602,11 +631,17 @@
 
     def _rebuild_index(self) -> None:
         by_service: dict[str, list[targets_lib.RegisteredTarget]] = {}
+        evacuated_services: set[str] = set()
         for target_id in sorted(self.target_by_id):
             target = self.target_by_id[target_id]
-            if not target.is_draining and not self._is_leaving(target):
+            if target.is_draining or self._is_leaving(target):
+                continue
+            if self.is_evacuated(target):
+                evacuated_services.add(target.service)
+            else:
                 by_service.setdefault(target.service, []).append(target)
         self._targets_by_service = by_service
+        self._evacuated_services = evacuated_services
 
     def __repr__(self) -> str:
         return (
--- a/packages/bambooglade/bambooglade/discovery/view_messages.py
+++ b/packages/bambooglade/bambooglade/discovery/view_messages.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from bambooglade.discovery import evacuations as evacuations_lib
 from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import targets as targets_lib
 from bambooglade.discovery import view as view_lib
@@ -63,6 +64,8 @@
             unknown.
         configuration_version: Version of the requester's configuration; None
             for none, or from an instance that compares revisions.
+        evacuations: All zone records that the requester knows; None from an
+            instance that does not know of evacuations.
     """
 
     configuration_revision: int
@@ -73,6 +76,7 @@
     suspicions_digest: int = 0
     store_era: int = 0
     configuration_version: int | None = None
+    evacuations: list[evacuations_lib.ZoneRecord] | None = None
 
 
 class ViewResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -98,6 +102,9 @@
         store_era: Era of the store to which the revisions belong; 0 if
             unknown.
         configuration_version: Version of the configuration; None for none.
+        evacuations: All zone records of the peer, or none of them if the
+            requester's are the same; None from a peer that has not read the
+            operators' keys yet, or does not know of evacuations.
     """
 
     configuration: CompressedItem | None = None
@@ -113,6 +120,7 @@
     leaving: list[targets_lib.TargetRun] = []
     store_era: int = 0
     configuration_version: int | None = None
+    evacuations: list[evacuations_lib.ZoneRecord] | None = None
 
 
 def has_updates(
@@ -121,6 +129,10 @@
     """Returns whether the view has updates for the requester."""
     if _has_newer_configuration(request, view):
         return True
+    if request.evacuations is not None and view.evacuations.has_news_for(
+        request.evacuations
+    ):
+        return True
     known_revision = _known_targets_revision(request, store_era)
     if view.targets_revision <= known_revision:
         return False
@@ -205,9 +217,24 @@
         configuration_version=(
             view.configuration.version if item is not None else None
         ),
+        evacuations=_evacuations_for(request, view, now_ms=now_ms),
     )
 
 
+def _evacuations_for(
+    request: ViewRequest, view: view_lib.FleetView, *, now_ms: int
+) -> list[evacuations_lib.ZoneRecord] | None:
+    """Returns the records for a requester; None if they are not known."""
+    if request.evacuations is None or not view.evacuations.is_known:
+        return None
+    known_orders = {
+        (record.zone, record.order) for record in request.evacuations
+    }
+    records = view.evacuations.records(now_ms=now_ms)
+    is_same = known_orders.issuperset((r.zone, r.order) for r in records)
+    return [] if is_same else records
+
+
 def _compress_item(item: store_api.Item) -> CompressedItem:
     return CompressedItem(item.key, _compress(item.value), item.revision)
 
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -442,6 +442,8 @@
         return [t for t in ready if t.software_version == version]
 
     def _missing_target_detail(self, reason: str) -> str:
+        if self._context.view.has_evacuated_targets(self._service.name):
+            reason = f"{reason}; targets in evacuated zones get no requests"
         if self._origin is None:
             return reason
         return (
--- a/packages/bambooglade/bambooglade/gateway/peer_api.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_api.py
@@ -134,6 +134,11 @@
             request.store_era, source=f"peer:{request.asker.name}"
         )
         requested_at_ms = self._loop.now_ms()
+        self._view.evacuations.merge(
+            request.evacuations or (),
+            now_ms=requested_at_ms,
+            source=f"peer:{request.asker.name}",
+        )
         due_ms = requested_at_ms + request.wait_ms
         suspicions = self._quarantine.suspicions
         digest = suspicions.digest
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -579,6 +579,10 @@
         self._metrics.set_gauge(
             metrics_lib.MALFORMED_TARGETS, self.view.malformed_count
         )
+        self._metrics.set_gauge(
+            metrics_lib.EVACUATED_ZONES,
+            len(self.view.evacuations.evacuated_zones),
+        )
         self._metrics.set_gauge(
             metrics_lib.BRITTLE_SERVICES,
             len(
--- a/packages/bambooglade/bambooglade/gateway/target_prober.py
+++ b/packages/bambooglade/bambooglade/gateway/target_prober.py
@@ -154,6 +154,9 @@
         ready = self._view.ready_targets(service)
         self._selector.record_connect_failure(target, now_ms=now_ms)
         self._schedule_recheck(target)
+        if self._view.is_evacuated(target):
+            # Its zone may be switched off; the other zones are not tested.
+            return
         if self.reachability.record_failure(target, ready, now_ms=now_ms):
             self._handle_cut(service, ready)
         elif not self._needs_no_check(service):
@@ -224,8 +227,11 @@
         """
         if self._is_closed or not self.is_cut_off(service):
             return
-        registered = self._view.target_by_id.values()
-        if not any(target.service == service for target in registered):
+        is_registered = any(
+            target.service == service and not self._view.is_evacuated(target)
+            for target in self._view.target_by_id.values()
+        )
+        if not is_registered:
             self.reachability.end_cut(service, now_ms=self._loop.now_ms())
             self._log.event("targets_unregistered", service=service)
             return
--- a/packages/bambooglade/bambooglade/platform/operator_configuration.py
+++ b/packages/bambooglade/bambooglade/platform/operator_configuration.py
@@ -1,4 +1,4 @@
-"""Decodes the operator's configuration from the users' store.
+"""Decodes what operators write to the users' store.
 
 See Also:
     bambooglade.gateway.configuration: the result of decoding.
@@ -11,8 +11,17 @@
 from bambooglade.core import json_documents
 from bambooglade.gateway import configuration
 
+OPERATOR_PREFIX = "op/"
+"""Prefix of the keys that only operators write."""
+
 CONFIGURATION_KEY = "op/config"
 
+EVACUATION_PREFIX = "op/evacuate/"
+"""Prefix of the keys that evacuate a zone; the zone follows."""
+
+MAX_ZONE_CHARACTERS = 200
+"""Longest name of a zone; keys of the store have at most 200 bytes."""
+
 _KIND_BY_ROUTE_TYPE = {
     "safe": configuration.RouteKind.SAFE,
     "unsafe": configuration.RouteKind.UNSAFE,
@@ -24,6 +33,10 @@
     """The value is malformed; the last valid configuration stays in force."""
 
 
+class MalformedEvacuationError(ValueError):
+    """The key names no zone."""
+
+
 class _Split(msgspec.Struct):
     service: str
     weight: float = 1.0
@@ -111,6 +124,37 @@
         raise MalformedConfigurationError(str(error)) from error
 
 
+def evacuated_zone(key: str) -> str:
+    """Returns the zone that a key below `EVACUATION_PREFIX` evacuates.
+
+    Names that an entry of a target may have are valid, but for those with a
+    slash, or with spaces at an end, which are errors of typing.
+
+    Args:
+        key: The key.
+
+    Raises:
+        MalformedEvacuationError: The key names no zone.
+
+    Examples:
+        >>> evacuated_zone("op/evacuate/scot-a")
+        'scot-a'
+    """
+    zone = key.removeprefix(EVACUATION_PREFIX)
+    if (
+        not zone
+        or len(zone) > MAX_ZONE_CHARACTERS
+        or "/" in zone
+        or zone != zone.strip()
+        or not zone.isprintable()
+    ):
+        raise MalformedEvacuationError(
+            "expected the name of a zone, printable and without slashes or"
+            " spaces at its ends"
+        )
+    return zone
+
+
 def _route(wire: _Route) -> configuration.Route:
     splits = wire.traffic_split or [_Split(wire.service)]
     return configuration.Route(
