Test evacuated zones in fleets, after restores and through peers

They found one fault, mended here: an instance that had listed a key in a new era, and deferred it since the last era disagreed, took the record of a peer that had deferred it earlier for outdated, and kept the zone in use for good.

--- a/packages/bambooglade/bambooglade/discovery/evacuations.py
+++ b/packages/bambooglade/bambooglade/discovery/evacuations.py
@@ -376,8 +376,11 @@
 
     def _is_outdated(self, record: ZoneRecord) -> bool:
         """Returns whether the keys were read later, without this evacuation."""
+        deferred = self._deferred_by_zone.get(record.zone)
+        is_listed = deferred is not None and deferred.is_evacuated
         return (
             record.is_evacuated
+            and not is_listed
             and not self.is_evacuated(record.zone)
             and self._complete_order is not None
             and record.order <= self._complete_order
--- a/packages/bambooglade/bambooglade/discovery/tests/test_evacuations.py
+++ b/packages/bambooglade/bambooglade/discovery/tests/test_evacuations.py
@@ -4,6 +4,7 @@
 
 import itertools
 import os
+import random
 
 import pytest
 
@@ -178,11 +179,19 @@
     assert not zones.is_evacuated("z")
 
 
-@pytest.mark.parametrize("now_ms", [100, SETTLE_MS])
-def test_peer_whose_list_has_settled_is_believed_at_once(now_ms):
-    zones = Restored(was_evacuated=True, is_listed=False).zones
-    tell(zones, record(15, False, era=2), now_ms=now_ms)
-    assert not zones.is_evacuated("z")
+@pytest.mark.parametrize("now_ms", [1_100, 1_000 + SETTLE_MS])
+@pytest.mark.parametrize(
+    ("was_evacuated", "told"),
+    [(True, record(15, False, era=2)), (False, record(11, True, era=2))],
+)
+def test_peer_whose_list_has_settled_is_believed_at_once(
+    now_ms, was_evacuated, told
+):
+    zones = Restored(
+        was_evacuated=was_evacuated, is_listed=told.is_evacuated
+    ).zones
+    tell(zones, told, now_ms=now_ms)
+    assert zones.is_evacuated("z") is told.is_evacuated
 
 
 def test_keys_are_known_once_read_or_told(zones):
@@ -256,3 +265,104 @@
         "zone_evacuated zone=z revision=21 source=peer:i2",
         "zone_evacuation_ended zone=z revision=26 source=store",
     ]
+
+
+class Store:
+    """The keys of the zones, with a history that a restore cuts off."""
+
+    def __init__(self) -> None:
+        self.era, self.revision = 1, 10
+        self.revision_by_zone: dict[str, int] = {}
+        self.history: list[evacuations.ZoneRecord] = []
+
+    def write(self, zone: str, is_evacuated: bool) -> None:
+        self.revision += 1
+        self.revision_by_zone.pop(zone, None)
+        if is_evacuated:
+            self.revision_by_zone[zone] = self.revision
+        self.history.append(
+            record(self.revision, is_evacuated, zone=zone, era=self.era)
+        )
+
+    def copy(self):
+        return self.revision, dict(self.revision_by_zone)
+
+    def restore(self, copied) -> None:
+        self.era += 1
+        self.revision, self.revision_by_zone = copied[0], dict(copied[1])
+        self.history = []
+
+
+class Reader:
+    """An instance that lists and watches the store."""
+
+    def __init__(self, store: Store) -> None:
+        self.zones = new_zones()
+        self._store = store
+        self._read_to = (0, 0)
+
+    def read(self, now_ms: int) -> None:
+        """Lists the keys in a new era, and reads the changes later on."""
+        store = self._store
+        era, revision = self._read_to
+        if era != store.era:
+            listed = [
+                record(written_at, True, zone=zone, era=store.era)
+                for zone, written_at in store.revision_by_zone.items()
+            ]
+            read(
+                self.zones,
+                *listed,
+                era=store.era,
+                at_revision=store.revision,
+                now_ms=now_ms,
+            )
+        else:
+            self.zones.apply_changes(
+                [c for c in store.history if c.revision > revision],
+                era=era,
+                at_revision=store.revision,
+                now_ms=now_ms,
+                source="store",
+            )
+        self._read_to = store.era, store.revision
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_instances_agree_with_the_store_whatever_happened(seed):
+    """Guards against records that some instances believe for ever."""
+    source = random.Random(seed)
+    store, now_ms = Store(), 0
+    readers = [Reader(store) for _ in range(5)]
+    copied = store.copy()
+    for _ in range(80):
+        now_ms += source.choice([0, 10, 400, 1_500])
+        reader, other = source.sample(readers, 2)
+        step = source.random()
+        if step < 0.3:
+            store.write(source.choice("abc"), source.random() < 0.5)
+        elif step < 0.6:
+            reader.read(now_ms)
+        elif step < 0.85:
+            tell(other.zones, *reader.zones.records(now_ms=now_ms))
+        elif step < 0.9:
+            copied = store.copy()
+        elif step < 0.94:
+            store.restore(copied)
+        else:
+            readers[source.randrange(len(readers))] = Reader(store)
+    # Two instances read the store, and the others only hear of it.
+    for _ in range(4):
+        now_ms += SETTLE_MS
+        for reader in readers[:2]:
+            reader.read(now_ms)
+        for reader, other in itertools.permutations(readers, 2):
+            tell(
+                other.zones,
+                *reader.zones.records(now_ms=now_ms),
+                now_ms=now_ms,
+            )
+    expected = sorted(store.revision_by_zone)
+    assert [r.zones.evacuated_zones for r in readers] == [expected] * 5
+    for reader, other in itertools.permutations(readers, 2):
+        assert not reader.zones.has_news_for(other.zones.records(now_ms=now_ms))
