Count the requests that still run in evacuated zones

An operator who evacuates a zone has to know when it is empty, and could only search the logs for requests that had not ended. The gauge `bambooglade_requests_in_evacuated_zones` is the number of requests of this instance at registered targets of these zones; it is counted when the metrics are read. Tables for the view, for the messages between peers and for the names of zones guard their parts of evacuations.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_evacuated_zones.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_evacuated_zones.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 import pytest
 
@@ -314,12 +316,14 @@
         assert (late.status, late.is_complete) == (200, True)
         assert harness.call("/plain/1").status == 200
     assert request_counts(harness, zone) == before
+    assert gauge(harness, "requests_in_evacuated_zones") == 1
     assert sum(request_counts(harness, other).values()) >= 16
     running.event(2)
     running.end_stream()
     harness.run_until(lambda: caller.is_finished)
     assert (caller.status, caller.is_complete) == (200, True)
     assert caller.body == engine_lib.event(1) + engine_lib.event(2)
+    assert gauge(harness, "requests_in_evacuated_zones") == 0
 
 
 def test_retry_and_resumed_stream_keep_away(harness):
@@ -353,8 +357,7 @@
         assert b"evacuated" in caller.body
         assert harness.loop.now_ms() - started_ms < 200
     assert request_counts(harness, "") == before
-    metrics = get_metrics(harness)
-    assert "bambooglade_evacuated_zones 2" in " ".join(metrics.split("{}"))
+    assert gauge(harness, "evacuated_zones") == 2
     for zone in ("zone-a", "zone-b"):
         harness.store.put_now(f"op/evacuate/{zone}", None)
     harness.run_until(
@@ -364,13 +367,18 @@
     assert harness.call("/stream/1", prompt="100,50").status == 200
 
 
-def get_metrics(harness) -> str:
+def gauge(harness, name: str) -> float:
     address = harness.gateways[0].settings.metrics_address
     call = http_client.HttpClient(harness.loop).call(
         address, method="GET", target="/metrics", timeout_ms=1_000
     )
     harness.run_until(call.done)
-    return call.result().body.decode()
+    (value,) = re.findall(
+        rf"^bambooglade_{name}(?:{{}})? (\S+)$",
+        call.result().body.decode(),
+        re.MULTILINE,
+    )
+    return float(value)
 
 
 def test_dead_targets_of_evacuated_zones_do_not_cut_the_instance_off(harness):
--- a/packages/bambooglade/bambooglade/discovery/tests/test_view.py
+++ b/packages/bambooglade/bambooglade/discovery/tests/test_view.py
@@ -6,8 +6,11 @@
 
 from bambooglade.core import clock as clock_lib
 from bambooglade.core import event_log
+from bambooglade.discovery import evacuations
+from bambooglade.discovery import peers as peers_lib
 from bambooglade.discovery import targets
 from bambooglade.discovery import view as view_lib
+from bambooglade.discovery import view_messages
 from bambooglade.gateway import configuration
 from bambooglade.store import store_api
 
@@ -207,3 +210,80 @@
     assert view.malformed_count == 1
     apply_changes(view, target("a", 2, None))
     assert view.malformed_count == 0
+
+
+def evacuate(view, revision: int, *, is_evacuated: bool = True) -> None:
+    view.evacuations.apply_changes(
+        [evacuations.ZoneRecord("z", revision, is_evacuated)],
+        era=0,
+        at_revision=revision,
+        now_ms=0,
+        source="store",
+    )
+
+
+def test_targets_of_evacuated_zones_are_left_out(view):
+    notified = []
+    apply_changes(view, target("a", 1))
+    view.listeners.append(lambda: notified.append(ready_ids(view)))
+    evacuate(view, 2)
+    assert view.has_evacuated_targets("s")
+    apply_changes(view, target("b", 3))
+    evacuate(view, 4, is_evacuated=False)
+    assert notified == [[], [], ["a", "b"]]
+    assert list(view.target_by_id) == ["a", "b"]
+
+
+def test_view_is_ready_once_the_operators_keys_are_known(view):
+    item = store_api.Item("configuration", b"1", 5)
+    view.apply_configuration(item, source="peer")
+    apply_changes(view, target("a", 1))
+    assert not view.is_ready
+    evacuate(view, 6, is_evacuated=False)
+    assert view.is_ready
+
+
+def test_configuration_of_a_peer_hides_no_evacuation(view):
+    """Guards against a watch that begins after the unread key of a zone."""
+    view.confirm_configuration(40, now_ms=0)
+    item = store_api.Item("configuration", b"1", 50)
+    view.apply_configuration(item, source="peer")
+    assert view.configuration_revision == 40
+
+
+def view_request(**fields) -> view_messages.ViewRequest:
+    asker = peers_lib.Peer(
+        name="i2",
+        incarnation="1",
+        host="10.0.0.2",
+        port=1,
+        availability_zone="z",
+    )
+    return view_messages.ViewRequest(
+        configuration_revision=0, targets_revision=0, asker=asker, **fields
+    )
+
+
+@pytest.mark.parametrize(
+    ("known", "is_news", "sent"),
+    [
+        (None, False, None),
+        ([], True, 1),
+        ([evacuations.ZoneRecord("z", 3, False)], True, 1),
+        ([evacuations.ZoneRecord("z", 4, True)], False, 0),
+        ([evacuations.ZoneRecord("z", 5, False)], False, 1),
+    ],
+)
+def test_peers_are_told_of_evacuations_that_they_lack(
+    view, known, is_news, sent
+):
+    evacuate(view, 4)
+    request = view_request(evacuations=known)
+    assert view_messages.has_updates(request, view, store_era=0) is is_news
+    answered = view_messages._evacuations_for(request, view, now_ms=0)
+    assert (None if answered is None else len(answered)) == sent
+
+
+def test_instance_that_has_not_read_the_keys_tells_nothing(view):
+    request = view_request(evacuations=[])
+    assert view_messages._evacuations_for(request, view, now_ms=0) is None
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -583,6 +583,14 @@
             metrics_lib.EVACUATED_ZONES,
             len(self.view.evacuations.evacuated_zones),
         )
+        self._metrics.set_gauge(
+            metrics_lib.EVACUATED_ZONE_REQUESTS,
+            sum(
+                self._context.target_selector.own_running(target.target_id)
+                for target in self.view.target_by_id.values()
+                if self.view.is_evacuated(target)
+            ),
+        )
         self._metrics.set_gauge(
             metrics_lib.BRITTLE_SERVICES,
             len(
--- a/packages/bambooglade/bambooglade/platform/tests/test_decoding.py
+++ b/packages/bambooglade/bambooglade/platform/tests/test_decoding.py
@@ -46,6 +46,29 @@
     return operator_configuration.decode(msgspec.json.encode(value))
 
 
+@pytest.mark.parametrize(
+    ("zone", "is_valid"),
+    [
+        ("scot-a", True),
+        ("Zone 1", True),
+        ("z" * 200, True),
+        ("z" * 201, False),
+        ("", False),
+        ("a/b", False),
+        (" a", False),
+        ("a\n", False),
+        ("a\x00", False),
+    ],
+)
+def test_decodes_zones_that_targets_may_have_only(zone, is_valid):
+    key = operator_configuration.EVACUATION_PREFIX + zone
+    if is_valid:
+        assert operator_configuration.evacuated_zone(key) == zone
+    else:
+        with pytest.raises(operator_configuration.MalformedEvacuationError):
+            operator_configuration.evacuated_zone(key)
+
+
 def test_decodes_configuration():
     decoded = decode_configuration()
     route = decoded.find_route(b"api.example", b"/a/b")
--- a/packages/bambooglade/bambooglade/router/metrics.py
+++ b/packages/bambooglade/bambooglade/router/metrics.py
@@ -29,6 +29,7 @@
 UNREACHABLE_SERVICES = "bambooglade_unreachable_services"
 MALFORMED_TARGETS = "bambooglade_malformed_targets"
 EVACUATED_ZONES = "bambooglade_evacuated_zones"
+EVACUATED_ZONE_REQUESTS = "bambooglade_requests_in_evacuated_zones"
 BRITTLE_SERVICES = "bambooglade_brittle_services"
 WAITING_REQUESTS = "bambooglade_requests_waiting_for_room"
 QUARANTINES = "bambooglade_quarantined_prompts"
@@ -204,6 +205,7 @@
         UNREACHABLE_SERVICES: "Services of which no target is reached.",
         MALFORMED_TARGETS: "Entries of targets that can't be decoded.",
         EVACUATED_ZONES: "Zones whose targets get no requests.",
+        EVACUATED_ZONE_REQUESTS: "Requests that still run in such zones.",
         BRITTLE_SERVICES: "Services whose targets bear few rejections.",
         WAITING_REQUESTS: "Requests that wait for room at such a target.",
         SHARDS_SERVED: "Shards that this instance is primary of.",
