--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_evacuated_zones.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_evacuated_zones.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bambooglade.eventloop import http_client
+from bambooglade.eventloop import tasks
 from bambooglade_standins.users_platform import engine as engine_lib
 from bambooglade_standins.users_platform import memory_store
 from bambooglade_standins.users_platform import platform_harness as harness_lib
@@ -225,6 +226,54 @@
     assert using(fleet) == {False}
 
 
+class ZoneCut:
+    """Client of an instance whose calls to another zone get no response."""
+
+    def __init__(self, fleet, instance, other_zone: str) -> None:
+        self._fleet = fleet
+        self._client = instance.client
+        self._other_zone = other_zone
+
+    @property
+    def is_partitioned(self) -> bool:
+        return self._client.is_partitioned
+
+    def call(self, address, *, timeout_ms: int, **request):
+        other = self._fleet.instance_by_address[address].local_instance
+        if other.availability_zone == self._other_zone:
+            return tasks.sleep(self._fleet.loop, timeout_ms)
+        return self._client.call(address, timeout_ms=timeout_ms, **request)
+
+
+def cut_between_zones(fleet, one: str, other: str) -> None:
+    for instance in fleet.instances:
+        for here, there in ((one, other), (other, one)):
+            if instance.local_instance.availability_zone == here:
+                cut = ZoneCut(fleet, instance, there)
+                instance.client = instance.peer_puller._client = cut
+
+
+@pytest.mark.parametrize("size", [6, 24, 72])
+def test_zone_without_the_store_hears_through_a_zone_that_reaches_both(
+    monkeypatch, size
+):
+    """Zone a reads the store; b reaches c only, which reaches both of them."""
+    monkeypatch.setattr(
+        simulated_relay_fleet, "ZONES", ("zone-a", "zone-b", "zone-c")
+    )
+    fleet = simulated_relay_fleet.SimulatedRelayFleet(size)
+    fleet.register("a", state="ready")
+    cut_between_zones(fleet, "zone-a", "zone-b")
+    for instance in fleet.instances:
+        is_cut = instance.local_instance.availability_zone != "zone-a"
+        instance.store_link.is_partitioned = is_cut
+    advance(fleet, APPLY_BOUND_MS)
+    for value, expected in ((b"{}", False), (None, True)):
+        fleet.store.put_now(KEY, value)
+        advance(fleet, EVACUATION_BOUND_MS + PARTITION_BOUND_MS)
+        assert using(fleet) == {expected}
+
+
 class PreviousBuild:
     """Peer interface of an instance that does not know of evacuations."""
 
