Run requests only in the regions that their route allows

Some requests may run in some regions only, and the gateway sent them to targets of any zone. A route may now name `allowedRegions`, and the settings file has the region of each zone in `[zones]`, which is taken over at once when it changes. Targets in other regions, and in zones without a region, are left out for new requests, retries, resumed streams and requests of peers. Without the field nothing changes.

test_settings.py lists the new setting among those that are applied at once.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_evacuated_zones.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_evacuated_zones.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import re
 
 import msgspec
@@ -500,3 +501,38 @@
         ),
         max_wait_ms=EVACUATION_BOUND_MS + PARTITION_BOUND_MS,
     )
+
+
+@pytest.mark.parametrize(
+    ("regions", "region_by_zone", "expected"),
+    [
+        ([], {}, "ab"),
+        (["north"], {"zone-a": "north", "zone-b": "south"}, "a"),
+        (["south", "east"], {"zone-a": "north", "zone-b": "south"}, "b"),
+        (["north"], {"zone-b": "south"}, ""),
+        (["east"], {"zone-a": "north", "zone-b": "south"}, ""),
+    ],
+)
+def test_requests_run_in_allowed_regions_only(
+    harness, regions, region_by_zone, expected
+):
+    configuration = msgspec.json.decode(
+        harness_lib.configuration(version=2, prepaid=None)
+    )
+    for route in configuration["routes"]:
+        route["allowedRegions"] = regions
+    harness.configure(msgspec.json.encode(configuration))
+    gateway = harness.gateways[0]
+    harness.run_until(lambda: gateway.view.configuration.version == 2)
+    settings = copy.copy(gateway.settings)
+    settings.region_by_zone = region_by_zone
+    gateway.reload(settings)
+    statuses = {
+        harness.call(
+            path, prompt="100,50" if path != "/plain/1" else None
+        ).status
+        for path in ("/plain/1", "/stream/1", "/resume/1") * 4
+    }
+    assert statuses == ({200} if expected else {503})
+    for zone in set("ab") - set(expected):
+        assert set(request_counts(harness, zone).values()) == {0}
--- a/packages/bambooglade/bambooglade/gateway/configuration.py
+++ b/packages/bambooglade/bambooglade/gateway/configuration.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 import enum
@@ -54,9 +55,11 @@
         is_resumable: Whether a broken stream may be resumed at another target.
         max_event_gap_ms: Service-level objective for the pause between two
             events of a stream; None for none.
+        allowed_regions: Regions in which requests may run; empty for all.
     """
 
     __slots__ = (
+        "allowed_regions",
         "has_prompt",
         "host",
         "is_public",
@@ -88,6 +91,7 @@
         has_prompt: bool = False,
         is_resumable: bool = False,
         max_event_gap_ms: int | None = None,
+        allowed_regions: Collection[str] = (),
     ) -> None:
         self.name = name
         self.host = host
@@ -102,6 +106,7 @@
         self.has_prompt = has_prompt
         self.is_resumable = is_resumable
         self.max_event_gap_ms = max_event_gap_ms
+        self.allowed_regions = frozenset(allowed_regions)
 
     @property
     def service_names(self) -> list[str]:
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -433,9 +433,19 @@
     def _ready_targets(self) -> list[targets_lib.RegisteredTarget]:
         """Returns the targets at which the request may run.
 
-        A stream that has begun goes on only at its software version.
+        Those in zones of other regions than the route allows, or of unknown
+        ones, are left out. A stream that has begun goes on only at its software
+        version.
         """
         ready = self._context.view.ready_targets(self._service.name)
+        regions = self._route.allowed_regions
+        if regions:
+            region_of = self._context.settings.region_by_zone.get
+            ready = [
+                target
+                for target in ready
+                if region_of(target.availability_zone) in regions
+            ]
         if self._origin is None:
             return ready
         version = self._origin.software_version
@@ -444,6 +454,8 @@
     def _missing_target_detail(self, reason: str) -> str:
         if self._context.view.has_evacuated_targets(self._service.name):
             reason = f"{reason}; targets in evacuated zones get no requests"
+        if self._route.allowed_regions:
+            reason = f"{reason}; the route allows targets of some regions only"
         if self._origin is None:
             return reason
         return (
--- a/packages/bambooglade/bambooglade/gateway/settings.py
+++ b/packages/bambooglade/bambooglade/gateway/settings.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from collections.abc import Sequence
+import types
 
 Address = tuple[str, int]
 
@@ -41,6 +43,8 @@
             of the configuration or a target that is leaving.
         is_first_start: Whether the whole system starts for the first time, so
             that no stream can have begun before.
+        region_by_zone: Region of each availability zone, for routes whose
+            requests may run in some regions only.
     """
 
     __slots__ = (
@@ -56,6 +60,7 @@
         "metrics_address",
         "peer_address",
         "readiness_address",
+        "region_by_zone",
         "retry_ratio",
         "retry_slack",
         "retry_window_ms",
@@ -85,6 +90,7 @@
         link_mbps: float = 0.0,
         max_propagation_ms: int = 2_000,
         is_first_start: bool = False,
+        region_by_zone: Mapping[str, str] = types.MappingProxyType({}),
     ) -> None:
         self.instance = instance
         self.availability_zone = availability_zone
@@ -104,6 +110,7 @@
         self.link_mbps = link_mbps
         self.max_propagation_ms = max_propagation_ms
         self.is_first_start = is_first_start
+        self.region_by_zone = dict(region_by_zone)
 
     def __repr__(self) -> str:
         return f"GatewaySettings(instance={self.instance!r})"
--- a/packages/bambooglade/bambooglade/gateway/tests/test_settings.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_settings.py
@@ -13,6 +13,7 @@
     "seed_addresses",
     "stop_timeout_ms",
     "store_address",
+    "region_by_zone",
 )
 
 
--- a/packages/bambooglade/bambooglade/platform/node_file.py
+++ b/packages/bambooglade/bambooglade/platform/node_file.py
@@ -59,6 +59,8 @@
     internal_port_range: list[int] = []
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
+    # Region of each availability zone.
+    zones: dict[str, str] = {}
     heartbeat_ms: float = 1_200
     # Whether the whole system starts for the first time.
     bootstrap: bool = False
@@ -108,6 +110,7 @@
             min(wire.bounds.config_apply_ms, wire.bounds.drain_ms)
         ),
         is_first_start=wire.bootstrap,
+        region_by_zone=wire.zones,
     )
 
 
--- a/packages/bambooglade/bambooglade/platform/operator_configuration.py
+++ b/packages/bambooglade/bambooglade/platform/operator_configuration.py
@@ -59,6 +59,8 @@
     stream_resumption: bool = False
     # Objective for the pause between two events of a stream.
     target_gap_ms: float | None = None
+    # Regions in which requests may run; empty for all.
+    allowed_regions: list[str] = []
 
 
 class _Engine(msgspec.Struct, rename="camel"):
@@ -176,6 +178,7 @@
         max_event_gap_ms=(
             None if wire.target_gap_ms is None else round(wire.target_gap_ms)
         ),
+        allowed_regions=wire.allowed_regions,
     )
 
 
--- a/packages/bambooglade/bambooglade/platform/tests/test_decoding.py
+++ b/packages/bambooglade/bambooglade/platform/tests/test_decoding.py
@@ -46,6 +46,20 @@
     return operator_configuration.decode(msgspec.json.encode(value))
 
 
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({}, set()),
+        ({"allowedRegions": []}, set()),
+        ({"allowedRegions": ["north", "south"]}, {"north", "south"}),
+    ],
+)
+def test_decodes_regions_of_a_route(changes, expected):
+    decoded = decode_configuration(routes=[ROUTE | changes])
+    route = decoded.find_route(b"api.example", b"/a/b")
+    assert route.allowed_regions == expected
+
+
 @pytest.mark.parametrize(
     ("zone", "is_valid"),
     [
@@ -177,6 +191,8 @@
 retryBudgetSlack = 52
 [platform]
 address = "10.200.1.7:8223"
+[zones]
+zona-antigua = "north"
 """
 
 
@@ -253,6 +269,7 @@
 
 def test_decodes_node_file():
     decoded = node_file.decode(NODE_FILE)
+    assert decoded.region_by_zone == {"zona-antigua": "north"}
     assert decoded.instance == "edge-1"
     assert decoded.caller_address == ("10.1.0.40", 8227)
     assert decoded.metrics_address == ("10.1.0.40", 7340)
