Keep the whole fleet within the rate that cold targets tolerate

Targets that had just started got requests at the usual rate from all instances at once, and crashed; callers saw their requests fail or time out.

A service may have coldStartS and coldPerS. targets/cold_starts.py knows which runs are cold until when: by the remaining time that they register, for coldStartS after they register while the instance is watching, after the evacuation of their zone has ended (an injected callable; none ends so far), and after they have refused a connection. RequestLimits deals the requests that a cold target may get within 1.2 s to a few senders, ranked alike on all instances; a limit that the target states holds besides. Half of what the target tolerates is left for a second view of the fleet. An instance that has just started is no sender, and no ramp follows the end of a cold start. If all targets of a service are held off, a request at an instance that is no sender goes to one that is; else callers get 503 targets_limited with the pace of the fleet. An entry whose remaining time has not fallen is passed on by relays.

--- a/packages/bambooglade/bambooglade/discovery/targets.py
+++ b/packages/bambooglade/bambooglade/discovery/targets.py
@@ -78,9 +78,13 @@
     def is_equivalent_to(self, other: RegisteredTarget | None) -> bool:
         """Returns whether both entries lead to the same routing decisions.
 
-        The exact remaining cold time changes with each entry that a target
-        writes and does not affect routing. Only whether the target is still
-        cold matters.
+        The remaining cold time falls with each entry that a target writes,
+        which does not affect routing: the time of the first entry is counted
+        down. A time that has not fallen means that the target is cold for
+        longer than the entry before had told.
+
+        Args:
+            other: The entry before; None if there was none.
         """
         return other is not None and (
             self.service == other.service
@@ -90,7 +94,10 @@
             and self.started_at_ms == other.started_at_ms
             and self.is_draining == other.is_draining
             and self.software_version == other.software_version
-            and bool(self.cold_remaining_ms) == bool(other.cold_remaining_ms)
+            and (
+                0 < self.cold_remaining_ms < other.cold_remaining_ms
+                or self.cold_remaining_ms == other.cold_remaining_ms == 0
+            )
         )
 
     def __repr__(self) -> str:
--- a/packages/bambooglade/bambooglade/discovery/view.py
+++ b/packages/bambooglade/bambooglade/discovery/view.py
@@ -175,6 +175,18 @@
         """Whether the view is complete enough to serve requests."""
         return self.configuration is not None and self._has_targets
 
+    @property
+    def has_targets(self) -> bool:
+        """Whether a list of the targets was applied."""
+        return self._has_targets
+
+    def is_recovering(self, now_ms: int) -> bool:
+        """Returns whether the store has just returned from an older copy.
+
+        Entries are listed again then that were known before.
+        """
+        return now_ms < self._restore_ends_at_ms
+
     @property
     def malformed_count(self) -> int:
         """Number of target entries that can't be decoded."""
--- a/packages/bambooglade/bambooglade/gateway/configuration.py
+++ b/packages/bambooglade/bambooglade/gateway/configuration.py
@@ -10,6 +10,8 @@
 from collections.abc import Sequence
 import enum
 
+from bambooglade.targets import cold_starts
+
 
 class RouteKind(enum.Enum):
     """Which retries the requests of a route allow.
@@ -145,9 +147,11 @@
         name: Name of the service.
         max_connections: Most connections that one target accepts.
         engine: Capacity of its targets if they are model engines, else None.
+        cold_start: How long a target is cold after its start, and the requests
+            per second that it tolerates meanwhile; None if it tolerates any.
     """
 
-    __slots__ = ("engine", "max_connections", "name")
+    __slots__ = ("cold_start", "engine", "max_connections", "name")
 
     def __init__(
         self,
@@ -155,10 +159,12 @@
         name: str,
         max_connections: int,
         engine: EngineCapacity | None = None,
+        cold_start: cold_starts.ColdStart | None = None,
     ) -> None:
         self.name = name
         self.max_connections = max_connections
         self.engine = engine
+        self.cold_start = cold_start
 
 
 class Team:
--- a/packages/bambooglade/bambooglade/gateway/connection_pool.py
+++ b/packages/bambooglade/bambooglade/gateway/connection_pool.py
@@ -221,6 +221,15 @@
         """Whether a part of the request may have reached the target."""
         return self._connection.sent_bytes > 0
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether a new connection failed at once, before the time-out."""
+        return (
+            self.is_connection_lost
+            and self.idle_ms is None
+            and not self.is_sent
+        )
+
     def set_handler(self, handler: AttemptHandler) -> None:
         """Replaces the handler that receives the response."""
         self._handler = handler
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -200,7 +200,8 @@
         if choice.is_room_awaited and self._await_room(remaining_ms):
             return
         if choice.retry_after_ms is not None and not self.may_have_run:
-            self._reject_held_off(choice)
+            if not self._try_hand_over_to_cold_senders():
+                self._reject_held_off(choice)
             return
         if choice.target is None:
             self._end_without_response(
@@ -257,6 +258,19 @@
             max_event_gap_ms=self._route.max_event_gap_ms,
         )
 
+    def _try_hand_over_to_cold_senders(self) -> bool:
+        """Hands a request over to an instance that may send to cold targets.
+
+        Returns:
+            Whether it was; not if this instance is one of the senders itself,
+            whose share is used up.
+        """
+        senders = self._context.limits.cold_senders(self._ready_targets())
+        if not senders or not self._exchange.can_hand_over:
+            return False
+        self._hand_over(among=senders)
+        return True
+
     def _reject_held_off(
         self, choice: target_selector_lib.TargetChoice
     ) -> None:
@@ -267,8 +281,9 @@
         else:
             kind = error_responses.ErrorKind.TARGETS_LIMITED
             detail = (
-                "all targets are at the request limits that they state, or have"
-                " asked for a pause"
+                "all targets are at the request limits that they state, are at"
+                " the rate that they tolerate after their start, or have asked"
+                " for a pause"
             )
         self._exchange.reject_unexecuted(
             kind,
@@ -717,7 +732,9 @@
             self._handle_complete_response(self._attempt.head)
         elif outcome is connection_pool.AttemptOutcome.NOT_SENT:
             self._unreached_count += 1
-            self._context.prober.record_failure(self._choice.target)
+            self._context.prober.record_failure(
+                self._choice.target, is_refused=self._attempt.is_refused
+            )
             self._record_failure(reason)
             self._retry_unexecuted(reason, reached_target=False)
         else:
--- a/packages/bambooglade/bambooglade/gateway/limit_replication.py
+++ b/packages/bambooglade/bambooglade/gateway/limit_replication.py
@@ -60,6 +60,9 @@
         random_source: Source of the jitter in the intervals.
         is_fleet_known: Returns whether the peers are known, so that ranks
             among them are right; None if they always are.
+        must_hold_cold: Returns whether cold targets get no request of this
+            instance, whatever its rank; None if that is never so.
+        find_cold: Returns the cold run of a target; None if none is ever cold.
 
     Attributes:
         limits: The limits that this instance knows.
@@ -67,6 +70,7 @@
 
     __slots__ = (
         "_broadcast",
+        "_find_cold",
         "_fleet",
         "_fleet_read_at_ms",
         "_is_fleet_known",
@@ -75,6 +79,7 @@
         "_local_instance",
         "_log",
         "_loop",
+        "_must_hold_cold",
         "_names_by_id",
         "_peers",
         "_random",
@@ -94,9 +99,12 @@
         log: event_log.EventLog,
         random_source: random.Random,
         is_fleet_known: Callable[[], bool] | None = None,
+        must_hold_cold: Callable[[], bool] | None = None,
+        find_cold: request_limits.FindCold | None = None,
     ) -> None:
         self._loop = loop
         self._is_fleet_known = is_fleet_known or (lambda: True)
+        self._must_hold_cold = must_hold_cold or (lambda: False)
         self._broadcast = peer_broadcast.PeerBroadcast(
             client,
             path=PATH,
@@ -115,7 +123,10 @@
         self._names_by_id: dict[str, tuple[str, ...]] = {}
         self._is_flush_due = False
         self._is_stopped = False
-        self.limits = request_limits.RequestLimits(self.rank_of)
+        self._find_cold = find_cold
+        self.limits = request_limits.RequestLimits(
+            self.rank_of, find_cold=find_cold, cold_rank_of=self._cold_rank_of
+        )
 
     def start(self) -> None:
         """Starts to repeat what this instance observes."""
@@ -212,6 +223,33 @@
                 LimitMessage(notices=due, sender=self._local_instance)
             )
 
+    def cold_senders(
+        self, targets: Iterable[targets_lib.RegisteredTarget]
+    ) -> set[str]:
+        """Returns the peers that may send to the cold ones of the targets.
+
+        Returns:
+            Their names; empty if this instance is a sender itself.
+        """
+        names: set[str] = set()
+        if self._find_cold is None:
+            return names
+        now_ms = self._loop.now_ms()
+        for target in targets:
+            cold = self._find_cold(target.target_id, now_ms=now_ms)
+            if cold is None:
+                continue
+            total = request_limits.cold_window_requests(cold.max_requests_per_s)
+            if self._cold_rank_of(target.target_id).rank < total:
+                return set()
+            names.update(self.ranked_names(target.target_id)[:total])
+        return names - {self._local_instance.name}
+
+    def _cold_rank_of(self, target_id: str) -> request_limits.SenderRank:
+        if self._must_hold_cold():
+            return request_limits.UNKNOWN_RANK
+        return self.rank_of(target_id)
+
     def rank_of(self, target_id: str) -> request_limits.SenderRank:
         """Returns the rank of this instance among the fleet for a target.
 
--- a/packages/bambooglade/bambooglade/gateway/peer_forwarder.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_forwarder.py
@@ -478,8 +478,8 @@
         elif self._are_peers_full:
             self._exchange.reject_unexecuted(
                 error_responses.ErrorKind.NO_ROOM,
-                "no brittle target is known to have room, neither here nor at"
-                f" the {self.attempts} peers that were asked",
+                "no brittle or cold target may get the request, neither from"
+                f" here nor from the {self.attempts} peers that were asked",
             )
         else:
             self._exchange.reject_unexecuted(
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -49,6 +49,7 @@
 from bambooglade.router import metrics as metrics_lib
 from bambooglade.store import dependency_monitor
 from bambooglade.store import store_api
+from bambooglade.targets import cold_starts
 from bambooglade.targets import requested_pauses
 
 MAINTENANCE_INTERVAL_MS = 500
@@ -202,6 +203,10 @@
             log=log,
             random_source=self._random_source,
         )
+        self.cold_starts = cold_starts.ColdStarts(
+            self._cold_start_of, evacuation_ended_at_ms=lambda zone: None
+        )
+        self.view.registration_listeners.append(self._observe_cold_start)
         self.limits = limit_replication.LimitReplicator(
             loop,
             client,
@@ -214,6 +219,8 @@
             is_fleet_known=lambda: (
                 settings.is_first_start or self._is_fleet_known
             ),
+            must_hold_cold=lambda: not self._has_found_peers,
+            find_cold=self.cold_starts.find,
         )
         self.leaving = leaving_replication.LeavingReplicator(
             loop,
@@ -301,6 +308,7 @@
             self.loop, pool, self.view, target_selector, log=self._log
         )
         self._prober.listeners.append(self._handle_cut_off)
+        self._prober.refusal_listeners.append(self._record_refusal)
         self.view.registration_listeners.append(self._prober.observe_target)
         return context_lib.GatewayContext(
             loop=self.loop,
@@ -438,13 +446,45 @@
 
     @property
     def _has_found_peers(self) -> bool:
-        """Whether instances that have started together know each other."""
+        """Whether instances that have started together know each other.
+
+        Cold targets bear few senders beside the usual ones, while a peer may
+        not know the other instances that have just started.
+        """
         age_ms = self.loop.now_ms() - self._created_at_ms
         return (
             self._registration.has_initial_peers
             or age_ms >= MAX_FLEET_DISCOVERY_MS
         )
 
+    def _cold_start_of(self, service: str) -> cold_starts.ColdStart | None:
+        configuration = self.view.configuration
+        known = configuration and configuration.service_by_name.get(service)
+        return known.cold_start if known else None
+
+    def _observe_cold_start(self, target: targets_lib.RegisteredTarget) -> None:
+        now_ms = self.loop.now_ms()
+        self.cold_starts.observe(
+            target,
+            is_watching=self.view.has_targets,
+            is_recovering=self.view.is_recovering(now_ms),
+            now_ms=now_ms,
+        )
+
+    def _record_refusal(self, target: targets_lib.RegisteredTarget) -> None:
+        self.cold_starts.record_refusal(target.run, now_ms=self.loop.now_ms())
+
+    def _log_cold_targets(self, now_ms: int) -> None:
+        for cold, is_cold in self.cold_starts.changes(now_ms=now_ms):
+            self._log.event(
+                "target_cold" if is_cold else "target_warm",
+                target=cold.run.target_id,
+                target_started_ms=cold.run.started_at_ms,
+                service=cold.service,
+                max_requests_per_s=cold.max_requests_per_s if is_cold else None,
+                remaining_ms=cold.until_ms - now_ms if is_cold else None,
+            )
+
     def _observe_configuration(self) -> None:
         if self.view.configuration is not None:
             self._origins.observe_configuration(self.view.configuration)
@@ -618,6 +658,9 @@
                 self.brittle.targets.brittle_services(now_ms=self.loop.now_ms())
             ),
         )
+        self._metrics.set_gauge(
+            metrics_lib.COLD_TARGETS, self.cold_starts.cold_count
+        )
         self._metrics.set_gauge(
             metrics_lib.WAITING_REQUESTS,
             self._context.room_queue.waiting_count,
@@ -638,6 +681,8 @@
         self._context.forwarding_peers.evict_expired(now_ms=now_ms)
         known_ids = set(self.view.target_by_id)
         self._context.target_selector.evict_missing(known_ids)
+        self._log_cold_targets(now_ms)
+        self.cold_starts.evict_missing(known_ids, now_ms=now_ms)
         self.limits.evict_missing(known_ids)
         self.brittle.evict_missing(known_ids)
         self._pauses.evict_expired(now_ms=now_ms)
--- a/packages/bambooglade/bambooglade/gateway/target_prober.py
+++ b/packages/bambooglade/bambooglade/gateway/target_prober.py
@@ -51,6 +51,7 @@
     Attributes:
         reachability: The services that this instance is cut off from.
         listeners: Called with the ready targets of a service when a cut begins.
+        refusal_listeners: Called with each target that refuses a connection.
     """
 
     __slots__ = (
@@ -66,6 +67,7 @@
         "_view",
         "listeners",
         "reachability",
+        "refusal_listeners",
     )
 
     def __init__(
@@ -91,6 +93,9 @@
         self.listeners: list[
             Callable[[list[targets_lib.RegisteredTarget]], None]
         ] = []
+        self.refusal_listeners: list[
+            Callable[[targets_lib.RegisteredTarget], None]
+        ] = []
 
     def is_cut_off(self, service: str) -> bool:
         """Returns whether this instance reaches no target of a service."""
@@ -148,8 +153,17 @@
         ):
             self._check(target)
 
-    def record_failure(self, target: targets_lib.RegisteredTarget) -> None:
-        """Records that a connection did not open; checks other targets."""
+    def record_failure(
+        self, target: targets_lib.RegisteredTarget, *, is_refused: bool = False
+    ) -> None:
+        """Records that a connection did not open; checks other targets.
+
+        Args:
+            target: The target.
+            is_refused: Whether its host has responded that nothing listens.
+        """
+        for listener in self.refusal_listeners if is_refused else ():
+            listener(target)
         service, now_ms = target.service, self._loop.now_ms()
         ready = self._view.ready_targets(service)
         self._selector.record_connect_failure(target, now_ms=now_ms)
@@ -278,7 +292,9 @@
     ) -> None:
         self._checked_runs.discard(target.run)
         if connection is None:
-            self.record_failure(target)
+            self.record_failure(
+                target, is_refused=took_ms < connection_pool.CONNECT_TIMEOUT_MS
+            )
             return
         if self._is_closed:
             connection.close()
--- a/packages/bambooglade/bambooglade/platform/operator_configuration.py
+++ b/packages/bambooglade/bambooglade/platform/operator_configuration.py
@@ -10,9 +10,16 @@
 
 from bambooglade.core import json_documents
 from bambooglade.gateway import configuration
+from bambooglade.targets import cold_starts
 
 CONFIGURATION_KEY = "op/config"
 
+MAX_COLD_START_S = 86_400.0
+"""Longest time for which the targets of a service may be cold.
+
+Registrations have the same bound.
+"""
+
 _KIND_BY_ROUTE_TYPE = {
     "safe": configuration.RouteKind.SAFE,
     "unsafe": configuration.RouteKind.UNSAFE,
@@ -60,6 +67,10 @@
     name: str
     max_connections: int = 64
     engine: _Engine | None = None
+    # Seconds for which a target is cold after it starts, and the requests per
+    # second that it tolerates meanwhile; 0 for no limit.
+    cold_start_s: float | None = None
+    cold_per_s: float | None = None
 
 
 class _Team(msgspec.Struct, rename="camel"):
@@ -144,7 +155,20 @@
             tokens_per_event=wire.engine.stride,
         )
     return configuration.Service(
-        name=wire.name, max_connections=wire.max_connections, engine=engine
+        name=wire.name,
+        max_connections=wire.max_connections,
+        engine=engine,
+        cold_start=_cold_start(wire),
+    )
+
+
+def _cold_start(wire: _Service) -> cold_starts.ColdStart | None:
+    if not wire.cold_per_s or wire.cold_per_s < 0:
+        return None
+    duration_s = min(MAX_COLD_START_S, max(0.0, wire.cold_start_s or 0.0))
+    return cold_starts.ColdStart(
+        duration_ms=round(duration_s * 1_000),
+        max_requests_per_s=wire.cold_per_s,
     )
 
 
--- a/packages/bambooglade/bambooglade/platform/tests/test_decoding.py
+++ b/packages/bambooglade/bambooglade/platform/tests/test_decoding.py
@@ -60,6 +60,31 @@
     assert decoded.limits.idle_timeout_ms == 15_000
 
 
+# Bad values must not keep the rest of a configuration from being applied.
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ({}, None),
+        ({"coldStartS": 3}, None),
+        ({"coldStartS": 3, "coldPerS": 0}, None),
+        ({"coldStartS": 3, "coldPerS": None}, None),
+        ({"coldStartS": 3, "coldPerS": -1}, None),
+        ({"coldStartS": 3, "coldPerS": 10}, (3_000, 10.0)),
+        ({"coldStartS": 2.5, "coldPerS": 0.5}, (2_500, 0.5)),
+        ({"coldPerS": 10}, (0, 10.0)),
+        ({"coldStartS": -3, "coldPerS": 10}, (0, 10.0)),
+        ({"coldStartS": 1e300, "coldPerS": 10}, (86_400_000, 10.0)),
+    ],
+)
+def test_decodes_how_targets_start(fields, expected):
+    service = {"name": "jury", "maxConnections": 9, **fields}
+    decoded = decode_configuration(services=[service])
+    cold_start = decoded.service("jury").cold_start
+    assert expected == (
+        cold_start and (cold_start.duration_ms, cold_start.max_requests_per_s)
+    )
+
+
 def test_decodes_traffic_split():
     split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
     route = {k: v for k, v in ROUTE.items() if k != "service"}
--- a/packages/bambooglade/bambooglade/router/metrics.py
+++ b/packages/bambooglade/bambooglade/router/metrics.py
@@ -29,6 +29,7 @@
 UNREACHABLE_SERVICES = "bambooglade_unreachable_services"
 MALFORMED_TARGETS = "bambooglade_malformed_targets"
 BRITTLE_SERVICES = "bambooglade_brittle_services"
+COLD_TARGETS = "bambooglade_cold_targets"
 WAITING_REQUESTS = "bambooglade_requests_waiting_for_room"
 QUARANTINES = "bambooglade_quarantined_prompts"
 SHARDS_SERVED = "bambooglade_shards_served"
@@ -203,6 +204,7 @@
         UNREACHABLE_SERVICES: "Services of which no target is reached.",
         MALFORMED_TARGETS: "Entries of targets that can't be decoded.",
         BRITTLE_SERVICES: "Services whose targets bear few rejections.",
+        COLD_TARGETS: "Targets that get few requests since they are cold.",
         WAITING_REQUESTS: "Requests that wait for room at such a target.",
         SHARDS_SERVED: "Shards that this instance is primary of.",
     }
--- a/packages/bambooglade/bambooglade/targets/brittle_targets.py
+++ b/packages/bambooglade/bambooglade/targets/brittle_targets.py
@@ -305,8 +305,7 @@
         ...     for r in range(6)]
         [2, 2, 1, 1, 1, 1]
     """
-    share, rest = divmod(total, rank.fleet_size)
-    return share + (rank.rank < rest)
+    return request_limits.share_of(rank, total=total)
 
 
 class _Notice:
--- a/packages/bambooglade/bambooglade/targets/request_limits.py
+++ b/packages/bambooglade/bambooglade/targets/request_limits.py
@@ -4,17 +4,27 @@
 to far more than the limit if the share is less than one request. Therefore only
 a few instances, the senders of a target, send requests to it, each at an equal
 part of the limit. Instances with the same view of the fleet agree on them.
+
+The rate of a target that is cold after its start is kept in the same way, but
+over a shorter window: each sender has a share of the requests that may be sent
+within it. Of the two limits, the lower holds.
+
+See Also:
+    bambooglade.targets.cold_starts: knows which targets are cold.
 """
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterator
 import math
+from typing import Protocol
 
 import msgspec
 
 from bambooglade.core import identifiers
+from bambooglade.targets import cold_starts
 
 SPARE_SENDERS = 2
 """Senders of a target beyond its limit per second.
@@ -66,6 +76,19 @@
 The entry may be away for a moment only, and the same run come back.
 """
 
+COLD_WINDOW_MS = 1_200
+"""Window within which each sender of a cold target keeps to its share.
+
+The target counts over any second; the rest covers differences in the time that
+requests take to reach it.
+"""
+
+COLD_OVERSHOOT = 1.5
+"""Factor by which the rate of a cold target may be exceeded in a second."""
+
+COLD_SLACK = 5
+"""Requests by which it may be exceeded in a second besides."""
+
 _MS_PER_S = 1_000
 
 
@@ -103,11 +126,66 @@
 """Rank of an instance that does not know the fleet yet; it is no sender."""
 
 
+def share_of(rank: SenderRank, *, total: int) -> int:
+    """Returns how much of a total an instance has.
+
+    The first instances in the ranking have one more if it can't be divided.
+
+    Args:
+        rank: Rank of the instance for the target.
+        total: Total of all instances.
+
+    Examples:
+        >>> [share_of(SenderRank(r, 6), total=8) for r in range(6)]
+        [2, 2, 1, 1, 1, 1]
+        >>> share_of(UNKNOWN_RANK, total=8)
+        0
+    """
+    share, rest = divmod(total, rank.fleet_size)
+    return share + (rank.rank < rest)
+
+
+def cold_window_ms(max_requests_per_s: float) -> int:
+    """Returns the window over which the rate of a cold target is kept."""
+    rate_per_s = max(MIN_LIMIT_PER_S, max_requests_per_s)
+    return max(COLD_WINDOW_MS, round(_MS_PER_S / rate_per_s))
+
+
+def cold_window_requests(max_requests_per_s: float) -> int:
+    """Returns how many requests a cold target may get within its window.
+
+    Twice as many are within what the target tolerates in a second, since
+    instances with two views of the fleet may take two sets of instances for the
+    senders. So are the requests of one set at the rate of the target.
+
+    Examples:
+        >>> [cold_window_requests(rate) for rate in (0.2, 1, 4, 10, 30)]
+        [1, 1, 4, 10, 25]
+    """
+    tolerated = COLD_OVERSHOOT * max_requests_per_s + COLD_SLACK
+    sustained = max_requests_per_s * COLD_WINDOW_MS / _MS_PER_S
+    return max(1, math.floor(min(sustained, tolerated / 2)))
+
+
+class FindCold(Protocol):
+    """Finds the cold run of a target, as `ColdStarts.find` does."""
+
+    def __call__(
+        self, target_id: identifiers.TargetId, *, now_ms: int
+    ) -> cold_starts.ColdRun | None:
+        """Returns the newest run of a target if it is cold, else None."""
+        ...
+
+
 class RequestLimits:
     """Limits of the targets that state one, and what was sent to them.
 
     Args:
         rank_of: Returns the rank of this instance for a target.
+        find_cold: Returns the cold run of a target at a time, or None; None if
+            no target is ever cold.
+        cold_rank_of: Returns the rank of this instance for a cold target; None
+            for that of the others.
 
     See Also:
         bambooglade.gateway.limit_replication: shares observations with peers.
@@ -125,12 +203,28 @@
         0
     """
 
-    __slots__ = ("_limit_by_id", "_rank_of")
+    __slots__ = (
+        "_cold_rank_of",
+        "_cold_sent_ms_by_id",
+        "_find_cold",
+        "_limit_by_id",
+        "_rank_of",
+    )
 
     def __init__(
-        self, rank_of: Callable[[identifiers.TargetId], SenderRank]
+        self,
+        rank_of: Callable[[identifiers.TargetId], SenderRank],
+        *,
+        find_cold: FindCold | None = None,
+        cold_rank_of: Callable[[identifiers.TargetId], SenderRank]
+        | None = None,
     ) -> None:
         self._rank_of = rank_of
+        self._cold_rank_of = cold_rank_of or rank_of
+        self._find_cold = find_cold or _find_none
+        self._cold_sent_ms_by_id: dict[
+            identifiers.TargetId, collections.deque[int]
+        ] = {}
         self._limit_by_id: dict[identifiers.TargetId, _Limit] = {}
 
     def record(
@@ -217,6 +311,46 @@
         now_ms: int,
     ) -> int:
         """Returns the time until this instance may send to a target, in ms."""
+        return max(
+            self._stated_wait_ms(target_id, started_at_ms, now_ms=now_ms),
+            self._cold_wait_ms(target_id, now_ms=now_ms),
+        )
+
+    def _cold_wait_ms(
+        self, target_id: identifiers.TargetId, *, now_ms: int
+    ) -> int:
+        """Returns the time for which the cold rate holds requests off.
+
+        Instances that are no senders wait until the target is warm.
+        """
+        cold = self._find_cold(target_id, now_ms=now_ms)
+        if cold is None:
+            return 0
+        until_warm_ms = cold.until_ms - now_ms
+        share = self._cold_share(target_id, cold)
+        if not share:
+            return until_warm_ms
+        sent_ms = self._cold_sent_ms_by_id.get(target_id, ())
+        if len(sent_ms) < share:
+            return 0
+        due_ms = sent_ms[-share] + cold_window_ms(cold.max_requests_per_s)
+        return min(until_warm_ms, max(0, due_ms - now_ms))
+
+    def _cold_share(
+        self, target_id: identifiers.TargetId, cold: cold_starts.ColdRun
+    ) -> int:
+        return share_of(
+            self._cold_rank_of(target_id),
+            total=cold_window_requests(cold.max_requests_per_s),
+        )
+
+    def _stated_wait_ms(
+        self,
+        target_id: identifiers.TargetId,
+        started_at_ms: int,
+        *,
+        now_ms: int,
+    ) -> int:
         limit = self._limit_by_id.get(target_id)
         if limit is None or limit.started_at_ms < started_at_ms:
             return 0
@@ -256,7 +390,24 @@
 
         Other instances may send earlier than this one.
         """
-        wait_ms = self.wait_ms(target_id, started_at_ms, now_ms=now_ms)
+        stated_ms = self._stated_retry_after_ms(
+            target_id, started_at_ms, now_ms=now_ms
+        )
+        cold = self._find_cold(target_id, now_ms=now_ms)
+        if cold is None or not self._cold_wait_ms(target_id, now_ms=now_ms):
+            return stated_ms
+        rate_per_s = cold.max_requests_per_s
+        pace_ms = cold_window_ms(rate_per_s) // cold_window_requests(rate_per_s)
+        return max(stated_ms, pace_ms)
+
+    def _stated_retry_after_ms(
+        self,
+        target_id: identifiers.TargetId,
+        started_at_ms: int,
+        *,
+        now_ms: int,
+    ) -> int:
+        wait_ms = self._stated_wait_ms(target_id, started_at_ms, now_ms=now_ms)
         limit = self._limit_by_id.get(target_id)
         rate_per_s = limit.rate_per_s(now_ms) if limit is not None else None
         if rate_per_s is None:
@@ -271,6 +422,7 @@
         now_ms: int,
     ) -> None:
         """Records that this instance sends a request to a target."""
+        self._record_cold_dispatch(target_id, now_ms=now_ms)
         limit = self._limit_by_id.get(target_id)
         if limit is None or limit.started_at_ms < started_at_ms:
             return
@@ -282,10 +434,29 @@
             )
         limit.sent_at_ms = min(now_ms, due_at_ms)
 
+    def _record_cold_dispatch(
+        self, target_id: identifiers.TargetId, *, now_ms: int
+    ) -> None:
+        cold = self._find_cold(target_id, now_ms=now_ms)
+        if cold is None:
+            return
+        sent_ms = self._cold_sent_ms_by_id.setdefault(
+            target_id, collections.deque()
+        )
+        sent_ms.append(now_ms)
+        if len(sent_ms) > cold_window_requests(cold.max_requests_per_s):
+            sent_ms.popleft()
+
     def evict_missing(
         self, known: set[identifiers.TargetId], *, now_ms: int
     ) -> None:
-        """Evicts limits that ended, and old ones of unregistered targets."""
+        """Evicts limits that ended, and old ones of unregistered targets.
+
+        Requests to cold targets are evicted once they are outside any window.
+        """
+        for target_id, sent_ms in list(self._cold_sent_ms_by_id.items()):
+            if now_ms - sent_ms[-1] >= _MS_PER_S / MIN_LIMIT_PER_S:
+                del self._cold_sent_ms_by_id[target_id]
         for target_id, limit in list(self._limit_by_id.items()):
             is_absent = (
                 target_id not in known
@@ -298,6 +469,11 @@
         return f"RequestLimits(targets={sorted(self._limit_by_id)})"
 
 
+def _find_none(target_id: identifiers.TargetId, *, now_ms: int) -> None:
+    """Finds no cold run."""
+    del target_id, now_ms
+
+
 def _sender_count(rate_per_s: float, fleet_size: int) -> int:
     """Returns how many instances send requests to a target."""
     return min(fleet_size, math.floor(rate_per_s) + SPARE_SENDERS)
