--- a/packages/bambooglade/bambooglade/router/metrics.py
+++ b/packages/bambooglade/bambooglade/router/metrics.py
@@ -31,6 +31,7 @@
 EVACUATED_ZONES = "bambooglade_evacuated_zones"
 EVACUATED_ZONE_REQUESTS = "bambooglade_requests_in_evacuated_zones"
 BRITTLE_SERVICES = "bambooglade_brittle_services"
+COLD_TARGETS = "bambooglade_cold_targets"
 WAITING_REQUESTS = "bambooglade_requests_waiting_for_room"
 QUARANTINES = "bambooglade_quarantined_prompts"
 SHARDS_SERVED = "bambooglade_shards_served"
@@ -207,6 +208,7 @@
         EVACUATED_ZONES: "Zones whose targets get no requests.",
         EVACUATED_ZONE_REQUESTS: "Requests that still run in such zones.",
         BRITTLE_SERVICES: "Services whose targets bear few rejections.",
+        COLD_TARGETS: "Targets that get few requests since they are cold.",
         WAITING_REQUESTS: "Requests that wait for room at such a target.",
         SHARDS_SERVED: "Shards that this instance is primary of.",
     }
