Keep an overloaded instance out of rotation for longer each time

Cause: an instance counts as congested for a second after its last slow connection. The balancer needs two checks to notice, and hashes the caller back at the first good one.

Requests that still arrive are served as before. Gauges for the wait for the link, and for being out of rotation.

--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -48,6 +48,7 @@
 from bambooglade.rights import manager as manager_lib
 from bambooglade.router import metrics as metrics_lib
 from bambooglade.scheduling import link_budget
+from bambooglade.scheduling import rotation as rotation_lib
 from bambooglade.store import dependency_monitor
 from bambooglade.store import store_api
 from bambooglade.targets import requested_pauses
@@ -227,6 +228,8 @@
         self._metrics = metrics_lib.Metrics()
         self._congestion = congestion_lib.CongestionDetector()
         self._was_congested = False
+        self._rotation = rotation_lib.Rotation()
+        self._was_out_of_rotation = False
         self._context = self._new_context(header_codec)
         self._components = self._new_components(store, client, item_codec)
         self._frontends: list[frontend_lib.Frontend] = []
@@ -492,6 +495,7 @@
             self.view.is_ready
             and not self._is_draining
             and not self._congestion.is_congested(self.loop.now_ms())
+            and not self._rotation.is_out(self.loop.now_ms())
             and not self._is_isolated
         )
 
@@ -567,6 +571,22 @@
             store=settings_lib.format_address(settings.store_address),
         )
 
+    def _update_rotation(self) -> None:
+        """Leaves the rotation for longer if returns end in overload."""
+        now_ms = self.loop.now_ms()
+        self._rotation.record(
+            is_overloaded=self._congestion.is_congested(now_ms)
+            or self.loop.link.is_overloaded(now_ms),
+            now_ms=now_ms,
+        )
+        is_out = self._rotation.is_out(now_ms)
+        if is_out != self._was_out_of_rotation:
+            self._was_out_of_rotation = is_out
+            self._log.event(
+                "rotation_left" if is_out else "rotation_rejoined",
+                link_wait_ms=self.loop.link.wait_ms(now_ms),
+            )
+
     def _handle_readiness(self, request: messages.Request) -> http_server.Reply:
         del request
         return http_server.Reply(200 if self.is_ready else 503)
@@ -591,6 +611,12 @@
             metrics_lib.WAITING_REQUESTS,
             self._context.room_queue.waiting_count,
         )
+        self._metrics.set_gauge(
+            metrics_lib.LINK_WAIT_MS, self.loop.link.wait_ms(self.loop.now_ms())
+        )
+        self._metrics.set_gauge(
+            metrics_lib.OUT_OF_ROTATION, int(self._was_out_of_rotation)
+        )
         self._metrics.set_gauge(
             metrics_lib.QUARANTINES, len(self.quarantine.suspicions.quarantines)
         )
@@ -610,6 +636,7 @@
         self.limits.evict_missing(known_ids)
         self.brittle.evict_missing(known_ids)
         self._pauses.evict_expired(now_ms=now_ms)
+        self._update_rotation()
         self._draw_for_changed_teams()
         if not self._is_stopped:
             self.loop.call_later(MAINTENANCE_INTERVAL_MS, self._run_maintenance)
--- a/packages/bambooglade/bambooglade/router/metrics.py
+++ b/packages/bambooglade/bambooglade/router/metrics.py
@@ -31,6 +31,8 @@
 BRITTLE_SERVICES = "bambooglade_brittle_services"
 WAITING_REQUESTS = "bambooglade_requests_waiting_for_room"
 QUARANTINES = "bambooglade_quarantined_prompts"
+LINK_WAIT_MS = "bambooglade_link_wait_ms"
+OUT_OF_ROTATION = "bambooglade_out_of_rotation"
 SHARDS_SERVED = "bambooglade_shards_served"
 
 LATENCY_BUCKETS_S = (
@@ -200,6 +202,8 @@
         UNUSED_TOKENS: "Rights at this primary that nothing uses.",
         INSTANCES: "Instances that this one believes to be alive.",
         QUARANTINES: "Prompt parts that are kept from all targets.",
+        LINK_WAIT_MS: "Time for which a byte waits for the link, in ms.",
+        OUT_OF_ROTATION: "Whether overload keeps this instance unready.",
         UNREACHABLE_SERVICES: "Services of which no target is reached.",
         MALFORMED_TARGETS: "Entries of targets that can't be decoded.",
         BRITTLE_SERVICES: "Services whose targets bear few rejections.",
--- a/packages/bambooglade/bambooglade/scheduling/link_budget.py
+++ b/packages/bambooglade/bambooglade/scheduling/link_budget.py
@@ -30,6 +30,9 @@
 BUSY_WAIT_MS = 60
 """Wait from which slow connections are explained by the own link."""
 
+OVERLOAD_WAIT_MS = 150
+"""Wait from which the instance should not get new callers."""
+
 BUSY_HOLD_MS = 1_000
 """How long the link counts as busy after its last such wait.
 
@@ -101,6 +104,10 @@
         """Returns whether a request would not wait for longer than it may."""
         return self.wait_ms(now_ms) <= max_wait_ms
 
+    def is_overloaded(self, now_ms: int) -> bool:
+        """Returns whether so much waits that most requests come too late."""
+        return self.wait_ms(now_ms) >= OVERLOAD_WAIT_MS
+
     def is_busy(self, now_ms: int) -> bool:
         """Returns whether the link was full a moment ago.
 
