Leave calls to the store and to peers out of the admission by the link

Cause: each instance reads each new configuration, 340 KB, which fills a link of 5 Mbit/s for half a second. All instances rejected requests meanwhile, so that retries found no other one. Such a transfer shares the link with the connections of callers, and delays them little.

Change: connections of the client for the store and for peers do not count.

Evidence: test_link_is_not_taken_for_full_by_calls_to_the_store.

--- a/packages/bambooglade/bambooglade/eventloop/connection.py
+++ b/packages/bambooglade/bambooglade/eventloop/connection.py
@@ -71,9 +71,11 @@
         sock: A non-blocking socket, connected or connecting.
         handler: Receives the callbacks of the connection.
         is_connecting: Whether the connection is still being established.
+        counts_for_link: Whether its bytes count in the admission by the link.
     """
 
     __slots__ = (
+        "_counts_for_link",
         "_events",
         "_handler",
         "_is_connecting",
@@ -95,8 +97,10 @@
         handler: Handler,
         *,
         is_connecting: bool = False,
+        counts_for_link: bool = True,
     ) -> None:
         self._loop = loop
+        self._counts_for_link = counts_for_link
         self._sock = sock
         self._handler = handler
         self._is_connecting = is_connecting
@@ -215,7 +219,7 @@
 
     def _record_sent(self, sent: int) -> None:
         self.sent_bytes += sent
-        if sent:
+        if sent and self._counts_for_link:
             self._loop.link.record_sent(sent, now_ms=self._loop.now_ms())
 
     def _handle_broken(self) -> None:
@@ -278,9 +282,10 @@
             self._handle_loss(is_clean=False)
             return
         if data:
-            self._loop.link.record_received(
-                len(data), now_ms=self._loop.now_ms()
-            )
+            if self._counts_for_link:
+                self._loop.link.record_received(
+                    len(data), now_ms=self._loop.now_ms()
+                )
             self._handler.received(data)
         else:
             self._handle_loss(is_clean=True)
@@ -349,6 +354,7 @@
     handler: Handler,
     *,
     source_host: str = "",
+    counts_for_link: bool = True,
 ) -> Connection | UnopenedConnection:
     """Starts to connect; the handler receives the result.
 
@@ -358,6 +364,7 @@
         handler: `connected` is called on success, `closed` on a failure, and
             neither of them within this call.
         source_host: IP address to connect from; empty for the system's choice.
+        counts_for_link: As for `Connection`.
 
     Returns:
         The connection; one that never opens if there is no socket left, or no
@@ -377,7 +384,13 @@
         if sock is not None:
             sock.close()
         return UnopenedConnection(loop, handler)
-    connection = Connection(loop, sock, handler, is_connecting=True)
+    connection = Connection(
+        loop,
+        sock,
+        handler,
+        is_connecting=True,
+        counts_for_link=counts_for_link,
+    )
     if error and error not in _IN_PROGRESS:
         loop.call_later(0, connection._handle_broken)
     return connection
--- a/packages/bambooglade/bambooglade/eventloop/http_client.py
+++ b/packages/bambooglade/bambooglade/eventloop/http_client.py
@@ -179,7 +179,11 @@
         self._parser = response_parser.ResponseParser()
         self._body = self._new_body()
         self._transfer_deadline_ms: int | None = None
-        self._connection = connection_lib.connect(loop, address, self)
+        # A configuration takes half a second of a small link, but shares it
+        # with the connections of callers and delays them little.
+        self._connection = connection_lib.connect(
+            loop, address, self, counts_for_link=False
+        )
 
     def _new_body(self) -> received_body.ReceivedBody:
         return received_body.ReceivedBody(
--- a/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
+++ b/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
@@ -15,6 +15,7 @@
 from bambooglade.eventloop import http_server
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.eventloop import tasks
+from bambooglade.scheduling import link_budget
 
 
 @pytest.fixture
@@ -443,3 +444,33 @@
     monkeypatch.setattr(connection_lib.socket, "socket", raise_too_many_files)
     connection_lib.connect(loop, ("127.0.0.1", 80), handler)
     loop.run(until=lambda: handler.lost_count)
+
+
+class _ReceivingHandler:
+    """Counts the bytes that arrive."""
+
+    def __init__(self):
+        self.received_bytes = 0
+
+    def received(self, data):
+        self.received_bytes += len(data)
+
+    def closed(self, *, is_clean):
+        del is_clean
+
+
+@pytest.mark.parametrize("counts_for_link", [True, False])
+def test_link_is_not_taken_for_full_by_calls_to_the_store(
+    loop, counts_for_link
+):
+    loop.link = link_budget.LinkBudget(1.0)
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    handler = _ReceivingHandler()
+    connection_lib.Connection(
+        loop, ours, handler, counts_for_link=counts_for_link
+    )
+    theirs.send(b"x" * 60_000)
+    loop.run(until=lambda: handler.received_bytes == 60_000)
+    assert (loop.link.wait_ms(loop.now_ms()) > 0) is counts_for_link
+    theirs.close()
