Read the ledgers of exhausted budgets together

What was seen: each home read each exhausted ledger once a second, one by one: 1,490 reads in 20 s at 71 instances with ending budgets (simulated).

Change: one read of a page covers all exhausted ledgers of which rights were needed in the last 5 s, and refreshes what is cached of others. An exhausted ledger is read again 1.5 s after its contents were last known from a read, a write, a conflict or a copy, instead of 1 s after the last draw. A read or copy that shows free rights ends the exhausted state.

A team whose budget was topped up is served within 1 s after it at 6 and 24 instances. It is not within 3 s if no instance of 24 reaches another: all write the same ledger at once. That is the same in the code before, and is not among the tests.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_calls.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_calls.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bambooglade.rights import ledger as ledger_lib
 from bambooglade_standins.users_platform import simulated_spending_fleet
 
 WARM_UP_MS = 10_000
@@ -22,11 +23,19 @@
     return fleet.counts.price / size / (MEASURED_MS / 1_000)
 
 
-@pytest.mark.parametrize("size", [6, 71, 125])
 @pytest.mark.parametrize(
-    ("prepaid_s", "max_price"),
-    [(PLENTIFUL_S, 0.1), (MEDIUM_S, 1.0), (ENDING_S, 2.6)],
-    ids=["plentiful", "medium", "ending"],
+    ("size", "prepaid_s", "max_price"),
+    [
+        (6, PLENTIFUL_S, 0.1),
+        (6, MEDIUM_S, 1.0),
+        (6, ENDING_S, 1.6),
+        (71, PLENTIFUL_S, 0.1),
+        (71, MEDIUM_S, 0.2),
+        (71, ENDING_S, 0.5),
+        (125, PLENTIFUL_S, 0.1),
+        (125, MEDIUM_S, 0.2),
+        (125, ENDING_S, 0.4),
+    ],
 )
 def test_calls_for_rights_and_registration(size, prepaid_s, max_price):
     """Guards against calls for each request, team or conflict."""
@@ -56,3 +65,64 @@
     fleet.are_peers_partitioned = True
     fleet.run(WARM_UP_MS)
     assert set(fleet.outcome_counts) == {"reserved"}
+
+
+def test_exhausted_ledgers_are_read_together():
+    """Guards against one read for each exhausted ledger, home and second."""
+    fleet = simulated_spending_fleet.SimulatedSpendingFleet(
+        24, prepaid_s=ENDING_S, requests_per_s=2.5
+    )
+    price_per_second(fleet)
+    assert fleet.outcome_counts["exhausted"] > 500
+    homes = simulated_spending_fleet.ZONES * len(fleet.teams) // 8
+    reads = fleet.counts.count("read", "bambooglade/rights")
+    assert reads <= homes * MEASURED_MS / 1_500
+
+
+@pytest.mark.parametrize(
+    ("size", "is_peer_lost"), [(6, False), (6, True), (24, False)]
+)
+def test_topped_up_team_is_served_at_once(size, is_peer_lost):
+    """Guards against refusals because a ledger was exhausted a while ago."""
+    fleet = simulated_spending_fleet.SimulatedSpendingFleet(
+        size, prepaid_s=ENDING_S, requests_per_s=2.5
+    )
+    price_per_second(fleet)
+    team = fleet.teams[0]
+    fleet.are_peers_partitioned = is_peer_lost
+    fleet.top_up(team, 100_000)
+    fleet.loop.advance(1_000)
+    outcomes = [
+        fleet.request(instance, team, 300) for instance in fleet.instances
+    ]
+    fleet.loop.advance(2_000)
+    assert all(done.done() for done in outcomes)
+    assert {done.result().value for done in outcomes} == {"reserved"}
+
+
+def test_rights_returned_to_an_exhausted_ledger_are_found():
+    """Guards against homes that take a ledger for exhausted for long.
+
+    Copies of the ledger are lost, so that only a read finds the rights.
+    """
+    fleet = simulated_spending_fleet.SimulatedSpendingFleet(
+        6, teams=1, prepaid_s=ENDING_S, requests_per_s=2.5
+    )
+    price_per_second(fleet)
+    fleet.are_peers_partitioned = True
+    team = fleet.teams[0]
+    *others, last = fleet.instances
+    for instance in others:
+        fleet.kill(instance)
+    key = "bambooglade/rights/" + team
+    ledger = ledger_lib.decode(fleet.store.peek(key))
+    for holder in ledger.holders:
+        if not holder.startswith(last.peer.name):
+            ledger = ledger.with_holder_closed(holder, used_tokens=0)
+    fleet.store.put_now(key, ledger_lib.encode(ledger))
+    fleet.request(last, team, 500)
+    fleet.loop.advance(1_600)
+    outcome = fleet.request(last, team, 500)
+    fleet.loop.advance(1_000)
+    assert outcome.done()
+    assert outcome.result().value == "reserved"
--- a/packages/bambooglade/bambooglade/rights/ledger_client.py
+++ b/packages/bambooglade/bambooglade/rights/ledger_client.py
@@ -48,8 +48,11 @@
 from peers, or are refused and retry later.
 """
 
-MAX_SINGLE_READS = 4
-"""Most ledgers that are read one by one; for more, all are read in pages."""
+MAX_SINGLE_READS = 1
+"""Most ledgers that are read one by one; for more, all are read in pages.
+
+A page of 500 ledgers costs one call, as does a single one.
+"""
 
 MIN_DRAW_INTERVAL_MS = 1_000
 """Minimum interval between draws that only refill the stock of a team."""
@@ -61,6 +64,13 @@
 home do not grow with the number of its teams.
 """
 
+EXHAUSTED_READ_INTERVAL_MS = 1_500
+"""Minimum interval between reads of the ledger of an exhausted budget.
+
+Homes learn of rights that others have returned from copies. A read finds those
+whose copies were lost.
+"""
+
 EXHAUSTED_IDLE_MS = 5_000
 """Time without demand after which a surplus returns to an exhausted ledger.
 
@@ -126,6 +136,7 @@
         self._waiting_futures: list[futures.Future] = []
         self._last_draw_ms_by_team: dict[str, int] = {}
         self._last_needed_ms_by_team: dict[str, int] = {}
+        self._last_current_ms_by_team: dict[str, int] = {}
         self._last_commit_ms: int | None = None
         self._backoff_until_ms = 0
         self._is_writing = False
@@ -163,18 +174,21 @@
         """Returns whether a draw has a chance of success.
 
         The ledger of a budget that was found exhausted is not read again for
-        every request, but only after `MIN_DRAW_INTERVAL_MS`.
+        every request, but only after `EXHAUSTED_READ_INTERVAL_MS`.
         """
         is_backing_off = self._loop.now_ms() < self._backoff_until_ms
         if self._contact.is_unavailable or is_backing_off or self._is_closed:
             return False
         if not self._recovery.may_draw(team, now_ms=self._loop.now_ms()):
             return False
-        last_draw_ms = self._last_draw_ms_by_team.get(team)
+        return team not in self._exhausted_teams or self._is_read_due(team)
+
+    def _is_read_due(self, team: str) -> bool:
+        last_current_ms = self._last_current_ms_by_team.get(team)
         return (
-            team not in self._exhausted_teams
-            or last_draw_ms is None
-            or self._loop.now_ms() - last_draw_ms >= MIN_DRAW_INTERVAL_MS
+            last_current_ms is None
+            or self._loop.now_ms() - last_current_ms
+            >= EXHAUSTED_READ_INTERVAL_MS
         )
 
     def request_draw(self, team: str, tokens: int) -> futures.Future:
@@ -280,8 +294,10 @@
     def _read_ledgers(self, teams: list[str]) -> tasks.Task:
         """Reads the ledgers that are not cached or were exhausted.
 
-        Other instances may have returned rights to an exhausted ledger. Other
-        cached ledgers need no read: the write conflicts if one is out of date.
+        Other instances may have returned rights to an exhausted ledger. One
+        call reads all exhausted ledgers of which rights were needed lately.
+        Other cached ledgers need no read: the write conflicts if one is out of
+        date.
 
         After an outage all are read: the store may have returned from an older
         copy and given their revisions to other contents.
@@ -292,9 +308,15 @@
         if self._outages_before_items != self._contact.outage_count:
             self._outages_before_items = self._contact.outage_count
             self._ledger_item_by_team.clear()
-        for team in self._exhausted_teams.intersection(teams):
-            self._ledger_item_by_team.pop(team, None)
-        uncached = [t for t in teams if t not in self._ledger_item_by_team]
+        unread = {t for t in teams if t not in self._ledger_item_by_team}
+        unread.update(
+            t
+            for t in self._exhausted_teams.intersection(teams)
+            if self._is_read_due(t)
+        )
+        if unread:
+            unread |= self._exhausted_teams_with_demand
+        uncached = sorted(unread)
         if len(uncached) > MAX_SINGLE_READS:
             return (yield from self._read_all_ledgers(uncached))
         reads = [self._store.read(ledger_lib.key_of(team)) for team in uncached]
@@ -303,11 +325,41 @@
             if not isinstance(item, store_api.Item):
                 self._handle_failure("read ledger", item)
                 return False
-            self._keep_item(item)
+            self._keep_read_item(item)
         return True
 
+    @property
+    def _exhausted_teams_with_demand(self) -> set[str]:
+        now_ms = self._loop.now_ms()
+        return {
+            team
+            for team in self._exhausted_teams
+            if now_ms - self._last_needed_ms_by_team.get(team, 0)
+            < EXHAUSTED_IDLE_MS
+        }
+
+    def _keep_read_item(self, item: store_api.Item) -> None:
+        """Keeps a ledger that was read, and whether it is still exhausted."""
+        self._keep_item(item)
+        self._reconsider_exhausted(ledger_lib.team_of(item.key), item)
+
+    def _reconsider_exhausted(self, team: str, item: store_api.Item) -> None:
+        """Takes a team for exhausted no more if its ledger has free rights."""
+        prepaid_tokens = self._prepaid_of(team)
+        if team not in self._exhausted_teams or prepaid_tokens is None:
+            return
+        try:
+            ledger = ledger_lib.decode(item.value)
+        except ledger_lib.MalformedLedgerError:
+            return
+        if ledger.total_tokens < prepaid_tokens:
+            self._exhausted_teams.discard(team)
+
     def _read_all_ledgers(self, teams: list[str]) -> tasks.Task:
-        """Reads the ledgers of all teams; returns whether that succeeded."""
+        """Reads the ledgers of all teams; returns whether that succeeded.
+
+        What is cached of other teams is replaced too.
+        """
         after_key = ""
         item_by_team: dict[str, store_api.Item] = {}
         while True:
@@ -321,8 +373,8 @@
             if not page.has_more or not page.items:
                 break
             after_key = page.items[-1].key
-        for team in teams:
-            self._keep_item(
+        for team in {*teams, *self._ledger_item_by_team}:
+            self._keep_read_item(
                 item_by_team.get(team)
                 or store_api.Item(ledger_lib.key_of(team), None, 0)
             )
@@ -332,6 +384,7 @@
         team = ledger_lib.team_of(item.key)
         self._ledger_item_by_team[team] = item
         self._seen_item_by_team[team] = item
+        self._last_current_ms_by_team[team] = self._loop.now_ms()
 
     def _teams_to_rebalance(self) -> list[str]:
         now_ms = self._loop.now_ms()
@@ -673,6 +726,8 @@
             and cached.revision < item.revision
         ):
             self._ledger_item_by_team[copy.team] = item
+            self._last_current_ms_by_team[copy.team] = self._loop.now_ms()
+            self._reconsider_exhausted(copy.team, item)
 
     def _apply_conflict(self, response: store_api.Conflicted) -> None:
         for item in response.items:
--- a/packages/bambooglade/bambooglade/rights/lending.py
+++ b/packages/bambooglade/bambooglade/rights/lending.py
@@ -64,7 +64,7 @@
         tokens: Number of tokens lent.
         available_tokens: Tokens still available at the lender.
         is_exhausted: Whether the ledger had no free rights when the lender last
-            read it; for a home, at most one second ago.
+            read it; for a home, at most 1.5 s ago.
         may_draw: Whether the lender draws from the ledger for its peers and can
             reach the store.
     """
