Collect changes for longer between two watches of a relay

What was seen: each watch of a relay returns at once, since targets write heartbeats: 728 watches of registrations and 642 of the configuration by four relays in 57 s.

Change: the mean interval between watches of a relay is 0.22 of the age at which a view is stale instead of 0.15 (308 ms instead of 210 ms for changes in force within 2 s). With the longest interval, the wait of a watch and the wait at the relay, 0.93 of that age passes at most, so that instances do not turn to the store themselves.

Tests of relays, of the store watcher and of discovery pass.

--- a/packages/bambooglade/bambooglade/discovery/store_watcher.py
+++ b/packages/bambooglade/bambooglade/discovery/store_watcher.py
@@ -44,8 +44,14 @@
 The wait is short because other instances rely on the view of the relay.
 """
 
-RELAY_WATCH_INTERVAL_FRACTION = 0.15
-"""Mean watch interval in a large fleet, as a fraction of `stale_after_ms`."""
+RELAY_WATCH_INTERVAL_FRACTION = 0.22
+"""Mean watch interval in a large fleet, as a fraction of `stale_after_ms`.
+
+The heartbeats of targets end each watch at once, so that the interval decides
+how many watches there are. The longest one, of 1.5 times the mean, and the wait
+of a watch must leave time for the wait of an instance at its relay: 0.33, 0.2
+and 0.4.
+"""
 
 CATCH_UP_WAIT_MS = 1
 """Wait of a watch that returns what has changed until now."""
