--- a/packages/bambooglade/bambooglade/rights/ledger_client.py
+++ b/packages/bambooglade/bambooglade/rights/ledger_client.py
@@ -49,12 +49,36 @@
 from peers, or are refused and retry later.
 """
 
-MAX_SINGLE_READS = 4
-"""Most ledgers that are read one by one; for more, all are read in pages."""
+MAX_SINGLE_READS = 1
+"""Most ledgers that are read one by one; for more, all are read in pages.
+
+A page of 500 ledgers costs one call, as does a single one.
+"""
 
 MIN_DRAW_INTERVAL_MS = 1_000
 """Minimum interval between draws that only refill the stock of a team."""
 
+REFILL_INTERVAL_MS = 1_500
+"""Minimum time from any write to one that only refills stocks.
+
+All stocks of the instance are refilled by one write, so that the writes of a
+home do not grow with the number of its teams.
+"""
+
+EXHAUSTED_READ_INTERVAL_MS = 1_500
+"""Minimum interval between reads of the ledger of an exhausted budget.
+
+Homes learn of rights that others have returned from copies. A read finds those
+whose copies were lost.
+"""
+
+EXHAUSTED_IDLE_MS = 5_000
+"""Time without demand after which a surplus returns to an exhausted ledger.
+
+After 0.8 s, the last rights of a small fleet moved to the ledger and back all
+the time, with a write for each.
+"""
+
 
 class LedgerClient:
     """Draws rights for the accounts of an instance and returns unused ones.
@@ -115,6 +139,9 @@
         )
         self._waiting_futures: list[futures.Future] = []
         self._last_draw_ms_by_team: dict[str, int] = {}
+        self._last_needed_ms_by_team: dict[str, int] = {}
+        self._last_current_ms_by_team: dict[str, int] = {}
+        self._last_commit_ms: int | None = None
         self._backoff_until_ms = 0
         self._is_writing = False
         self._is_closed = False
@@ -151,18 +178,21 @@
         """Returns whether a draw has a chance of success.
 
         The ledger of a budget that was found exhausted is not read again for
-        every request, but only after `MIN_DRAW_INTERVAL_MS`.
+        every request, but only after `EXHAUSTED_READ_INTERVAL_MS`.
         """
         is_backing_off = self._loop.now_ms() < self._backoff_until_ms
         if self._contact.is_unavailable or is_backing_off or self._is_closed:
             return False
         if not self._recovery.may_draw(team, now_ms=self._loop.now_ms()):
             return False
-        last_draw_ms = self._last_draw_ms_by_team.get(team)
+        return team not in self._exhausted_teams or self._is_read_due(team)
+
+    def _is_read_due(self, team: str) -> bool:
+        last_current_ms = self._last_current_ms_by_team.get(team)
         return (
-            team not in self._exhausted_teams
-            or last_draw_ms is None
-            or self._loop.now_ms() - last_draw_ms >= MIN_DRAW_INTERVAL_MS
+            last_current_ms is None
+            or self._loop.now_ms() - last_current_ms
+            >= EXHAUSTED_READ_INTERVAL_MS
         )
 
     def request_draw(self, team: str, tokens: int) -> futures.Future:
@@ -195,10 +225,18 @@
         store has lost writes.
         """
         if not self._contact.is_unavailable and (
-            self._recovery.pending_teams or self._teams_to_rebalance()
+            self._recovery.pending_teams
+            or (self._is_refill_due and self._teams_to_rebalance())
         ):
             self.schedule_write()
 
+    @property
+    def _is_refill_due(self) -> bool:
+        return (
+            self._last_commit_ms is None
+            or self._loop.now_ms() - self._last_commit_ms >= REFILL_INTERVAL_MS
+        )
+
     def refresh_team(self, team: str) -> None:
         """Marks the ledger of a team whose budget is new or changed for a draw.
 
@@ -240,6 +278,8 @@
             if self._is_closed:
                 return
             teams = self._teams_to_update(needed)[:MAX_LEDGERS_PER_WRITE]
+            if not teams:
+                return
             era = self._store.era.number
             is_read = yield from self._read_ledgers(teams)
             if not is_read:
@@ -258,8 +298,10 @@
     def _read_ledgers(self, teams: list[str]) -> tasks.Task:
         """Reads the ledgers that are not cached or were exhausted.
 
-        Other instances may have returned rights to an exhausted ledger. Other
-        cached ledgers need no read: the write conflicts if one is out of date.
+        Other instances may have returned rights to an exhausted ledger. One
+        call reads all exhausted ledgers of which rights were needed lately.
+        Other cached ledgers need no read: the write conflicts if one is out of
+        date.
 
         After an outage all are read: the store may have returned from an older
         copy and given their revisions to other contents.
@@ -270,9 +312,15 @@
         if self._outages_before_items != self._contact.outage_count:
             self._outages_before_items = self._contact.outage_count
             self._ledger_item_by_team.clear()
-        for team in self._exhausted_teams.intersection(teams):
-            self._ledger_item_by_team.pop(team, None)
-        uncached = [t for t in teams if t not in self._ledger_item_by_team]
+        unread = {t for t in teams if t not in self._ledger_item_by_team}
+        unread.update(
+            t
+            for t in self._exhausted_teams.intersection(teams)
+            if self._is_read_due(t)
+        )
+        if unread:
+            unread |= self._exhausted_teams_with_demand
+        uncached = sorted(unread)
         if len(uncached) > MAX_SINGLE_READS:
             return (yield from self._read_all_ledgers(uncached))
         reads = [self._store.read(ledger_lib.key_of(team)) for team in uncached]
@@ -281,11 +329,41 @@
             if not isinstance(item, store_api.Item):
                 self._handle_failure("read ledger", item)
                 return False
-            self._keep_item(item)
+            self._keep_read_item(item)
         return True
 
+    @property
+    def _exhausted_teams_with_demand(self) -> set[str]:
+        now_ms = self._loop.now_ms()
+        return {
+            team
+            for team in self._exhausted_teams
+            if now_ms - self._last_needed_ms_by_team.get(team, 0)
+            < EXHAUSTED_IDLE_MS
+        }
+
+    def _keep_read_item(self, item: store_api.Item) -> None:
+        """Keeps a ledger that was read, and whether it is still exhausted."""
+        self._keep_item(item)
+        self._reconsider_exhausted(ledger_lib.team_of(item.key), item)
+
+    def _reconsider_exhausted(self, team: str, item: store_api.Item) -> None:
+        """Takes a team for exhausted no more if its ledger has free rights."""
+        prepaid_tokens = self._prepaid_of(team)
+        if team not in self._exhausted_teams or prepaid_tokens is None:
+            return
+        try:
+            ledger = ledger_lib.decode(item.value)
+        except ledger_lib.MalformedLedgerError:
+            return
+        if ledger.total_tokens < prepaid_tokens:
+            self._exhausted_teams.discard(team)
+
     def _read_all_ledgers(self, teams: list[str]) -> tasks.Task:
-        """Reads the ledgers of all teams; returns whether that succeeded."""
+        """Reads the ledgers of all teams; returns whether that succeeded.
+
+        What is cached of other teams is replaced too.
+        """
         after_key = ""
         item_by_team: dict[str, store_api.Item] = {}
         while True:
@@ -299,8 +377,8 @@
             if not page.has_more or not page.items:
                 break
             after_key = page.items[-1].key
-        for team in teams:
-            self._keep_item(
+        for team in {*teams, *self._ledger_item_by_team}:
+            self._keep_read_item(
                 item_by_team.get(team)
                 or store_api.Item(ledger_lib.key_of(team), None, 0)
             )
@@ -310,14 +388,14 @@
         team = ledger_lib.team_of(item.key)
         self._ledger_item_by_team[team] = item
         self._seen_item_by_team[team] = item
+        self._last_current_ms_by_team[team] = self._loop.now_ms()
 
     def _teams_to_rebalance(self) -> list[str]:
         now_ms = self._loop.now_ms()
         return [
             team
             for team, account in self._account_by_team.items()
-            if team not in self._exhausted_teams
-            and not account.is_closed
+            if not account.is_closed
             and self._homes.is_local(team)
             and now_ms - self._last_draw_ms_by_team.get(team, 0)
             >= MIN_DRAW_INTERVAL_MS
@@ -327,7 +405,21 @@
     def _needs_rebalancing(
         self, team: str, account: account_lib.Account
     ) -> bool:
-        """Returns whether a stock should be refilled or reduced."""
+        """Returns whether a stock should be refilled or reduced.
+
+        The stock of an exhausted budget is reduced only without demand.
+        """
+        if team in self._exhausted_teams:
+            now_ms = self._loop.now_ms()
+            idle_tokens = account.idle_tokens(
+                now_ms=now_ms, timeout_ms=EXHAUSTED_IDLE_MS
+            )
+            needed_ms = self._last_needed_ms_by_team.get(team, 0)
+            return (
+                idle_tokens > 0
+                and now_ms - needed_ms >= EXHAUSTED_IDLE_MS
+                and self._stock(team).surplus_tokens > 0
+            )
         has_unwritten_returns = account.returned_tokens > (
             self._committed_returns_by_team.get(team, 0)
         )
@@ -368,18 +460,34 @@
             dict.fromkeys(pending + underfunded + self._teams_to_rebalance())
         )
 
+    def _teams_to_refill_jointly(self) -> list[str]:
+        """Returns the teams that a write which is made anyway refills too.
+
+        Their ledgers are cached, so that they cause no read.
+        """
+        return [
+            team
+            for team, account in self._account_by_team.items()
+            if team not in self._exhausted_teams
+            and team in self._ledger_item_by_team
+            and not account.is_closed
+            and self._homes.is_local(team)
+            and self._stock(team).can_be_refilled
+        ]
+
     def _commit(
         self, teams: list[str], needed: collections.Counter[str]
     ) -> tasks.Task:
-        """Writes the ledgers; returns False if the write should be retried."""
-        ledger_by_team = {
-            team: ledger
-            for team in teams
-            if (ledger := self._ledger_after_draw(team, needed[team]))
-            is not None
-        }
+        """Writes the ledgers; returns False to retry at once."""
+        ledger_by_team = self._ledgers_after_draw(teams, needed)
         if not ledger_by_team:
             return True
+        others = [
+            team
+            for team in self._teams_to_refill_jointly()
+            if team not in teams
+        ][: MAX_LEDGERS_PER_WRITE - len(ledger_by_team)]
+        ledger_by_team |= self._ledgers_after_draw(others, needed)
         writes = [
             store_api.Write(
                 self._ledger_item_by_team[team].key,
@@ -389,23 +497,42 @@
             for team, ledger in ledger_by_team.items()
         ]
         response = yield self._store.commit(writes, timeout_ms=WRITE_TIMEOUT_MS)
+        if isinstance(response, store_api.Conflicted):
+            self._apply_conflict(response)
+            for team in ledger_by_team:
+                # Nothing was drawn, so that the next draw need not wait.
+                self._last_draw_ms_by_team.pop(team, None)
+            # Homes that refill their stocks at the same moment would conflict
+            # again at once; the next tick retries.
+            return not needed and not self._recovery.pending_teams
+        self._last_commit_ms = self._loop.now_ms()
         if isinstance(response, store_api.Committed):
             self._apply_commit(writes, response.revision, ledger_by_team)
             return True
-        if isinstance(response, store_api.Conflicted):
-            self._apply_conflict(response)
-            return False
         for team in ledger_by_team:
             self._ledger_item_by_team.pop(team, None)
         self._handle_failure("write", response)
         return True
 
+    def _ledgers_after_draw(
+        self, teams: list[str], needed: collections.Counter[str]
+    ) -> dict[str, ledger_lib.Ledger]:
+        """Returns the ledgers that a draw changes, by team."""
+        return {
+            team: ledger
+            for team in teams
+            if (ledger := self._ledger_after_draw(team, needed[team]))
+            is not None
+        }
+
     def _ledger_after_draw(
         self, team: str, needed_tokens: int
     ) -> ledger_lib.Ledger | None:
         """Returns the ledger after a draw; None if it does not change."""
         item = self._ledger_item_by_team[team]
         self._last_draw_ms_by_team[team] = self._loop.now_ms()
+        if needed_tokens:
+            self._last_needed_ms_by_team[team] = self._loop.now_ms()
         prepaid = self._prepaid_of(team)
         try:
             ledger = ledger_lib.decode(item.value)
@@ -578,8 +705,9 @@
         )
 
     def record_copies(self, copies: Iterable[ledger_copies.LedgerCopy]) -> None:
-        """Records ledgers that a peer has written, for a later recovery.
+        """Records ledgers that a peer has written.
 
+        They are kept for a later recovery, and spare the next write a conflict.
         Copies of another era and of unknown teams are ignored.
         """
         for copy in copies:
@@ -588,11 +716,31 @@
                 continue
             seen = self._seen_item_by_team.get(copy.team)
             if seen is None or seen.revision < copy.revision:
-                self._seen_item_by_team[copy.team] = store_api.Item(
+                item = store_api.Item(
                     ledger_lib.key_of(copy.team),
                     ledger_lib.encode(copy.ledger),
                     copy.revision,
                 )
+                self._seen_item_by_team[copy.team] = item
+                self._replace_cached_item(copy, item)
+
+    def _replace_cached_item(
+        self, copy: ledger_copies.LedgerCopy, item: store_api.Item
+    ) -> None:
+        """Replaces a cached ledger with the newer one that a peer has written.
+
+        Without a known era, the copy may be of the contents before a restore,
+        at a revision that the store has given out again.
+        """
+        cached = self._ledger_item_by_team.get(copy.team)
+        if (
+            copy.store_era
+            and cached is not None
+            and cached.revision < item.revision
+        ):
+            self._ledger_item_by_team[copy.team] = item
+            self._last_current_ms_by_team[copy.team] = self._loop.now_ms()
+            self._reconsider_exhausted(copy.team, item)
 
     def _apply_conflict(self, response: store_api.Conflicted) -> None:
         for item in response.items:
