Copy short parts of request bodies together

What callers saw: a process ran out of memory when clients sent bodies in chunks of one or two bytes, and all its requests ended.

Cause: the parser kept an object and a list entry for each chunk, and counted the bytes of the content only. Extensions and trailers without end were not counted at all, and httptools keeps an unfinished trailer.

Parts of less than 1,024 bytes are appended to the part before them. Bytes besides the content of a body are limited as those of responses are. The memory of header fields is counted. A read that ends other requests and then the beginning of a head was refused as too long a head; it is not any more.

--- a/packages/bambooglade/bambooglade/http1/messages.py
+++ b/packages/bambooglade/bambooglade/http1/messages.py
@@ -99,12 +99,14 @@
         received_at_ms: Time at which the first byte was read, in milliseconds.
         expects_close: Whether the connection is closed after the response.
         expects_continue: Whether the client waits for `100 Continue`.
+        held_bytes: Memory that it takes; 0 if it was not received.
     """
 
     __slots__ = (
         "body",
         "expects_close",
         "expects_continue",
+        "held_bytes",
         "method",
         "received_at_ms",
         "target",
@@ -119,8 +121,10 @@
         body: bytes = b"",
         received_at_ms: int = 0,
         expects_close: bool = False,
+        held_bytes: int = 0,
     ) -> None:
         super().__init__(fields)
+        self.held_bytes = held_bytes
         self.method = method
         self.target = target
         self.body = body
--- a/packages/bambooglade/bambooglade/http1/request_parser.py
+++ b/packages/bambooglade/bambooglade/http1/request_parser.py
@@ -19,6 +19,33 @@
 MAX_PIPELINED = 16
 """Maximum number of pipelined requests in one read."""
 
+FIELD_OVERHEAD_BYTES = 192
+"""Memory that a header field takes besides its bytes.
+
+These are a tuple, two objects and their entries in a list and a dictionary.
+"""
+
+REQUEST_OVERHEAD_BYTES = 1_024
+"""Memory that a complete request takes besides its fields and its body."""
+
+MIN_PART_BYTES = 1_024
+"""Size from which a part of a body is kept as an object of its own.
+
+Shorter parts are copied together: an object and its entry in a list take about
+60 bytes, which is many times the size of a chunk of one byte.
+"""
+
+FREE_OVERHEAD_BYTES = 65_536
+"""Bytes of a body besides its content, whatever that is.
+
+These are chunk sizes and extensions, and trailers. As many may follow each
+other without content in between.
+"""
+
+MAX_OVERHEAD_FACTOR = 32
+"""Most further such bytes for each byte of content; a chunk of one byte takes
+five."""
+
 _FRAMING_FIELDS = (b"content-length", b"transfer-encoding")
 
 
@@ -64,14 +91,17 @@
         "_fields",
         "_has_declined_upgrade",
         "_header_bytes",
+        "_is_continued",
         "_is_head_done",
         "_is_in_head",
         "_is_repeated_head",
+        "_overhead_bytes",
         "_parser",
         "_rejected",
         "_started_at_ms",
         "_target",
         "_unparsed_bytes",
+        "_without_content_bytes",
         "limits",
     )
 
@@ -97,10 +127,13 @@
     def _reset(self) -> None:
         self._target = b""
         self._fields: messages.HeaderFields = []
-        self._body: list[bytes] = []
+        self._body: list[bytes | bytearray] = []
         self._body_bytes = 0
         self._header_bytes = 0
         self._unparsed_bytes = 0
+        self._overhead_bytes = 0
+        self._without_content_bytes = 0
+        self._is_continued = False
         self._is_head_done = False
         self._is_in_head = False
         self._has_declined_upgrade = False
@@ -112,8 +145,17 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes of the current request that were received so far."""
-        return self._header_bytes + self._body_bytes
+        """Memory that the bytes of the current request take.
+
+        Bytes that are not parsed yet, for instance those of an incomplete
+        field, are held by httptools.
+        """
+        return (
+            max(self._header_bytes, self._unparsed_bytes)
+            + FIELD_OVERHEAD_BYTES * len(self._fields)
+            + self._body_bytes
+            + self._without_content_bytes
+        )
 
     @property
     def expects_continue(self) -> bool:
@@ -147,16 +189,58 @@
             raise rejection
 
     def _parse(self, data: bytes) -> RejectedRequestError | None:
+        is_continued, body_bytes = self._is_continued, self._body_bytes
         try:
             self._feed_parser(data)
         except httptools.HttpParserError as error:
             return self._rejected or RejectedRequestError(400, str(error))
         if self._is_in_head:
-            self._unparsed_bytes += len(data)
-            if self._unparsed_bytes > self.limits.max_header_bytes:
-                return RejectedRequestError(
-                    431, "the header exceeds the size limit"
-                )
+            return self._check_head(len(data))
+        if is_continued and self._is_continued:
+            return self._check_overhead(
+                len(data), self._body_bytes - body_bytes
+            )
+        self._is_continued = self._is_head_done
+        return self._rejected
+
+    def _check_head(self, read_bytes: int) -> RejectedRequestError | None:
+        """Rejects a head that has no end.
+
+        Bytes of a read that also ends other requests belong to them, but for
+        those of complete fields.
+        """
+        if not self._completed:
+            self._unparsed_bytes += read_bytes
+        if self._unparsed_bytes > self.limits.max_header_bytes:
+            return RejectedRequestError(
+                431, "the header exceeds the size limit"
+            )
+        return self._rejected
+
+    def _check_overhead(
+        self, read_bytes: int, content_bytes: int
+    ) -> RejectedRequestError | None:
+        """Rejects a body of which extensions or trailers have no end.
+
+        Args:
+            read_bytes: Bytes of a read within the body.
+            content_bytes: Those of them that belong to its content.
+        """
+        self._overhead_bytes += read_bytes - content_bytes
+        if content_bytes:
+            self._without_content_bytes = 0
+        else:
+            self._without_content_bytes += read_bytes
+        allowed_bytes = (
+            FREE_OVERHEAD_BYTES + MAX_OVERHEAD_FACTOR * self._body_bytes
+        )
+        if (
+            self._overhead_bytes > allowed_bytes
+            or self._without_content_bytes > FREE_OVERHEAD_BYTES
+        ):
+            return RejectedRequestError(
+                431, "the body has too many bytes besides its content"
+            )
         return self._rejected
 
     def _feed_parser(self, data: bytes) -> None:
@@ -244,10 +328,16 @@
 
     def on_body(self, data: bytes) -> None:
         """Appends a part of the body."""
-        self._body.append(bytes(data))
-        self._body_bytes += len(data)
+        size_bytes = len(data)
+        self._body_bytes += size_bytes
         if self._body_bytes > self.limits.max_body_bytes:
             self._reject(413, "the body exceeds the size limit")
+        if size_bytes >= MIN_PART_BYTES or not self._body:
+            self._body.append(data)
+        elif type(self._body[-1]) is bytearray:
+            self._body[-1] += data
+        else:
+            self._body.append(bytearray(data))
 
     def on_message_complete(self) -> None:
         """Appends the request to the complete ones."""
@@ -263,6 +353,10 @@
                 body=b"".join(self._body),
                 expects_close=not self._parser.should_keep_alive()
                 or self._has_declined_upgrade,
+                held_bytes=self._header_bytes
+                + FIELD_OVERHEAD_BYTES * len(self._fields)
+                + self._body_bytes
+                + REQUEST_OVERHEAD_BYTES,
             )
         )
         self._reset()
