Give up stalled messages first, at a cost that does not grow

What callers saw: with hundreds of connections and a full budget, each read took longer the more connections there were; and an upload that went on was given up before one that had stopped and was slightly shorter.

Cause: the budget searched all of its shares whenever it was over its limit, and knew their sizes only. Write buffers that were given up stayed until the next step of the loop.

Shares are grouped by size. The longest is given up, or one at least half as long that has not changed for a second. The limit is a part of what the machine has beyond 50 MB, which is the same as before for 300 MB and less for smaller machines. Write buffers are released at once, and short parts of responses of peers and the store are copied together, as those of requests are.

--- a/packages/bambooglade/bambooglade/eventloop/byte_budget.py
+++ b/packages/bambooglade/bambooglade/eventloop/byte_budget.py
@@ -2,8 +2,12 @@
 
 Each message has a limit of its own. Many of them at a time would still fill the
 memory of the process, and end it with the requests of all others. The messages
-that are being received therefore share a budget, and when it is used up, the
-longest of them is given up.
+that are being received therefore share a budget. When it is used up, the
+longest of them is given up, or one at least half as long that has not changed
+for a second.
+
+Shares are grouped by size, so that giving one up takes the same time with
+thousands of connections as with a few.
 """
 
 from __future__ import annotations
@@ -13,8 +17,28 @@
 DEFAULT_LIMIT_BYTES = 50_331_648
 """Bytes of a process that does not know the memory of its machine."""
 
-MEMORY_FRACTION = 0.15
-"""Part of the memory of the machine; messages are copied as they pass through.
+RESERVED_MB = 50
+"""Memory that an idle process takes, with its state of a large fleet."""
+
+MEMORY_FRACTION = 0.18
+"""Part of the other memory of the machine.
+
+Messages are copied as they pass through, and memory that was given back has
+gaps.
+"""
+
+MIN_LIMIT_BYTES = 4_194_304 + 65_536
+"""Least limit: the longest body and its head."""
+
+STALLED_MS = 1_000
+"""Time without a change after which a message counts as stalled."""
+
+MIN_STALLED_FRACTION = 0.5
+"""Part of the longest message that a stalled one needs to be given up first.
+"""
+
+_BUCKET_BITS = 4
+"""Leading bits that tell sizes apart: neighbouring groups differ by an eighth.
 """
 
 MAX_KEPT_FRACTION = 0.5
@@ -39,8 +63,10 @@
 
     Args:
         limit_bytes: Most bytes of all messages.
+        now_ms: Returns the current time; without it, no message is stalled.
 
     Attributes:
+        given_up_count: Number of messages that were given up.
         held_bytes: Bytes that are held now.
         kept_bytes: Those of them that are not given up.
         limit_bytes: Most bytes of all messages.
@@ -56,17 +82,36 @@
         20
     """
 
-    __slots__ = ("_shares", "held_bytes", "kept_bytes", "limit_bytes")
+    __slots__ = (
+        "_now_ms",
+        "_shares_by_bucket",
+        "given_up_count",
+        "held_bytes",
+        "kept_bytes",
+        "limit_bytes",
+    )
 
-    def __init__(self, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
-        self._shares: set[Share] = set()
+    def __init__(
+        self,
+        limit_bytes: int = DEFAULT_LIMIT_BYTES,
+        *,
+        now_ms: Callable[[], int] = lambda: 0,
+    ) -> None:
+        # The shares of a bucket are in the order of their last change. Empty
+        # buckets stay; there are fewer than 300.
+        self._shares_by_bucket: dict[int, dict[Share, None]] = {}
+        self._now_ms = now_ms
+        self.given_up_count = 0
         self.held_bytes = 0
         self.kept_bytes = 0
         self.limit_bytes = limit_bytes
 
     def set_memory(self, memory_mb: float) -> None:
         """Sets the limit to a part of the memory of the machine."""
-        self.limit_bytes = round(MEMORY_FRACTION * memory_mb * _BYTES_PER_MB)
+        free_bytes = (memory_mb - RESERVED_MB) * _BYTES_PER_MB
+        self.limit_bytes = max(
+            MIN_LIMIT_BYTES, round(MEMORY_FRACTION * free_bytes)
+        )
 
     def open(self, discard: Callable[[], None]) -> Share:
         """Returns the share of a message that holds no bytes yet.
@@ -87,13 +132,40 @@
         if share.is_kept:
             self.kept_bytes += held_bytes - share.held_bytes
         share.held_bytes = held_bytes
+        if share.bucket is not None:
+            share.bucket.pop(share, None)
+            share.bucket = None
         if held_bytes and not share.is_kept:
-            self._shares.add(share)
-        else:
-            self._shares.discard(share)
-        while self.held_bytes > self.limit_bytes and self._shares:
-            longest = max(self._shares, key=lambda other: other.held_bytes)
-            longest.give_up()
+            number = _bucket_number(held_bytes)
+            bucket = self._shares_by_bucket.get(number)
+            if bucket is None:
+                bucket = self._shares_by_bucket[number] = {}
+            bucket[share] = None
+            share.bucket = bucket
+            share.changed_at_ms = self._now_ms()
+        while self.held_bytes > self.limit_bytes:
+            victim = self._find_victim()
+            if victim is None:
+                return
+            self.given_up_count += 1
+            victim.give_up()
+
+    def _find_victim(self) -> Share | None:
+        """Returns the share to give up; None if all are kept."""
+        longest: Share | None = None
+        stalled_since_ms = self._now_ms() - STALLED_MS
+        for number in sorted(self._shares_by_bucket, reverse=True):
+            bucket = self._shares_by_bucket[number]
+            if not bucket:
+                continue
+            oldest = next(iter(bucket))
+            if longest is None:
+                longest = oldest
+            if oldest.held_bytes < MIN_STALLED_FRACTION * longest.held_bytes:
+                break
+            if oldest.changed_at_ms < stalled_since_ms:
+                return oldest
+        return longest
 
     def __repr__(self) -> str:
         return f"ByteBudget(held={self.held_bytes}, limit={self.limit_bytes})"
@@ -103,6 +175,8 @@
     """What one message takes of a budget.
 
     Attributes:
+        bucket: Shares of about the same size, if it is one of them.
+        changed_at_ms: Time at which it was put there.
         held_bytes: Bytes that it holds.
         is_discarded: Whether it was given up.
         is_kept: Whether it is complete and in use, so that it is not given up.
@@ -111,6 +185,8 @@
     __slots__ = (
         "_budget",
         "_discard",
+        "bucket",
+        "changed_at_ms",
         "held_bytes",
         "is_discarded",
         "is_kept",
@@ -119,6 +195,8 @@
     def __init__(self, budget: ByteBudget, discard: Callable[[], None]) -> None:
         self._budget = budget
         self._discard: Callable[[], None] | None = discard
+        self.bucket: dict[Share, None] | None = None
+        self.changed_at_ms = 0
         self.held_bytes = 0
         self.is_discarded = False
         self.is_kept = False
@@ -182,3 +260,14 @@
 
     def __repr__(self) -> str:
         return f"Share(held={self.held_bytes})"
+
+
+def _bucket_number(size_bytes: int) -> int:
+    """Returns a number that grows with the size, by its leading bits.
+
+    Examples:
+        >>> [_bucket_number(size) for size in (7, 50, 60, 4_000_000)]
+        [7, 44, 47, 303]
+    """
+    dropped_bits = max(0, size_bytes.bit_length() - _BUCKET_BITS)
+    return (dropped_bits << _BUCKET_BITS) + (size_bytes >> dropped_bits)
--- a/packages/bambooglade/bambooglade/eventloop/connection.py
+++ b/packages/bambooglade/bambooglade/eventloop/connection.py
@@ -103,9 +103,7 @@
         self._is_open = True
         self._is_reading = True
         self._unsent = bytearray()
-        self._share = loop.byte_budget.open(
-            lambda: loop.call_later(0, self._handle_broken)
-        )
+        self._share = loop.byte_budget.open(self._give_up)
         self._events = 0
         self._shuts_down_when_sent = False
         self.closes_when_sent = False
@@ -132,7 +130,7 @@
         The connection is lost when the buffer exceeds `MAX_BUFFERED_BYTES`, or
         is the longest when all messages of the process take too much memory.
         """
-        if not self._is_open:
+        if not self._is_open or self._share.is_discarded:
             return
         if self._unsent or self._is_connecting:
             self._unsent += data
@@ -144,6 +142,11 @@
         elif self._unsent:
             self._share.resize(len(self._unsent))
 
+    def _give_up(self) -> None:
+        """Lets go of the write buffer, and loses the connection afterwards."""
+        self._unsent = bytearray()
+        self._loop.call_later(0, self._handle_broken)
+
     def read_pending(self) -> None:
         """Passes what has arrived to the handler, without waiting for it."""
         if self._is_open and self._is_reading and not self._is_connecting:
@@ -185,6 +188,8 @@
         from the peer are still read, since unread bytes would cause a reset.
         """
         self._shuts_down_when_sent = True
+        if self._share.is_discarded:
+            return
         if not self._unsent and self._is_open:
             self._shut_down()
 
@@ -197,6 +202,8 @@
     def close_when_sent(self) -> None:
         """Closes the connection once the write buffer is empty."""
         self.closes_when_sent = True
+        if self._share.is_discarded:
+            return
         if not self._unsent and not self._is_connecting:
             self.close()
 
@@ -229,6 +236,8 @@
             self._loop.watch(self._sock, events, self._handle_events)
 
     def _handle_events(self, events: int) -> None:
+        if self._share.is_discarded:
+            return
         if events & loop_lib.WRITE:
             self._handle_writable()
         if events & loop_lib.READ and self._is_open and self._is_reading:
--- a/packages/bambooglade/bambooglade/eventloop/loop.py
+++ b/packages/bambooglade/bambooglade/eventloop/loop.py
@@ -98,7 +98,7 @@
         self._timers: list[tuple[int, int, Timer]] = []
         self._order = itertools.count()
         self._woken_at_ms = clock.now_ms()
-        self.byte_budget = byte_budget_lib.ByteBudget()
+        self.byte_budget = byte_budget_lib.ByteBudget(now_ms=clock.now_ms)
         self.resumed_at_ms = 0
 
     @property
--- a/packages/bambooglade/bambooglade/eventloop/received_body.py
+++ b/packages/bambooglade/bambooglade/eventloop/received_body.py
@@ -6,6 +6,13 @@
 
 from bambooglade.eventloop import byte_budget
 
+MIN_PART_BYTES = 1_024
+"""Size from which a part is kept as an object of its own.
+
+Shorter parts are copied together: an object and its entry in a list take about
+60 bytes, which is many times the size of a short part.
+"""
+
 
 class ReceivedBody:
     """Parts of a body, within a limit of its own and that of the process.
@@ -37,7 +44,7 @@
         max_bytes: int,
         discard: Callable[[], None],
     ) -> None:
-        self._parts: list[bytes] = []
+        self._parts: list[bytes | bytearray] = []
         self._max_bytes = max_bytes
         self._discard = discard
         self._share = budget.open(self._give_up)
@@ -53,7 +60,12 @@
         size_bytes = self.size_bytes + len(data)
         if size_bytes > self._max_bytes:
             return False
-        self._parts.append(data)
+        if len(data) >= MIN_PART_BYTES or not self._parts:
+            self._parts.append(data)
+        elif type(self._parts[-1]) is bytearray:
+            self._parts[-1] += data
+        else:
+            self._parts.append(bytearray(data))
         self.size_bytes = size_bytes
         return self._share.resize(size_bytes)
 
