Count the clients that are given up, and show what is held

What operators saw: nothing but a line for each refused connection told that clients filled the memory or the connections of a process.

Gauges show the bytes and the connections that are held; a counter has who was given up, by reason; and one event, at most twice a second, has the same counts.

--- a/packages/bambooglade/bambooglade/eventloop/byte_budget.py
+++ b/packages/bambooglade/bambooglade/eventloop/byte_budget.py
@@ -70,6 +70,7 @@
         held_bytes: Bytes that are held now.
         kept_bytes: Those of them that are not given up.
         limit_bytes: Most bytes of all messages.
+        refused_count: Number of complete messages without room.
 
     Examples:
         >>> budget = ByteBudget(100)
@@ -89,6 +90,7 @@
         "held_bytes",
         "kept_bytes",
         "limit_bytes",
+        "refused_count",
     )
 
     def __init__(
@@ -102,6 +104,7 @@
         self._shares_by_bucket: dict[int, dict[Share, None]] = {}
         self._now_ms = now_ms
         self.given_up_count = 0
+        self.refused_count = 0
         self.held_bytes = 0
         self.kept_bytes = 0
         self.limit_bytes = limit_bytes
@@ -233,6 +236,7 @@
             else MAX_KEPT_FRACTION
         )
         if budget.kept_bytes and kept_bytes > fraction * budget.limit_bytes:
+            budget.refused_count += 1
             return False
         budget.kept_bytes += self.held_bytes
         self.is_kept = True
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -30,6 +30,7 @@
 from bambooglade.gateway import context as context_lib
 from bambooglade.gateway import forwarding_peers as forwarding_peers_lib
 from bambooglade.gateway import frontend as frontend_lib
+from bambooglade.gateway import given_up_clients
 from bambooglade.gateway import leaving_replication
 from bambooglade.gateway import limit_replication
 from bambooglade.gateway import origin_archive
@@ -573,6 +574,12 @@
                     is_for_peers=True,
                 )
             )
+        self._given_up_clients = given_up_clients.GivenUpClients(
+            self.loop.byte_budget,
+            [each.limit for each in (*self._servers, *self._frontends)],
+            metrics=self._metrics,
+            log=self._log,
+        )
         for component in self._components:
             component.start()
         self.loop.call_later(MAINTENANCE_INTERVAL_MS, self._run_maintenance)
@@ -626,11 +633,19 @@
         self._metrics.set_gauge(
             metrics_lib.QUARANTINES, len(self.quarantine.suspicions.quarantines)
         )
+        self._metrics.set_gauge(
+            metrics_lib.HELD_BYTES, self.loop.byte_budget.held_bytes
+        )
+        self._metrics.set_gauge(
+            metrics_lib.ACCEPTED_CONNECTIONS,
+            self._given_up_clients.connections,
+        )
         rendered = self._metrics.render()
         return http_server.Reply(200, rendered.body, rendered.content_type)
 
     def _run_maintenance(self) -> None:
         now_ms = self.loop.now_ms()
+        self._given_up_clients.report()
         self.view.expire_lapsed_targets(now_ms)
         self._observe_versions()
         self.quarantine.evict_expired()
--- a/packages/bambooglade/bambooglade/router/metrics.py
+++ b/packages/bambooglade/bambooglade/router/metrics.py
@@ -30,6 +30,9 @@
 MALFORMED_TARGETS = "bambooglade_malformed_targets"
 BRITTLE_SERVICES = "bambooglade_brittle_services"
 WAITING_REQUESTS = "bambooglade_requests_waiting_for_room"
+HELD_BYTES = "bambooglade_held_bytes"
+ACCEPTED_CONNECTIONS = "bambooglade_accepted_connections"
+GIVEN_UP_CLIENTS_TOTAL = "bambooglade_given_up_clients_total"
 QUARANTINES = "bambooglade_quarantined_prompts"
 SHARDS_SERVED = "bambooglade_shards_served"
 
@@ -143,6 +146,11 @@
                 {"service": service, "outcome": outcome}
             )
 
+    def record_given_up_clients(self, count: int, *, reason: str) -> None:
+        """Counts clients that were given up or refused for lack of room."""
+        with self._lock:
+            self._by_name[GIVEN_UP_CLIENTS_TOTAL].add({"reason": reason}, count)
+
     def record_platform_call(self, *, call: str, outcome: str) -> None:
         """Counts a call to a service of the platform.
 
@@ -193,6 +201,7 @@
         SPENT_TOKENS_TOTAL: "Tokens that were billed.",
         PLATFORM_CALLS_TOTAL: "Calls to the platform's services.",
         HANDED_OVER_REQUESTS_TOTAL: "Requests that were served for a peer.",
+        GIVEN_UP_CLIENTS_TOTAL: "Clients that were given up for lack of room.",
         RETRIES_TOTAL: "Retries that the retry budget allowed or denied.",
     }
     gauges = {
@@ -204,6 +213,8 @@
         MALFORMED_TARGETS: "Entries of targets that can't be decoded.",
         BRITTLE_SERVICES: "Services whose targets bear few rejections.",
         WAITING_REQUESTS: "Requests that wait for room at such a target.",
+        HELD_BYTES: "Memory that messages take which are received or sent.",
+        ACCEPTED_CONNECTIONS: "Open connections that clients opened.",
         SHARDS_SERVED: "Shards that this instance is primary of.",
     }
     latency = aioprometheus.Histogram(
