--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_uncontrolled_clients.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_uncontrolled_clients.py
@@ -12,9 +12,6 @@
 from __future__ import annotations
 
 import contextlib
-import fcntl
-import pathlib
-import tempfile
 
 import msgspec
 import pytest
@@ -59,15 +56,6 @@
                 )
 
 
-@contextlib.contextmanager
-def only_one():
-    """Waits until no other process runs a test of this kind."""
-    path = pathlib.Path(tempfile.gettempdir()) / "uncontrolled-clients.lock"
-    with path.open("w") as file:
-        fcntl.flock(file, fcntl.LOCK_EX)
-        yield
-
-
 def configuration() -> bytes:
     """Returns the configuration of the tests, with their limits of callers."""
     document = msgspec.json.decode(
@@ -92,7 +80,7 @@
 
 @pytest.fixture
 def harness():
-    with only_one():
+    with clients.only_one():
         built = harness_lib.PlatformHarness()
         built.configure(configuration())
         built.add_engine("p1", "portal", default=respond, slots=64)
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/uncontrolled_clients.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/uncontrolled_clients.py
@@ -13,8 +13,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import fcntl
 import pathlib
 import socket
+import tempfile
 
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.http1 import messages
@@ -206,6 +210,15 @@
 """Attacks by what their clients send."""
 
 
+@contextlib.contextmanager
+def only_one() -> Iterator[None]:
+    """Waits until no other process of the machine runs a crowd."""
+    path = pathlib.Path(tempfile.gettempdir()) / "uncontrolled-clients.lock"
+    with path.open("w") as file:
+        fcntl.flock(file, fcntl.LOCK_EX)
+        yield
+
+
 class Crowd:
     """Connections that send a payload, and never read.
 
