Allow peers as many connections as callers

What peers would have seen: in a fleet of 360 instances, each of which may keep idle connections to all others, the limit of 362 connections would have closed idle ones in calm.

The limit of peers is that of callers, 724 with 1,024 descriptors. The limit of all addresses together keeps the spare descriptors free.

--- a/packages/bambooglade/bambooglade/gateway/frontend.py
+++ b/packages/bambooglade/bambooglade/gateway/frontend.py
@@ -31,6 +31,9 @@
 RESERVED_DESCRIPTORS = 300
 """Descriptors that are reserved for files, targets, peers and the store."""
 
+MIN_CONNECTIONS = 64
+"""Connections of an address whatever the limit of descriptors."""
+
 SPARE_DESCRIPTORS = 64
 """Descriptors that no accepted connection may take, whatever its address."""
 
@@ -87,7 +90,7 @@
         max_descriptors = context.settings.max_descriptors
         self.limit: connection_limit.ConnectionLimit[CallerConnection] = (
             connection_limit.ConnectionLimit(
-                max(64, max_descriptors - RESERVED_DESCRIPTORS),
+                max_connections(max_descriptors),
                 is_short=lambda: is_short(context.loop, max_descriptors),
             )
         )
@@ -561,6 +564,14 @@
         return f"CallerConnection(busy={self.is_busy})"
 
 
+def max_connections(max_descriptors: int) -> int:
+    """Returns the most connections of callers, or of peers.
+
+    With 1,024 descriptors these are 724: two for each peer of a large fleet.
+    """
+    return max(MIN_CONNECTIONS, max_descriptors - RESERVED_DESCRIPTORS)
+
+
 def is_short(loop: loop_lib.EventLoop, max_descriptors: int) -> bool:
     """Returns whether the process has only its spare descriptors left."""
     spare = min(SPARE_DESCRIPTORS, max_descriptors // 8)
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -65,14 +65,6 @@
 MAX_PROBE_CONNECTIONS = 64
 """Most connections for readiness, and for metrics; few clients ask for them."""
 
-MIN_PEER_CONNECTIONS = 64
-PEER_CONNECTIONS_FRACTION = 0.5
-"""Part of the descriptors beyond the reserved ones that peers may take.
-
-With 1,024 descriptors these are 362: more than a relay of 360 instances in
-three zones has members, with two connections each.
-"""
-
 MAX_STOP_RESERVE_MS = 900
 """Most time that is reserved at the end of the stop time-out.
 
@@ -597,10 +589,7 @@
         max_descriptors = self.settings.max_descriptors
         max_connections = MAX_PROBE_CONNECTIONS
         if is_for_peers:
-            free = max_descriptors - frontend_lib.RESERVED_DESCRIPTORS
-            max_connections = max(
-                MIN_PEER_CONNECTIONS, round(PEER_CONNECTIONS_FRACTION * free)
-            )
+            max_connections = frontend_lib.max_connections(max_descriptors)
         return connection_limit.ConnectionLimit(
             max_connections,
             is_short=lambda: frontend_lib.is_short(self.loop, max_descriptors),
