Remove cancelled timers before they are due

What callers would have seen: a client that sends a body in single bytes makes a process allocate a timer with each read. At the address of peers, a cancelled timer stayed for 60 s, so that memory grew with the number of reads.

Cause: the loop dropped cancelled timers only when they became the next ones.

They are removed when there are twice as many timers as after the last removal, 4,096 at least.

--- a/packages/bambooglade/bambooglade/eventloop/loop.py
+++ b/packages/bambooglade/bambooglade/eventloop/loop.py
@@ -22,6 +22,14 @@
 MIN_STANDSTILL_MS = 200
 """Time without processor from which the process has stood still."""
 
+MIN_COMPACTED_TIMERS = 4_096
+"""Timers from which those that were cancelled are removed.
+
+A connection cancels and starts a timer with each read. Cancelled ones would
+stay for their whole delay, and clients that send single bytes would fill the
+memory with them.
+"""
+
 _MAX_WAIT_MS = 60_000
 _MS_PER_S = 1_000
 
@@ -84,6 +92,7 @@
 
     __slots__ = (
         "_clock",
+        "_compact_at",
         "_order",
         "_selector",
         "_timers",
@@ -96,6 +105,7 @@
         self._clock = clock
         self._selector = selectors.DefaultSelector()
         self._timers: list[tuple[int, int, Timer]] = []
+        self._compact_at = MIN_COMPACTED_TIMERS
         self._order = itertools.count()
         self._woken_at_ms = clock.now_ms()
         self.byte_budget = byte_budget_lib.ByteBudget(now_ms=clock.now_ms)
@@ -129,8 +139,18 @@
         due_ms = self.now_ms() + max(0, round(delay_ms))
         timer = Timer(due_ms, callback, arguments)
         heapq.heappush(self._timers, (due_ms, next(self._order), timer))
+        if len(self._timers) > self._compact_at:
+            self._remove_cancelled_timers()
         return timer
 
+    def _remove_cancelled_timers(self) -> None:
+        """Removes them, at a cost that is small for each timer started."""
+        self._timers = [
+            entry for entry in self._timers if not entry[2].is_cancelled
+        ]
+        heapq.heapify(self._timers)
+        self._compact_at = max(MIN_COMPACTED_TIMERS, 2 * len(self._timers))
+
     def watch(self, sock: socket.socket, events: int, callback: Callback):
         """Registers a callback for the readiness of a socket.
 
--- a/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
+++ b/packages/bambooglade/bambooglade/eventloop/tests/test_loop.py
@@ -443,3 +443,21 @@
     monkeypatch.setattr(connection_lib.socket, "socket", raise_too_many_files)
     connection_lib.connect(loop, ("127.0.0.1", 80), handler)
     loop.run(until=lambda: handler.lost_count)
+
+
+def test_cancelled_timers_do_not_stay_until_they_are_due():
+    """Guards against memory that grows with each read of a connection."""
+    loop = loop_lib.EventLoop(clock_lib.Clock())
+    kept = loop.call_later(60_000, lambda: None)
+    for _ in range(5 * loop_lib.MIN_COMPACTED_TIMERS):
+        loop.call_later(60_000, lambda: None).cancel()
+    assert len(loop._timers) <= loop_lib.MIN_COMPACTED_TIMERS + 1
+    assert not kept.is_cancelled
+    assert any(timer is kept for _, _, timer in loop._timers)
+    done = []
+    for delay_ms in (3, 1, 2):
+        loop.call_later(delay_ms, done.append, delay_ms)
+    loop._remove_cancelled_timers()
+    loop.run(until=lambda: len(done) == 3)
+    assert done == [1, 2, 3]
+    loop.close()
