--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_uncontrolled_clients.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_uncontrolled_clients.py
@@ -12,9 +12,6 @@
 from __future__ import annotations
 
 import contextlib
-import fcntl
-import pathlib
-import tempfile
 
 import msgspec
 import pytest
@@ -41,37 +38,7 @@
 
 ADDRESSES = ("callers", "peers", "forwarding", "readiness", "metrics")
 
-RED = frozenset(
-    {
-        ("callers", True, "one-byte chunks"),
-        ("callers", True, "two-byte chunks"),
-        ("callers", True, "unfinished heads"),
-        ("callers", True, "connections"),
-        ("callers", False, "one-byte chunks"),
-        ("callers", False, "two-byte chunks"),
-        ("callers", False, "unfinished heads"),
-        ("callers", False, "connections"),
-        ("peers", False, "one-byte chunks"),
-        ("peers", False, "two-byte chunks"),
-        ("peers", False, "unfinished heads"),
-        ("peers", False, "connections"),
-        ("forwarding", False, "one-byte chunks"),
-        ("forwarding", False, "two-byte chunks"),
-        ("forwarding", False, "unfinished heads"),
-        ("forwarding", False, "connections"),
-        ("readiness", False, "one-byte chunks"),
-        ("readiness", False, "two-byte chunks"),
-        ("readiness", False, "unfinished heads"),
-        ("readiness", False, "connections"),
-        ("metrics", False, "one-byte chunks"),
-        ("metrics", False, "two-byte chunks"),
-        ("metrics", False, "unfinished heads"),
-        ("metrics", False, "connections"),
-        ("callers", True, "whole bodies"),
-        ("callers", True, "pipelined large requests"),
-        ("callers", True, "pipelined requests with many fields"),
-    }
-)
+RED: frozenset[tuple[str, bool, str]] = frozenset()
 """Address, whether clients have a key, and attack of known faults."""
 
 
@@ -89,15 +56,6 @@
                 )
 
 
-@contextlib.contextmanager
-def only_one():
-    """Waits until no other process runs a test of this kind."""
-    path = pathlib.Path(tempfile.gettempdir()) / "uncontrolled-clients.lock"
-    with path.open("w") as file:
-        fcntl.flock(file, fcntl.LOCK_EX)
-        yield
-
-
 def configuration() -> bytes:
     """Returns the configuration of the tests, with their limits of callers."""
     document = msgspec.json.decode(
@@ -122,7 +80,7 @@
 
 @pytest.fixture
 def harness():
-    with only_one():
+    with clients.only_one():
         built = harness_lib.PlatformHarness()
         built.configure(configuration())
         built.add_engine("p1", "portal", default=respond, slots=64)
--- a/packages/bambooglade/bambooglade/gateway/frontend.py
+++ b/packages/bambooglade/bambooglade/gateway/frontend.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bambooglade.eventloop import connection as connection_lib
+from bambooglade.eventloop import connection_limit
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.gateway import configuration as configuration_lib
 from bambooglade.gateway import context as context_lib
@@ -30,6 +31,12 @@
 RESERVED_DESCRIPTORS = 300
 """Descriptors that are reserved for files, targets, peers and the store."""
 
+MIN_CONNECTIONS = 64
+"""Connections of an address whatever the limit of descriptors."""
+
+SPARE_DESCRIPTORS = 64
+"""Descriptors that no accepted connection may take, whatever its address."""
+
 PEER_IDLE_TIMEOUT_MS = 60_000
 """Idle time after which a connection of a peer is closed.
 
@@ -37,6 +44,13 @@
 meets the end of its connection.
 """
 
+MAX_READ_AHEAD_BYTES = 65_536
+"""Memory of requests behind the one that is served, from which no more is read.
+
+It holds a read of ordinary pipelined requests. A caller that has sent more, and
+leaves, is noticed only when the response is sent.
+"""
+
 _CLOSE = (b"Connection", b"close")
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -48,6 +62,9 @@
         context: State that all requests share.
         address: Address to listen on.
         is_for_peers: Whether the requests are those that peers hand over.
+
+    Attributes:
+        limit: Bounds the connections.
     """
 
     __slots__ = (
@@ -55,8 +72,8 @@
         "_context",
         "_is_draining",
         "_listener",
-        "_max_connections",
         "is_for_peers",
+        "limit",
     )
 
     def __init__(
@@ -70,8 +87,12 @@
         self.is_for_peers = is_for_peers
         self._connections: set[CallerConnection] = set()
         self._is_draining = False
-        self._max_connections = max(
-            64, context.settings.max_descriptors - RESERVED_DESCRIPTORS
+        max_descriptors = context.settings.max_descriptors
+        self.limit: connection_limit.ConnectionLimit[CallerConnection] = (
+            connection_limit.ConnectionLimit(
+                max_connections(max_descriptors),
+                is_short=lambda: is_short(context.loop, max_descriptors),
+            )
         )
         self._listener = connection_lib.Listener(
             context.loop, address, self._accept
@@ -124,17 +145,17 @@
     def remove(self, connection: CallerConnection) -> None:
         """Removes a connection that was closed."""
         self._connections.discard(connection)
+        self.limit.remove(connection)
 
     def _accept(self, sock: socket.socket) -> None:
-        if len(self._connections) >= self._max_connections:
-            self._context.log.event(
-                "connection_refused",
-                reason="too many connections",
-                open=len(self._connections),
-            )
+        if not self.limit.try_make_room(
+            lambda oldest: oldest.close(cause="too_many_connections")
+        ):
             sock.close()
             return
-        self._connections.add(CallerConnection(self._context, self, sock))
+        connection = CallerConnection(self._context, self, sock)
+        self._connections.add(connection)
+        self.limit.add(connection)
 
     def __repr__(self) -> str:
         return f"Frontend(connections={len(self._connections)})"
@@ -156,9 +177,13 @@
         "_frontend",
         "_is_closing",
         "_is_continue_handled",
+        "_is_paused",
+        "_kept_share",
         "_parser",
+        "_queued_bytes",
         "_queued_requests",
         "_request",
+        "_resumed_at_ms",
         "_share",
         "_timer",
     )
@@ -182,10 +207,13 @@
         self._queued_requests: collections.deque[messages.Request] = (
             collections.deque()
         )
+        self._queued_bytes = 0
         self._request: messages.Request | None = None
-        self._share = context.loop.byte_budget.open(
-            lambda: context.loop.call_later(0, self._discard_request)
-        )
+        self._is_paused = False
+        self._resumed_at_ms = 0
+        budget = context.loop.byte_budget
+        self._share = budget.open(self._give_up)
+        self._kept_share = budget.open(lambda: None)
         self._exchange: exchange_lib.Exchange | None = None
         self._is_closing = False
         self._is_continue_handled = False
@@ -216,20 +244,24 @@
 
     def received(self, data: bytes) -> None:
         """Parses received bytes, and starts the requests that are complete."""
-        if self._is_closing:
+        if self._is_closing or self._share.is_discarded:
             return
         try:
             for request in self._parser.feed(data, now_ms=self.now_ms()):
                 self._is_continue_handled = False
                 self._queued_requests.append(request)
+                self._queued_bytes += request.held_bytes
         except request_parser.RejectedRequestError as error:
             self._reject(error.status, str(error))
             return
+        was_idle = self._exchange is None
+        if was_idle:
+            self._start_queued_requests()
         if not self._share.resize(self._held_bytes):
             return
-        if self._exchange is None:
-            self._start_queued_requests()
+        if was_idle:
             self._start_timer()
+        self._update_reading()
         if self._parser.expects_continue and not self._is_continue_handled:
             self._is_continue_handled = True
             if self._exchange is None:
@@ -237,12 +269,33 @@
 
     @property
     def _held_bytes(self) -> int:
-        """Bytes of the request that is served, and of those after it."""
-        requests = [*self._queued_requests]
-        if self._exchange is not None:
-            requests.append(self._request)
-        bodies = sum(len(request.body) for request in requests)
-        return self._parser.held_bytes + bodies
+        """Memory of the requests behind the one that is served."""
+        return self._parser.held_bytes + self._queued_bytes
+
+    def _update_reading(self) -> None:
+        """Stops reading while enough requests wait, and resumes afterwards."""
+        is_paused = (
+            self._exchange is not None
+            and self._held_bytes > MAX_READ_AHEAD_BYTES
+        )
+        if is_paused != self._is_paused:
+            self._is_paused = is_paused
+            self._resumed_at_ms = self.now_ms()
+            self._connection.pause_reading(is_paused=is_paused)
+
+    def _clear_queue(self) -> None:
+        self._queued_requests.clear()
+        self._queued_bytes = 0
+
+    def _give_up(self) -> None:
+        """Lets go of what was received, and refuses it in the next step.
+
+        Many connections may be given up in one step of the loop, so that their
+        memory is needed before it.
+        """
+        self._clear_queue()
+        self._parser.close()
+        self._context.loop.call_later(0, self._discard_request)
 
     def _discard_request(self) -> None:
         """Rejects the longest request, so that others can be received."""
@@ -289,9 +342,10 @@
     def _disconnect(self, *, cause: str) -> None:
         self._is_closing = True
         self._cancel_timer()
-        self._queued_requests.clear()
+        self._clear_queue()
         self._request = None
         self._share.close()
+        self._kept_share.close()
         self._parser.close()
         self._frontend.remove(self)
         exchange, self._exchange = self._exchange, None
@@ -307,6 +361,7 @@
         ):
             self._cancel_timer()
             self._request = self._queued_requests.popleft()
+            self._queued_bytes -= self._request.held_bytes
             if not self._keep_request():
                 return
             try:
@@ -317,11 +372,12 @@
                 )
                 return
             self._exchange = exchange
+            self._frontend.limit.start_request(self)
             exchange.start()
 
     def _keep_request(self) -> bool:
         """Reserves memory for the request, or rejects it."""
-        if not self._request.body or self._share.try_keep():
+        if self._kept_share.try_keep(self._request.held_bytes):
             return True
         self._discard_request()
         return False
@@ -389,11 +445,11 @@
         return fields
 
     def _end_response(self) -> None:
+        self._frontend.limit.end_request(self)
         self._exchange = None
         self._request = None
-        if self._share.is_kept:
-            self._share.release()
-            self._share.resize(self._held_bytes)
+        if self._kept_share.is_kept:
+            self._kept_share.release()
         if self._is_closing:
             self._close_gracefully()
             return
@@ -402,15 +458,20 @@
     def _resume(self) -> None:
         if self._connection.is_open and self._exchange is None:
             self._start_queued_requests()
+            self._share.resize(self._held_bytes)
             self._start_timer()
+            self._update_reading()
 
     def _close_gracefully(self) -> None:
         """Shuts down sending, so that the caller reads the whole response.
 
         The connection is closed when the caller closes it, or after a time-out.
         """
-        self._queued_requests.clear()
+        self._clear_queue()
+        self._share.close()
+        self._parser.close()
         self._cancel_timer()
+        self._update_reading()
         self._connection.finish()
         self._close_later(LINGERING_CLOSE_MS)
 
@@ -445,7 +506,9 @@
         self._context.log.event(
             "request_rejected", status=status, detail=detail
         )
-        self._queued_requests.clear()
+        self._clear_queue()
+        self._share.close()
+        self._parser.close()
         if self._exchange is None:
             self._connection.send(
                 messages.encode_response(
@@ -455,8 +518,6 @@
                 )
             )
             self._is_closing = True
-            self._share.close()
-            self._parser.close()
             self._close_gracefully()
         else:
             self._is_closing = True
@@ -482,7 +543,9 @@
             )
             self._close_later(idle_timeout_ms)
             return
-        due_ms = started_at_ms + limits.header_timeout_ms
+        due_ms = (
+            max(started_at_ms, self._resumed_at_ms) + limits.header_timeout_ms
+        )
         self._timer = self._context.loop.call_later(
             due_ms - self.now_ms(), self._request_timed_out
         )
@@ -501,6 +564,20 @@
         return f"CallerConnection(busy={self.is_busy})"
 
 
+def max_connections(max_descriptors: int) -> int:
+    """Returns the most connections of callers, or of peers.
+
+    With 1,024 descriptors these are 724: two for each peer of a large fleet.
+    """
+    return max(MIN_CONNECTIONS, max_descriptors - RESERVED_DESCRIPTORS)
+
+
+def is_short(loop: loop_lib.EventLoop, max_descriptors: int) -> bool:
+    """Returns whether the process has only its spare descriptors left."""
+    spare = min(SPARE_DESCRIPTORS, max_descriptors // 8)
+    return loop.watched_count >= max_descriptors - spare
+
+
 def _parser_limits(
     limits: configuration_lib.ClientLimits, *, extra_header_bytes: int
 ) -> request_parser.RequestLimits:
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -18,6 +18,7 @@
 from bambooglade.discovery import targets as targets_lib
 from bambooglade.discovery import view as view_lib
 from bambooglade.eventloop import connection as connection_lib
+from bambooglade.eventloop import connection_limit
 from bambooglade.eventloop import http_client
 from bambooglade.eventloop import http_server
 from bambooglade.eventloop import loop as loop_lib
@@ -29,6 +30,7 @@
 from bambooglade.gateway import context as context_lib
 from bambooglade.gateway import forwarding_peers as forwarding_peers_lib
 from bambooglade.gateway import frontend as frontend_lib
+from bambooglade.gateway import given_up_clients
 from bambooglade.gateway import leaving_replication
 from bambooglade.gateway import limit_replication
 from bambooglade.gateway import origin_archive
@@ -63,6 +65,9 @@
 It notices after two failed readiness checks, which are 1 s apart.
 """
 
+MAX_PROBE_CONNECTIONS = 64
+"""Most connections for readiness, and for metrics; few clients ask for them."""
+
 MAX_STOP_RESERVE_MS = 900
 """Most time that is reserved at the end of the stop time-out.
 
@@ -623,7 +628,14 @@
             settings.metrics_address: self._handle_metrics,
         }
         self._servers = [
-            http_server.HttpServer(self.loop, address, handler)
+            http_server.HttpServer(
+                self.loop,
+                address,
+                handler,
+                limit=self._connection_limit(
+                    is_for_peers=address == settings.peer_address
+                ),
+            )
             for address, handler in handler_by_address.items()
         ]
         self._frontends = [
@@ -637,6 +649,12 @@
                     is_for_peers=True,
                 )
             )
+        self._given_up_clients = given_up_clients.GivenUpClients(
+            self.loop.byte_budget,
+            [each.limit for each in (*self._servers, *self._frontends)],
+            metrics=self._metrics,
+            log=self._log,
+        )
         for component in self._components:
             component.start()
         self.loop.call_later(MAINTENANCE_INTERVAL_MS, self._run_maintenance)
@@ -664,6 +682,18 @@
                 link_wait_ms=self.loop.link.wait_ms(now_ms),
             )
 
+    def _connection_limit(
+        self, *, is_for_peers: bool
+    ) -> connection_limit.ConnectionLimit:
+        max_descriptors = self.settings.max_descriptors
+        max_connections = MAX_PROBE_CONNECTIONS
+        if is_for_peers:
+            max_connections = frontend_lib.max_connections(max_descriptors)
+        return connection_limit.ConnectionLimit(
+            max_connections,
+            is_short=lambda: frontend_lib.is_short(self.loop, max_descriptors),
+        )
+
     def _handle_readiness(self, request: messages.Request) -> http_server.Reply:
         del request
         return http_server.Reply(200 if self.is_ready else 503)
@@ -712,11 +742,19 @@
         self._metrics.set_gauge(
             metrics_lib.QUARANTINES, len(self.quarantine.suspicions.quarantines)
         )
+        self._metrics.set_gauge(
+            metrics_lib.HELD_BYTES, self.loop.byte_budget.held_bytes
+        )
+        self._metrics.set_gauge(
+            metrics_lib.ACCEPTED_CONNECTIONS,
+            self._given_up_clients.connections,
+        )
         rendered = self._metrics.render()
         return http_server.Reply(200, rendered.body, rendered.content_type)
 
     def _run_maintenance(self) -> None:
         now_ms = self.loop.now_ms()
+        self._given_up_clients.report()
         self.view.expire_lapsed_targets(now_ms)
         self._observe_versions()
         self.quarantine.evict_expired()
