Measure first events of short prompts beside long ones

The routing experiments had prompts of one size and one rate of engines, so that neither the delay by long prompts nor a wrong rate showed.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -17,6 +17,7 @@
 from benchmarks import cutoff_reserve
 from benchmarks import edit_propagation
 from benchmarks import gossip_cost
+from benchmarks import long_prompts
 from benchmarks import router_cost
 from benchmarks import routing_policy
 from benchmarks import service_calls
@@ -29,6 +30,7 @@
     "routing_policy": routing_policy.lines,
     "router_cost": router_cost.lines,
     "status_flood": status_flood.lines,
+    "long_prompts": long_prompts.lines,
     "edit_propagation": edit_propagation.lines,
     "gossip_cost": gossip_cost.lines,
     "service_calls": service_calls.lines,
