Ignore nonsensical numbers of requests that a target reports

A target that reported 10^14 waiting requests was avoided, and its responses taught the whole service that waiting requests cost nothing, so that queues of other targets no longer counted.

Change: a report of more than 10,000 requests counts as none.

Evidence: a test in gateway/tests/test_target_selector.py.

--- a/packages/bambooglade/bambooglade/gateway/target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/target_selector.py
@@ -73,6 +73,12 @@
 Half of the penalty for another availability zone.
 """
 
+MAX_REPORTED_REQUESTS = 10_000
+"""Number of requests above which a reported load is ignored as nonsensical.
+
+One such report would make waiting requests seem to cost nothing.
+"""
+
 SUSPECT_PERIOD_MS = 1_500
 """How long a target is avoided after a failed connection attempt."""
 
@@ -664,7 +670,8 @@
     ) -> None:
         """Records the load that a target reported in a response."""
         load = self._load_by_target[target_id]
-        load.reported = reported
+        held = reported.running + reported.waiting
+        load.reported = reported if held <= MAX_REPORTED_REQUESTS else None
         load.reported_at_ms = now_ms
         load.started_since_report = 0
         self.model.record_slowdown(target_id, reported.slowdown, now_ms=now_ms)
--- a/packages/bambooglade/bambooglade/gateway/tests/test_target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_target_selector.py
@@ -11,6 +11,7 @@
 from bambooglade.gateway import event_stream
 from bambooglade.gateway import metadata
 from bambooglade.gateway import target_selector as target_selector_lib
+from bambooglade.scheduling import engine_model
 
 
 def make_target(name: str, zone: str = "z1", **kwargs):
@@ -414,3 +415,28 @@
         )
         selector.record_end("a", f"r{number}")
     assert choose(selector, ready, prompt).predicted_ms == before
+
+
+def test_nonsensical_load_is_neither_believed_nor_learned_from():
+    selector = target_selector_lib.TargetSelector("z1")
+    ready = [make_target("a")]
+    prompt = metadata.Prompt(input_tokens=600, max_output_tokens=9)
+    before_ms = choose(selector, ready, prompt).predicted_ms
+    load = metadata.ReportedLoad(running=10**14, waiting=10**14, slots=8)
+    for number in range(30):
+        selector.record_load("a", load, now_ms=0)
+        choice = choose(selector, ready, prompt)
+        assert choice.predicted_ms < 2 * before_ms
+        selector.record_dispatch(
+            "a", f"r{number}", choice=choice, prompt=prompt, now_ms=0
+        )
+        selector.record_first_byte(
+            "a",
+            f"r{number}",
+            took_ms=round(before_ms),
+            predicted_ms=choice.predicted_ms,
+            now_ms=0,
+        )
+        selector.record_end("a", f"r{number}")
+    per_waiting = selector.model.service("s").coefficients[-1]
+    assert per_waiting == engine_model.START_COEFFICIENTS[-1]
