Let equal targets take turns, and size the targets of long prompts better

In test_requested_pauses.py, 2 of 11 repetitions ended with a 503 for a caller: equal targets were chosen at random, so that a burst could miss one of three. Requests of a fast plain service all went to the own zone. Long prompts of large fleets had too few targets.

Cause: random ties; balancing by the learned duration, which falls far below the penalty for another zone; the share of long prompts was counted with 200 tokens for the other work of each request.

Change: a target that got an own request in the last 200 ms comes after equal ones, and the rest is random.

Evidence: the tests of the selector, of scheduling/ and of benchmarks/tests/test_long_prompts.py pass.

--- a/packages/bambooglade/bambooglade/gateway/target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/target_selector.py
@@ -9,8 +9,9 @@
 those without model engines, have few slots. Their requests go to the target
 with the fewest requests in flight, preferably in the same availability zone.
 
-How long targets take is learned from responses. Nearly equal targets are chosen
-at random, since many instances see the same reports.
+How long targets take is learned from responses. Nearly equal targets take
+turns, in an order that is random at each instance, since many see the same
+reports.
 """
 
 from __future__ import annotations
@@ -67,11 +68,11 @@
 An instance knows little of most targets, and all would find the same one best.
 """
 
-MAX_JITTER_MS = 2.0
-"""Difference up to which targets count as equal.
+MAX_TIE_MS = 1.0
+"""Difference up to which targets count as equal, and take turns."""
 
-Half of the penalty for another availability zone.
-"""
+TURN_MS = 200
+"""Time for which a target comes after equal ones that got no request."""
 
 MAX_REPORTED_REQUESTS = 10_000
 """Number of requests above which a reported load is ignored as nonsensical.
@@ -172,6 +173,7 @@
 
     Attributes:
         own_running: Number of requests of this instance in flight.
+        dispatched_at_ms: Time of the last own request; None for none.
         choice_by_attempt: Choices of own requests that have not received a
             first byte.
         pending_tokens: Prompt tokens that the target has to process for them.
@@ -183,6 +185,7 @@
 
     __slots__ = (
         "choice_by_attempt",
+        "dispatched_at_ms",
         "own_running",
         "pending_since_ms",
         "pending_tokens",
@@ -193,6 +196,7 @@
 
     def __init__(self) -> None:
         self.own_running = 0
+        self.dispatched_at_ms: int | None = None
         self.choice_by_attempt: dict[str, tuple[TargetChoice, int]] = {}
         self.pending_tokens = 0
         self.pending_since_ms = 0
@@ -248,7 +252,8 @@
         limits: Request limits of the targets; None for a single instance.
         pauses: Pauses that targets have requested; None for none.
         brittle: Brittle targets; None for none.
-        random_source: Random numbers, other ones than those of other instances.
+        random_source: Random numbers, other ones than those of other instances;
+            None to prefer the first of equal targets.
 
     Attributes:
         model: What was learned about how long targets take.
@@ -260,6 +265,7 @@
         "_breakers",
         "_brittle",
         "_failures",
+        "_is_tie_random",
         "_limits",
         "_load_by_target",
         "_pauses",
@@ -284,6 +290,7 @@
         self.model = engine_model.EngineModel()
         self._placement = placement_lib.Placement()
         self._random = random_source or random.Random(0)
+        self._is_tie_random = random_source is not None
         self._availability_zone = availability_zone
         self._limits = limits or request_limits.RequestLimits(
             lambda target_id: request_limits.SenderRank(0, 1)
@@ -366,9 +373,14 @@
 
         def cost_ms(prediction: _Prediction) -> float:
             work = prediction.work
-            busy_ms = model.request_ms * (work.running + work.waiting)
+            # A fast service is balanced like one of usual speed. Otherwise the
+            # targets of the own zone would get all of a burst.
+            request_ms = max(model.request_ms, engine_model.START_REQUEST_MS)
+            busy_ms = request_ms * (work.running + work.waiting)
             return (
-                prediction.total_ms + busy_ms / work.slots + self._jitter_ms()
+                prediction.total_ms
+                + busy_ms / work.slots
+                + self._tie_ms(prediction.target.target_id, now_ms)
             )
 
         best = min(
@@ -412,7 +424,11 @@
                 prediction.target.target_id,
                 model.work_ms(prediction.work.uncached_tokens),
             )
-            return prediction.total_ms + caused_ms + self._jitter_ms()
+            return (
+                prediction.total_ms
+                + caused_ms
+                + self._tie_ms(prediction.target.target_id, now_ms)
+            )
 
         def predict(target: targets_lib.RegisteredTarget) -> _Prediction:
             is_preferred = target.target_id in has_part
@@ -435,8 +451,20 @@
         )
         return choice
 
-    def _jitter_ms(self) -> float:
-        return MAX_JITTER_MS * self._random.random()
+    def _tie_ms(self, target_id: str, now_ms: int) -> float:
+        """Returns a term by which equal targets take turns.
+
+        The order is random, so that instances differ, but the targets that just
+        got a request of this instance come last.
+        """
+        at_ms = self._load_by_target[target_id].dispatched_at_ms
+        recent_ms = 0.0
+        if at_ms is not None:
+            left = 1.0 - (now_ms - at_ms) / TURN_MS
+            recent_ms = MAX_TIE_MS * max(0.0, left)
+        if not self._is_tie_random:
+            return recent_ms
+        return recent_ms + 0.1 * MAX_TIE_MS * self._random.random()
 
     def _forget_previous_runs(
         self, ready: Sequence[targets_lib.RegisteredTarget]
@@ -620,6 +648,7 @@
         """Records that a request was dispatched to a target."""
         load = self._load_by_target[target_id]
         load.own_running += 1
+        load.dispatched_at_ms = now_ms
         load.started_since_report += 1
         tokens = 0
         if prompt is not None:
--- a/packages/bambooglade/bambooglade/gateway/tests/test_target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_target_selector.py
@@ -362,7 +362,9 @@
 
 
 def test_short_prompt_avoids_a_target_that_processes_a_long_one_of_ours():
-    selector = target_selector_lib.TargetSelector("z1")
+    selector = target_selector_lib.TargetSelector(
+        "z1", random_source=random.Random(1)
+    )
     ready = [make_target(name) for name in "ab"]
     long_prompt = metadata.Prompt(input_tokens=60_000, max_output_tokens=9)
     first = choose(selector, ready, long_prompt)
--- a/packages/bambooglade/bambooglade/scheduling/placement.py
+++ b/packages/bambooglade/bambooglade/scheduling/placement.py
@@ -58,8 +58,11 @@
 MEMORY = 400
 """Number of requests after which the weight of one has fallen to 1/e."""
 
-MIN_TOKENS = 200
-"""Tokens whose processing takes as long as the fixed work of a request."""
+REQUEST_TOKENS = 100
+"""Tokens whose processing takes as long as the other work of a request.
+
+Each generated token makes the steps between the chunks of prompts longer.
+"""
 
 OBJECTIVE_PERIOD_MS = 60_000
 """Time for which an objective counts at least after its last request."""
@@ -182,7 +185,7 @@
         """
         self._mix(service).record(
             part_id,
-            tokens=tokens + MIN_TOKENS,
+            tokens=tokens + REQUEST_TOKENS,
             work_ms=work_ms,
             target_latency_ms=target_latency_ms,
             now_ms=now_ms,
