--- a/packages/bambooglade/bambooglade/router/metrics.py
+++ b/packages/bambooglade/bambooglade/router/metrics.py
@@ -36,6 +36,8 @@
 HELD_BYTES = "bambooglade_held_bytes"
 ACCEPTED_CONNECTIONS = "bambooglade_accepted_connections"
 GIVEN_UP_CLIENTS_TOTAL = "bambooglade_given_up_clients_total"
+PREDICTION_ERROR = "bambooglade_prediction_error_ratio"
+PREDICTIONS_OFF = "bambooglade_predictions_off_ratio"
 QUARANTINES = "bambooglade_quarantined_prompts"
 LINK_WAIT_MS = "bambooglade_link_wait_ms"
 OUT_OF_ROTATION = "bambooglade_out_of_rotation"
@@ -222,6 +224,8 @@
         EVACUATED_ZONE_REQUESTS: "Requests that still run in such zones.",
         BRITTLE_SERVICES: "Services whose targets bear few rejections.",
         COLD_TARGETS: "Targets that get few requests since they are cold.",
+        PREDICTION_ERROR: "Usual error of predicted first events.",
+        PREDICTIONS_OFF: "Share of them that is off by more than half.",
         WAITING_REQUESTS: "Requests that wait for room at such a target.",
         HELD_BYTES: "Memory that messages take which are received or sent.",
         ACCEPTED_CONNECTIONS: "Open connections that clients opened.",
