Run the tests of uncontrolled clients by themselves

They measure the memory of a process and ask for an answer under a crowd, so that they run one at a time after the other tests, apart from their load.

--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,8 @@
 	$(BIN)/ruff format -q .
 
 unit: env ## Run the tests and the doctests.
-	$(BIN)/python -m pytest -n 8 --dist worksteal
+	$(BIN)/python -m pytest -n 8 --dist worksteal -m "not isolated"
+	$(BIN)/python -m pytest -m isolated
 
 test: check unit ## Run all checks and tests.
 
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_uncontrolled_clients.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_uncontrolled_clients.py
@@ -20,6 +20,8 @@
 from bambooglade_standins.users_platform import platform_harness as harness_lib
 from bambooglade_standins.users_platform import uncontrolled_clients as clients
 
+pytestmark = pytest.mark.isolated
+
 KNOWN_RED = pytest.mark.xfail(reason="see KNOWN-RED.txt", strict=True)
 
 START_BOUND_MS = 20_000
--- a/packages/bambooglade/bambooglade/router/tests/test_uncontrolled_clients.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_uncontrolled_clients.py
@@ -21,6 +21,8 @@
 from bambooglade.transport import peers
 from bambooglade_standins.users_platform import uncontrolled_clients as clients
 
+pytestmark = pytest.mark.isolated
+
 MEMORY_MB = 300
 """Memory of a machine; the router has no setting for it."""
 
