Let a busy instance borrow rights for its next half second

Cause: an instance that is no home of a team borrows exactly what one request lacks.

Change: if two or more of the largest requests are expected within 500 ms, the loan asks for that demand on top. A lender adds it if it has lent all that the request needs, and at most a tenth of what it has left, so that what waits goes first. It counts as demand of the lender, and what stays idle is repaid as before. A lender of an earlier build ignores it.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_rights_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_rights_fleet.py
@@ -36,10 +36,18 @@
         self._name = name
 
     def borrow(
-        self, team: str, tokens: int, received, *, only_homes: bool = False
+        self,
+        team: str,
+        tokens: int,
+        received,
+        *,
+        only_homes: bool = False,
+        ahead_tokens: int = 0,
     ) -> futures.Future:
         """Requests a loan from peers, as `LendingClient` does."""
-        return tasks.spawn(self._borrow(team, tokens, received, only_homes))
+        return tasks.spawn(
+            self._borrow(team, tokens, received, only_homes, ahead_tokens)
+        )
 
     def repayment_home(self, team: str) -> peers_lib.Peer | None:
         """Returns the home that receives repayments, as `LendingClient` does.
@@ -65,7 +73,12 @@
             instance.rights_manager.apply_repayment(tokens_by_team)
 
     def _borrow(
-        self, team: str, tokens: int, received, only_homes: bool
+        self,
+        team: str,
+        tokens: int,
+        received,
+        only_homes: bool,
+        ahead_tokens: int,
     ) -> tasks.Task:
         loan = lending.BorrowResult()
         loan.includes_all_homes = not only_homes
@@ -79,7 +92,7 @@
             if self._fleet.are_peers_partitioned:
                 continue
             lent = yield instance.rights_manager.lend(
-                team, tokens - loan.tokens
+                team, tokens - loan.tokens, ahead_tokens=ahead_tokens
             )
             if self._fleet.are_loan_responses_lost:
                 continue
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_spending_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_spending_fleet.py
@@ -164,7 +164,9 @@
 
     def _lend(self, body: bytes) -> tasks.Task:
         request = msgspec.json.decode(body, type=lending.LoanRequest)
-        tokens = yield self.rights.lend(request.team, request.tokens)
+        tokens = yield self.rights.lend(
+            request.team, request.tokens, ahead_tokens=request.ahead_tokens
+        )
         return msgspec.json.encode(
             lending.LoanResponse(
                 tokens=tokens,
--- a/packages/bambooglade/bambooglade/gateway/peer_api.py
+++ b/packages/bambooglade/bambooglade/gateway/peer_api.py
@@ -243,7 +243,9 @@
         return http_server.Reply(200, b"{}")
 
     def _lend(self, request: lending.LoanRequest) -> tasks.Task:
-        lent = yield self._rights.lend(request.team, request.tokens)
+        lent = yield self._rights.lend(
+            request.team, request.tokens, ahead_tokens=request.ahead_tokens
+        )
         available = self._rights.available_tokens(request.team)
         if lent:
             self._log.event(
--- a/packages/bambooglade/bambooglade/rights/account.py
+++ b/packages/bambooglade/bambooglade/rights/account.py
@@ -25,6 +25,21 @@
 LARGEST_REQUEST_DECAY = 0.9
 """Factor by which each new request reduces the recorded largest request."""
 
+AHEAD_HORIZON_MS = 500
+"""Period for whose demand a busy instance borrows ahead.
+
+What it holds for that long is lost if it is killed.
+"""
+
+MIN_AHEAD_REQUESTS = 2
+"""Expected requests in that period from which an instance borrows ahead.
+
+Fewer would leave rights idle at many instances.
+"""
+
+MAX_AHEAD_FRACTION = 0.1
+"""Largest part of what a lender has left that it lends ahead."""
+
 STOCK_HORIZON_MS = 9_000
 """Period for which `outage_demand_tokens` estimates the demand.
 
@@ -166,6 +181,42 @@
             self._record_demand(lent, now_ms)
         return lent
 
+    def lend_ahead(
+        self, requested_tokens: int, *, now_ms: int, counts_as_demand: bool
+    ) -> int:
+        """Transfers rights for requests that a peer expects soon.
+
+        A lender that has little left keeps it for requests that wait.
+
+        Args:
+            requested_tokens: Tokens that the peer expects to need.
+            now_ms: Current time.
+            counts_as_demand: As for `lend`.
+
+        Returns:
+            The number of tokens.
+        """
+        most = math.floor(MAX_AHEAD_FRACTION * max(0, self.available_tokens))
+        lent = max(0, min(requested_tokens, most))
+        self.lent_tokens += lent
+        if lent and counts_as_demand:
+            largest_tokens = self._largest_request_tokens
+            self._record_demand(lent, now_ms)
+            self._largest_request_tokens = largest_tokens
+        return lent
+
+    def ahead_tokens(self, *, now_ms: int) -> int:
+        """Returns the demand that is worth borrowing ahead.
+
+        Returns:
+            0 if few requests are expected.
+        """
+        expected = self._expected_demand(AHEAD_HORIZON_MS, now_ms)
+        is_busy = (
+            expected >= MIN_AHEAD_REQUESTS * self._largest_request_tokens > 0
+        )
+        return round(expected) if is_busy else 0
+
     def idle_tokens(
         self, *, now_ms: int, timeout_ms: int = IDLE_TIMEOUT_MS
     ) -> int:
--- a/packages/bambooglade/bambooglade/rights/lending.py
+++ b/packages/bambooglade/bambooglade/rights/lending.py
@@ -50,11 +50,14 @@
         team: Name of the team.
         tokens: Number of tokens requested.
         borrower: The requesting instance.
+        ahead_tokens: Further tokens for requests that the borrower expects
+            soon; 0 from an instance of an earlier build.
     """
 
     team: str
     tokens: int
     borrower: peers_lib.Peer
+    ahead_tokens: int = 0
 
 
 class LoanResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -181,6 +184,7 @@
         on_received: Callable[[int], None],
         *,
         only_homes: bool = False,
+        ahead_tokens: int = 0,
     ) -> futures.Future:
         """Queries peers one after the other until enough tokens are borrowed.
 
@@ -189,11 +193,14 @@
             tokens: Number of tokens to borrow.
             on_received: Called with the number of tokens of each loan.
             only_homes: Whether only the homes of the team are queried.
+            ahead_tokens: Further tokens that a lender with plenty may add.
 
         Returns:
             A future with a `BorrowResult`.
         """
-        return tasks.spawn(self._borrow(team, tokens, on_received, only_homes))
+        return tasks.spawn(
+            self._borrow(team, tokens, on_received, only_homes, ahead_tokens)
+        )
 
     def repay(self, peer: peers_lib.Peer, tokens_by_team: dict[str, int]):
         """Sends rights to a peer.
@@ -250,6 +257,7 @@
         tokens: int,
         on_received: Callable[[int], None],
         only_homes: bool,
+        ahead_tokens: int,
     ) -> tasks.Task:
         result = BorrowResult()
         ranked = self._ranked_peers(team, only_homes)
@@ -265,7 +273,7 @@
                 continue
             result.request_count += 1
             response = yield self._request_loan(
-                peer, team, tokens - result.tokens
+                peer, team, tokens - result.tokens, ahead_tokens
             )
             self._record_response(team, peer, response, result, on_received)
             if result.tokens >= tokens:
@@ -318,11 +326,14 @@
         return until_ms > self._loop.now_ms()
 
     def _request_loan(
-        self, peer: peers_lib.Peer, team: str, tokens: int
+        self, peer: peers_lib.Peer, team: str, tokens: int, ahead_tokens: int
     ) -> futures.Future:
         completion: futures.Future = futures.Future()
         request = LoanRequest(
-            team=team, tokens=tokens, borrower=self._local_instance
+            team=team,
+            tokens=tokens,
+            borrower=self._local_instance,
+            ahead_tokens=ahead_tokens,
         )
 
         def finish(done: futures.Future) -> None:
--- a/packages/bambooglade/bambooglade/rights/manager.py
+++ b/packages/bambooglade/bambooglade/rights/manager.py
@@ -163,15 +163,24 @@
         """
         self._account_by_team[team].settle(request_id, spent_tokens)
 
-    def lend(self, team: str, requested_tokens: int) -> futures.Future:
+    def lend(
+        self, team: str, requested_tokens: int, *, ahead_tokens: int = 0
+    ) -> futures.Future:
         """Lends rights to a peer, after a draw if the account has too few.
 
+        Args:
+            team: Name of the team.
+            requested_tokens: Tokens that a request waits for.
+            ahead_tokens: Further tokens, if there is plenty.
+
         Returns:
             A future with the number of tokens lent.
         """
-        return tasks.spawn(self._lend(team, requested_tokens))
+        return tasks.spawn(self._lend(team, requested_tokens, ahead_tokens))
 
-    def _lend(self, team: str, requested_tokens: int) -> tasks.Task:
+    def _lend(
+        self, team: str, requested_tokens: int, ahead_tokens: int
+    ) -> tasks.Task:
         if self._prepaid_of(team) is None:
             return 0
         account = self._account_by_team[team]
@@ -183,10 +192,15 @@
         ):
             draw = self._ledger_client.request_draw(team, requested_tokens)
             yield tasks.with_timeout(self._loop, draw, LEND_TIMEOUT_MS)
-        return account.lend(
-            requested_tokens,
-            now_ms=self._loop.now_ms(),
-            counts_as_demand=not self._homes.is_every_instance_home,
+        now_ms = self._loop.now_ms()
+        counts_as_demand = not self._homes.is_every_instance_home
+        lent = account.lend(
+            requested_tokens, now_ms=now_ms, counts_as_demand=counts_as_demand
+        )
+        if lent < requested_tokens:
+            return lent
+        return lent + account.lend_ahead(
+            ahead_tokens, now_ms=now_ms, counts_as_demand=counts_as_demand
         )
 
     def refresh_teams(self, teams: list[str]) -> None:
@@ -306,7 +320,11 @@
         account = self._account_by_team[team]
         missing_tokens = tokens - self.available_tokens(team)
         result = yield self._lending_client.borrow(
-            team, missing_tokens, account.borrow, only_homes=only_homes
+            team,
+            missing_tokens,
+            account.borrow,
+            only_homes=only_homes,
+            ahead_tokens=account.ahead_tokens(now_ms=self._loop.now_ms()),
         )
         self._log.event(
             "rights_borrowed",
