Pass on entries that prolong the cold time of a target

What callers saw: with a relay (from 16 instances on), a target that became cold again before its first cold time was over got the whole load from the members of the relay once that time had passed, and could crash.

Cause: an entry counted as equivalent whenever its remaining cold time was lower than that of the entry before, whatever had passed between them: 3,000 ms, and 2,000 ms after 2.5 s, prolong the time by 1.5 s. A relay passes on only entries that are not equivalent.

Change: the view keeps the end of the cold time that it last passed on, one for each entry, and passes on an entry that ends more than 100 ms later.

--- a/packages/bambooglade/bambooglade/discovery/targets.py
+++ b/packages/bambooglade/bambooglade/discovery/targets.py
@@ -81,7 +81,9 @@
         The remaining cold time falls with each entry that a target writes,
         which does not affect routing: the time of the first entry is counted
         down. A time that has not fallen means that the target is cold for
-        longer than the entry before had told.
+        longer than the entry before had told. Whether a time that has fallen
+        prolongs it depends on when the entries were read, which the caller
+        checks.
 
         Args:
             other: The entry before; None if there was none.
--- a/packages/bambooglade/bambooglade/discovery/tests/test_view.py
+++ b/packages/bambooglade/bambooglade/discovery/tests/test_view.py
@@ -287,3 +287,40 @@
 def test_instance_that_has_not_read_the_keys_tells_nothing(view):
     request = view_request(evacuations=[])
     assert view_messages._evacuations_for(request, view, now_ms=0) is None
+
+
+class ColdCodec(TextCodec):
+    """Codec for targets as their remaining cold time."""
+
+    def decode_target(self, key, value):
+        return targets.RegisteredTarget(
+            target_id=key.removeprefix("targets/"),
+            service="s",
+            address=("10.0.0.1", 1),
+            availability_zone="z",
+            slots=1,
+            started_at_ms=1,
+            cold_remaining_ms=int(value),
+        )
+
+
+# Guards against members of a relay that take a target for warm which has become
+# cold again before its first cold time was over.
+@pytest.mark.parametrize(
+    ("entries", "is_passed_on"),
+    [
+        ([(0, b"3000"), (2_500, b"500")], False),
+        ([(0, b"3000"), (2_500, b"2000")], True),
+        ([(0, b"3000"), (1_000, b"2000"), (2_500, b"1500")], True),
+        ([(0, b"3000"), (1_000, b"1000"), (1_500, b"900")], False),
+        # Times that differ by the delay of a read are the same.
+        ([(0, b"3000"), (1_020, b"2000")], False),
+    ],
+)
+def test_entry_that_prolongs_a_cold_time_is_passed_on(entries, is_passed_on):
+    log = event_log.EventLog(clock_lib.ManualClock())
+    view = view_lib.FleetView(ColdCodec(), log=log)
+    for revision, (now_ms, value) in enumerate(entries, start=1):
+        apply_changes(view, target("a", revision, value), now_ms=now_ms)
+    changed = view.changed_target_items(len(entries) - 1)
+    assert bool(changed) is is_passed_on
--- a/packages/bambooglade/bambooglade/discovery/view.py
+++ b/packages/bambooglade/bambooglade/discovery/view.py
@@ -20,6 +20,12 @@
 from bambooglade.gateway import configuration as configuration_lib
 from bambooglade.store import store_api
 
+COLD_TIME_TOLERANCE_MS = 100
+"""Most by which a cold time may be prolonged without being passed on.
+
+Two entries that state the same end are read with different delays.
+"""
+
 LAPSED_TARGET_GRACE_MS = 1_500
 """Grace period for a target whose entry expired during an outage of the store.
 
@@ -98,6 +104,7 @@
         "_change_count",
         "_changed_at_revision_by_key",
         "_codec",
+        "_cold_until_ms_by_key",
         "_compacted_revision",
         "_evacuated_services",
         "_first_revision",
@@ -149,6 +156,8 @@
             str, list[targets_lib.RegisteredTarget]
         ] = {}
         self._evacuated_services: set[str] = set()
+        # End of the cold time as of the last entry that was passed on.
+        self._cold_until_ms_by_key: dict[str, int] = {}
         self.evacuations = evacuations_lib.ZoneEvacuations(log)
         self.evacuations.listeners.append(self._handle_evacuations)
         self.configuration: configuration_lib.Configuration | None = None
@@ -532,6 +541,7 @@
             self._item_by_key.pop(item.key, None)
             self._malformed_reason_by_key.pop(item.key, None)
             self._changed_at_revision_by_key.pop(item.key, None)
+            self._cold_until_ms_by_key.pop(item.key, None)
             self._change_count += 1
             self._add_tombstone(item, target_id)
             if now_ms < recovery_ends_at_ms and target_id in self.target_by_id:
@@ -542,10 +552,10 @@
                 self._remove(target_id, source=source)
             return
         self._item_by_key[item.key] = item
-        self._apply_registration(target_id, item, source)
+        self._apply_registration(target_id, item, now_ms, source)
 
     def _apply_registration(
-        self, target_id: str, item: store_api.Item, source: str
+        self, target_id: str, item: store_api.Item, now_ms: int, source: str
     ) -> None:
         target, reason = self._decode_target(item)
         if target is None:
@@ -564,8 +574,17 @@
         ):
             return
         self.target_by_id[target_id] = target
-        if grace_until_ms is not None or not target.is_equivalent_to(current):
+        cold_until_ms = now_ms + target.cold_remaining_ms
+        if (
+            grace_until_ms is not None
+            or not target.is_equivalent_to(current)
+            or self._prolongs_cold_time(target, item.key, cold_until_ms)
+        ):
             self._record_change(item)
+            if target.cold_remaining_ms:
+                self._cold_until_ms_by_key[item.key] = cold_until_ms
+            else:
+                self._cold_until_ms_by_key.pop(item.key, None)
         if current is None or current.is_draining != target.is_draining:
             self._log.event(
                 "target_draining" if target.is_draining else "target_ready",
@@ -577,6 +596,15 @@
                 source=source,
             )
 
+    def _prolongs_cold_time(
+        self, target: targets_lib.RegisteredTarget, key: str, until_ms: int
+    ) -> bool:
+        """Returns whether a target is cold for longer than peers were told."""
+        told_ms = self._cold_until_ms_by_key.get(key, 0)
+        return bool(target.cold_remaining_ms) and (
+            until_ms > told_ms + COLD_TIME_TOLERANCE_MS
+        )
+
     def _decode_target(
         self, item: store_api.Item
     ) -> tuple[targets_lib.RegisteredTarget | None, str]:
