Record the end of an evacuation whose beginning was missed

What callers saw: targets of a zone whose evacuation had just ended got the whole load of an instance that had heard of an earlier evacuation of the zone, but not of the beginning of this one (it was cut off, or the zone was evacuated and released between two responses of a peer). Cold targets may crash from that.

Cause: the time of the end was kept from the earlier evacuation unless the zone was known to be evacuated.

Change: a newer record of a peer or of a watch that tells the end moves the time forward. A list, which does not tell when a zone was released, does not.

Evidence: test_end_of_an_evacuation_that_was_missed_is_recorded, two cases of which failed.

--- a/packages/bambooglade/bambooglade/discovery/evacuations.py
+++ b/packages/bambooglade/bambooglade/discovery/evacuations.py
@@ -245,7 +245,7 @@
         self._settle(now_ms)
         self._advance((era, at_revision), now_ms)
         for record in changes:
-            self._apply_newest(record, now_ms, source)
+            self._apply_newest(record, now_ms, source, states_end=True)
         self._notify()
 
     def merge(
@@ -265,7 +265,7 @@
             if self._is_outdated(record):
                 self._apply_outdated(record, now_ms, source)
             else:
-                self._apply_newest(record, now_ms, source)
+                self._apply_newest(record, now_ms, source, states_end=True)
         self._notify()
 
     def mark_known(self, *, now_ms: int) -> None:
@@ -405,8 +405,23 @@
             self._apply_newest(end, now_ms, source)
 
     def _apply_newest(
-        self, record: ZoneRecord, now_ms: int, source: str
+        self,
+        record: ZoneRecord,
+        now_ms: int,
+        source: str,
+        *,
+        states_end: bool = False,
     ) -> None:
+        """Applies a record if it is the newest of its zone.
+
+        Args:
+            record: The record.
+            now_ms: Current time.
+            source: Origin of the record, for the log.
+            states_end: Whether the record tells when an evacuation ended, also
+                one whose beginning was not heard of. A list only tells that
+                the zone is not evacuated.
+        """
         belief = self._belief_by_zone.get(record.zone)
         if belief is not None and record.order <= belief.record.order:
             return
@@ -414,8 +429,12 @@
         ended_at_ms = belief.ended_at_ms if belief is not None else None
         if record.is_evacuated and not was_evacuated and self._refuse(record):
             return
-        if not record.is_evacuated and (was_evacuated or ended_at_ms is None):
-            ended_at_ms = now_ms - max(0, record.ended_ms_ago)
+        if not record.is_evacuated:
+            stated_ms = now_ms - max(0, record.ended_ms_ago)
+            if was_evacuated or ended_at_ms is None:
+                ended_at_ms = stated_ms
+            elif states_end:
+                ended_at_ms = max(ended_at_ms, stated_ms)
         # The order of the beliefs is that in which they changed.
         self._belief_by_zone.pop(record.zone, None)
         self._belief_by_zone[record.zone] = _Belief(record, ended_at_ms)
--- a/packages/bambooglade/bambooglade/discovery/tests/test_evacuations.py
+++ b/packages/bambooglade/bambooglade/discovery/tests/test_evacuations.py
@@ -366,3 +366,35 @@
     assert [r.zones.evacuated_zones for r in readers] == [expected] * 5
     for reader, other in itertools.permutations(readers, 2):
         assert not reader.zones.has_news_for(other.zones.records(now_ms=now_ms))
+
+
+# Guards against targets that get full load at the end of an evacuation whose
+# beginning was not heard of, as this zone had been evacuated before.
+@pytest.mark.parametrize(
+    ("apply_end", "ended_at_ms"),
+    [
+        (
+            lambda z: tell(
+                z, record(40, False, ended_ms_ago=300), now_ms=9_000
+            ),
+            8_700,
+        ),
+        (lambda z: watch(z, record(40, False), now_ms=9_000), 9_000),
+        # Neither repeats an end that was heard of before.
+        (
+            lambda z: tell(
+                z, record(31, False, ended_ms_ago=8_899), now_ms=9_000
+            ),
+            101,
+        ),
+        (lambda z: read(z, at_revision=9, era=2, now_ms=9_000), 101),
+    ],
+)
+def test_end_of_an_evacuation_that_was_missed_is_recorded(
+    zones, apply_end, ended_at_ms
+):
+    watch(zones, record(30, True), now_ms=100)
+    watch(zones, record(31, False), now_ms=101)
+    apply_end(zones)
+    assert not zones.is_evacuated("z")
+    assert zones.ended_at_ms("z") == ended_at_ms
