Leave the body of a request out of its admission by the link

What callers saw: a lone request of 4 MB got 503 congested from every instance with a link of 5 or 10 Mbit/s, and less urgent ones at 20 Mbit/s too, however idle the instance was and however often it was retried (by calculation, at a target latency of 400 ms). A single request inside the limits has to be served in calm.

Cause: a body arrives at the full speed of the link, which is more than the usable 0.9 that the estimate counts on. After 4 MB at 5 Mbit/s the estimate is 0.7 s, and the request is judged when it has arrived.

Change: what a request has brought itself does not count in the received direction when it is judged. What waits to be sent, and what others send, counts as before.

--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -272,6 +272,7 @@
                 rank=urgency.rank, target_latency_ms=urgency.target_latency_ms
             ),
             now_ms=now_ms,
+            body_bytes=len(self.request.body),
         )
 
     def _authenticate_and_route(
--- a/packages/bambooglade/bambooglade/scheduling/link_budget.py
+++ b/packages/bambooglade/bambooglade/scheduling/link_budget.py
@@ -92,17 +92,34 @@
 
     def wait_ms(self, now_ms: int) -> int:
         """Returns how long a byte waits for the link now."""
+        return self._wait_ms(now_ms, arrived_bytes=0)
+
+    def _wait_ms(self, now_ms: int, *, arrived_bytes: int) -> int:
         if not self._bytes_per_ms:
             return 0
-        directions = (self._sent, self._received)
-        for direction in directions:
+        for direction in (self._sent, self._received):
             direction.drain(self._bytes_per_ms, now_ms)
-        longest = max(direction.queued_bytes for direction in directions)
+        longest = max(
+            self._sent.queued_bytes,
+            self._received.queued_bytes - arrived_bytes,
+        )
         return round(longest / self._bytes_per_ms)
 
-    def may_admit(self, *, max_wait_ms: float, now_ms: int) -> bool:
-        """Returns whether a request would not wait for longer than it may."""
-        return self.wait_ms(now_ms) <= max_wait_ms
+    def may_admit(
+        self, *, max_wait_ms: float, now_ms: int, body_bytes: int = 0
+    ) -> bool:
+        """Returns whether a request would not wait for longer than it may.
+
+        Its own body has arrived and does not count: a large body that arrives
+        at the full speed of a small link is above the usable part for so long
+        that every such instance would reject it, however idle.
+
+        Args:
+            max_wait_ms: Longest time for which it may wait.
+            now_ms: Current time.
+            body_bytes: Size of its body.
+        """
+        return self._wait_ms(now_ms, arrived_bytes=body_bytes) <= max_wait_ms
 
     def is_overloaded(self, now_ms: int) -> bool:
         """Returns whether so much waits that most requests come too late."""
--- a/packages/bambooglade/bambooglade/scheduling/tests/test_link_budget.py
+++ b/packages/bambooglade/bambooglade/scheduling/tests/test_link_budget.py
@@ -110,3 +110,32 @@
         )
     assert budget.wait_ms(now_ms=3_000) >= 200
     assert budget.wait_ms(now_ms=4_000) == 0
+
+
+# Guards against a large request that is rejected by every instance with a small
+# link, however idle, since its own body has just arrived.
+@pytest.mark.parametrize("link_mbps", [5.0, 10.0, 20.0])
+def test_body_of_a_lone_request_does_not_count_against_it(link_mbps):
+    budget = link_budget.LinkBudget(link_mbps)
+    body_bytes, received_bytes, now_ms = 4_194_304, 0, 0
+    while received_bytes < body_bytes:
+        now_ms += 10
+        part_bytes = min(
+            round(10 * 125 * link_mbps) - link_budget.PACKET_OVERHEAD_BYTES,
+            body_bytes - received_bytes,
+        )
+        budget.record_received(part_bytes, now_ms=now_ms)
+        received_bytes += part_bytes
+    max_wait_ms = link_budget.max_wait_ms(
+        rank=1, target_latency_ms=TARGET_LATENCY_MS
+    )
+    assert budget.may_admit(
+        max_wait_ms=max_wait_ms, now_ms=now_ms, body_bytes=body_bytes
+    )
+    assert not budget.may_admit(max_wait_ms=max_wait_ms, now_ms=now_ms)
+
+
+def test_body_of_a_request_does_not_offset_what_waits_to_be_sent():
+    budget = link_budget.LinkBudget(LINK_MBPS)
+    budget.record_sent(round(300 * BYTES_PER_MS), now_ms=0)
+    assert not budget.may_admit(max_wait_ms=200, now_ms=0, body_bytes=10**6)
