Compare what a home draws with what the fleet draws

What callers saw: nothing directly. Every write is charged.

Cause: the demand of a home, which counts upper bounds that requests reserve and a part of the largest request, was compared with the growth of the ledger, which counts what is spent. The growth fades while nobody asks, the part of the largest request does not, so that each home ended up with more than 1.5 equal parts.

Change: a home compares the growth of its own rights in the ledger with that of all. Its demand without the largest request bounds it, since filling a stock is no demand.

--- a/packages/bambooglade/bambooglade/rights/account.py
+++ b/packages/bambooglade/bambooglade/rights/account.py
@@ -202,11 +202,14 @@
             now_ms: Current time.
             home_count: Number of homes of the team.
         """
-        demand = self._expected_demand(STOCK_HORIZON_MS, now_ms)
+        demand = self.expected_demand_tokens(STOCK_HORIZON_MS, now_ms=now_ms)
         return round(demand + self._largest_request_tokens / home_count)
 
-    def _expected_demand(self, horizon_ms: int, now_ms: int) -> float:
-        """Returns the expected demand in tokens over the next `horizon_ms`."""
+    def expected_demand_tokens(self, horizon_ms: int, *, now_ms: int) -> float:
+        """Returns the expected demand in tokens over the next `horizon_ms`.
+
+        It counts the upper bounds of requests, and goes to 0 without any.
+        """
         if self._first_demand_ms is None:
             return 0.0
         observed_ms = max(MIN_DEMAND_WINDOW_MS, now_ms - self._first_demand_ms)
--- a/packages/bambooglade/bambooglade/rights/ledger_client.py
+++ b/packages/bambooglade/bambooglade/rights/ledger_client.py
@@ -108,6 +108,9 @@
         self._growth_by_team: dict[str, demand_share.LedgerGrowth] = (
             collections.defaultdict(demand_share.LedgerGrowth)
         )
+        self._own_growth_by_team: dict[str, demand_share.LedgerGrowth] = (
+            collections.defaultdict(demand_share.LedgerGrowth)
+        )
         self._committed_returns_by_team: dict[str, int] = {}
         self._exhausted_teams: set[str] = set()
         self._needed_tokens_by_team: collections.Counter[str] = (
@@ -348,13 +351,31 @@
             outage_demand_tokens=demand_tokens,
             largest_request_tokens=account.largest_request_tokens,
             home_count=home_count,
-            home_share=demand_share.home_share(
-                own_tokens=demand_tokens,
-                fleet_tokens=self._growth_by_team[team].expected_tokens(
-                    account_lib.STOCK_HORIZON_MS, now_ms=now_ms
-                ),
-                home_count=home_count,
-            ),
+            home_share=self._home_share(team, home_count, now_ms),
+        )
+
+    def _home_share(self, team: str, home_count: int, now_ms: int) -> float:
+        """Returns the part of the budget of a team that this home may count on.
+
+        What it draws is compared with what the fleet draws, since both are
+        read together and without what requests reserve but do not use. Its
+        demand bounds that: a stock that is filled is no demand.
+        """
+        horizon_ms = account_lib.STOCK_HORIZON_MS
+        drawn_tokens, fleet_tokens = (
+            growth_by_team[team].expected_tokens(horizon_ms, now_ms=now_ms)
+            for growth_by_team in (
+                self._own_growth_by_team,
+                self._growth_by_team,
+            )
+        )
+        demand_tokens = self._account_by_team[team].expected_demand_tokens(
+            horizon_ms, now_ms=now_ms
+        )
+        return demand_share.home_share(
+            own_tokens=min(drawn_tokens, demand_tokens),
+            fleet_tokens=fleet_tokens,
+            home_count=home_count,
         )
 
     def _teams_to_update(self, needed: collections.Counter[str]) -> list[str]:
@@ -422,6 +443,9 @@
         )
         now_ms = self._loop.now_ms()
         self._growth_by_team[team].record(ledger.total_tokens, now_ms=now_ms)
+        self._own_growth_by_team[team].record(
+            ledger.held_tokens(self._holder), now_ms=now_ms
+        )
         if not self._recovery.may_draw(team, now_ms=now_ms):
             return self._ledger_after_recovery(team, ledger, prepaid)
         if self._recovery.is_unconfirmed(
