Do not take a connection that was never attempted for a refusal

What callers saw: an instance without a free descriptor, as uncontrolled clients bring about, held its requests to the rate of cold targets for coldStartS after the last attempt, with 503 for the rest, although its targets were warm.

Cause: a connection that fails before the time-out counted as refused by the host of the target, also if no socket could be opened. A refusal makes a target count as cold, since the next process there may be.

Change: only connections that were attempted can be refused, for requests and for checks.

--- a/packages/bambooglade/bambooglade/gateway/connection_pool.py
+++ b/packages/bambooglade/bambooglade/gateway/connection_pool.py
@@ -223,11 +223,18 @@
 
     @property
     def is_refused(self) -> bool:
-        """Whether a new connection failed at once, before the time-out."""
+        """Whether a new connection failed at once, before the time-out.
+
+        A connection for which this instance has no socket left, or that can't
+        be attempted, says nothing about the target.
+        """
         return (
             self.is_connection_lost
             and self.idle_ms is None
             and not self.is_sent
+            and not isinstance(
+                self._connection, connection_lib.UnopenedConnection
+            )
         )
 
     def set_handler(self, handler: AttemptHandler) -> None:
--- a/packages/bambooglade/bambooglade/gateway/target_prober.py
+++ b/packages/bambooglade/bambooglade/gateway/target_prober.py
@@ -304,12 +304,11 @@
         target: targets_lib.RegisteredTarget,
         connection: connection_lib.Connection | None,
         took_ms: int,
+        is_refused: bool,
     ) -> None:
         self._checked_runs.discard(target.run)
         if connection is None:
-            self.record_failure(
-                target, is_refused=took_ms < connection_pool.CONNECT_TIMEOUT_MS
-            )
+            self.record_failure(target, is_refused=is_refused)
             return
         if self._is_closed:
             connection.close()
@@ -343,6 +342,7 @@
                 targets_lib.RegisteredTarget,
                 connection_lib.Connection | None,
                 int,
+                bool,
             ],
             None,
         ],
@@ -365,15 +365,23 @@
         """Never called: the connection has another handler once it is open."""
 
     def closed(self, *, is_clean: bool) -> None:
-        """Reports that the connection was refused."""
+        """Reports that the connection was refused, or could not be tried."""
         del is_clean
         self._timer.cancel()
-        self._report(None)
+        is_unopened = isinstance(
+            self._connection, connection_lib.UnopenedConnection
+        )
+        self._report(None, is_refused=not is_unopened)
 
     def _timed_out(self) -> None:
         self._connection.close()
         self._report(None)
 
-    def _report(self, connection: connection_lib.Connection | None) -> None:
+    def _report(
+        self,
+        connection: connection_lib.Connection | None,
+        *,
+        is_refused: bool = False,
+    ) -> None:
         took_ms = self._loop.now_ms() - self._started_at_ms
-        self._handle_result(self._target, connection, took_ms)
+        self._handle_result(self._target, connection, took_ms, is_refused)
--- a/packages/bambooglade/bambooglade/gateway/tests/test_connection_pool.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 
 import pytest
@@ -11,6 +12,7 @@
 from bambooglade.eventloop import loop as loop_lib
 from bambooglade.gateway import connection_pool
 from bambooglade.gateway import metadata
+from bambooglade.gateway import target_prober
 
 REQUEST = b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n"
 HALF_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
@@ -119,3 +121,41 @@
     accepted, _ = target.listener.accept()
     with accepted:
         assert is_reset(accepted)
+
+
+# Guards against targets that count as cold, and get hardly any requests, since
+# this instance had no socket left for a moment.
+@pytest.mark.parametrize("has_socket", [True, False])
+def test_only_a_connection_that_was_attempted_can_be_refused(
+    loop, target, has_socket, monkeypatch
+):
+    target.listener.close()
+    if not has_socket:
+        monkeypatch.setattr(socket, "socket", _fail_to_open)
+    pool = connection_pool.ConnectionPool(
+        loop,
+        idle_timeout_of=lambda head: None,
+        connected=lambda endpoint, took_ms, is_open: None,
+    )
+    handler = Handler()
+    attempt = pool.send(
+        target,
+        REQUEST,
+        handler,
+        request_id="r1",
+        is_bodiless=False,
+        is_idempotent=True,
+        match=lambda head, request_id: metadata.ResponseMatch.OWN,
+    )
+    results = []
+    target_prober._Check(loop, pool, target, lambda *args: results.append(args))
+    loop.run(until=lambda: handler.end_count and results)
+    assert attempt.is_refused is has_socket
+    ((_, connection, _, is_refused),) = results
+    assert connection is None
+    assert is_refused is has_socket
+
+
+def _fail_to_open(*args):
+    del args
+    raise OSError(errno.EMFILE, "no descriptor left")
