Take no requests before the evacuated zones are known

What callers saw: an instance that starts while the store is unavailable, and whose peers are of the previous build, sent requests to targets of evacuated zones until it reached the store. It was not ready, but load balancers ignore readiness where few instances are, and callers keep connections.

Cause: a request needed a configuration only, which such peers tell, and the evacuated zones counted for readiness alone.

Change: requests get 503, as without a configuration, until the operators' keys were read or a peer told what they say.

--- a/packages/bambooglade/bambooglade/gateway/exchange.py
+++ b/packages/bambooglade/bambooglade/gateway/exchange.py
@@ -101,11 +101,18 @@
         if self._handover is not None:
             self._context.handed_over_count += 1
         configuration = self._context.view.configuration
+        missing = None
         if configuration is None:
+            missing = "a configuration"
+        elif not self._context.view.evacuations.is_known:
+            # A peer of the previous build tells a configuration, but not which
+            # targets may get no requests.
+            missing = "the evacuated zones"
+        if missing is not None:
             self._reject(
                 error_responses.ErrorResponse(
                     error_responses.ErrorKind.NOT_READY,
-                    "this instance has not received a configuration yet",
+                    f"this instance has not received {missing} yet",
                     retry_after_ms=error_responses.RETRY_NOT_READY_MS,
                 )
             )
