--- a/packages/bambooglade/bambooglade/rights/account.py
+++ b/packages/bambooglade/bambooglade/rights/account.py
@@ -211,7 +211,7 @@
         Returns:
             0 if few requests are expected.
         """
-        expected = self._expected_demand(AHEAD_HORIZON_MS, now_ms)
+        expected = self.expected_demand_tokens(AHEAD_HORIZON_MS, now_ms=now_ms)
         is_busy = (
             expected >= MIN_AHEAD_REQUESTS * self._largest_request_tokens > 0
         )
