Evacuate zones in the soak of a fleet

The soak did not evacuate zones, so that nothing checked with real processes that their engines get no more requests.

The trouble `evacuate` writes `op/evacuate/ZONE` and deletes it after 7 to 10 s. The judge reports EVACUATE for each request that an engine of the zone takes later than 5,000 ms after the write, unless it is declined with 421. It excuses requests of gateways that were stopped, killed or frozen or could not reach the store, and engines that were paused and so read late. Engines record their zone and the status with which they decline.

Unit tests of the judge.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/deliberate_faults.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/deliberate_faults.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from bambooglade.discovery import evacuations
 from bambooglade.discovery import view as view_lib
 from bambooglade.gateway import dispatching
 from bambooglade.gateway import error_responses
@@ -71,6 +72,11 @@
     view_lib.FleetView.ready_targets = registered_targets
 
 
+def send_to_evacuated_zones() -> None:
+    """Takes no zone for evacuated."""
+    evacuations.ZoneEvacuations.is_evacuated = lambda self, zone: False
+
+
 def send_quarantined_prompts() -> None:
     """Finds no quarantine for any prompt."""
     crash_suspicions.CrashSuspicions.find_quarantine = lambda self, parts: None
@@ -164,6 +170,7 @@
         say_of_broken_requests_that_they_did_not_run,
         keep_the_first_configuration,
         send_to_targets_that_leave,
+        send_to_evacuated_zones,
         send_quarantined_prompts,
         ignore_request_limits,
         ignore_notices_of_leaving,
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/engine_process.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/engine_process.py
@@ -55,6 +55,7 @@
         name: Id of the engine.
         service: Service that it belongs to.
         version: Version of its software.
+        zone: Its availability zone.
         host: IP address to listen on.
         port: Port to listen on.
         slots: Requests that run at the same time.
@@ -69,6 +70,7 @@
     name: str
     service: str
     version: str
+    zone: str
     host: str
     port: int
     slots: int
@@ -233,6 +235,7 @@
                 engine=self.settings.name,
                 service=self.settings.service,
                 version=self.settings.version,
+                zone=self.settings.zone,
                 host=run.host,
                 attempt=run.attempt,
                 target=run.target,
@@ -240,6 +243,7 @@
                 sent_events=run.sent_events,
                 deadline_ms=run.deadline_ms,
                 pause_ms=run.pause_ms,
+                status=run.declined_status,
             )
         )
 
@@ -374,6 +378,7 @@
         self._due_ms = server.loop.now_ms() + (self.deadline_ms or 60_000)
         self._is_truncated = False
         self.pause_ms = 0
+        self.declined_status = 0
         self.host = connection.host
         parts = request.get(b"x-bambooglade-prefix-hash").decode().split(",")
         self._has_fatal_part = FATAL_PART in (
@@ -521,6 +526,7 @@
             pause_s: Time for which no requests are wanted; 0 for none.
         """
         self.pause_ms = round(1_000 * pause_s)
+        self.declined_status = status
         pause = [(b"Retry-After", b"%g" % pause_s)] if pause_s else []
         self._send(
             messages.encode_response(
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_disturbances.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_disturbances.py
@@ -66,6 +66,27 @@
             for trouble in self._overlapping(begin_ms, end_ms)
         )
 
+    def is_informed(self, gateway: str, begin_ms: int, end_ms: int) -> bool:
+        """Returns whether a gateway ran and the store served all the while."""
+        ended = (
+            fleet_records.GatewaysStopped,
+            fleet_records.GatewaysKilled,
+            fleet_records.GatewaysFrozen,
+        )
+        return not any(
+            isinstance(trouble, fleet_records.StoreDisturbed)
+            or (isinstance(trouble, ended) and gateway in trouble.names)
+            for trouble in self._overlapping(begin_ms, end_ms)
+        )
+
+    def is_paused(self, engine: str, begin_ms: int, end_ms: int) -> bool:
+        """Returns whether an engine was stopped, and so reads late."""
+        return any(
+            isinstance(trouble, fleet_records.EnginesPaused)
+            and engine.partition("~")[0] in trouble.names
+            for trouble in self._overlapping(begin_ms, end_ms)
+        )
+
     def is_ended(self, gateway: str, begin_ms: int, end_ms: int) -> bool:
         """Returns whether a gateway was killed, frozen or reset meanwhile."""
         unplanned = set(fleet_records.OF_GATEWAYS) - set(fleet_records.PLANNED)
@@ -107,6 +128,12 @@
             if isinstance(trouble, fleet_records.EnginesLeave):
                 yield trouble
 
+    def evacuations(self) -> Iterator[fleet_records.ZonesEvacuated]:
+        """Yields the evacuations of zones."""
+        for trouble in self._troubles:
+            if isinstance(trouble, fleet_records.ZonesEvacuated):
+                yield trouble
+
     def fatal_parts(self) -> Iterator[fleet_records.CallersSendFatal]:
         """Yields the times in which prompts share a part that is fatal."""
         for trouble in self._troubles:
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_judge.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_judge.py
@@ -72,6 +72,9 @@
 MAX_LONGER_REQUESTS = 20
 MAX_LONGER_SHARE = 0.2
 DRAIN_MS = 2_000
+EVACUATION_MS = 5_000
+"""Time after which the engines of an evacuated zone get no requests."""
+
 LATE_REPEAT_MS = 500
 """Time after the first arrival from which a repeat counts as sent late."""
 
@@ -79,6 +82,7 @@
 _END_OF_EVENT = "\n\n"
 _COMMENT = ":"
 _SUCCESS = 200
+_MISDIRECTED = 421
 
 
 class Bounds:
@@ -276,6 +280,7 @@
             self._unanswered(),
             self._cut_in_stops(),
             self._late_at_leaving(),
+            self._late_in_evacuated_zones(),
             self._cuts(),
             self._streams(),
             self._plain_responses(),
@@ -558,6 +563,51 @@
                         f" {record.at_ms - acknowledged_ms} ms after it left",
                     )
 
+    def _taken_requests(self) -> Iterator[fleet_records.EngineRecord]:
+        """Yields the arrivals, except of requests that get status 421."""
+        arrival_by_key: dict[tuple[str, str], fleet_records.EngineRecord] = {}
+        for record in self._engine_records:
+            key = record.engine, record.attempt
+            arrival = arrival_by_key.pop(key, None)
+            if arrival is not None and record.status != _MISDIRECTED:
+                yield arrival
+            if record.step is fleet_records.Step.ARRIVED:
+                arrival_by_key[key] = record
+        yield from arrival_by_key.values()
+
+    def _late_in_evacuated_zones(self) -> Iterator[fleet_violations.Violation]:
+        """Yields requests that reach engines of zones long evacuated."""
+        evacuations = list(self._disturbances.evacuations())
+        if not evacuations:
+            return
+        for record in self._taken_requests():
+            gateway = self._gateway_by_host.get(record.host, record.host)
+            late_ms = max(
+                (
+                    record.at_ms - trouble.began_at_ms
+                    for trouble in evacuations
+                    if record.zone in trouble.names
+                    and record.at_ms < trouble.ended_at_ms
+                ),
+                default=0,
+            )
+            since_ms = record.at_ms - EVACUATION_MS
+            if (
+                late_ms > EVACUATION_MS
+                and self._disturbances.is_informed(
+                    gateway, since_ms, record.at_ms
+                )
+                and not self._disturbances.is_paused(
+                    record.engine, record.at_ms, record.at_ms
+                )
+            ):
+                yield fleet_violations.Violation(
+                    "EVACUATE",
+                    record.at_ms,
+                    f"{record.attempt} from {gateway} reached {record.engine}"
+                    f" {late_ms} ms after {record.zone} was evacuated",
+                )
+
     def _is_leaving(
         self, engine: str, trouble: fleet_records.EnginesLeave
     ) -> bool:
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_plan.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_plan.py
@@ -62,6 +62,9 @@
 ABSENCE_MS = (1_500, 4_000)
 """Shortest and longest time for which all engines of a service are gone."""
 
+EVACUATION_MS = (7_000, 10_000)
+"""Shortest and longest evacuation of a zone; 5,000 ms until its effect."""
+
 CALM_AFTER_ABSENCE_MS = 12_000
 """Time before the next trouble, in which requests have to be served again."""
 
@@ -365,6 +368,13 @@
             began_at_ms=at_ms, ended_at_ms=at_ms, names=self._gateways()
         )
 
+    def evacuate(self, at_ms: int) -> fleet_records.Trouble:
+        """Returns an evacuation of a zone."""
+        zone = zone_name(self._random.randrange(self._size.zones))
+        return fleet_records.ZonesEvacuated(
+            **self._span(at_ms, *EVACUATION_MS), names=(zone,)
+        )
+
     def __repr__(self) -> str:
         return f"TroubleChooser(grace_ms={self._grace_ms})"
 
@@ -401,6 +411,7 @@
     "endless": TroubleChooser.send_without_end,
     "hup": TroubleChooser.reload_gateways,
     "reset": TroubleChooser.reset_connections,
+    "evacuate": TroubleChooser.evacuate,
 }
 """Kinds of troubles that come at random, alone or together."""
 
@@ -576,6 +587,11 @@
         )
 
 
+def zone_name(number: int) -> str:
+    """Returns the name of an availability zone."""
+    return f"zone-{number}"
+
+
 def encode_configuration(
     change: fleet_records.Change, *, version: int, size: FleetSize
 ) -> bytes:
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_records.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_records.py
@@ -39,6 +39,7 @@
         engine: Id of the engine.
         service: Its service.
         version: Version of its software.
+        zone: Its availability zone.
         host: IP address that it came from.
         attempt: Id of the request.
         target: Path of the request.
@@ -46,6 +47,7 @@
         sent_events: Number of events that this run has sent.
         deadline_ms: Time that the request states to be left; None for none.
         pause_ms: Time for which a declining engine wants no requests.
+        status: Status with which the engine declined; 0 if it did not.
     """
 
     at_ms: int
@@ -53,6 +55,7 @@
     engine: str
     service: str
     version: str = ""
+    zone: str = ""
     host: str = ""
     attempt: str
     target: str = ""
@@ -60,6 +63,7 @@
     sent_events: int = 0
     deadline_ms: int | None = None
     pause_ms: int = 0
+    status: int = 0
 
 
 class End(enum.Enum):
@@ -244,6 +248,10 @@
     """The connections of gateways to engines are reset."""
 
 
+class ZonesEvacuated(Trouble, frozen=True, kw_only=True):
+    """Operators evacuate availability zones, whose names are given."""
+
+
 class StoreDisturbed(Trouble, frozen=True, kw_only=True):
     """The store does not serve as usual.
 
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/soak_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/soak_fleet.py
@@ -124,6 +124,9 @@
             engine.settings.name: engine for engine in self._new_engines()
         }
         self._life_by_name: collections.Counter[str] = collections.Counter()
+        self._evacuation_count_by_zone: collections.Counter[str] = (
+            collections.Counter()
+        )
         self._ended_engines: list[engine_process.EngineProcess] = []
         self._down: set[str] = set()
         self._crashed: set[str] = set()
@@ -150,6 +153,7 @@
                         name=f"{service}-{number}",
                         service=service,
                         version=fleet_plan.VERSION,
+                        zone=fleet_plan.zone_name(number % self._size.zones),
                         host=host,
                         port=port,
                         slots=6 if is_plain else self._size.slots,
@@ -244,8 +248,7 @@
         self, engine: engine_process.EngineProcess, *, state: str
     ) -> None:
         settings = engine.settings
-        service, _, text = settings.name.partition("~")[0].rpartition("-")
-        number = int(text)
+        base_name = settings.name.partition("~")[0]
         self._store.put_now(
             f"servers/{settings.name}",
             harness_lib.engine_registration(
@@ -253,9 +256,9 @@
                 settings.service,
                 state=state,
                 version=settings.version,
-                zone=f"zone-{number % self._size.zones}",
+                zone=settings.zone,
                 slots=settings.slots,
-                started_at_ms=1 + self._life_by_name[f"{service}-{number}"],
+                started_at_ms=1 + self._life_by_name[base_name],
             ),
         )
 
@@ -547,6 +550,20 @@
         for engine in self._engine_by_name.values():
             engine.behave(fleet_records.Behaviour(reset_hosts=hosts))
 
+    @_begin.register
+    def _(self, trouble: fleet_records.ZonesEvacuated) -> None:
+        self._evacuation_count_by_zone.update(trouble.names)
+        for zone in trouble.names:
+            self._store.put_now(f"op/evacuate/{zone}", b"{}")
+
+    @_end.register
+    def _(self, trouble: fleet_records.ZonesEvacuated) -> None:
+        self._evacuation_count_by_zone.subtract(trouble.names)
+        for zone in trouble.names:
+            # Another evacuation of the zone may go on.
+            if not self._evacuation_count_by_zone[zone]:
+                self._store.put_now(f"op/evacuate/{zone}", None)
+
     @_begin.register
     def _(self, trouble: fleet_records.StoreDisturbed) -> None:
         self._store.fault = memory_store.Fault[trouble.fault]
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_fleet_judge.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_fleet_judge.py
@@ -12,6 +12,7 @@
 End = fleet_records.End
 
 BOUNDS = fleet_judge.Bounds(ratio=0.2, slack=2, window_ms=1_000)
+BRIEFLY = {"began_at_ms": 14_500, "ended_at_ms": 15_000}
 
 
 def route(*services, max_attempts=2, is_repeatable=True, timeout_ms=10_000):
@@ -537,3 +538,66 @@
             )
         )
     assert rules(engine_records, caller_records) == expected
+
+
+@pytest.mark.parametrize(
+    "at_ms, zone, disturbances, expected",
+    [
+        pytest.param(14_999, "zone-1", [], [], id="before the bound"),
+        pytest.param(15_500, "zone-1", [], ["EVACUATE"], id="after it"),
+        pytest.param(15_500, "zone-0", [], [], id="another zone"),
+        pytest.param(18_001, "zone-1", [], [], id="the key was deleted"),
+        pytest.param(
+            15_500,
+            "zone-1",
+            [fleet_records.StoreDisturbed(fault="BUSY", **BRIEFLY)],
+            [],
+            id="cut off from the store",
+        ),
+        pytest.param(
+            15_500,
+            "zone-1",
+            [fleet_records.GatewaysFrozen(names=("edge-0",), **BRIEFLY)],
+            [],
+            id="frozen sender",
+        ),
+        pytest.param(
+            15_500,
+            "zone-1",
+            [fleet_records.GatewaysStopped(names=("edge-1",), **BRIEFLY)],
+            ["EVACUATE"],
+            id="another gateway is stopped",
+        ),
+        pytest.param(
+            15_500,
+            "zone-1",
+            [fleet_records.EnginesPaused(names=("j0",), **BRIEFLY)],
+            [],
+            id="engine reads late",
+        ),
+        pytest.param(
+            15_500,
+            "zone-1",
+            [fleet_records.EnginesKilled(names=("j0",), **BRIEFLY)],
+            ["EVACUATE"],
+            id="engine was restarted",
+        ),
+    ],
+)
+def test_evacuated_zone_gets_no_requests(at_ms, zone, disturbances, expected):
+    evacuation = fleet_records.ZonesEvacuated(
+        began_at_ms=10_000, ended_at_ms=18_000, names=("zone-1",)
+    )
+    engine_records = [
+        msgspec.structs.replace(record, zone=zone, host="edge-0")
+        for record in runs("a.1", "j0", at_ms=at_ms)
+    ]
+    troubles = [evacuation, *disturbances]
+    assert rules(engine_records, [], troubles=troubles) == expected
+    misdirected = [
+        engine_records[0],
+        msgspec.structs.replace(
+            engine_records[0], step=Step.DECLINED, status=421
+        ),
+    ]
+    assert not rules(misdirected, [], troubles=troubles)
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_soak.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_soak.py
@@ -136,6 +136,7 @@
         ("cut_requests_early_in_a_stop", ["stop"], 3, "LOST"),
         ("ignore_requested_pauses", ["rest"], 8, "BUDGET"),
         ("retry_without_a_budget", ["full", "crash"], 8, "BUDGET"),
+        ("send_to_evacuated_zones", ["evacuate"], 8, "EVACUATE"),
     ],
 )
 def test_fleet_soak_detects_deliberate_fault(fault, troubles, grace_s, rule):
