Add cold engines to the soak of a fleet

The soak did not state that engines are cold, so that nothing checked with real processes that they get few requests.

With the trouble `cold`, the configuration names `coldStartS` 3 and `coldPerS` 10, engines that come back register `coldRemainingMs`, and running ones register that they are cold again. The judge reports COLD if an engine that has just started, is cold again or is of a zone whose evacuation has ended gets more than 1.5 times the rate and 5 requests in any second, from all gateways together and without those that get 421. For an engine that has just started, no gateway is excused: who sends to it has read that it is cold. That a running one is cold again has to be known after 2 s, as a change of the configuration does, except by gateways that could not learn of it.

Unit tests of the judge.

--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/deliberate_faults.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/deliberate_faults.py
@@ -18,6 +18,7 @@
 from bambooglade.gateway import target_prober
 from bambooglade.rights import account
 from bambooglade.store import store_era
+from bambooglade.targets import cold_starts
 from bambooglade.targets import crash_suspicions
 from bambooglade.targets import reachability
 from bambooglade.targets import request_limits
@@ -77,6 +78,11 @@
     evacuations.ZoneEvacuations.is_evacuated = lambda self, zone: False
 
 
+def ignore_cold_starts() -> None:
+    """Takes no target for cold."""
+    cold_starts.ColdStarts.find = lambda self, target_id, *, now_ms: None
+
+
 def send_quarantined_prompts() -> None:
     """Finds no quarantine for any prompt."""
     crash_suspicions.CrashSuspicions.find_quarantine = lambda self, parts: None
@@ -171,6 +177,7 @@
         keep_the_first_configuration,
         send_to_targets_that_leave,
         send_to_evacuated_zones,
+        ignore_cold_starts,
         send_quarantined_prompts,
         ignore_request_limits,
         ignore_notices_of_leaving,
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_judge.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_judge.py
@@ -75,6 +75,13 @@
 EVACUATION_MS = 5_000
 """Time after which the engines of an evacuated zone get no requests."""
 
+COLD_OVERSHOOT = 1.5
+COLD_SLACK = 5
+"""Factor of the rate of cold engines, and requests beside, in any second."""
+
+COLD_KNOWN_MS = 2_000
+"""Time after which it is known that a running engine is cold again."""
+
 LATE_REPEAT_MS = 500
 """Time after the first arrival from which a repeat counts as sent late."""
 
@@ -211,6 +218,7 @@
         bounds: The retry budget, and the grace of planned stops.
         troubles: What was disturbed, at the times at which it was.
         gateway_by_host: Gateways by the addresses that they connect from.
+        cold_times: When engines were cold, by their registrations.
 
     Attributes:
         budget_by_service: The worst window of each service.
@@ -220,6 +228,7 @@
         longer_deadlines: Requests that were passed on with more time than was
             left, and all that were counted.
         most_in_pause: Most requests of a gateway in a pause of an engine.
+        most_while_cold: Most requests that a cold engine got in a second.
         service: Judge of what callers are served.
         unanswered_count: Requests on kept connections that were passed on and
             not answered.
@@ -236,9 +245,11 @@
         bounds: Bounds,
         troubles: Iterable[fleet_records.Trouble] = (),
         gateway_by_host: Mapping[str, str] = types.MappingProxyType({}),
+        cold_times: Sequence[fleet_records.ColdTime] = (),
     ) -> None:
         self._disturbances = fleet_disturbances.Disturbances(troubles)
         self._gateway_by_host = gateway_by_host
+        self._cold_times = list(cold_times)
         self._changes = list(changes)
         self._bounds = bounds
         self._engine_records = sorted(engine_records, key=lambda r: r.at_ms)
@@ -256,6 +267,7 @@
         self.late_fatal_by_cause: dict[str, int] = {}
         self.longer_deadlines = (0, 0)
         self.most_in_pause = 0
+        self.most_while_cold = 0
         self.unanswered_count = 0
         self.cut_in_stops: list[fleet_records.CallerRecord] = []
         self.service = fleet_service.ServiceJudge(
@@ -281,6 +293,7 @@
             self._cut_in_stops(),
             self._late_at_leaving(),
             self._late_in_evacuated_zones(),
+            self._overloaded_cold_engines(),
             self._cuts(),
             self._streams(),
             self._plain_responses(),
@@ -298,6 +311,7 @@
             f" cut_in_stops={len(self.cut_in_stops)}"
             f" late_fatal={self.late_fatal_by_cause}"
             f" in_pauses={self.most_in_pause}"
+            f" while_cold={self.most_while_cold}"
             f" unanswered={self.unanswered_count}"
             f" excess_runs={self.excess_runs_count}"
             f" longer_deadlines={self.longer_deadlines}"
@@ -608,6 +622,70 @@
                     f" {late_ms} ms after {record.zone} was evacuated",
                 )
 
+    def _cold_after_evacuations(self) -> Iterator[fleet_records.ColdTime]:
+        """Yields the cold times that follow the ends of evacuations."""
+        zone_by_engine = {r.engine: r.zone for r in self._engine_records}
+        for trouble in self._disturbances.evacuations():
+            for engine, zone in zone_by_engine.items():
+                if zone in trouble.names:
+                    yield fleet_records.ColdTime(
+                        engine=engine,
+                        # Who has not read the end yet sends nothing.
+                        began_at_ms=trouble.ended_at_ms - COLD_KNOWN_MS,
+                        ended_at_ms=trouble.ended_at_ms
+                        + 1_000 * self._changes[0].cold_start_s,
+                        is_start=False,
+                    )
+
+    def _overloaded_cold_engines(self) -> Iterator[fleet_violations.Violation]:
+        """Yields cold engines that get more in a second than they tolerate."""
+        per_s = self._changes[0].cold_per_s
+        if not per_s:
+            return
+        arrivals_by_engine = collections.defaultdict(list)
+        for record in self._taken_requests():
+            arrivals_by_engine[record.engine].append(record)
+        for cold in (*self._cold_times, *self._cold_after_evacuations()):
+            times_ms = [
+                record.at_ms
+                for record in arrivals_by_engine[cold.engine]
+                if self._is_counted_while_cold(record, cold)
+            ]
+            counts = WindowCounts(times_ms)
+            most, at_ms = max(
+                (counts.count(at_ms, at_ms + 1_000), at_ms)
+                for at_ms in times_ms or [cold.began_at_ms]
+            )
+            self.most_while_cold = max(self.most_while_cold, most)
+            if most > COLD_OVERSHOOT * per_s + COLD_SLACK:
+                yield fleet_violations.Violation(
+                    "COLD",
+                    at_ms,
+                    f"{cold.engine} got {most} requests in a second,"
+                    f" {at_ms - cold.began_at_ms} ms after {cold}",
+                )
+
+    def _is_counted_while_cold(
+        self, record: fleet_records.EngineRecord, cold: fleet_records.ColdTime
+    ) -> bool:
+        """Returns whether the rate of a cold engine holds for a request.
+
+        Whoever sends to an engine that has just started has read that it is
+        cold; that it is cold again has to be known first.
+        """
+        if not (
+            cold.began_at_ms <= record.at_ms < cold.ended_at_ms
+        ) or self._disturbances.is_paused(
+            record.engine, record.at_ms, record.at_ms
+        ):
+            return False
+        known_ms = record.at_ms - COLD_KNOWN_MS
+        gateway = self._gateway_by_host.get(record.host, record.host)
+        return cold.is_start or (
+            known_ms >= cold.began_at_ms
+            and self._disturbances.is_informed(gateway, known_ms, record.at_ms)
+        )
+
     def _is_leaving(
         self, engine: str, trouble: fleet_records.EnginesLeave
     ) -> bool:
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_plan.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_plan.py
@@ -65,6 +65,14 @@
 EVACUATION_MS = (7_000, 10_000)
 """Shortest and longest evacuation of a zone; 5,000 ms until its effect."""
 
+COLD = "cold"
+COLD_START_S = 3
+COLD_PER_S = 10
+"""What the configuration says of cold engines, if troubles include `COLD`."""
+
+COLD_AGAIN_MS = (4_000, 8_000)
+"""Shortest and longest time for which running engines are cold again."""
+
 CALM_AFTER_ABSENCE_MS = 12_000
 """Time before the next trouble, in which requests have to be served again."""
 
@@ -368,6 +376,14 @@
             began_at_ms=at_ms, ended_at_ms=at_ms, names=self._gateways()
         )
 
+    def cool(self, at_ms: int) -> fleet_records.Trouble:
+        """Returns a crash of engines, or that they are cold without one."""
+        if self._random.random() < 0.5:
+            return self.kill_engines(at_ms)
+        return fleet_records.EnginesCold(
+            **self._span(at_ms, *COLD_AGAIN_MS), names=self._engines()
+        )
+
     def evacuate(self, at_ms: int) -> fleet_records.Trouble:
         """Returns an evacuation of a zone."""
         zone = zone_name(self._random.randrange(self._size.zones))
@@ -412,6 +428,7 @@
     "hup": TroubleChooser.reload_gateways,
     "reset": TroubleChooser.reset_connections,
     "evacuate": TroubleChooser.evacuate,
+    COLD: TroubleChooser.cool,
 }
 """Kinds of troubles that come at random, alone or together."""
 
@@ -452,7 +469,12 @@
         self._random = random.Random(seed)
         self._size = size
         self._kinds_of_changes = kinds_of_changes
-        self.changes: list[fleet_records.Change] = [self._first_state()]
+        first_state = self._first_state()
+        if COLD in troubles:
+            first_state = msgspec.structs.replace(
+                first_state, cold_start_s=COLD_START_S, cold_per_s=COLD_PER_S
+            )
+        self.changes: list[fleet_records.Change] = [first_state]
         self.troubles: list[fleet_records.Trouble] = []
         if PAUSES_AT_CHANGES in troubles:
             self._choose_changes(duration_ms)
@@ -638,6 +660,10 @@
         for name in ENGINE_SERVICES
     ]
     services.append({"name": PLAIN_SERVICE, "maxConnections": 96})
+    if change.cold_per_s:
+        for service in services:
+            service["coldStartS"] = change.cold_start_s
+            service["coldPerS"] = change.cold_per_s
     return msgspec.json.encode(
         {
             "version": version,
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_records.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_records.py
@@ -145,6 +145,8 @@
         idle_timeout_ms: Time that callers may keep a connection idle.
         route_by_kind: Routes by the kind of their requests.
         prepaid_tokens: Tokens that the team may use in all.
+        cold_start_s: Seconds for which an engine is cold after its start.
+        cold_per_s: Requests per second that it tolerates while cold; 0 for any.
     """
 
     at_ms: int
@@ -152,6 +154,24 @@
     idle_timeout_ms: int
     route_by_kind: dict[str, RouteState]
     prepaid_tokens: int = 10**9
+    cold_start_s: int = 0
+    cold_per_s: float = 0.0
+
+
+class ColdTime(msgspec.Struct, frozen=True, kw_only=True):
+    """A time in which an engine is cold.
+
+    Attributes:
+        engine: Id of the engine.
+        began_at_ms: Time at which the store has accepted its registration.
+        ended_at_ms: Time at which it is warm.
+        is_start: Whether it has just started, and was not known before.
+    """
+
+    engine: str
+    began_at_ms: int
+    ended_at_ms: int
+    is_start: bool
 
 
 class Behaviour(msgspec.Struct, frozen=True, kw_only=True):
@@ -248,6 +268,10 @@
     """The connections of gateways to engines are reset."""
 
 
+class EnginesCold(Trouble, frozen=True, kw_only=True):
+    """Running engines register that they are cold again."""
+
+
 class ZonesEvacuated(Trouble, frozen=True, kw_only=True):
     """Operators evacuate availability zones, whose names are given."""
 
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/platform_harness.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/platform_harness.py
@@ -132,6 +132,7 @@
     zone: str = "zone-a",
     started_at_ms: int = 1,
     slots: int = 8,
+    cold_remaining_ms: int = 0,
 ) -> bytes:
     """Returns the encoded registration that an engine writes to the store."""
     host, port = address
@@ -142,7 +143,7 @@
             "zone": zone,
             "slots": slots,
             "state": state,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": cold_remaining_ms,
             "born": started_at_ms,
             "version": version,
         }
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/soak_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/soak_fleet.py
@@ -127,6 +127,10 @@
         self._evacuation_count_by_zone: collections.Counter[str] = (
             collections.Counter()
         )
+        self._cold_until_ms_by_engine: collections.Counter[
+            engine_process.EngineProcess
+        ] = collections.Counter()
+        self._cold_times: list[fleet_records.ColdTime] = []
         self._ended_engines: list[engine_process.EngineProcess] = []
         self._down: set[str] = set()
         self._crashed: set[str] = set()
@@ -244,8 +248,48 @@
         engine.start()
         self._register(engine, state="ready")
 
+    def _register_cold(
+        self,
+        engine: engine_process.EngineProcess,
+        duration_ms: int,
+        *,
+        is_start: bool,
+    ) -> None:
+        """Registers that an engine is cold, and later that it is warm."""
+        now_ms = engine_process.monotonic_ms()
+        if not is_start:
+            # The newest registration counts, so it must not shorten another.
+            duration_ms = max(
+                duration_ms, self._cold_until_ms_by_engine[engine] - now_ms
+            )
+        self._register(engine, state="ready", cold_remaining_ms=duration_ms)
+        self._cold_until_ms_by_engine[engine] = now_ms + duration_ms
+        self._cold_times.append(
+            fleet_records.ColdTime(
+                engine=engine.settings.name,
+                began_at_ms=now_ms,
+                ended_at_ms=now_ms + duration_ms,
+                is_start=is_start,
+            )
+        )
+        self._loop.call_later(duration_ms, self._register_warm, engine)
+
+    def _register_warm(self, engine: engine_process.EngineProcess) -> None:
+        """Registers an engine as warm if it still runs, and is not cold."""
+        is_cold = (
+            engine_process.monotonic_ms()
+            < self._cold_until_ms_by_engine[engine]
+        )
+        is_current = engine in self._engine_by_name.values()
+        if is_current and engine.is_running and not is_cold:
+            self._register(engine, state="ready")
+
     def _register(
-        self, engine: engine_process.EngineProcess, *, state: str
+        self,
+        engine: engine_process.EngineProcess,
+        *,
+        state: str,
+        cold_remaining_ms: int = 0,
     ) -> None:
         settings = engine.settings
         base_name = settings.name.partition("~")[0]
@@ -259,6 +303,7 @@
                 zone=settings.zone,
                 slots=settings.slots,
                 started_at_ms=1 + self._life_by_name[base_name],
+                cold_remaining_ms=cold_remaining_ms,
             ),
         )
 
@@ -283,7 +328,12 @@
             )
         )
         self._engine_by_name[name] = engine
-        self._start_engine(engine)
+        cold_start_ms = 1_000 * self._changes[0].cold_start_s
+        if cold_start_ms:
+            engine.start()
+            self._register_cold(engine, cold_start_ms, is_start=True)
+        else:
+            self._start_engine(engine)
 
     def _await_gateways(self) -> None:
         """Waits until all gateways serve."""
@@ -550,6 +600,17 @@
         for engine in self._engine_by_name.values():
             engine.behave(fleet_records.Behaviour(reset_hosts=hosts))
 
+    @_begin.register
+    def _(self, trouble: fleet_records.EnginesCold) -> None:
+        for name in trouble.names:
+            engine = self._engine_by_name[name]
+            if engine.is_running:
+                self._register_cold(
+                    engine,
+                    trouble.ended_at_ms - trouble.began_at_ms,
+                    is_start=False,
+                )
+
     @_begin.register
     def _(self, trouble: fleet_records.ZonesEvacuated) -> None:
         self._evacuation_count_by_zone.update(trouble.names)
@@ -655,6 +716,7 @@
                 grace_ms=round(1_000 * self._grace_s),
             ),
             troubles=self._troubles,
+            cold_times=self._cold_times,
             gateway_by_host={
                 self._source_host(number): gateway.name
                 for number, gateway in enumerate(self._gateways)
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_fleet_judge.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_fleet_judge.py
@@ -12,6 +12,7 @@
 End = fleet_records.End
 
 BOUNDS = fleet_judge.Bounds(ratio=0.2, slack=2, window_ms=1_000)
+EARLY = {"began_at_ms": 11_000, "ended_at_ms": 12_000}
 BRIEFLY = {"began_at_ms": 14_500, "ended_at_ms": 15_000}
 
 
@@ -82,7 +83,12 @@
 
 
 def rules(
-    engine_records, caller_records, changes=None, bounds=BOUNDS, troubles=()
+    engine_records,
+    caller_records,
+    changes=None,
+    bounds=BOUNDS,
+    troubles=(),
+    cold_times=(),
 ):
     judge = fleet_judge.Judge(
         engine_records,
@@ -90,6 +96,7 @@
         changes or [change()],
         bounds,
         troubles=troubles,
+        cold_times=cold_times,
     )
     return [violation.rule for violation in judge.violations()]
 
@@ -601,3 +608,85 @@
         ),
     ]
     assert not rules(misdirected, [], troubles=troubles)
+
+
+def arrivals(count, at_ms, *, status=200):
+    """Returns the records of requests that reach an engine in one second."""
+    for number in range(count):
+        record = msgspec.structs.replace(
+            step(at_ms + number, Step.ARRIVED, f"{number}.1"),
+            host="edge-0",
+            zone="zone-1",
+        )
+        yield record
+        if status != 200:
+            yield msgspec.structs.replace(
+                record, step=Step.DECLINED, status=status
+            )
+
+
+@pytest.mark.parametrize(
+    "cold, disturbances, expected",
+    [
+        pytest.param((12_000, True), [], ["COLD"], id="just started"),
+        pytest.param((12_000, False), [], [], id="not known yet"),
+        pytest.param((10_000, False), [], ["COLD"], id="cold again"),
+        pytest.param((8_000, True), [], [], id="warm"),
+        pytest.param(
+            (10_000, False),
+            [fleet_records.StoreDisturbed(fault="BUSY", **EARLY)],
+            [],
+            id="store does not tell that it is cold again",
+        ),
+        pytest.param(
+            (12_000, True),
+            [fleet_records.StoreDisturbed(fault="BUSY", **EARLY)],
+            ["COLD"],
+            id="start is known with the engine",
+        ),
+        pytest.param(
+            (12_000, True),
+            [fleet_records.EnginesPaused(names=("j0",), **EARLY)],
+            [],
+            id="engine reads late",
+        ),
+        pytest.param(
+            None,
+            [fleet_records.ZonesEvacuated(names=("zone-1",), **EARLY)],
+            ["COLD"],
+            id="evacuation has ended",
+        ),
+        pytest.param(
+            None,
+            [fleet_records.ZonesEvacuated(names=("zone-0",), **EARLY)],
+            [],
+            id="evacuation of another zone has ended",
+        ),
+    ],
+)
+def test_cold_engine_gets_few_requests(cold, disturbances, expected):
+    changes = [msgspec.structs.replace(change(), cold_start_s=3, cold_per_s=10)]
+    cold_times = [
+        fleet_records.ColdTime(
+            engine="j0",
+            began_at_ms=began_at_ms,
+            ended_at_ms=began_at_ms + 4_000,
+            is_start=is_start,
+        )
+        for began_at_ms, is_start in [cold] * bool(cold)
+    ]
+
+    def found(engine_records, changes=changes):
+        return rules(
+            engine_records,
+            [],
+            changes=changes,
+            troubles=disturbances,
+            cold_times=cold_times,
+        )
+
+    assert found(arrivals(21, 12_100)) == expected
+    assert not found(arrivals(20, 12_100))
+    assert not found(arrivals(30, 12_100, status=421))
+    assert found(arrivals(30, 12_100, status=503)) == expected
+    assert not found(arrivals(30, 12_100), changes=[change()])
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_soak.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_soak.py
@@ -150,3 +150,11 @@
     )
     with pytest.raises(invariants.InvariantViolationError, match=rule):
         run.run(FLEET_DURATION_MS)
+
+
+def test_fleet_soak_detects_too_many_requests_at_a_cold_engine():
+    run = soak_fleet.FleetSoak(
+        8, size="one-zone", troubles=["cold"], fault="ignore_cold_starts"
+    )
+    with pytest.raises(invariants.InvariantViolationError, match="COLD"):
+        run.run(FLEET_DURATION_MS)
