--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/deliberate_faults.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/deliberate_faults.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from bambooglade.discovery import evacuations
 from bambooglade.discovery import view as view_lib
 from bambooglade.gateway import dispatching
 from bambooglade.gateway import error_responses
@@ -17,6 +18,7 @@
 from bambooglade.gateway import target_prober
 from bambooglade.rights import account
 from bambooglade.store import store_era
+from bambooglade.targets import cold_starts
 from bambooglade.targets import crash_suspicions
 from bambooglade.targets import reachability
 from bambooglade.targets import request_limits
@@ -71,6 +73,16 @@
     view_lib.FleetView.ready_targets = registered_targets
 
 
+def send_to_evacuated_zones() -> None:
+    """Takes no zone for evacuated."""
+    evacuations.ZoneEvacuations.is_evacuated = lambda self, zone: False
+
+
+def ignore_cold_starts() -> None:
+    """Takes no target for cold."""
+    cold_starts.ColdStarts.find = lambda self, target_id, *, now_ms: None
+
+
 def send_quarantined_prompts() -> None:
     """Finds no quarantine for any prompt."""
     crash_suspicions.CrashSuspicions.find_quarantine = lambda self, parts: None
@@ -164,6 +176,8 @@
         say_of_broken_requests_that_they_did_not_run,
         keep_the_first_configuration,
         send_to_targets_that_leave,
+        send_to_evacuated_zones,
+        ignore_cold_starts,
         send_quarantined_prompts,
         ignore_request_limits,
         ignore_notices_of_leaving,
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_records.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/fleet_records.py
@@ -39,6 +39,7 @@
         engine: Id of the engine.
         service: Its service.
         version: Version of its software.
+        zone: Its availability zone.
         host: IP address that it came from.
         attempt: Id of the request.
         target: Path of the request.
@@ -46,6 +47,7 @@
         sent_events: Number of events that this run has sent.
         deadline_ms: Time that the request states to be left; None for none.
         pause_ms: Time for which a declining engine wants no requests.
+        status: Status with which the engine declined; 0 if it did not.
     """
 
     at_ms: int
@@ -53,6 +55,7 @@
     engine: str
     service: str
     version: str = ""
+    zone: str = ""
     host: str = ""
     attempt: str
     target: str = ""
@@ -60,6 +63,7 @@
     sent_events: int = 0
     deadline_ms: int | None = None
     pause_ms: int = 0
+    status: int = 0
 
 
 class End(enum.Enum):
@@ -141,6 +145,8 @@
         idle_timeout_ms: Time that callers may keep a connection idle.
         route_by_kind: Routes by the kind of their requests.
         prepaid_tokens: Tokens that the team may use in all.
+        cold_start_s: Seconds for which an engine is cold after its start.
+        cold_per_s: Requests per second that it tolerates while cold; 0 for any.
     """
 
     at_ms: int
@@ -148,6 +154,24 @@
     idle_timeout_ms: int
     route_by_kind: dict[str, RouteState]
     prepaid_tokens: int = 10**9
+    cold_start_s: int = 0
+    cold_per_s: float = 0.0
+
+
+class ColdTime(msgspec.Struct, frozen=True, kw_only=True):
+    """A time in which an engine is cold.
+
+    Attributes:
+        engine: Id of the engine.
+        began_at_ms: Time at which the store has accepted its registration.
+        ended_at_ms: Time at which it is warm.
+        is_start: Whether it has just started, and was not known before.
+    """
+
+    engine: str
+    began_at_ms: int
+    ended_at_ms: int
+    is_start: bool
 
 
 class Behaviour(msgspec.Struct, frozen=True, kw_only=True):
@@ -244,6 +268,14 @@
     """The connections of gateways to engines are reset."""
 
 
+class EnginesCold(Trouble, frozen=True, kw_only=True):
+    """Running engines register that they are cold again."""
+
+
+class ZonesEvacuated(Trouble, frozen=True, kw_only=True):
+    """Operators evacuate availability zones, whose names are given."""
+
+
 class StoreDisturbed(Trouble, frozen=True, kw_only=True):
     """The store does not serve as usual.
 
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_soak.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_soak.py
@@ -136,6 +136,7 @@
         ("cut_requests_early_in_a_stop", ["stop"], 3, "LOST"),
         ("ignore_requested_pauses", ["rest"], 8, "BUDGET"),
         ("retry_without_a_budget", ["full", "crash"], 8, "BUDGET"),
+        ("send_to_evacuated_zones", ["evacuate"], 8, "EVACUATE"),
     ],
 )
 def test_fleet_soak_detects_deliberate_fault(fault, troubles, grace_s, rule):
@@ -149,3 +150,11 @@
     )
     with pytest.raises(invariants.InvariantViolationError, match=rule):
         run.run(FLEET_DURATION_MS)
+
+
+def test_fleet_soak_detects_too_many_requests_at_a_cold_engine():
+    run = soak_fleet.FleetSoak(
+        8, size="one-zone", troubles=["cold"], fault="ignore_cold_starts"
+    )
+    with pytest.raises(invariants.InvariantViolationError, match="COLD"):
+        run.run(FLEET_DURATION_MS)
