Move a shared part to the same further targets on all instances

Cause: a request whose preferred target is late went to the best target of all, another one for each instance. And a part with one and a half requests in the memory of an instance had two targets at once.

Change: three more targets of a part are tried in one order, equal on all instances, and the first that is in time is used. A part has a second target at once only if its load needs it.

--- a/packages/bambooglade/bambooglade/gateway/target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/target_selector.py
@@ -19,6 +19,7 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Sequence
+import itertools
 import random
 
 from bambooglade.discovery import targets as targets_lib
@@ -434,13 +435,16 @@
             is_preferred = target.target_id in has_part
             return self._predict(target, prompt, is_preferred, now_ms)
 
-        best = min(
-            (predict(usable_by_id[t]) for t in ids), key=cost_ms, default=None
+        bound_ms = AFFINITY_FRACTION * target_latency_ms
+        first = min(
+            (predict(usable_by_id[t]) for t in ids[: plan.first_count]),
+            key=cost_ms,
+            default=None,
         )
-        if (
-            best is None
-            or best.total_ms > AFFINITY_FRACTION * target_latency_ms
-        ):
+        others = (predict(usable_by_id[t]) for t in ids[plan.first_count :])
+        in_order = itertools.chain([first] if first else [], others)
+        best = next((p for p in in_order if p.total_ms <= bound_ms), None)
+        if best is None:
             best = min(map(predict, usable), key=cost_ms)
         choice = self._to_choice(best, now_ms)
         choice.own_work_ms = model.work_ms(own_tokens)
--- a/packages/bambooglade/bambooglade/scheduling/placement.py
+++ b/packages/bambooglade/bambooglade/scheduling/placement.py
@@ -42,11 +42,11 @@
 Its requests go to more targets above that.
 """
 
-COMMON_REQUESTS = 1.5
-"""Usual requests with the same shared part from which it is common.
+ALTERNATIVES = 3
+"""Targets that a shared part moves to, one after the other, if the first ones
+are late.
 
-It is cached at one more target then. A session of a few requests would have its
-part processed twice.
+All instances take them in the same order, so that few targets read the part.
 """
 
 STICKY_SHARE = 0.5
@@ -84,6 +84,8 @@
         preferred_ids: Targets to prefer, by how likely they are to have the
             shared part cached.
         cached_count: Number of them, from the first, that should have it.
+        first_count: Number of them, from the first, among which the best is
+            used; the others are alternatives in their order.
         is_long: Whether the prompt delays short ones noticeably.
         long_ids: Targets that long prompts prefer; empty if the targets are not
             divided.
@@ -92,6 +94,7 @@
 
     __slots__ = (
         "cached_count",
+        "first_count",
         "is_long",
         "long_ids",
         "long_work_ms",
@@ -103,12 +106,16 @@
         preferred_ids: Sequence[str],
         *,
         cached_count: int = 0,
+        first_count: int | None = None,
         is_long: bool = False,
         long_ids: frozenset[str] = frozenset(),
         long_work_ms: float = 0.0,
     ) -> None:
         self.preferred_ids = preferred_ids
         self.cached_count = cached_count
+        self.first_count = (
+            len(preferred_ids) if first_count is None else first_count
+        )
         self.is_long = is_long
         self.long_ids = long_ids
         self.long_work_ms = long_work_ms
@@ -225,15 +232,16 @@
             end = whole + (boundary if is_long else not boundary)
             members = ranked[:end] if is_long else ranked[whole + boundary :]
             members = members or ranked[whole : whole + 1]
-        cached_count = 0
+        cached_count, count = 0, None
         if part is not None:
             cached_count = mix.spread(part_id, len(ranked))
             is_sticky = shared_work_ms >= STICKY_SHARE * work_ms
             count = cached_count if is_sticky else max(2, cached_count)
-            members = self._best(members, part, count)
+            members = self._best(members, part, count + ALTERNATIVES)
         return Plan(
             members,
             cached_count=cached_count,
+            first_count=count,
             is_long=is_long,
             long_ids=long_ids if long_count else frozenset(),
             long_work_ms=mix.long_work_ms,
@@ -404,8 +412,7 @@
         if self.request_count < MIN_REQUESTS:
             return 1
         share = self._tokens_by_part.get(part_id, 0.0) / self._tokens
-        is_common = share * min(self.request_count, MEMORY) >= COMMON_REQUESTS
-        return is_common + 1 + int(share * target_count / MAX_LOAD_OF_PART)
+        return 1 + int(share * target_count / MAX_LOAD_OF_PART)
 
     def ranked(self, target_ids: Sequence[str], hash_of) -> list[str]:
         """Returns targets in an order that is equal on all instances."""
--- a/packages/bambooglade/bambooglade/scheduling/tests/test_placement.py
+++ b/packages/bambooglade/bambooglade/scheduling/tests/test_placement.py
@@ -150,7 +150,7 @@
         shared_work_ms=shared_work_ms,
         **SHORT,
     )
-    assert len(plan.preferred_ids) == count
+    assert plan.first_count == count
 
 
 def test_targets_outside_the_own_group_cost_the_delay_of_others():
