Leave the rotation only while the own link is busy

That this is the cause is suspected, not shown: connections that open slowly took one of nine instances out of rotation for 12 s and more, whatever their cause was.

Change: slow connections count as overload only while the link was full within a second.

--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -668,11 +668,17 @@
         )
 
     def _update_rotation(self) -> None:
-        """Leaves the rotation for longer if returns end in overload."""
+        """Leaves the rotation for longer if returns end in overload.
+
+        Connections that open slowly while the link has room have causes that
+        soon pass, such as targets that restart.
+        """
         now_ms = self.loop.now_ms()
+        link = self.loop.link
+        is_congested = self._congestion.is_congested(now_ms)
         self._rotation.record(
-            is_overloaded=self._congestion.is_congested(now_ms)
-            or self.loop.link.is_overloaded(now_ms),
+            is_overloaded=link.is_overloaded(now_ms)
+            or (is_congested and link.is_busy(now_ms)),
             now_ms=now_ms,
         )
         is_out = self._rotation.is_out(now_ms)
