Keep equal stocks where every instance is a home

Cause: a stock by demand is larger, and what a killed instance held counts as used. In a small fleet each instance is a home of each team, and which of them gets most requests changes within seconds.

Change: stocks follow demand only where a zone has one home of a team.

--- a/packages/bambooglade/bambooglade/rights/ledger_client.py
+++ b/packages/bambooglade/bambooglade/rights/ledger_client.py
@@ -452,7 +452,12 @@
         What it draws is compared with what the fleet draws, since both are
         read together and without what requests reserve but do not use. Its
         demand bounds that: a stock that is filled is no demand.
+
+        Where every instance is a home, their parts of the demand change within
+        seconds, and a larger stock would mostly be lost at a kill.
         """
+        if self._homes.is_every_instance_home:
+            return 1 / home_count
         horizon_ms = account_lib.STOCK_HORIZON_MS
         drawn_tokens, fleet_tokens = (
             growth_by_team[team].expected_tokens(horizon_ms, now_ms=now_ms)
--- a/packages/bambooglade/bambooglade/rights/tests/test_ledger_client.py
+++ b/packages/bambooglade/bambooglade/rights/tests/test_ledger_client.py
@@ -21,6 +21,9 @@
 
 
 class _Homes:
+    def __init__(self, is_every_instance_home: bool = False) -> None:
+        self.is_every_instance_home = is_every_instance_home
+
     def count(self) -> int:
         return HOME_COUNT
 
@@ -32,7 +35,7 @@
 class _Fleet:
     """Homes of one team, without a network."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_every_instance_home: bool = False) -> None:
         self.clock = clock_lib.ManualClock()
         self.accounts = [account_lib.Account() for _ in range(HOME_COUNT)]
         self._item = store_api.Item(
@@ -49,7 +52,7 @@
                 incarnation="1",
                 accounts={TEAM: account},
                 prepaid_of=lambda team: PREPAID_TOKENS,
-                homes=_Homes(),
+                homes=_Homes(is_every_instance_home),
                 contact=types.SimpleNamespace(is_unavailable=False),
                 copy_ledgers=lambda copies: None,
                 log=event_log.EventLog(self.clock),
@@ -144,3 +147,15 @@
     )
     outage_tokens = 10_000 * 8_000 / 250
     assert fleet.accounts[0].available_tokens >= 0.5 * outage_tokens
+
+
+@pytest.mark.parametrize("is_every_instance_home", [False, True])
+def test_stocks_follow_demand_only_where_homes_are_few(is_every_instance_home):
+    # Guards against large stocks in small fleets, which a kill of all loses.
+    fleet = _Fleet(is_every_instance_home=is_every_instance_home)
+    fleet.run(
+        10_000, interval_ms=250, reserved=20_000, spent=20_000, turns=(0,)
+    )
+    equal_part = stock_policy.MAX_STOCK_SHARE * PREPAID_TOKENS / HOME_COUNT
+    is_larger = fleet.accounts[0].available_tokens > 1.2 * equal_part
+    assert is_larger is not is_every_instance_home
