--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_spending_fleet.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/simulated_spending_fleet.py
@@ -97,6 +97,7 @@
             local_instance=peer,
             peers=self.peers,
             contact=self.store_monitor,
+            must_probe=lambda: False,
             random_source=random_source,
         )
         client = InProcessHttpClient(fleet)
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_calls.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_calls.py
@@ -5,6 +5,8 @@
 import pytest
 
 from bambooglade.rights import ledger as ledger_lib
+from bambooglade_standins.users_platform import memory_store
+from bambooglade_standins.users_platform import simulated_relay_fleet
 from bambooglade_standins.users_platform import simulated_spending_fleet
 
 WARM_UP_MS = 10_000
@@ -134,3 +136,129 @@
     fleet.loop.advance(1_000)
     assert outcome.done()
     assert outcome.result().value == "reserved"
+
+
+OUTAGE_MS = 9_000
+RECOVERY_BOUND_MS = 4_000
+"""Time after an outage within which a change is in force everywhere."""
+
+
+def cut_all(fleet, is_cut):
+    """Calls time out, as on a dead connection."""
+    for instance in fleet.instances:
+        instance.store_link.is_partitioned = is_cut
+
+
+def close_connections(fleet, is_cut):
+    """Calls fail at once."""
+    fleet.store.fault = (
+        memory_store.Fault.UNRESPONSIVE if is_cut else memory_store.Fault.NONE
+    )
+
+
+def refuse_all(fleet, is_cut):
+    fleet.store.fault = (
+        memory_store.Fault.BUSY if is_cut else memory_store.Fault.NONE
+    )
+
+
+OUTAGES = [cut_all, close_connections, refuse_all]
+
+
+def watching_fleet(size, *, seed=0):
+    """A fleet with one target, in which no instance has just started."""
+    fleet = simulated_relay_fleet.SimulatedRelayFleet(size, seed=seed)
+    fleet.register("a", state="ready")
+    fleet.loop.advance(WARM_UP_MS + 397 * seed)
+    fleet.counts.clear()
+    return fleet
+
+
+def recovery_ms(fleet) -> int:
+    """Returns the time until a change and a leaving target are known."""
+    fleet.configure(2)
+    fleet.register("a", state="draining")
+    began_at_ms = fleet.loop.now_ms()
+    while any(
+        instance.version != 2 or instance.view.ready_targets("s")
+        for instance in fleet.running_instances
+    ):
+        fleet.loop.advance(10)
+        assert fleet.loop.now_ms() - began_at_ms <= RECOVERY_BOUND_MS
+    return fleet.loop.now_ms() - began_at_ms
+
+
+@pytest.mark.parametrize("outage", OUTAGES)
+@pytest.mark.parametrize(("size", "seed"), [(24, 0), (24, 1), (71, 2)])
+def test_outage_costs_renewals_instead_of_reads(outage, size, seed):
+    """Guards against a read of each instance for each retry interval."""
+    fleet = watching_fleet(size, seed=seed)
+    outage(fleet, True)
+    fleet.loop.advance(OUTAGE_MS)
+    assert fleet.counts.price / size <= 4, fleet.counts
+    failed_reads = fleet.counts.count("op/") - fleet.counts.count("op/ Items")
+    assert failed_reads <= size, fleet.counts
+    outage(fleet, False)
+    assert recovery_ms(fleet) <= 2_500
+
+
+@pytest.mark.parametrize("outage", OUTAGES)
+@pytest.mark.parametrize("size", [4, 24])
+@pytest.mark.parametrize("outage_ms", [1_500, 20_000])
+def test_changes_are_known_soon_after_an_outage(outage, size, outage_ms):
+    """Guards against instances that wait for a renewal that never succeeds.
+
+    After the longer outage, all leases have expired.
+    """
+    fleet = watching_fleet(size)
+    outage(fleet, True)
+    fleet.loop.advance(outage_ms)
+    outage(fleet, False)
+    recovery_ms(fleet)
+
+
+def test_renewal_alone_does_not_end_an_outage():
+    """Guards against states that change with each renewal while reads fail."""
+    fleet = watching_fleet(24)
+    for instance in fleet.instances:
+        instance.store_link.lost_prefixes = {"op/", "servers/"}
+    cut_all(fleet, True)
+    fleet.loop.advance(4_000)
+    cut_all(fleet, False)
+    fleet.counts.clear()
+    fleet.loop.advance(OUTAGE_MS)
+    assert {i.store_monitor.outage_count for i in fleet.instances} == {1}
+    assert all(i.store_monitor.is_unavailable for i in fleet.instances)
+    reads = fleet.counts.count("read_prefix op/")
+    assert 24 <= reads <= fleet.counts.count("renew_lease  Committed")
+    for instance in fleet.instances:
+        instance.store_link.lost_prefixes = set()
+    recovery_ms(fleet)
+
+
+@pytest.mark.parametrize("has_lease", [False, True])
+def test_reads_go_on_if_only_lease_calls_fail(has_lease):
+    """Guards against a view that is stale for as long as renewals fail."""
+    fleet = watching_fleet(24)
+    cut_all(fleet, True)
+    fleet.loop.advance(4_000)
+    for instance in fleet.instances:
+        instance.store_link.are_lease_calls_lost = True
+        if not has_lease:
+            instance.registration._forget_lease()
+    cut_all(fleet, False)
+    fleet.configure(2)
+    fleet.loop.advance(13_000 if has_lease else RECOVERY_BOUND_MS)
+    assert {instance.version for instance in fleet.instances} == {2}
+
+
+def test_small_fleet_reads_during_an_outage():
+    """Guards against small fleets that depend on a renewal as well."""
+    fleet = watching_fleet(4)
+    cut_all(fleet, True)
+    fleet.loop.advance(OUTAGE_MS)
+    assert fleet.counts.count("read_prefix op/ NoResponse") >= 4 * 2
+    for instance in fleet.instances:
+        instance.registration.stop()
+    cut_all(fleet, False)
+    assert recovery_ms(fleet) <= 2_500
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_restore.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_restore.py
@@ -204,6 +204,7 @@
             ),
             peers=peers_lib.PeerList(name),
             contact=dependency_monitor.DependencyMonitor("store", log=log),
+            must_probe=lambda: False,
             random_source=random.Random(2),
         ).start()
 
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_watcher.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_watcher.py
@@ -170,6 +170,7 @@
             local_instance=own,
             peers=peers,
             contact=harness.store_monitor,
+            must_probe=lambda: False,
             random_source=random.Random(2),
         )
         registration.start()
--- a/packages/bambooglade/bambooglade/discovery/registration.py
+++ b/packages/bambooglade/bambooglade/discovery/registration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import random
 
@@ -43,6 +44,18 @@
 RETRY_DELAY_MS = 700
 """Mean delay after a failed call to the store."""
 
+OUTAGE_POLL_INTERVAL_MS = 250
+"""Interval at which an instance checks whether it has to probe the store.
+
+It is part of the time until a store that is back is noticed.
+"""
+
+MAX_PROBING_MS = 10_000
+"""Time of failed renewals after which other calls are tried nevertheless.
+
+Renewals may fail while reads succeed.
+"""
+
 
 class Registration:
     """Keeps this instance registered and the peer list up to date.
@@ -52,7 +65,11 @@
         store: The store.
         local_instance: Entry of this instance, to be registered.
         peers: Peer list that receives the registered instances.
-        contact: Tracks whether the store is reachable.
+        contact: Tracks whether the store is reachable. During an outage, it
+            receives that a renewal of the lease got a response, or that other
+            calls have to be tried without one.
+        must_probe: Returns whether renewals of the lease detect the end of an
+            outage, as in large fleets. They cost a tenth of other calls.
         random_source: Source of the jitter in the intervals.
 
     Attributes:
@@ -66,7 +83,9 @@
         "_lease_id",
         "_local_instance",
         "_loop",
+        "_must_probe",
         "_peers",
+        "_probing_since_ms",
         "_random",
         "_store",
         "has_initial_peers",
@@ -80,6 +99,7 @@
         local_instance: peers_lib.Peer,
         peers: peers_lib.PeerList,
         contact: dependency_monitor.DependencyMonitor,
+        must_probe: Callable[[], bool],
         random_source: random.Random,
     ) -> None:
         self._loop = loop
@@ -87,8 +107,10 @@
         self._local_instance = local_instance
         self._peers = peers
         self._contact = contact
+        self._must_probe = must_probe
         self._random = random_source
         self._lease_id = 0
+        self._probing_since_ms: int | None = None
         self._is_stopped = False
         self.has_initial_peers = False
         store.era.listeners.append(self._forget_lease)
@@ -127,18 +149,43 @@
                     if self.has_initial_peers
                     else INITIAL_READ_INTERVAL_MS
                 )
+            yield from self._sleep(
+                delay_ms * (0.75 + self._random.random() / 2),
+                can_probe_early=is_successful and self.has_initial_peers,
+            )
+
+    def _sleep(self, delay_ms: float, *, can_probe_early: bool) -> tasks.Task:
+        """Sleeps until the next call, or until the store has to be probed.
+
+        A first probe follows at once when other calls find the store
+        unreachable, as only some of these may have failed.
+        """
+        due_ms = self._loop.now_ms() + round(delay_ms)
+        while (remaining_ms := due_ms - self._loop.now_ms()) > 0:
+            if can_probe_early and self._is_probe_due:
+                return
             yield tasks.sleep(
-                self._loop, delay_ms * (0.75 + self._random.random() / 2)
+                self._loop, min(remaining_ms, OUTAGE_POLL_INTERVAL_MS)
             )
 
+    @property
+    def _is_probe_due(self) -> bool:
+        return (
+            self._contact.is_unavailable
+            and not self._contact.has_probe_response
+            and self._must_probe()
+        )
+
     def _register_or_renew(self) -> tasks.Task:
         if self._lease_id:
             response = yield self._store.renew_lease(self._lease_id)
+            self._record_probe(response, is_renewal=True)
             if isinstance(response, store_api.NotFound):
                 self._lease_id = 0
             elif self._lease_id:
                 return isinstance(response, store_api.Committed)
         response = yield self._store.grant_lease(ttl_ms=LEASE_TTL_MS)
+        self._record_probe(response, is_renewal=False)
         if not isinstance(response, store_api.LeaseGranted):
             return False
         era = self._store.era.number
@@ -155,6 +202,25 @@
             self._lease_id = response.lease_id
         return bool(self._lease_id)
 
+    def _record_probe(
+        self, response: store_api.Response, *, is_renewal: bool
+    ) -> None:
+        """Records what a call says of the store.
+
+        Without a lease, a failed call says nothing of the reads: the store may
+        refuse writes only.
+        """
+        now_ms = self._loop.now_ms()
+        if is_renewal and isinstance(
+            response, (store_api.NoResponse, store_api.Refused)
+        ):
+            if self._probing_since_ms is None:
+                self._probing_since_ms = now_ms
+            if now_ms - self._probing_since_ms < MAX_PROBING_MS:
+                return
+        self._probing_since_ms = None
+        self._contact.record_probe_response()
+
     def _read_peers(self, *, may_lag: bool) -> tasks.Task:
         response = yield self._store.read_prefix(
             PEER_PREFIX, allow_stale=may_lag
--- a/packages/bambooglade/bambooglade/discovery/store_watcher.py
+++ b/packages/bambooglade/bambooglade/discovery/store_watcher.py
@@ -40,7 +40,8 @@
 """Mean delay after a failed call to the store in a large fleet.
 
 There, each retry costs one call per instance, and updates that one instance
-reads reach the others through the relays and peers.
+reads reach the others through the relays and peers. A call that fails is only
+repeated after a renewal of the lease got a response.
 """
 
 RELAY_WATCH_TIMEOUT_FRACTION = 0.2
@@ -205,13 +206,17 @@
 
         After a failure, a watch would return every version since the last
         revision. That may be more data than the network link transfers before
-        the next timeout.
+        the next timeout. In a large fleet, where calls pause during an outage,
+        the failed call may have been another one.
         """
-        is_successful = False
+        is_successful, outage_count = False, 0
         while not self._is_stopped:
             if not self._should_call_store(is_targets):
                 yield tasks.sleep(self._loop, IDLE_POLL_INTERVAL_MS)
                 continue
+            if self._relays.uses_relays():
+                is_successful &= outage_count == self._contact.outage_count
+            outage_count = self._contact.outage_count
             revision = self._revision(is_targets)
             if revision == 0 or not is_successful:
                 is_successful = yield tasks.spawn(
@@ -231,11 +236,15 @@
     def _should_call_store(self, is_targets: bool) -> bool:
         """Returns whether this instance should call the store.
 
-        While the store is unreachable, one of the two loops per instance is
-        enough for a large fleet to detect that it has recovered.
+        While the store is unreachable, a large fleet detects by the renewals
+        of its leases that it has recovered, as these cost a tenth of a read.
+        One of the two loops then reads, and the other one follows if it got a
+        response.
         """
+        if self._contact.is_unavailable and self._relays.uses_relays():
+            return not is_targets and self._contact.has_probe_response
         if self._contact.is_unavailable:
-            return not (is_targets and self._relays.uses_relays())
+            return True
         view = self._view
         return self._relays.must_watch_store(
             now_ms=self._loop.now_ms(),
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -385,6 +385,7 @@
             local_instance=self.local_instance,
             peers=self._peers,
             contact=self._contact,
+            must_probe=self._relays.uses_relays,
             random_source=self._random_source,
         )
         self._puller = peer_puller.PeerPuller(
--- a/packages/bambooglade/bambooglade/store/dependency_monitor.py
+++ b/packages/bambooglade/bambooglade/store/dependency_monitor.py
@@ -27,6 +27,9 @@
         outage_count: Number of outages so far.
         recovery_ends_at_ms: Time until which entries that lapsed in the last
             outage may still come back; 0 before the first outage.
+        has_probe_response: Whether an inexpensive call got a response since
+            the last failure, or can't tell, so that other calls are worth a
+            trial.
 
     Examples:
         >>> from bambooglade.core import clock
@@ -38,12 +41,17 @@
         >>> monitor.record_success(now_ms=2_010)
         >>> monitor.is_unavailable, monitor.recovery_ends_at_ms
         (False, 4010)
+        >>> monitor.record_failure(now_ms=3_000, reason="timeout")
+        >>> monitor.record_probe_response()
+        >>> monitor.is_unavailable, monitor.has_probe_response
+        (True, True)
     """
 
     __slots__ = (
         "_log",
         "_name",
         "_unavailable_since_ms",
+        "has_probe_response",
         "last_response_ms",
         "outage_count",
         "recovery_ends_at_ms",
@@ -56,6 +64,7 @@
         self.last_response_ms: int | None = None
         self.outage_count = 0
         self.recovery_ends_at_ms = 0
+        self.has_probe_response = False
 
     @property
     def is_unavailable(self) -> bool:
@@ -65,6 +74,7 @@
     def record_success(self, *, now_ms: int) -> None:
         """Records a usable response."""
         self.last_response_ms = now_ms
+        self.has_probe_response = False
         if self._unavailable_since_ms is None:
             return
         lost_for_ms = now_ms - self._unavailable_since_ms
@@ -77,6 +87,7 @@
 
     def record_failure(self, *, now_ms: int, reason: str) -> None:
         """Records a call without a usable response."""
+        self.has_probe_response = False
         if self._unavailable_since_ms is None:
             self._unavailable_since_ms = now_ms
             self.outage_count += 1
@@ -87,6 +98,13 @@
                 last_answer_ms=self.last_response_ms,
             )
 
+    def record_probe_response(self) -> None:
+        """Records that an inexpensive call got a response.
+
+        It does not end an outage: other calls may still fail.
+        """
+        self.has_probe_response = self.is_unavailable
+
     def __repr__(self) -> str:
         return (
             f"DependencyMonitor({self._name!r}, "
