--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/memory_store.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/memory_store.py
@@ -68,6 +68,7 @@
         fault: The active fault.
         write_delay_ms: Delay of writes under `Fault.DELAY_WRITES`.
         response_delay_ms: Response time.
+        stale_ms: Age of what reads return that may be stale.
         call_count: Number of calls so far.
         revision: Revision of the latest change.
         era_number: Era of the store; each restore begins one.
@@ -86,8 +87,11 @@
         self.fault = Fault.NONE
         self.write_delay_ms = 3_000
         self.response_delay_ms = RESPONSE_DELAY_MS
+        self.stale_ms = 0
         self.call_count = 0
         self.revision = 10
+        # All changes with their times, for reads that may be stale.
+        self._changes: list[tuple[int, store_api.Item]] = []
 
     def put_now(self, key: str, value: bytes | None) -> int:
         """Writes a key synchronously, for operators and engines.
@@ -159,24 +163,39 @@
     def read_prefix(
         self, prefix: str, *, after_key: str = "", allow_stale: bool = False
     ) -> futures.Future:
-        """Reads a page of keys with a prefix; `allow_stale` has no effect."""
-        del allow_stale
+        """Reads a page of keys with a prefix."""
 
         def page() -> store_api.Items:
+            item_by_key, revision = self._item_by_key, self.revision
+            if allow_stale and self.stale_ms:
+                item_by_key, revision = self._state_at(
+                    self._loop.now_ms() - self.stale_ms
+                )
             keys = sorted(
                 key
-                for key in self._item_by_key
+                for key in item_by_key
                 if key.startswith(prefix) and key > after_key
             )
-            items = [self._item_by_key[key] for key in keys[:PAGE_ITEMS]]
+            items = [item_by_key[key] for key in keys[:PAGE_ITEMS]]
             return store_api.Items(
-                items,
-                at_revision=self.revision,
-                has_more=len(keys) > PAGE_ITEMS,
+                items, at_revision=revision, has_more=len(keys) > PAGE_ITEMS
             )
 
         return self._respond(page)
 
+    def _state_at(self, at_ms: int) -> tuple[dict[str, store_api.Item], int]:
+        """Returns the items and the revision as of a time."""
+        item_by_key: dict[str, store_api.Item] = {}
+        revision = 0
+        for changed_at_ms, item in self._changes:
+            if changed_at_ms > at_ms:
+                break
+            revision = item.revision
+            item_by_key.pop(item.key, None)
+            if item.value is not None:
+                item_by_key[item.key] = item
+        return item_by_key, revision
+
     def watch(
         self, prefix: str, *, after_revision: int, wait_ms: int
     ) -> futures.Future:
@@ -282,6 +301,7 @@
     def _apply(self, write: store_api.Write) -> None:
         item = store_api.Item(write.key, write.value, self.revision)
         self._history.append(item)
+        self._changes.append((self._loop.now_ms(), item))
         self._lease_by_key.pop(write.key, None)
         if write.value is None:
             self._item_by_key.pop(write.key, None)
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/store_call_counts.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/store_call_counts.py
@@ -95,7 +95,9 @@
     ) -> futures.Future:
         """Reads a page."""
         call = "stale_read_prefix" if allow_stale else "read_prefix"
-        response = self._client.read_prefix(prefix, after_key=after_key)
+        response = self._client.read_prefix(
+            prefix, after_key=after_key, allow_stale=allow_stale
+        )
         return self._record(call, prefix, response)
 
     def watch(self, prefix: str, **options) -> futures.Future:
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_calls.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_calls.py
@@ -262,3 +262,23 @@
         instance.registration.stop()
     cut_all(fleet, False)
     assert recovery_ms(fleet) <= 2_500
+
+
+START_SPREAD_MS = 300
+"""Time within which the instances of a fleet start."""
+
+DISCOVERY_BOUND_MS = 2_000
+"""Time within which instances that start at the same time know each other."""
+
+
+@pytest.mark.parametrize("stale_ms", [0, 5_000])
+@pytest.mark.parametrize(("size", "seed"), [(6, 0), (24, 0), (24, 1), (71, 2)])
+def test_instances_that_start_together_know_each_other(size, seed, stale_ms):
+    """Guards against instances that rely on a list that may be old."""
+    fleet = simulated_relay_fleet.SimulatedRelayFleet(
+        size, seed=seed, start_spread_ms=START_SPREAD_MS
+    )
+    fleet.store.stale_ms = stale_ms
+    fleet.loop.advance(DISCOVERY_BOUND_MS)
+    assert {len(i.relays.known_peers()) for i in fleet.instances} == {size - 1}
+    assert fleet.counts.count("stale_read_prefix bambooglade/instances") >= size
--- a/packages/bambooglade/bambooglade/discovery/registration.py
+++ b/packages/bambooglade/bambooglade/discovery/registration.py
@@ -30,9 +30,10 @@
 """Number of renewals per read of the registered instances."""
 
 INITIAL_READS = 2
-"""Reads after the start that must be current.
+"""Reads until instances that started together know each other.
 
-The other instances may be starting at the same time.
+The first one finds those that run already and may return an older state. The
+last one must be current, as the others may be starting at the same time.
 """
 
 INITIAL_READ_INTERVAL_MS = 1_000
@@ -138,7 +139,7 @@
                 or completed_rounds < INITIAL_READS
             ):
                 is_successful = yield from self._read_peers(
-                    may_lag=completed_rounds >= INITIAL_READS
+                    may_lag=completed_rounds != INITIAL_READS - 1
                 )
             completed_rounds += is_successful
             self.has_initial_peers = completed_rounds >= INITIAL_READS
