--- a/packages/bambooglade/bambooglade/gateway/tests/test_version_archive.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_version_archive.py
@@ -261,6 +261,45 @@
         assert store.call_count == call_count + len(others)
 
 
+@pytest.mark.parametrize(
+    ("idle_ms", "is_listed", "reads"),
+    [(50, True, 1), (50, False, 2), (60_000, True, 2)],
+)
+def test_read_at_the_start_is_the_check_of_the_first_versions(
+    loop, store, idle_ms, is_listed, reads
+):
+    """Guards against two reads of the same record by each starting instance.
+
+    A record that lacks a version, or that was read long before, is read again.
+    """
+    first = Instance(loop, store, is_first_start=True)
+    first.observe("v1")
+    if not is_listed:
+        first.observe("v2")
+    instance = Instance(loop, store, is_recorder=False)
+    call_count = store.call_count
+    instance.archive.start()
+    loop.advance(idle_ms)
+    for _ in range(6):
+        instance.observe("v1", duration_ms=500)
+    written = not is_listed
+    assert store.call_count - call_count == reads + written
+
+
+def test_change_and_back_after_the_start_is_checked_again(loop, store):
+    """Guards against a check that relies on a record read before a change."""
+    recorder = Instance(loop, store, is_first_start=True)
+    recorder.observe("v1")
+    instance = Instance(loop, store, is_recorder=False)
+    instance.archive.start()
+    instance.observe("v1", duration_ms=500)
+    recorder.observe("v1", "v2")
+    instance.observe("v1", "v2", duration_ms=500)
+    for _ in range(6):
+        instance.observe("v1", duration_ms=500)
+    assert recorded(store) == {"v1": True, "v2": False}
+
+
 def test_time_of_a_clock_that_is_ahead_counts_as_now(loop, store):
     record = version_archive.VersionRecord(
         known_since_ms=0,
--- a/packages/bambooglade/bambooglade/gateway/version_archive.py
+++ b/packages/bambooglade/bambooglade/gateway/version_archive.py
@@ -41,6 +41,12 @@
 CHECK_SPREAD_MS = 1_000
 """Time over which these checks are spread at random."""
 
+MAX_START_READ_AGE_MS = 2_000
+"""Age of the read at the start that counts for the first versions seen.
+
+The versions are seen milliseconds after it, and checked up to 2 s later.
+"""
+
 COMMIT_TIMEOUT_MS = 1_000
 
 RETRY_DELAY_MS = 700
@@ -171,6 +177,7 @@
     """
 
     __slots__ = (
+        "_changed_at_ms",
         "_check_at_ms",
         "_is_busy",
         "_is_first_start",
@@ -181,6 +188,7 @@
         "_loop",
         "_origins",
         "_random",
+        "_read_at_ms",
         "_record",
         "_retry_at_ms",
         "_revision",
@@ -208,7 +216,10 @@
         self._log = log
         # Time of the next check; None if nothing has changed since the last.
         self._check_at_ms: int | None = None
+        # Time from which a record that was read reflects the last change.
+        self._changed_at_ms = 0
         self._record: VersionRecord | None = None
+        self._read_at_ms = 0
         self._revision = 0
         self._loaded: futures.Future | None = None
         self._is_busy = False
@@ -266,6 +277,8 @@
             versions = versions_by_service.setdefault(target.service, set())
             versions.add(target.software_version)
         if versions_by_service != self._versions_by_service:
+            is_first = not self._versions_by_service
+            self._changed_at_ms = now_ms - is_first * MAX_START_READ_AGE_MS
             self._versions_by_service = versions_by_service
             spread_ms = self._random.random() * CHECK_SPREAD_MS
             self._check_at_ms = now_ms + CHECK_DELAY_MS + round(spread_ms)
@@ -277,8 +290,11 @@
         ):
             return
         if not is_recorder:
-            # What was read before may have been written by others since.
-            self._forget_record()
+            # What was read before the change may have been written since.
+            if self._read_at_ms < self._changed_at_ms or not self._is_recorded:
+                self._forget_record()
+            else:
+                self._check_at_ms = None
         if not self._is_recorded:
             self._is_busy = True
             tasks.spawn(self._write_changes())
@@ -335,9 +351,11 @@
         return is_written
 
     def _read(self) -> tasks.Task:
+        began_at_ms = self._loop.now_ms()
         item = yield self._store.read(KEY)
         if not isinstance(item, store_api.Item):
             return False
+        self._read_at_ms = began_at_ms
         now_ms = self._loop.now_ms()
         record = self._decode(item, now_ms)
         self._origins.merge(record.seen_versions(now_ms=now_ms), now_ms=now_ms)
