--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_calls.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_calls.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
+from bambooglade.gateway import version_archive
 from bambooglade.rights import ledger as ledger_lib
 from bambooglade_standins.users_platform import memory_store
 from bambooglade_standins.users_platform import simulated_relay_fleet
@@ -313,3 +315,20 @@
     fleet.loop.advance(after_ms)
     assert all(instance.view.is_ready for instance in fleet.instances)
     assert recovery_ms(fleet) <= simulated_relay_fleet.CHANGE_BOUND_MS
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_price_of_a_start(seed):
+    """Guards against further calls of each instance that starts.
+
+    The versions that serve were recorded before, as at a restart of all.
+    """
+    fleet = starting_fleet(24, seed=seed)
+    record = version_archive.VersionRecord(
+        known_since_ms=0, left_at_ms_by_version_by_service={"s": {"": None}}
+    )
+    fleet.store.put_now(version_archive.KEY, msgspec.json.encode(record))
+    fleet.loop.advance(5_000)
+    assert fleet.counts.price / 24 <= 8.6, fleet.counts
+    for kind in ("read_prefix op/", "read_prefix servers/", "software-vers"):
+        assert fleet.counts.count(kind) == 24, fleet.counts
