--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_calls.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_calls.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
+from bambooglade.gateway import version_archive
 from bambooglade.rights import ledger as ledger_lib
+from bambooglade_standins.users_platform import memory_store
+from bambooglade_standins.users_platform import simulated_relay_fleet
 from bambooglade_standins.users_platform import simulated_spending_fleet
 
 WARM_UP_MS = 10_000
@@ -134,3 +138,197 @@
     fleet.loop.advance(1_000)
     assert outcome.done()
     assert outcome.result().value == "reserved"
+
+
+OUTAGE_MS = 9_000
+RECOVERY_BOUND_MS = 4_000
+"""Time after an outage within which a change is in force everywhere."""
+
+
+def cut_all(fleet, is_cut):
+    """Calls time out, as on a dead connection."""
+    for instance in fleet.instances:
+        instance.store_link.is_partitioned = is_cut
+
+
+def close_connections(fleet, is_cut):
+    """Calls fail at once."""
+    fleet.store.fault = (
+        memory_store.Fault.UNRESPONSIVE if is_cut else memory_store.Fault.NONE
+    )
+
+
+def refuse_all(fleet, is_cut):
+    fleet.store.fault = (
+        memory_store.Fault.BUSY if is_cut else memory_store.Fault.NONE
+    )
+
+
+OUTAGES = [cut_all, close_connections, refuse_all]
+
+
+def watching_fleet(size, *, seed=0):
+    """A fleet with one target, in which no instance has just started."""
+    fleet = simulated_relay_fleet.SimulatedRelayFleet(size, seed=seed)
+    fleet.register("a", state="ready")
+    fleet.loop.advance(WARM_UP_MS + 397 * seed)
+    fleet.counts.clear()
+    return fleet
+
+
+def recovery_ms(fleet) -> int:
+    """Returns the time until a change and a leaving target are known."""
+    fleet.configure(2)
+    fleet.register("a", state="draining")
+    began_at_ms = fleet.loop.now_ms()
+    while any(
+        instance.version != 2 or instance.view.ready_targets("s")
+        for instance in fleet.running_instances
+    ):
+        fleet.loop.advance(10)
+        assert fleet.loop.now_ms() - began_at_ms <= RECOVERY_BOUND_MS
+    return fleet.loop.now_ms() - began_at_ms
+
+
+@pytest.mark.parametrize("outage", OUTAGES)
+@pytest.mark.parametrize(("size", "seed"), [(24, 0), (24, 1), (71, 2)])
+def test_outage_costs_renewals_instead_of_reads(outage, size, seed):
+    """Guards against a read of each instance for each retry interval."""
+    fleet = watching_fleet(size, seed=seed)
+    outage(fleet, True)
+    fleet.loop.advance(OUTAGE_MS)
+    assert fleet.counts.price / size <= 4, fleet.counts
+    failed_reads = fleet.counts.count("op/") - fleet.counts.count("op/ Items")
+    assert failed_reads <= size, fleet.counts
+    outage(fleet, False)
+    assert recovery_ms(fleet) <= 2_500
+
+
+@pytest.mark.parametrize("outage", OUTAGES)
+@pytest.mark.parametrize("size", [4, 24])
+@pytest.mark.parametrize("outage_ms", [1_500, 20_000])
+def test_changes_are_known_soon_after_an_outage(outage, size, outage_ms):
+    """Guards against instances that wait for a renewal that never succeeds.
+
+    After the longer outage, all leases have expired.
+    """
+    fleet = watching_fleet(size)
+    outage(fleet, True)
+    fleet.loop.advance(outage_ms)
+    outage(fleet, False)
+    recovery_ms(fleet)
+
+
+def test_renewal_alone_does_not_end_an_outage():
+    """Guards against states that change with each renewal while reads fail."""
+    fleet = watching_fleet(24)
+    for instance in fleet.instances:
+        instance.store_link.lost_prefixes = {"op/", "servers/"}
+    cut_all(fleet, True)
+    fleet.loop.advance(4_000)
+    cut_all(fleet, False)
+    fleet.counts.clear()
+    fleet.loop.advance(OUTAGE_MS)
+    assert {i.store_monitor.outage_count for i in fleet.instances} == {1}
+    assert all(i.store_monitor.is_unavailable for i in fleet.instances)
+    reads = fleet.counts.count("read_prefix op/")
+    assert 24 <= reads <= fleet.counts.count("renew_lease  Committed")
+    for instance in fleet.instances:
+        instance.store_link.lost_prefixes = set()
+    recovery_ms(fleet)
+
+
+@pytest.mark.parametrize("has_lease", [False, True])
+def test_reads_go_on_if_only_lease_calls_fail(has_lease):
+    """Guards against a view that is stale for as long as renewals fail."""
+    fleet = watching_fleet(24)
+    cut_all(fleet, True)
+    fleet.loop.advance(4_000)
+    for instance in fleet.instances:
+        instance.store_link.are_lease_calls_lost = True
+        if not has_lease:
+            instance.registration._forget_lease()
+    cut_all(fleet, False)
+    fleet.configure(2)
+    fleet.loop.advance(13_000 if has_lease else RECOVERY_BOUND_MS)
+    assert {instance.version for instance in fleet.instances} == {2}
+
+
+def test_small_fleet_reads_during_an_outage():
+    """Guards against small fleets that depend on a renewal as well."""
+    fleet = watching_fleet(4)
+    cut_all(fleet, True)
+    fleet.loop.advance(OUTAGE_MS)
+    assert fleet.counts.count("read_prefix op/ NoResponse") >= 4 * 2
+    for instance in fleet.instances:
+        instance.registration.stop()
+    cut_all(fleet, False)
+    assert recovery_ms(fleet) <= 2_500
+
+
+START_SPREAD_MS = 300
+"""Time within which the instances of a fleet start."""
+
+DISCOVERY_BOUND_MS = 2_000
+"""Time within which instances that start at the same time know each other."""
+
+
+@pytest.mark.parametrize("stale_ms", [0, 5_000])
+@pytest.mark.parametrize(("size", "seed"), [(6, 0), (24, 0), (24, 1), (71, 2)])
+def test_instances_that_start_together_know_each_other(size, seed, stale_ms):
+    """Guards against instances that rely on a list that may be old."""
+    fleet = simulated_relay_fleet.SimulatedRelayFleet(
+        size, seed=seed, start_spread_ms=START_SPREAD_MS
+    )
+    fleet.store.stale_ms = stale_ms
+    fleet.loop.advance(DISCOVERY_BOUND_MS)
+    assert {len(i.relays.known_peers()) for i in fleet.instances} == {size - 1}
+    assert fleet.counts.count("stale_read_prefix bambooglade/instances") >= size
+
+
+def starting_fleet(size, *, seed=0):
+    """A fleet that starts, and whose targets have been registered before."""
+    fleet = simulated_relay_fleet.SimulatedRelayFleet(
+        size, seed=seed, start_spread_ms=START_SPREAD_MS
+    )
+    fleet.register("a", state="ready")
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_only_relays_watch_the_store_after_a_start(seed):
+    """Guards against watches of all instances while the fleet is unknown."""
+    fleet = starting_fleet(24, seed=seed)
+    seconds = 5
+    fleet.loop.advance(seconds * 1_000)
+    relays = len(simulated_relay_fleet.ZONES)
+    for prefix in ("op/", "servers/"):
+        assert fleet.counts.count("watch", prefix) <= relays * seconds * 2
+
+
+@pytest.mark.parametrize("size", [6, 24])
+@pytest.mark.parametrize("after_ms", range(350, 2_400, 150))
+@pytest.mark.parametrize("seed", range(3))
+def test_changes_during_a_start_are_known_in_time(size, after_ms, seed):
+    """Guards against changes that nobody reads until the fleet is known."""
+    fleet = starting_fleet(size, seed=seed)
+    fleet.loop.advance(after_ms)
+    assert all(instance.view.is_ready for instance in fleet.instances)
+    assert recovery_ms(fleet) <= simulated_relay_fleet.CHANGE_BOUND_MS
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_price_of_a_start(seed):
+    """Guards against further calls of each instance that starts.
+
+    The versions that serve were recorded before, as at a restart of all.
+    """
+    fleet = starting_fleet(24, seed=seed)
+    record = version_archive.VersionRecord(
+        known_since_ms=0, left_at_ms_by_version_by_service={"s": {"": None}}
+    )
+    fleet.store.put_now(version_archive.KEY, msgspec.json.encode(record))
+    fleet.loop.advance(5_000)
+    assert fleet.counts.price / 24 <= 8.6, fleet.counts
+    for kind in ("read_prefix op/", "read_prefix servers/", "software-vers"):
+        assert fleet.counts.count(kind) == 24, fleet.counts
--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_watcher.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_store_watcher.py
@@ -49,6 +49,7 @@
                 change_bound_ms=APPLY_BOUND_MS,
             ),
             contact=self.store_monitor,
+            is_fleet_known=lambda: True,
             random_source=random.Random(1),
         )
         self.watcher.start()
@@ -170,6 +171,7 @@
             local_instance=own,
             peers=peers,
             contact=harness.store_monitor,
+            must_probe=lambda: False,
             random_source=random.Random(2),
         )
         registration.start()
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -377,6 +377,7 @@
             codec=item_codec,
             relays=self._relays,
             contact=self._contact,
+            is_fleet_known=lambda: self._registration.has_initial_peers,
             random_source=self._random_source,
         )
         self._registration = registration_lib.Registration(
@@ -385,6 +386,7 @@
             local_instance=self.local_instance,
             peers=self._peers,
             contact=self._contact,
+            must_probe=self._relays.uses_relays,
             random_source=self._random_source,
         )
         self._puller = peer_puller.PeerPuller(
