--- a/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_silence_elsewhere.py
+++ b/packages/bambooglade-standins/bambooglade_standins/users_platform/tests/test_silence_elsewhere.py
@@ -395,6 +395,43 @@
     assert (repeats, caller.is_complete) == (2, True)
 
 
+@pytest.mark.parametrize("path", ["/resume/0", "/stream/0"])
+def test_target_that_left_a_stream_unanswered_gets_no_others_at_once(
+    harness, path
+):
+    """Guards against callers that wait in turn for a target that hangs."""
+    hung = harness.add_engine("j1", "jury", default=lambda call: None)
+    harness.start_gateway()
+    first = harness.start_call(path, prompt="100,50", deadline_ms=2_500)
+    harness.run_until(lambda: hung.requests)
+    harness.add_engine("j2", "jury", default=engine_lib.stream_events(3))
+    harness.run_until(lambda: first.is_finished)
+    assert first.status == (200 if path.startswith("/resume") else 504)
+    statuses = [
+        harness.call(f"/resume/{n}", prompt="100,50").status
+        for n in range(1, 11)
+    ]
+    assert statuses == [200] * 10
+    assert len(hung.requests) == 1
+
+
+def test_repeated_stream_avoids_targets_that_left_others_unanswered(harness):
+    """Guards against a repeat that is lost at another target that hangs."""
+    hung = [
+        harness.add_engine(n, "jury", default=lambda call: None)
+        for n in ("j1", "j2")
+    ]
+    harness.start_gateway()
+    lost = harness.call("/resume/1", prompt="100,50", deadline_ms=2_500)
+    assert [len(engine.requests) for engine in hung] == [1, 1]
+    last = harness.start_call("/resume/2", prompt="100,50", deadline_ms=5_000)
+    harness.run_until(lambda: sum(len(e.requests) for e in hung) == 3)
+    harness.add_engine("j3", "jury", default=stream_after(harness, 10))
+    harness.run_until(lambda: last.is_finished)
+    assert (lost.status, last.status) == (504, 200)
+    assert sum(len(engine.requests) for engine in hung) == 3
+
+
 @pytest.mark.parametrize("service", ["portal", "jury"])
 def test_target_with_one_hung_request_still_gets_others(harness, service):
     is_plain = service == "portal"
--- a/packages/bambooglade/bambooglade/gateway/dispatching.py
+++ b/packages/bambooglade/bambooglade/gateway/dispatching.py
@@ -217,8 +217,8 @@
     def _choose_target(self, now_ms: int) -> target_selector_lib.TargetChoice:
         """Chooses a target that was not tried yet.
 
-        Once the request has failed at one, it goes to a target that is silent
-        only if no other one is left.
+        Once the request has failed at one, it goes to a target that is silent,
+        or was when it was last tried, only if no other one is left.
         """
         selector = self._context.target_selector
         ready, tried = self._ready_targets(), self._tried_target_ids
@@ -235,7 +235,11 @@
         silent_ids = {
             target.target_id
             for target in ready
-            if tried and self._is_silent(target, now_ms)
+            if tried
+            and (
+                self._is_silent(target, now_ms)
+                or selector.has_left_unanswered(target.target_id, now_ms=now_ms)
+            )
         }
         choice = choose(tried | silent_ids)
         return choose(tried) if silent_ids and choice.target is None else choice
@@ -885,6 +889,10 @@
                 now_ms=now_ms,
             ),
             is_connection_lost=self._attempt.is_connection_lost,
+            avoided_ms=self._context.target_selector.expected_silence_ms(
+                self.target_id, now_ms=now_ms
+            )
+            or None,
         )
 
     @property
@@ -1140,17 +1148,30 @@
             detail: Why it is given up.
         """
         is_under_way = self._attempt is not None and not self._attempt.is_ended
+        is_late = kind is error_responses.ErrorKind.TIMED_OUT
+        if is_under_way and is_late:
+            self._record_unanswered()
         self.cancel()
         if not self.may_have_run:
             self._exchange.reject_unexecuted(not_run, detail)
             return
         if is_under_way:
-            is_late = kind is error_responses.ErrorKind.TIMED_OUT
             self._record_failure(
                 "deadline" if is_late else "given up", is_of_target=is_late
             )
         self._exchange.fail(kind, detail)
 
+    def _record_unanswered(self) -> None:
+        """Records that the target was silent until the deadline."""
+        now_ms = self._context.loop.now_ms()
+        if (
+            self._is_silent(self._choice.target, now_ms)
+            and not self._is_cut_off
+        ):
+            self._context.target_selector.record_unanswered(
+                self.target_id, now_ms=now_ms
+            )
+
     def cancel(self) -> None:
         """Cancels the attempt in flight, so that the target stops its work."""
         self._context.unanswered.discard(self)
--- a/packages/bambooglade/bambooglade/gateway/process.py
+++ b/packages/bambooglade/bambooglade/gateway/process.py
@@ -736,6 +736,12 @@
         self._metrics.set_gauge(
             metrics_lib.COLD_TARGETS, self.cold_starts.cold_count
         )
+        self._metrics.set_gauge(
+            metrics_lib.SILENT_TARGETS,
+            self._context.target_selector.unanswered_count(
+                now_ms=self.loop.now_ms()
+            ),
+        )
         self._metrics.set_gauge(
             metrics_lib.WAITING_REQUESTS,
             self._context.room_queue.waiting_count,
--- a/packages/bambooglade/bambooglade/gateway/target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/target_selector.py
@@ -489,6 +489,7 @@
         self._rejections.remove_target(target_id)
         self.model.remove_target(target_id)
         self._prefixes.remove_target(target_id)
+        self._activity.forget_unanswered(target_id)
         self._suspect_until_ms_by_id.pop(target_id, None)
 
     def state_size(self) -> int:
@@ -497,6 +498,7 @@
             self._load_by_target.keys()
             | self._started_at_ms_by_id.keys()
             | self._suspect_until_ms_by_id.keys()
+            | self._activity.unanswered_target_ids()
             | self._breakers.target_ids()
             | self._failures.target_ids()
             | self._rejections.target_ids()
@@ -622,7 +624,8 @@
         """
         stopped_ms = self._activity.stopped_ms(target.target_id, now_ms=now_ms)
         is_stopped = MIN_SILENCE_MS <= stopped_ms <= MAX_SILENCE_MS
-        return float(stopped_ms) if is_stopped else 0.0
+        expected_ms = self.expected_silence_ms(target.target_id, now_ms=now_ms)
+        return float(max(expected_ms, stopped_ms if is_stopped else 0))
 
     def _cached_tokens(
         self,
@@ -746,6 +749,23 @@
         A sound one goes on soon, and its responses count then.
         """
         self._failures.record(target_id, True, now_ms=now_ms)
+        self.record_unanswered(target_id, now_ms=now_ms)
+
+    def record_unanswered(self, target_id: str, *, now_ms: int) -> None:
+        """Records that a target left a request in flight unanswered."""
+        self._activity.record_unanswered(target_id, now_ms=now_ms)
+
+    def has_left_unanswered(self, target_id: str, *, now_ms: int) -> bool:
+        """Returns whether a target sent nothing since a request gave it up."""
+        return self._activity.has_left_unanswered(target_id, now_ms=now_ms)
+
+    def expected_silence_ms(self, target_id: str, *, now_ms: int) -> int:
+        """Returns the expected delay at a target that was given up."""
+        return self._activity.expected_silence_ms(target_id, now_ms=now_ms)
+
+    def unanswered_count(self, *, now_ms: int) -> int:
+        """Returns how many targets sent nothing since they were given up."""
+        return self._activity.unanswered_count(now_ms=now_ms)
 
     def record_rejection(self, target_id: str, *, now_ms: int) -> None:
         """Records that a target rejected a request without running it."""
@@ -795,6 +815,7 @@
         for target_id in target_ids:
             self._breakers.remove_target(target_id)
             self._failures.remove_target(target_id)
+            self._activity.forget_unanswered(target_id)
             self._suspect_until_ms_by_id.pop(target_id, None)
         self._suspect_until_ms_by_zone.clear()
 
--- a/packages/bambooglade/bambooglade/gateway/tests/test_target_selector.py
+++ b/packages/bambooglade/bambooglade/gateway/tests/test_target_selector.py
@@ -279,6 +279,69 @@
     assert (again.target.target_id != chosen_id) is is_avoided
 
 
+def count_requests_to_hung_target(
+    selector, ready, prompt, *, patience_ms: int, until_ms: int
+) -> int:
+    """Sends requests one after the other; target "a" never answers."""
+    now_ms = hung_count = 0
+    while now_ms < until_ms:
+        choice = choose(selector, ready, prompt, now_ms=now_ms)
+        target_id = choice.target.target_id
+        selector.record_dispatch(
+            target_id, "r", choice=choice, prompt=prompt, now_ms=now_ms
+        )
+        if target_id == "a":
+            hung_count += 1
+            now_ms += patience_ms
+            selector.record_silence(target_id, now_ms=now_ms)
+        else:
+            now_ms += 10
+            selector.record_response(target_id, "r", now_ms=now_ms)
+            selector.record_success(target_id, now_ms=now_ms)
+        selector.record_end(target_id, "r")
+    return hung_count
+
+
+@pytest.mark.parametrize(
+    ("prompt", "patience_ms", "max_count"),
+    [(None, 300, 9), (make_prompt("s1"), 1_600, 6)],
+)
+def test_target_that_never_answers_is_tried_less_and_less_often(
+    prompt, patience_ms, max_count
+):
+    """Guards against callers that wait again and again for a hung target."""
+    ready = [make_target("a"), make_target("b")]
+    selector = target_selector_lib.TargetSelector(
+        "z1", random_source=random.Random(1)
+    )
+    count = count_requests_to_hung_target(
+        selector, ready, prompt, patience_ms=patience_ms, until_ms=60_000
+    )
+    assert 2 <= count <= max_count
+
+
+@pytest.mark.parametrize("how", ["responds", "starts again", "was cut off"])
+def test_target_that_was_silent_gets_requests_again(how):
+    ready = [make_target("a"), make_target("b")]
+    selector = target_selector_lib.TargetSelector("z1")
+    choice = choose(selector, ready)
+    chosen_id = choice.target.target_id
+    selector.record_dispatch(
+        chosen_id, "r", choice=choice, prompt=None, now_ms=0
+    )
+    selector.record_unanswered(chosen_id, now_ms=900)
+    assert choose(selector, ready, now_ms=901).target.target_id != chosen_id
+    if how == "responds":
+        selector.record_response(chosen_id, "r", now_ms=902)
+    elif how == "starts again":
+        ready = [make_target(name, started_at_ms=5) for name in "ab"]
+    else:
+        selector.forget_failures([chosen_id])
+    selector.record_end(chosen_id, "r")
+    assert choose(selector, ready, now_ms=903).target.target_id == chosen_id
+    assert not selector.unanswered_count(now_ms=903)
+
+
 @pytest.mark.parametrize(
     ("slowdown", "age_ms", "is_avoided"),
     [
--- a/packages/bambooglade/bambooglade/router/metrics.py
+++ b/packages/bambooglade/bambooglade/router/metrics.py
@@ -32,6 +32,7 @@
 EVACUATED_ZONE_REQUESTS = "bambooglade_requests_in_evacuated_zones"
 BRITTLE_SERVICES = "bambooglade_brittle_services"
 COLD_TARGETS = "bambooglade_cold_targets"
+SILENT_TARGETS = "bambooglade_silent_targets"
 WAITING_REQUESTS = "bambooglade_requests_waiting_for_room"
 HELD_BYTES = "bambooglade_held_bytes"
 ACCEPTED_CONNECTIONS = "bambooglade_accepted_connections"
@@ -224,6 +225,7 @@
         EVACUATED_ZONE_REQUESTS: "Requests that still run in such zones.",
         BRITTLE_SERVICES: "Services whose targets bear few rejections.",
         COLD_TARGETS: "Targets that get few requests since they are cold.",
+        SILENT_TARGETS: "Targets that sent nothing since they were given up.",
         PREDICTION_ERROR: "Usual error of predicted first events.",
         PREDICTIONS_OFF: "Share of them that is off by more than half.",
         WAITING_REQUESTS: "Requests that wait for room at such a target.",
--- a/packages/bambooglade/bambooglade/targets/silence.py
+++ b/packages/bambooglade/bambooglade/targets/silence.py
@@ -42,6 +42,12 @@
 RESPONSIVE_FRACTION = 0.5
 """Part of a silence within which a target has responded if it is not silent."""
 
+MAX_MEMORY_MS = 30_000
+"""Longest time for which a target that left a request unanswered is avoided.
+
+After it, an instance with few requests knows nothing about the target.
+"""
+
 
 class SilenceBounds:
     """Times without progress that decide about a request.
@@ -148,6 +154,10 @@
 class TargetActivity:
     """Since when targets with requests of this instance have sent nothing.
 
+    A target that left a request unanswered is expected to stay silent for as
+    long again. Each further request to it that remains unanswered prolongs the
+    silence, so that the target is tried less and less often.
+
     Examples:
         >>> activity = TargetActivity()
         >>> activity.record_dispatch("e1", now_ms=0)
@@ -165,12 +175,14 @@
         "_begun_ids_by_target_id",
         "_in_flight_by_target_id",
         "_silent_since_ms_by_target_id",
+        "_unanswered_by_target_id",
     )
 
     def __init__(self) -> None:
         self._in_flight_by_target_id: dict[str, int] = {}
         self._silent_since_ms_by_target_id: dict[str, int] = {}
         self._begun_ids_by_target_id: dict[str, set[str]] = {}
+        self._unanswered_by_target_id: dict[str, _UnansweredRequests] = {}
 
     def record_dispatch(self, target_id: str, *, now_ms: int) -> None:
         """Records that a request was sent to a target."""
@@ -179,11 +191,15 @@
             self._silent_since_ms_by_target_id[target_id] = now_ms
             self._begun_ids_by_target_id[target_id] = set()
         self._in_flight_by_target_id[target_id] = in_flight + 1
+        unanswered = self._unanswered_by_target_id.get(target_id)
+        if unanswered is not None:
+            unanswered.record_dispatch(now_ms)
 
     def record_response(
         self, target_id: str, request_id: str, *, now_ms: int
     ) -> None:
         """Records that a target has sent a part of a response."""
+        self._unanswered_by_target_id.pop(target_id, None)
         if target_id in self._in_flight_by_target_id:
             self._silent_since_ms_by_target_id[target_id] = now_ms
             self._begun_ids_by_target_id[target_id].add(request_id)
@@ -199,6 +215,53 @@
             self._silent_since_ms_by_target_id.pop(target_id, None)
             self._begun_ids_by_target_id.pop(target_id, None)
 
+    def record_unanswered(self, target_id: str, *, now_ms: int) -> None:
+        """Records that a request in flight is given up at a silent target."""
+        known = self._unanswered(target_id, now_ms)
+        silent_ms = self.silent_ms(target_id, now_ms=now_ms)
+        since_ms = known.since_ms if known else now_ms - silent_ms
+        self._unanswered_by_target_id[target_id] = _UnansweredRequests(
+            since_ms, now_ms
+        )
+
+    def has_left_unanswered(self, target_id: str, *, now_ms: int) -> bool:
+        """Returns whether a target sent nothing since a request gave it up."""
+        return self._unanswered(target_id, now_ms) is not None
+
+    def expected_silence_ms(self, target_id: str, *, now_ms: int) -> int:
+        """Returns the expected delay at a target that was given up; 0 if none.
+
+        It is 0 as well once a request may show whether the target goes on.
+        """
+        unanswered = self._unanswered(target_id, now_ms)
+        if unanswered is None or now_ms >= unanswered.avoided_until_ms:
+            return 0
+        return unanswered.silent_ms
+
+    def _unanswered(
+        self, target_id: str, now_ms: int
+    ) -> _UnansweredRequests | None:
+        unanswered = self._unanswered_by_target_id.get(target_id)
+        if unanswered and now_ms - unanswered.at_ms >= MAX_MEMORY_MS:
+            del self._unanswered_by_target_id[target_id]
+            return None
+        return unanswered
+
+    def forget_unanswered(self, target_id: str) -> None:
+        """Forgets the silence of a target that is gone or started again."""
+        self._unanswered_by_target_id.pop(target_id, None)
+
+    def unanswered_target_ids(self) -> set[str]:
+        """Returns the targets of which a silence is remembered."""
+        return set(self._unanswered_by_target_id)
+
+    def unanswered_count(self, *, now_ms: int) -> int:
+        """Returns how many targets sent nothing since they were given up."""
+        return sum(
+            self.has_left_unanswered(target_id, now_ms=now_ms)
+            for target_id in self.unanswered_target_ids()
+        )
+
     def silent_ms(self, target_id: str, *, now_ms: int) -> int:
         """Returns for how long a target has left all requests without a sign.
 
@@ -218,3 +281,33 @@
 
     def __repr__(self) -> str:
         return f"TargetActivity(targets={len(self._in_flight_by_target_id)})"
+
+
+class _UnansweredRequests:
+    """Silence of a target that was given up and has sent nothing since.
+
+    Attributes:
+        since_ms: Start of the silence.
+        at_ms: Time at which the last request gave the target up.
+        avoided_until_ms: Time from which a request may try the target.
+    """
+
+    __slots__ = ("at_ms", "avoided_until_ms", "since_ms")
+
+    def __init__(self, since_ms: int, at_ms: int) -> None:
+        self.since_ms = since_ms
+        self.at_ms = at_ms
+        self.avoided_until_ms = at_ms + self.silent_ms
+
+    @property
+    def silent_ms(self) -> int:
+        """Length of the silence, as far as requests have shown it."""
+        return min(self.at_ms - self.since_ms, MAX_MEMORY_MS)
+
+    def record_dispatch(self, now_ms: int) -> None:
+        """Keeps other requests away while one tries the target."""
+        if now_ms >= self.avoided_until_ms:
+            self.avoided_until_ms = now_ms + self.silent_ms
+
+    def __repr__(self) -> str:
+        return f"_UnansweredRequests({self.since_ms}, {self.at_ms})"
--- a/packages/bambooglade/bambooglade/targets/tests/test_silence.py
+++ b/packages/bambooglade/bambooglade/targets/tests/test_silence.py
@@ -90,3 +90,58 @@
     activity.record_response("e1", "r2", now_ms=150)
     activity.record_end("e1", "r2")
     assert activity.stopped_ms("e1", now_ms=1_500) == 0
+
+
+def leave_unanswered(activity, *, from_ms: int, until_ms: int) -> None:
+    activity.record_dispatch("e1", now_ms=from_ms)
+    activity.record_unanswered("e1", now_ms=until_ms)
+    activity.record_end("e1", "r1")
+
+
+@pytest.mark.parametrize(
+    ("now_ms", "expected_ms", "is_remembered"),
+    [
+        (1_600, 1_600, True),
+        (3_199, 1_600, True),
+        (3_200, 0, True),
+        (31_599, 0, True),
+        (31_600, 0, False),
+    ],
+)
+def test_target_is_expected_to_be_silent_for_as_long_again(
+    now_ms, expected_ms, is_remembered
+):
+    activity = silence.TargetActivity()
+    leave_unanswered(activity, from_ms=0, until_ms=1_600)
+    assert (
+        activity.expected_silence_ms("e1", now_ms=now_ms),
+        activity.has_left_unanswered("e1", now_ms=now_ms),
+    ) == (expected_ms, is_remembered)
+    assert activity.unanswered_count(now_ms=now_ms) == is_remembered
+
+
+def test_silence_of_a_target_lasts_over_several_requests():
+    activity = silence.TargetActivity()
+    leave_unanswered(activity, from_ms=0, until_ms=1_600)
+    leave_unanswered(activity, from_ms=3_200, until_ms=4_800)
+    assert activity.expected_silence_ms("e1", now_ms=9_599) == 4_800
+    assert activity.expected_silence_ms("e1", now_ms=9_600) == 0
+
+
+def test_only_one_request_at_a_time_tries_a_target_that_was_silent():
+    activity = silence.TargetActivity()
+    leave_unanswered(activity, from_ms=0, until_ms=1_600)
+    activity.record_dispatch("e1", now_ms=4_000)
+    assert activity.expected_silence_ms("e1", now_ms=5_599) == 1_600
+    # The caller has left, so that the trial has shown nothing.
+    activity.record_end("e1", "r2")
+    assert activity.expected_silence_ms("e1", now_ms=5_600) == 0
+
+
+def test_anything_that_a_target_sends_ends_its_silence():
+    activity = silence.TargetActivity()
+    leave_unanswered(activity, from_ms=0, until_ms=1_600)
+    activity.record_dispatch("e1", now_ms=1_700)
+    activity.record_response("e1", "r2", now_ms=1_800)
+    assert activity.expected_silence_ms("e1", now_ms=1_800) == 0
+    assert not activity.has_left_unanswered("e1", now_ms=1_800)
