--- a/packages/bambooglade/bambooglade/targets/silence.py
+++ b/packages/bambooglade/bambooglade/targets/silence.py
@@ -42,10 +42,15 @@
 RESPONSIVE_FRACTION = 0.5
 """Part of a silence within which a target has responded if it is not silent."""
 
-MAX_MEMORY_MS = 30_000
-"""Longest time for which a target that left a request unanswered is avoided.
+MAX_AVOIDED_MS = 30_000
+"""Longest time for which a target that left a request unanswered is avoided."""
 
-After it, an instance with few requests knows nothing about the target.
+MAX_MEMORY_MS = 60_000
+"""Time without a further request after which such a silence is forgotten.
+
+It is longer than the target is avoided, so that the request that tries it next
+prolongs the silence. With equal times, a target that hangs for good was tried
+as often as at first from then on.
 """
 
 
@@ -302,7 +307,7 @@
     @property
     def silent_ms(self) -> int:
         """Length of the silence, as far as requests have shown it."""
-        return min(self.at_ms - self.since_ms, MAX_MEMORY_MS)
+        return min(self.at_ms - self.since_ms, MAX_AVOIDED_MS)
 
     def record_dispatch(self, now_ms: int) -> None:
         """Keeps other requests away while one tries the target."""
