--- a/packages/bambooglade-ctl/bambooglade_ctl/tests/test_main.py
+++ b/packages/bambooglade-ctl/bambooglade_ctl/tests/test_main.py
@@ -118,6 +118,26 @@
     assert ended.key_hash == rotated.key_hash
 
 
+@pytest.mark.parametrize("form", ["csv", "toml"])
+def test_zone_is_excluded_and_made_active_again(
+    run: _CommandRunner,
+    port: memory_instance.MemoryPort,
+    tmp_path: pathlib.Path,
+    form: str,
+) -> None:
+    """Guards against a state that commands or sheets can't set."""
+    assert run("rows", "set", "zone/scot-a", "state=excluded") == 0
+    excluded = port.rows_by_key["zone/scot-a"].row
+    assert excluded.state is rows.RoutingState.EXCLUDED
+    assert run("rows", "export", "--form", form) == 0
+    path = tmp_path / f"rows.{form}"
+    path.write_text(run.out.replace("excluded", "active"))
+    assert run("rows", "import", str(path)) == 0
+    active = port.rows_by_key["zone/scot-a"].row
+    assert active.state is rows.RoutingState.ACTIVE
+    assert run("rows", "set", "zone/scot-a", "state=off") != 0
+
+
 def test_conflict_reports_the_other_edit_and_its_author(
     run: _CommandRunner, port: memory_instance.MemoryPort
 ) -> None:
--- a/packages/bambooglade/bambooglade/router/admission_gate.py
+++ b/packages/bambooglade/bambooglade/router/admission_gate.py
@@ -26,6 +26,11 @@
     remedy = "Send the request again with the same key."
 
 
+_CALLER_GONE = CallerGoneFailure(
+    detail="The caller disconnected before a slot was free."
+)
+
+
 class AdmissionGate:
     """Thread-safe, blocking wrapper of `admission.AdmissionController`.
 
@@ -51,7 +56,11 @@
         self._future_by_ticket: dict[str, _Future] = {}
 
     def acquire(
-        self, ticket: admission.Ticket, *, is_caller_gone: Callable[[], bool]
+        self,
+        ticket: admission.Ticket,
+        *,
+        is_caller_gone: Callable[[], bool],
+        find_refusal: Callable[[], failures.Failure | None] = lambda: None,
     ) -> result.Result[None, failures.Failure]:
         """Waits until the request is admitted or rejected.
 
@@ -59,11 +68,17 @@
             ticket: The request for a slot.
             is_caller_gone: Returns whether the caller has disconnected; polled
                 while the request waits.
+            find_refusal: Returns why the request can't be served by any target;
+                None if it may wait. It is checked first, and polled while the
+                request waits.
 
         Returns:
             The failure if the request was rejected, its deadline passed or its
             caller disconnected. The slot has to be released only after `Ok`.
         """
+        refusal = find_refusal()
+        if refusal is not None:
+            return result.Err(refusal)
         future: _Future = futures.Future()
         with self._lock:
             self._future_by_ticket[ticket.ticket_id] = future
@@ -76,7 +91,10 @@
                 break
             except futures.TimeoutError:
                 if is_caller_gone():
-                    return self._cancel(ticket)
+                    return self._cancel(ticket, _CALLER_GONE)
+                refusal = find_refusal()
+                if refusal is not None:
+                    return self._cancel(ticket, refusal)
                 self._reject_if_expired(ticket)
         if isinstance(decision, admission.Shed):
             return result.Err(decision.failure)
@@ -89,17 +107,15 @@
                 self._admission.finish(ticket.ticket_id, self._clock.now_ms())
             )
 
-    def _cancel(self, ticket: admission.Ticket) -> result.Err[failures.Failure]:
+    def _cancel(
+        self, ticket: admission.Ticket, failure: failures.Failure
+    ) -> result.Err[failures.Failure]:
         with self._lock:
             self._future_by_ticket.pop(ticket.ticket_id, None)
             self._complete_futures(
                 self._admission.cancel(ticket.ticket_id, self._clock.now_ms())
             )
-        return result.Err(
-            CallerGoneFailure(
-                detail="The caller disconnected before a slot was free."
-            )
-        )
+        return result.Err(failure)
 
     def _reject_if_expired(self, ticket: admission.Ticket) -> None:
         now_ms = self._clock.now_ms()
--- a/packages/bambooglade/bambooglade/router/call_session.py
+++ b/packages/bambooglade/bambooglade/router/call_session.py
@@ -11,6 +11,7 @@
 
 from bambooglade.core import clock as clocks
 from bambooglade.core import failures
+from bambooglade.core import identifiers
 from bambooglade.operations import calls
 from bambooglade.router import admission_gate
 from bambooglade.router import calls_port
@@ -24,6 +25,9 @@
 """Time after the admission deadline in which the coordinator must respond."""
 
 BILL_TIMEOUT_MS = 5_000
+EXCLUDED_RETRY_AFTER_MS = 1_000
+"""When to retry while operators exclude all targets of the service."""
+
 _MS_PER_S = 1_000
 
 
@@ -38,6 +42,8 @@
         metrics: Counts the requests.
         instance_id: This instance.
         availability_zone: Availability zone of this instance.
+        is_excluded: Returns whether operators exclude all targets of a service,
+            so that its requests can't be served and do not wait for a slot.
     """
 
     __slots__ = (
@@ -46,6 +52,7 @@
         "clock",
         "gate",
         "instance_id",
+        "is_excluded",
         "metrics",
         "port",
         "ring",
@@ -61,7 +68,11 @@
         metrics: metrics_lib.Metrics,
         instance_id: str,
         availability_zone: str,
+        is_excluded: Callable[[identifiers.ServiceName], bool] = (
+            lambda service: False
+        ),
     ) -> None:
+        self.is_excluded = is_excluded
         self.port = port
         self.gate = gate
         self.clock = clock
@@ -271,12 +282,22 @@
             slots=kind_row.max_concurrency,
         )
         admitted = self._context.gate.acquire(
-            ticket, is_caller_gone=self.is_caller_gone
+            ticket,
+            is_caller_gone=self.is_caller_gone,
+            find_refusal=self._find_refusal,
         )
         if admitted.is_ok():
             self._ticket = ticket
         return admitted
 
+    def _find_refusal(self) -> failures.Failure | None:
+        if not self._context.is_excluded(self.call.service):
+            return None
+        return failures.NoTarget(
+            detail="Operators exclude all targets of the service.",
+            retry_after_ms=EXCLUDED_RETRY_AFTER_MS,
+        )
+
     def _record_end(
         self,
         outcome: metrics_lib.Outcome,
--- a/packages/bambooglade/bambooglade/router/gauges.py
+++ b/packages/bambooglade/bambooglade/router/gauges.py
@@ -10,6 +10,7 @@
 from bambooglade.fleet import messages as fleet_messages
 from bambooglade.router import assembly
 from bambooglade.router import metrics as metrics_lib
+from bambooglade.targets import exclusions
 
 _ACCOUNTS = account_registry_factory.AccountRegistryFactory.name
 PAUSE_MS = 1_000
@@ -26,7 +27,7 @@
         metrics: Metrics that contain the gauges.
     """
 
-    __slots__ = ("_components", "_membership", "_metrics")
+    __slots__ = ("_components", "_exclusions", "_membership", "_metrics")
 
     def __init__(
         self,
@@ -36,6 +37,7 @@
         self._components = networked.components
         self._membership: memberships.Membership = networked.membership
         self._metrics = metrics
+        self._exclusions = exclusions.ExclusionLog(networked.table)
 
     def refresh(self, now_ms: int) -> Iterator[effects.Effects]:
         """Sets all gauges; returns no effects."""
@@ -55,7 +57,10 @@
             for member in self._membership.members()
             if member.status is fleet_messages.Status.ALIVE
         ]
+        excluded_zones, excluded_targets = self._exclusions.refresh()
         value_by_gauge = {
+            metrics_lib.EVACUATED_ZONES: excluded_zones,
+            metrics_lib.EXCLUDED_TARGETS: excluded_targets,
             metrics_lib.INSTANCES: len(alive),
             metrics_lib.SHARDS_SERVED: len(served),
             metrics_lib.HELD_TOKENS: sum(
--- a/packages/bambooglade/bambooglade/router/metrics.py
+++ b/packages/bambooglade/bambooglade/router/metrics.py
@@ -29,6 +29,7 @@
 UNREACHABLE_SERVICES = "bambooglade_unreachable_services"
 MALFORMED_TARGETS = "bambooglade_malformed_targets"
 EVACUATED_ZONES = "bambooglade_evacuated_zones"
+EXCLUDED_TARGETS = "bambooglade_excluded_targets"
 EVACUATED_ZONE_REQUESTS = "bambooglade_requests_in_evacuated_zones"
 BRITTLE_SERVICES = "bambooglade_brittle_services"
 COLD_TARGETS = "bambooglade_cold_targets"
@@ -221,6 +222,7 @@
         UNREACHABLE_SERVICES: "Services of which no target is reached.",
         MALFORMED_TARGETS: "Entries of targets that can't be decoded.",
         EVACUATED_ZONES: "Zones whose targets get no requests.",
+        EXCLUDED_TARGETS: "Targets whose own rows exclude them.",
         EVACUATED_ZONE_REQUESTS: "Requests that still run in such zones.",
         BRITTLE_SERVICES: "Services whose targets bear few rejections.",
         COLD_TARGETS: "Targets that get few requests since they are cold.",
--- a/packages/bambooglade/bambooglade/router/process.py
+++ b/packages/bambooglade/bambooglade/router/process.py
@@ -337,6 +337,7 @@
             metrics=self._metrics,
             instance_id=self.instance_id,
             availability_zone=self._settings.instance.availability_zone,
+            is_excluded=dispatch_context.directory.is_excluded,
         )
         return caller_api.CallerApi(
             session_context=session_context,
--- a/packages/bambooglade/bambooglade/router/target_directory.py
+++ b/packages/bambooglade/bambooglade/router/target_directory.py
@@ -22,6 +22,7 @@
 from bambooglade.targets import affinity
 from bambooglade.targets import breaker
 from bambooglade.targets import chooser
+from bambooglade.targets import exclusions
 from bambooglade.targets import failure_rates
 from bambooglade.targets import latency
 from bambooglade.targets import leaving
@@ -140,9 +141,16 @@
         targets = list(target_lib.service_targets(self._table, service))
         with self._lock:
             target_ids = [target.target_id for target in targets]
-            open_target_ids = self._breakers.open_targets(target_ids, now_ms)
+            # The breakers may exclude only a part of the targets that operators
+            # allow. Otherwise the two could exclude all of them together.
+            allowed_ids = [
+                target.target_id
+                for target in targets
+                if not exclusions.reason(target, self._table)
+            ]
+            open_target_ids = self._breakers.open_targets(allowed_ids, now_ms)
             load_by_target = self._load.estimates(target_ids, now_ms)
-            median_ms = self._latency.median_ms(target_ids)
+            median_ms = self._latency.median_ms(allowed_ids)
             return [
                 self._candidate(
                     target,
@@ -163,6 +171,18 @@
                 for target in targets
             ]
 
+    def is_excluded(self, service: identifiers.ServiceName) -> bool:
+        """Returns whether operators exclude all targets of a service.
+
+        It is false for a service without targets.
+        """
+        has_targets = False
+        for target in target_lib.service_targets(self._table, service):
+            if not exclusions.reason(target, self._table):
+                return False
+            has_targets = True
+        return has_targets
+
     def services(self) -> list[identifiers.ServiceName]:
         """Returns the services that have targets, sorted."""
         service_names = {
@@ -264,6 +284,7 @@
         """Returns the time until the first target of a service is not paused.
 
         It is 0 if there is a target without a pause, or no target at all.
+        Targets that operators exclude are left out.
         """
         now_ms = self._clock.now_ms()
         with self._lock:
@@ -273,6 +294,7 @@
                     for target in target_lib.service_targets(
                         self._table, service
                     )
+                    if not exclusions.reason(target, self._table)
                 ),
                 default=0,
             )
@@ -378,6 +400,9 @@
         open_target_ids: set[identifiers.TargetId],
         now_ms: int,
     ) -> str:
+        excluded = exclusions.reason(target, self._table)
+        if excluded:
+            return excluded
         if self._leaving.is_leaving(target.target_id, target.url, now_ms):
             return "leaving"
         if self._pause_ms(target, now_ms):
--- a/packages/bambooglade/bambooglade/router/tests/caller_api_harness.py
+++ b/packages/bambooglade/bambooglade/router/tests/caller_api_harness.py
@@ -99,6 +99,13 @@
             return run_end
 
 
+class EditableTable(view.FixedTable):
+    """A table in which tests replace rows."""
+
+    def put(self, row: rows.Row) -> None:
+        self._by_row_key = {**self._by_row_key, row.row_key: row}
+
+
 class CallerApiHarness:
     """A running caller interface and a client for it."""
 
@@ -106,7 +113,7 @@
         team_key = credentials.new_key("t1")
         other_key = credentials.new_key("t2")
         self.key_by_team = {"t1": team_key.key, "t2": other_key.key}
-        table = view.FixedTable(
+        self.table = table = EditableTable(
             [
                 rows.TeamRow(team_id="t1", key_hash=team_key.key_hash),
                 rows.TeamRow(team_id="t2", key_hash=other_key.key_hash),
@@ -152,6 +159,7 @@
                 metrics=self.metrics,
                 instance_id="i1",
                 availability_zone=ZONE,
+                is_excluded=self.directory.is_excluded,
             ),
             dispatch_context=dispatch.DispatchContext(
                 directory=self.directory,
--- a/packages/bambooglade/bambooglade/table/checks.py
+++ b/packages/bambooglade/bambooglade/table/checks.py
@@ -265,6 +265,20 @@
             )
 
 
+@_problems.register
+def _(row: rows.ZoneRow, table: _EditedTable) -> Iterator[failures.Failure]:
+    yield from _check_name(row, "availability_zone")
+    # A misspelled name would exclude nothing while the operator relies on it.
+    # A zone whose targets were deleted can still be made active again.
+    if row.state is rows.RoutingState.EXCLUDED and not any(
+        target.availability_zone == row.availability_zone
+        for target in table.of_type(rows.TargetRow)
+    ):
+        yield UnknownReference(
+            detail=f"No target runs in the zone {row.availability_zone!r}."
+        )
+
+
 @_problems.register
 def _(
     row: rows.ObjectiveRow, table: _EditedTable
--- a/packages/bambooglade/bambooglade/table/rows.py
+++ b/packages/bambooglade/bambooglade/table/rows.py
@@ -22,6 +22,13 @@
     PLAIN = "plain"
 
 
+class RoutingState(enum.StrEnum):
+    """Whether a target, or the targets of a zone, may get new requests."""
+
+    ACTIVE = "active"
+    EXCLUDED = "excluded"
+
+
 class RowBase(msgspec.Struct, frozen=True, kw_only=True, tag_field="type"):
     """Base class of all row types."""
 
@@ -139,6 +146,8 @@
         availability_zone: Availability zone in which it runs.
         url: Base URL, with an IP address.
         weight: Capacity weight if the weight store has none.
+        state: Whether it may get new requests. Requests in flight are not
+            affected.
     """
 
     target_id: str
@@ -146,6 +155,7 @@
     availability_zone: str
     url: str
     weight: float = 1.0
+    state: RoutingState = RoutingState.ACTIVE
 
     @property
     def row_key(self) -> str:
@@ -153,6 +163,27 @@
         return f"target/{self.target_id}"
 
 
+class ZoneRow(RowBase, frozen=True, kw_only=True, tag="zone"):
+    """An availability zone; a zone without a row is active.
+
+    Builds without this row type can't read a page of the table that has such
+    a row, and keep the rows of the page that they know.
+
+    Attributes:
+        availability_zone: Name of the zone, as in the rows of its targets.
+        state: Whether its targets may get new requests. Requests in flight
+            are not affected.
+    """
+
+    availability_zone: str
+    state: RoutingState = RoutingState.ACTIVE
+
+    @property
+    def row_key(self) -> str:
+        """Key of the form `zone/<availability zone>`."""
+        return f"zone/{self.availability_zone}"
+
+
 class ObjectiveRow(RowBase, frozen=True, kw_only=True, tag="objective"):
     """A service-level objective.
 
@@ -224,6 +255,7 @@
     | KindRow
     | LimitRow
     | TargetRow
+    | ZoneRow
     | ObjectiveRow
     | OperatorRow
     | OrderRow
--- a/packages/bambooglade/bambooglade/table/tests/test_checks.py
+++ b/packages/bambooglade/bambooglade/table/tests/test_checks.py
@@ -108,6 +108,21 @@
         (_target(target_id="x1", weight=0.0), "no_weight_left"),
         (_target(url="http://10.0.0.1:1"), "shadowed"),
         (_target(url="10.0.0.2"), "out_of_range"),
+        (_target(state=rows.RoutingState.EXCLUDED), "ok"),
+        (rows.ZoneRow(availability_zone="a/b"), "bad_name"),
+        (rows.ZoneRow(availability_zone="scot-z"), "ok"),
+        (
+            rows.ZoneRow(
+                availability_zone="scot-a", state=rows.RoutingState.EXCLUDED
+            ),
+            "ok",
+        ),
+        (
+            rows.ZoneRow(
+                availability_zone="scot-z", state=rows.RoutingState.EXCLUDED
+            ),
+            "unknown_reference",
+        ),
         (rows.ObjectiveRow(service="till", share=1.0), "out_of_range"),
         (rows.ObjectiveRow(service="till"), "ok"),
         (
@@ -158,6 +173,14 @@
         ({"type": "limit", "limit": "5"}, "unknown_column"),
         ({"type": "limit", "spend_limit_tokens": "x"}, "bad_value"),
         ({"type": "limits"}, "unknown_row_type"),
+        (
+            {"type": "zone", "availability_zone": "a", "state": "excluded"},
+            "ok",
+        ),
+        (
+            {"type": "zone", "availability_zone": "a", "state": "no"},
+            "bad_value",
+        ),
         ({"team_id": "t"}, "unknown_row_type"),
     ],
 )
--- a/packages/bambooglade/bambooglade/targets/target.py
+++ b/packages/bambooglade/bambooglade/targets/target.py
@@ -20,6 +20,7 @@
         availability_zone: Zone in which the target runs.
         url: Base URL, with an IP address as host.
         weight: Capacity relative to the other targets.
+        state: Whether its row allows new requests; see `targets.exclusions`.
     """
 
     target_id: identifiers.TargetId
@@ -27,6 +28,7 @@
     availability_zone: identifiers.AvailabilityZone
     url: str
     weight: float = 1.0
+    state: rows.RoutingState = rows.RoutingState.ACTIVE
 
 
 def service_targets(
@@ -49,6 +51,7 @@
             ),
             url=row.url.rstrip("/"),
             weight=row.weight,
+            state=row.state,
         )
         for row in table.of_type(rows.TargetRow)
         if row.service == service
