--- a/packages/bambooglade/bambooglade/fleet/membership.py
+++ b/packages/bambooglade/bambooglade/fleet/membership.py
@@ -16,6 +16,7 @@
 from bambooglade.core import identifiers
 from bambooglade.fleet import contacts
 from bambooglade.fleet import gossip
+from bambooglade.fleet import members
 from bambooglade.fleet import messages
 from bambooglade.fleet import synced_table
 from bambooglade.shards import assignments
@@ -126,12 +127,22 @@
         announced that it leaves.
         """
         return sum(
-            member.is_live
-            or (
-                not member.update.leaving
-                and now_ms - member.changed_at_ms < BUDGET_RETENTION_MS
-            )
+            self._may_be_running(member, now_ms)
+            for member in self._gossip.members.all()
+        )
+
+    def urls(self, *, now_ms: int) -> frozenset[str]:
+        """Returns the base URLs of the instances that `fleet_size` counts."""
+        return frozenset(
+            member.update.url
             for member in self._gossip.members.all()
+            if self._may_be_running(member, now_ms)
+        )
+
+    def _may_be_running(self, member: members.Member, now_ms: int) -> bool:
+        return member.is_live or (
+            not member.update.leaving
+            and now_ms - member.changed_at_ms < BUDGET_RETENTION_MS
         )
 
     def url(self, instance_id: identifiers.InstanceId) -> str | None:
--- a/packages/bambooglade/bambooglade/fleet/tests/test_membership.py
+++ b/packages/bambooglade/bambooglade/fleet/tests/test_membership.py
@@ -169,6 +169,28 @@
     assert fleet.membership("zone-a-1").fleet_size(now_ms=now_ms) == 8
 
 
+def test_unreachable_instance_may_be_running_but_one_that_left_is_not(fleet):
+    """Guards against limits that a part of a split fleet takes as a whole."""
+    url_by_id = {
+        update.instance_id: update.url
+        for update in fleet.membership("zone-a-1").members()
+    }
+    now_ms = fleet.fleet.now_ms
+    fleet.fleet.network.cut("zone-c", "zone-a", now_ms=now_ms)
+    fleet.fleet.network.cut("zone-c", "zone-b", now_ms=now_ms)
+    fleet.fleet.run_for(2 * DETECT_MS)
+    leaving = fleet.membership("zone-b-2")
+    fleet.fleet.perform("zone-b-2", leaving.start_leaving)
+    fleet.fleet.perform("zone-b-2", leaving.leave)
+    fleet.fleet.run_for(DETECT_MS)
+    viewer = fleet.membership("zone-a-1")
+    assert not viewer.live_in_zone("zone-c")
+    urls = viewer.urls(now_ms=fleet.fleet.now_ms)
+    assert urls == set(url_by_id.values()) - {url_by_id["zone-b-2"]}
+    later_ms = fleet.fleet.now_ms + membership_lib.BUDGET_RETENTION_MS
+    assert len(viewer.urls(now_ms=later_ms)) == 5
+
+
 def test_assignment_of_the_highest_epoch_reaches_all_instances(fleet):
     zone_shard = assignments.ZoneShard(
         shard=identifiers.ShardId(3),
--- a/packages/bambooglade/bambooglade/router/dispatch_chat.py
+++ b/packages/bambooglade/bambooglade/router/dispatch_chat.py
@@ -249,6 +249,8 @@
             )
         finally:
             count = len(self.token_texts) - tokens_before
+            if attempt_result.is_refused:
+                context.directory.record_refused_connection(target)
             if attempt_result.is_cut_off:
                 context.suspicions.record_crash(
                     target_run,
--- a/packages/bambooglade/bambooglade/router/dispatch_plain.py
+++ b/packages/bambooglade/bambooglade/router/dispatch_plain.py
@@ -222,6 +222,8 @@
     ) -> _AttemptResult:
         if isinstance(transfer, result.Err):
             failure = transfer.err_value
+            if failure.is_refused:
+                self._context.directory.record_refused_connection(target)
             return _AttemptResult(
                 outcome=f"{failure.kind} ({failure.detail})",
                 may_have_run=failure.sent,
--- a/packages/bambooglade/bambooglade/router/engine_stream.py
+++ b/packages/bambooglade/bambooglade/router/engine_stream.py
@@ -51,6 +51,7 @@
         is_cut_off: Whether the connection was lost although neither the router
             nor the caller ended the attempt.
         has_begun: Whether the head of a successful response was received.
+        is_refused: Whether the engine accepted no connection.
     """
 
     usage: stream_validation.Usage | None = None
@@ -61,6 +62,7 @@
     waited_ms: int = 0
     is_cut_off: bool = False
     has_begun: bool = False
+    is_refused: bool = False
 
 
 class EngineStream:
@@ -228,6 +230,7 @@
             is_locally_cancelled=is_cancelled,
             is_cut_off=failure.is_cut_off and not is_cancelled,
             has_begun=self._status == _OK,
+            is_refused=failure.is_refused,
         )
 
     def __repr__(self) -> str:
--- a/packages/bambooglade/bambooglade/router/gauges.py
+++ b/packages/bambooglade/bambooglade/router/gauges.py
@@ -10,6 +10,7 @@
 from bambooglade.fleet import messages as fleet_messages
 from bambooglade.router import assembly
 from bambooglade.router import metrics as metrics_lib
+from bambooglade.router import target_directory
 from bambooglade.targets import exclusions
 
 _ACCOUNTS = account_registry_factory.AccountRegistryFactory.name
@@ -25,15 +26,24 @@
     Args:
         networked: Components of the instance.
         metrics: Metrics that contain the gauges.
+        directory: Chooses targets.
     """
 
-    __slots__ = ("_components", "_exclusions", "_membership", "_metrics")
+    __slots__ = (
+        "_components",
+        "_directory",
+        "_exclusions",
+        "_membership",
+        "_metrics",
+    )
 
     def __init__(
         self,
         networked: assembly.NetworkedComponents,
         metrics: metrics_lib.Metrics,
+        directory: target_directory.TargetDirectory,
     ) -> None:
+        self._directory = directory
         self._components = networked.components
         self._membership: memberships.Membership = networked.membership
         self._metrics = metrics
@@ -61,6 +71,7 @@
         value_by_gauge = {
             metrics_lib.EVACUATED_ZONES: excluded_zones,
             metrics_lib.EXCLUDED_TARGETS: excluded_targets,
+            metrics_lib.COLD_TARGETS: self._directory.refresh_warm_ups(),
             metrics_lib.INSTANCES: len(alive),
             metrics_lib.SHARDS_SERVED: len(served),
             metrics_lib.HELD_TOKENS: sum(
--- a/packages/bambooglade/bambooglade/router/process.py
+++ b/packages/bambooglade/bambooglade/router/process.py
@@ -43,6 +43,7 @@
 from bambooglade.store import platform_http
 from bambooglade.table import credentials
 from bambooglade.table import view
+from bambooglade.targets import warm_ups
 from bambooglade.transport import client as client_lib
 from bambooglade.transport import codec as codecs
 from bambooglade.transport import peers as transport_peers
@@ -185,9 +186,10 @@
         self._watch = construction.watch(
             self._store, self._runtime, self._networked.table, random_source
         )
-        self._fleet_ticker = self._build_fleet_ticker()
-        self._gauge_ticker = self._build_gauge_ticker()
         dispatch_context = self._build_dispatch_context(ring)
+        directory = dispatch_context.directory
+        self._fleet_ticker = self._build_fleet_ticker(directory)
+        self._gauge_ticker = self._build_gauge_ticker(directory)
         self._operator_service = operator_service.OperatorService(
             networked=self._networked,
             runtime=self._runtime,
@@ -252,14 +254,24 @@
         self, ring: trace.TraceRing
     ) -> dispatch.DispatchContext:
         client = client_lib.HttpClient()
+        table = self._networked.table
         directory = target_directory.TargetDirectory(
             availability_zone=identifiers.AvailabilityZone(
                 self._settings.instance.availability_zone
             ),
             instance_id=self.instance_id,
-            table=self._networked.table,
+            table=table,
             clock=self._clock,
             leaving_targets=self._networked.leaving_targets,
+            warm_ups=warm_ups.WarmUps(
+                table,
+                edited_at_ms=lambda row_key: (
+                    record.edited_at_ms
+                    if (record := table.record(row_key)) is not None
+                    else None
+                ),
+                is_loaded=lambda: table.loaded,
+            ),
         )
         platform = self._settings.platform
         weights_url = platform.weight_store_url
@@ -305,12 +317,16 @@
         url = self._settings.platform.instance_list_url
         return platform_http.HttpInstanceList(url=url) if url else None
 
-    def _build_fleet_ticker(self) -> ticker.Ticker:
+    def _build_fleet_ticker(
+        self, directory: target_directory.TargetDirectory
+    ) -> ticker.Ticker:
         refresh = fleet_refresh.FleetRefresh(
             instance_list=self._instance_list(),
             membership=self._networked.membership,
             runtime=self._runtime,
             clock=self._clock,
+            directory=directory,
+            own_url=self.url,
         )
         return ticker.Ticker(
             action=refresh.refresh,
@@ -318,8 +334,12 @@
             name="fleet",
         )
 
-    def _build_gauge_ticker(self) -> ticker.Ticker:
-        instance_gauges = gauges.Gauges(self._networked, self._metrics)
+    def _build_gauge_ticker(
+        self, directory: target_directory.TargetDirectory
+    ) -> ticker.Ticker:
+        instance_gauges = gauges.Gauges(
+            self._networked, self._metrics, directory
+        )
         return ticker.Ticker(
             action=lambda: self._runtime.decide(instance_gauges.refresh),
             pause_ms=gauges.PAUSE_MS,
--- a/packages/bambooglade/bambooglade/router/target_directory.py
+++ b/packages/bambooglade/bambooglade/router/target_directory.py
@@ -14,6 +14,8 @@
 import random
 import threading
 
+from absl import logging
+
 from bambooglade.core import clock as clocks
 from bambooglade.core import hashing
 from bambooglade.core import identifiers
@@ -30,6 +32,7 @@
 from bambooglade.targets import requested_pauses
 from bambooglade.targets import retry_budget
 from bambooglade.targets import target as target_lib
+from bambooglade.targets import warm_ups as warm_ups_lib
 from bambooglade.targets import weights
 
 _ANY_RUN = 0
@@ -45,6 +48,8 @@
         table: The rows in force.
         clock: Source of the current time.
         leaving_targets: Shared with the gossip about leaving targets.
+        warm_ups: Limits of targets that have just started; used under the lock
+            of the directory only.
 
     Examples:
         >>> table = view.FixedTable([rows.TargetRow(target_id="e1",
@@ -70,6 +75,7 @@
         "_software_version_by_target",
         "_table",
         "_turn_counter",
+        "_warm_ups",
         "_weights",
     )
 
@@ -81,6 +87,7 @@
         table: view.TableView,
         clock: clocks.Clock,
         leaving_targets: leaving.LeavingTargets | None = None,
+        warm_ups: warm_ups_lib.WarmUps | None = None,
     ) -> None:
         self._availability_zone = availability_zone
         self._table = table
@@ -98,6 +105,7 @@
         self._weights = weights.WeightCache(instance_id=instance_id)
         self._software_version_by_target: dict[identifiers.TargetId, str] = {}
         self._leaving = leaving_targets or leaving.LeavingTargets()
+        self._warm_ups = warm_ups or warm_ups_lib.WarmUps(table)
         self._pauses = requested_pauses.RequestedPauses(random.Random())
 
     def choose(
@@ -108,7 +116,7 @@
         tried: Sequence[identifiers.TargetId],
         software_version: str | None = None,
     ) -> chooser.Choice:
-        """Chooses a target for a request.
+        """Chooses a target for a request, which is then sent to it.
 
         Args:
             service: The service.
@@ -118,15 +126,22 @@
                 with a stream; None for any. A target whose version is not known
                 yet may be chosen.
         """
-        candidates = self.candidates(
-            service,
-            blocks=blocks,
-            tried=tried,
-            software_version=software_version,
-        )
-        return chooser.choose(
-            candidates, self._availability_zone, turn=next(self._turn_counter)
-        )
+        while True:
+            candidates = self.candidates(
+                service,
+                blocks=blocks,
+                tried=tried,
+                software_version=software_version,
+            )
+            choice = chooser.choose(
+                candidates,
+                self._availability_zone,
+                turn=next(self._turn_counter),
+            )
+            # Another thread may have taken the place in the window meanwhile.
+            # The target then has to wait, and is not a candidate again.
+            if choice.target is None or self._try_acquire(choice.target):
+                return choice
 
     def candidates(
         self,
@@ -171,6 +186,41 @@
                 for target in targets
             ]
 
+    def _try_acquire(self, target: target_lib.Target) -> bool:
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            return self._warm_ups.try_acquire(target, now_ms=now_ms)
+
+    def set_fleet(self, own_url: str, urls: frozenset[str]) -> None:
+        """Sets the instances that share the limits of targets that warm up.
+
+        Args:
+            own_url: Base URL of this instance.
+            urls: Base URLs of all instances that may be running.
+        """
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            self._warm_ups.set_fleet(own_url, urls, now_ms=now_ms)
+
+    def refresh_warm_ups(self) -> int:
+        """Logs the targets that begin or end to warm up; returns their number.
+
+        It has to be called about once a second, to notice new targets.
+        """
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            changes = list(self._warm_ups.refresh(now_ms=now_ms))
+            count = self._warm_ups.warming_count
+        for warm_up, is_warming in changes:
+            logging.info(
+                "event=%s target=%s service=%s max_requests_per_s=%s",
+                "target_warming_up" if is_warming else "target_warm",
+                warm_up.target.target_id,
+                warm_up.target.service,
+                warm_up.max_requests_per_s,
+            )
+        return count
+
     def is_excluded(self, service: identifiers.ServiceName) -> bool:
         """Returns whether operators exclude all targets of a service.
 
@@ -250,6 +300,10 @@
         now_ms = self._clock.now_ms()
         with self._lock:
             self._load.apply_report(target.target_id, report, now_ms)
+            if report.uptime_ms is not None:
+                self._warm_ups.record_uptime(
+                    target, report.uptime_ms, now_ms=now_ms
+                )
         if report.leaving:
             self.record_leaving(
                 target.target_id, target.url, leaving.Source.TARGET
@@ -266,6 +320,12 @@
         with self._lock:
             self._leaving.record(notice, source, self._clock.now_ms())
 
+    def record_refused_connection(self, target: target_lib.Target) -> None:
+        """Records that no process listens at a target."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            self._warm_ups.record_refusal(target, now_ms=now_ms)
+
     def record_pause(self, target: target_lib.Target, pause_s: float) -> None:
         """Records that a target wants nothing from this instance for a time.
 
@@ -283,14 +343,18 @@
     def pause_ms(self, service: identifiers.ServiceName) -> int:
         """Returns the time until the first target of a service is not paused.
 
-        It is 0 if there is a target without a pause, or no target at all.
+        A target that warms up counts as paused until the fleet may send to it.
+        The time is 0 if there is a target without a pause, or no target at all.
         Targets that operators exclude are left out.
         """
         now_ms = self._clock.now_ms()
         with self._lock:
             return min(
                 (
-                    self._pause_ms(target, now_ms)
+                    max(
+                        self._pause_ms(target, now_ms),
+                        self._warm_ups.retry_after_ms(target, now_ms=now_ms),
+                    )
                     for target in target_lib.service_targets(
                         self._table, service
                     )
@@ -411,6 +475,8 @@
             return "tried before"
         if target.target_id in open_target_ids:
             return "circuit open"
+        if self._warm_ups.wait_ms(target, now_ms=now_ms):
+            return "warming up"
         return ""
 
     def _version_conflict(
--- a/packages/bambooglade/bambooglade/router/target_watcher.py
+++ b/packages/bambooglade/bambooglade/router/target_watcher.py
@@ -99,14 +99,14 @@
 
     def poll(self, target: target_lib.Target) -> None:
         """Requests the load and, from engines, the cache events of a target."""
-        report = self._get(f"{target.url}/load", load.LoadReport)
+        report = self._get(target, "/load", load.LoadReport)
         if report is not None:
             self._directory.apply_load_report(target, report)
         if not self._directory.has_prefix_cache(target):
             return
         last_seq = self._directory.last_cache_seq(target.target_id)
         events = self._get(
-            f"{target.url}/cache/events?after={last_seq}", CacheEvents
+            target, f"/cache/events?after={last_seq}", CacheEvents
         )
         if events is not None:
             self._directory.apply_cache_events(target.target_id, events.events)
@@ -138,7 +138,8 @@
         finally:
             self._in_flight.release()
 
-    def _get(self, url, response_type):
+    def _get(self, target, path, response_type):
+        url = f"{target.url}{path}"
         request = messages.Request(
             method="GET",
             url=url,
@@ -147,10 +148,11 @@
             total_timeout_ms=_POLL_TIMEOUT_MS,
         )
         transfer = self._client.request(request)
-        if (
-            isinstance(transfer, result.Err)
-            or transfer.ok_value.head.status != 200
-        ):
+        if isinstance(transfer, result.Err):
+            if transfer.err_value.is_refused:
+                self._directory.record_refused_connection(target)
+            return None
+        if transfer.ok_value.head.status != 200:
             return None
         try:
             return json_documents.decode(transfer.ok_value.body, response_type)
--- a/packages/bambooglade/bambooglade/table/checks.py
+++ b/packages/bambooglade/bambooglade/table/checks.py
@@ -21,6 +21,11 @@
 from bambooglade.table import rows
 from bambooglade.table import view
 
+MIN_WARM_UP_PER_S = 0.2
+"""Lowest limit of a target that has just started; one request in 5 s."""
+
+MAX_WARM_UP_PER_S = 100_000
+MAX_WARM_UP_MS = 3_600_000
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:@-]*")
 ROLES = ("viewer", "editor", "admin")
 
@@ -279,6 +284,15 @@
         )
 
 
+@_problems.register
+def _(row: rows.WarmUpRow, table: _EditedTable) -> Iterator[failures.Failure]:
+    yield from _check_reference(row, f"service/{row.service}", table)
+    yield from _check_range(
+        row, "max_requests_per_s", MIN_WARM_UP_PER_S, MAX_WARM_UP_PER_S
+    )
+    yield from _check_range(row, "duration_ms", 1, MAX_WARM_UP_MS)
+
+
 @_problems.register
 def _(
     row: rows.ObjectiveRow, table: _EditedTable
@@ -325,7 +339,7 @@
 
 
 def _check_range(
-    row: rows.Row, column: str, minimum: int, maximum: float
+    row: rows.Row, column: str, minimum: float, maximum: float
 ) -> Iterator[failures.Failure]:
     number = getattr(row, column)
     if number is None or (
--- a/packages/bambooglade/bambooglade/table/rows.py
+++ b/packages/bambooglade/bambooglade/table/rows.py
@@ -184,6 +184,29 @@
         return f"zone/{self.availability_zone}"
 
 
+class WarmUpRow(RowBase, frozen=True, kw_only=True, tag="warmup"):
+    """A limit on the requests to targets that have just started.
+
+    A service without a row has no limit. Builds without this row type can't
+    read a page of the table that has such a row.
+
+    Attributes:
+        service: Service whose targets it applies to.
+        max_requests_per_s: Requests per second that such a target may get from
+            all instances together.
+        duration_ms: Time after its start for which the limit applies.
+    """
+
+    service: str
+    max_requests_per_s: float
+    duration_ms: int
+
+    @property
+    def row_key(self) -> str:
+        """Key of the form `warmup/<service>`."""
+        return f"warmup/{self.service}"
+
+
 class ObjectiveRow(RowBase, frozen=True, kw_only=True, tag="objective"):
     """A service-level objective.
 
@@ -256,6 +279,7 @@
     | LimitRow
     | TargetRow
     | ZoneRow
+    | WarmUpRow
     | ObjectiveRow
     | OperatorRow
     | OrderRow
--- a/packages/bambooglade/bambooglade/table/tests/test_checks.py
+++ b/packages/bambooglade/bambooglade/table/tests/test_checks.py
@@ -37,6 +37,16 @@
     return rows.TargetRow(**row)
 
 
+def _warm_up(**overrides):
+    row = {
+        "service": "till",
+        "max_requests_per_s": 5.0,
+        "duration_ms": 30_000,
+        **overrides,
+    }
+    return rows.WarmUpRow(**row)
+
+
 def _failure_kind(row, *, granted=0, batch=()):
     checker = checks.Checker(
         view.FixedTable(ROWS_IN_FORCE), granted_tokens=lambda _: granted
@@ -123,6 +133,12 @@
             ),
             "unknown_reference",
         ),
+        (_warm_up(), "ok"),
+        (_warm_up(service="no"), "unknown_reference"),
+        (_warm_up(max_requests_per_s=0.1), "out_of_range"),
+        (_warm_up(max_requests_per_s=float("nan")), "out_of_range"),
+        (_warm_up(duration_ms=0), "out_of_range"),
+        (_warm_up(duration_ms=3_600_001), "out_of_range"),
         (rows.ObjectiveRow(service="till", share=1.0), "out_of_range"),
         (rows.ObjectiveRow(service="till"), "ok"),
         (
--- a/packages/bambooglade/bambooglade/targets/load.py
+++ b/packages/bambooglade/bambooglade/targets/load.py
@@ -30,7 +30,11 @@
 MAX_COUNT = 1_000_000_000
 """Greatest number in a report; one beyond it is malformed."""
 
+MAX_UPTIME_MS = 10_000_000_000_000
+"""Longest time in a report, about 300 years; one beyond it is malformed."""
+
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_Uptime = Annotated[int, msgspec.Meta(ge=0, le=MAX_UPTIME_MS)]
 
 
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -41,12 +45,15 @@
         waiting: Requests queued at the target.
         age_ms: Age of these numbers.
         leaving: Whether the target is about to stop.
+        uptime_ms: Time for which its process has been running; None if the
+            target does not say.
     """
 
     running: _Count = 0
     waiting: _Count = 0
     age_ms: _Count = 0
     leaving: bool = False
+    uptime_ms: _Uptime | None = None
 
 
 class LoadTracker:
--- a/packages/bambooglade/bambooglade/targets/target.py
+++ b/packages/bambooglade/bambooglade/targets/target.py
@@ -43,16 +43,23 @@
         ['e1']
     """
     return (
-        Target(
-            target_id=identifiers.TargetId(row.target_id),
-            service=service,
-            availability_zone=identifiers.AvailabilityZone(
-                row.availability_zone
-            ),
-            url=row.url.rstrip("/"),
-            weight=row.weight,
-            state=row.state,
-        )
+        _target_of(row)
         for row in table.of_type(rows.TargetRow)
         if row.service == service
     )
+
+
+def all_targets(table: view.TableView) -> Iterator[Target]:
+    """Yields the targets of all services, sorted by name."""
+    return map(_target_of, table.of_type(rows.TargetRow))
+
+
+def _target_of(row: rows.TargetRow) -> Target:
+    return Target(
+        target_id=identifiers.TargetId(row.target_id),
+        service=identifiers.ServiceName(row.service),
+        availability_zone=identifiers.AvailabilityZone(row.availability_zone),
+        url=row.url.rstrip("/"),
+        weight=row.weight,
+        state=row.state,
+    )
--- a/packages/bambooglade/bambooglade/transport/messages.py
+++ b/packages/bambooglade/bambooglade/transport/messages.py
@@ -102,12 +102,18 @@
         """Whether the other side ended it after it had got the request."""
         return self.sent
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether connecting failed otherwise than by a time-out."""
+        return not self.sent
+
 
 class TransferTimeout(TransferFailure, frozen=True, kw_only=True):
     """An exchange exceeded a time-out."""
 
     kind = "transfer_timeout"
     is_cut_off = False
+    is_refused = False
 
 
 class TransferCancelled(TransferFailure, frozen=True, kw_only=True):
@@ -115,6 +121,7 @@
 
     kind = "transfer_cancelled"
     is_cut_off = False
+    is_refused = False
 
 
 def origin_of(url: str) -> str:
--- a/packages/bambooglade/bambooglade/transport/peers.py
+++ b/packages/bambooglade/bambooglade/transport/peers.py
@@ -185,12 +185,7 @@
     outcome: result.Result[messages.Response, messages.TransferFailure],
 ) -> bool:
     """Returns whether connecting failed otherwise than by a time-out."""
-    if outcome.is_ok():
-        return False
-    failure = outcome.unwrap_err()
-    return not failure.sent and not isinstance(
-        failure, messages.TransferTimeout
-    )
+    return outcome.is_err() and outcome.unwrap_err().is_refused
 
 
 def _request(url: str, sealed: sealing.SignedEnvelope) -> messages.Request:
