--- a/packages/bambooglade/bambooglade/eventloop/byte_budget.py
+++ b/packages/bambooglade/bambooglade/eventloop/byte_budget.py
@@ -111,10 +111,7 @@
 
     def set_memory(self, memory_mb: float) -> None:
         """Sets the limit to a part of the memory of the machine."""
-        free_bytes = (memory_mb - RESERVED_MB) * _BYTES_PER_MB
-        self.limit_bytes = max(
-            MIN_LIMIT_BYTES, round(MEMORY_FRACTION * free_bytes)
-        )
+        self.limit_bytes = limit_bytes_of(memory_mb)
 
     def open(self, discard: Callable[[], None]) -> Share:
         """Returns the share of a message that holds no bytes yet.
@@ -266,6 +263,17 @@
         return f"Share(held={self.held_bytes})"
 
 
+def limit_bytes_of(memory_mb: float) -> int:
+    """Returns the limit of a process with this memory.
+
+    Examples:
+        >>> limit_bytes_of(300)
+        45000000
+    """
+    free_bytes = (memory_mb - RESERVED_MB) * _BYTES_PER_MB
+    return max(MIN_LIMIT_BYTES, round(MEMORY_FRACTION * free_bytes))
+
+
 def _bucket_number(size_bytes: int) -> int:
     """Returns a number that grows with the size, by its leading bits.
 
--- a/packages/bambooglade/bambooglade/router/construction.py
+++ b/packages/bambooglade/bambooglade/router/construction.py
@@ -22,8 +22,15 @@
 from bambooglade.table import pages
 from bambooglade.table import replica as replicas
 from bambooglade.transport import limits
+from bambooglade.transport import message_budget as message_budget_lib
 from bambooglade.transport import server as server_lib
 
+THREAD_MB = 0.06
+"""Memory that a thread takes that serves requests, without their bodies.
+
+200 of them took 13 MB.
+"""
+
 STOP_TIMEOUT_MS = 2_000
 """How long a stopping process waits for each of its threads."""
 
@@ -37,6 +44,7 @@
     app: application.Application,
     settings: settings_lib.Settings,
     clock: clocks.Clock,
+    message_budget: message_budget_lib.MessageBudget,
 ) -> server_lib.HttpServer:
     """Returns an HTTP server that is bound to its address but not started."""
     security = settings.security
@@ -53,9 +61,24 @@
         limits=server_limits(settings.limits),
         tls=tls,
         clock=clock,
+        budget=message_budget,
     )
 
 
+def message_budget(
+    settings: settings_lib.Settings, clock: clocks.Clock
+) -> message_budget_lib.MessageBudget:
+    """Returns the budget of the bytes of requests of the process."""
+    built = message_budget_lib.MessageBudget(now_ms=clock.now_ms)
+    built.set_memory(memory_without_threads_mb(settings.limits))
+    return built
+
+
+def memory_without_threads_mb(configured: settings_lib.LimitSettings) -> float:
+    """Returns the memory of the process but for that of all its threads."""
+    return configured.memory_mb - THREAD_MB * configured.request_threads
+
+
 def server_limits(
     configured: settings_lib.LimitSettings,
 ) -> limits.ServerLimits:
--- a/packages/bambooglade/bambooglade/router/main.py
+++ b/packages/bambooglade/bambooglade/router/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ctypes
 import faulthandler
 import signal
 import sys
@@ -11,8 +12,11 @@
 from absl import flags
 from absl import logging
 
+from bambooglade.eventloop import byte_budget
+from bambooglade.router import construction
 from bambooglade.router import process
 from bambooglade.router import settings_reader
+from bambooglade.transport import byte_pool
 
 EXIT_SETTINGS_INVALID = 2
 OVERDUE_STOP_S = 5
@@ -21,6 +25,22 @@
 The stacks of all threads are then written to the standard error, once.
 """
 
+MAPPED_BYTES = 131_072
+"""Size from which blocks of memory are returned to the system when freed.
+
+It is the initial value of glibc, which raises it with the longest block that
+was freed, so that long bodies would stay in its arenas.
+"""
+
+MAX_ARENAS = 2
+"""Most arenas of glibc, each of which keeps memory that was freed.
+
+By default there are up to eight for each processor. Threads share the
+interpreter's lock, and gain little from more.
+"""
+
+_M_MMAP_THRESHOLD = -3
+_M_ARENA_MAX = -8
 _MS_PER_S = 1_000
 
 _SETTINGS = flags.DEFINE_string(
@@ -44,6 +64,12 @@
         print(loaded.unwrap_err(), file=sys.stderr)
         sys.exit(EXIT_SETTINGS_INVALID)
     settings = loaded.unwrap()
+    _limit_freed_memory()
+    # Responses of targets and peers have a limit of their own, since they are
+    # received by other threads than the requests.
+    byte_pool.OF_PROCESS.limit_bytes = byte_budget.limit_bytes_of(
+        construction.memory_without_threads_mb(settings.limits)
+    )
     router = process.RouterProcess(settings)
     stop_requested = threading.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
@@ -56,5 +82,13 @@
     router.stop()
 
 
+def _limit_freed_memory() -> None:
+    """Limits the freed memory that the C library keeps, if it can."""
+    set_option = getattr(ctypes.CDLL(None), "mallopt", None)
+    if set_option is not None:
+        set_option(_M_MMAP_THRESHOLD, MAPPED_BYTES)
+        set_option(_M_ARENA_MAX, MAX_ARENAS)
+
+
 if __name__ == "__main__":
     main()
--- a/packages/bambooglade/bambooglade/router/process.py
+++ b/packages/bambooglade/bambooglade/router/process.py
@@ -75,8 +75,11 @@
         self._clock = clock or clocks.Clock()
         self._is_started = False
         self._application = application.Application()
+        self._message_budget = construction.message_budget(
+            settings, self._clock
+        )
         self._server = construction.server(
-            self._application, settings, self._clock
+            self._application, settings, self._clock, self._message_budget
         )
         self.instance_id = construction.new_instance_id(settings.instance.name)
         self._metrics = metrics_lib.Metrics()
@@ -338,7 +341,7 @@
         self, directory: target_directory.TargetDirectory
     ) -> ticker.Ticker:
         instance_gauges = gauges.Gauges(
-            self._networked, self._metrics, directory
+            self._networked, self._metrics, directory, self._message_budget
         )
         return ticker.Ticker(
             action=lambda: self._runtime.decide(instance_gauges.refresh),
--- a/packages/bambooglade/bambooglade/router/settings.py
+++ b/packages/bambooglade/bambooglade/router/settings.py
@@ -16,6 +16,9 @@
 PositiveMs = Annotated[
     int, msgspec.Meta(ge=1, description="a duration of 1 ms or more")
 ]
+MemoryMb = Annotated[
+    float, msgspec.Meta(ge=64, description="a number of MB of 64 or more")
+]
 PositiveInt = Annotated[
     int, msgspec.Meta(ge=1, description="a whole number of 1 or more")
 ]
@@ -170,6 +173,8 @@
         key_retention_ms: How long request keys and their responses are kept.
         drain_bound_ms: Maximum duration of a planned stop.
         trace_capacity: Number of requests whose decisions are kept.
+        memory_mb: Memory that the process may take. A part of it is the limit
+            of the bytes that it holds for clients.
     """
 
     max_header_bytes: PositiveInt = 16_384
@@ -182,6 +187,7 @@
     key_retention_ms: PositiveMs = 86_400_000
     drain_bound_ms: PositiveMs = 120_000
     trace_capacity: PositiveInt = 1_000
+    memory_mb: MemoryMb = 300.0
 
 
 class Settings(
--- a/packages/bambooglade/bambooglade/router/tests/test_gauges.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_gauges.py
@@ -45,6 +45,27 @@
     assert any(name.startswith(calls) for name in value_by_name)
 
 
+def test_requests_that_are_given_up_are_counted() -> None:
+    """Guards against refusals for lack of memory that operators can't see."""
+    with local_fleet.LocalFleet(zones=("zone-a",)) as fleet:
+        instance = fleet.start_instance("zone-a")
+        fleet.wait_until_ready()
+        budget = instance._message_budget
+        share = budget.open(lambda: None)
+        assert not share.resize(budget.limit_bytes + 1)
+        request = messages.Request(method="GET", url=f"{instance.url}/metrics")
+        name = f'{metrics_lib.GIVEN_UP_CLIENTS_TOTAL}{{reason="memory"}}'
+        value_by_name: dict[str, float] = {}
+        end = time.monotonic() + _TIMEOUT_S
+        while name not in value_by_name:
+            assert time.monotonic() < end, value_by_name
+            time.sleep(_POLL_S)
+            response = client_lib.HttpClient().request(request).unwrap()
+            value_by_name = _parse_values(response.body.decode())
+    assert value_by_name[name] == 1
+    assert metrics_lib.HELD_BYTES in value_by_name
+
+
 def test_store_calls_are_counted_by_kind_and_outcome() -> None:
     metrics = metrics_lib.Metrics()
     memory = key_value_store.MemoryStore()
--- a/packages/bambooglade/bambooglade/router/tests/test_settings_reader.py
+++ b/packages/bambooglade/bambooglade/router/tests/test_settings_reader.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from bambooglade.core import clock as clocks
+from bambooglade.router import construction
 from bambooglade.router import settings_reader
 
 _KEY = "k" * 32
@@ -58,6 +60,11 @@
             _KEY + '"\n[limits]\ndrain_bound_ms = 0',
             "limits.drain_bound_ms",
         ),
+        (
+            _KEY + '"',
+            _KEY + '"\n[limits]\nmemory_mb = 10',
+            "limits.memory_mb",
+        ),
         (
             _KEY + '"',
             _KEY + '"\n[platform]\nkey_value_url = "kv"',
@@ -77,6 +84,25 @@
     assert by_key[key].remedy.endswith((".", "?"))
 
 
+@pytest.mark.parametrize(
+    ("lines", "limit_bytes"),
+    [
+        ("", 39_470_400),
+        ("memory_mb = 150", 12_470_400),
+        ("request_threads = 100", 43_920_000),
+        ("memory_mb = 64", 4_259_840),
+    ],
+)
+def test_memory_of_the_settings_limits_the_bytes_of_requests(
+    lines: str, limit_bytes: int
+) -> None:
+    """Guards against a setting of the memory that has no effect."""
+    text = f"{_VALID}\n[limits]\n{lines}\n"
+    settings = settings_reader.parse(text, file="bg.toml").unwrap()
+    budget = construction.message_budget(settings, clocks.Clock())
+    assert budget.limit_bytes == limit_bytes
+
+
 def test_all_mistakes_are_reported_at_once() -> None:
     text = _VALID.replace("8080", "-1").replace('"127.0.0.1"', '"x"')
     text = text.replace(_KEY, "short")
--- a/packages/bambooglade/bambooglade/transport/byte_pool.py
+++ b/packages/bambooglade/bambooglade/transport/byte_pool.py
@@ -1,7 +1,7 @@
-"""Bounds the long bodies that the threads of a process hold at a time.
+"""Bounds the long responses that the threads of a process hold at a time.
 
 See Also:
-    bambooglade.eventloop.byte_budget: the same for one event loop.
+    bambooglade.transport.message_budget: the same for requests.
 """
 
 from __future__ import annotations
@@ -64,7 +64,7 @@
 
 
 OF_PROCESS = BytePool()
-"""The pool of all clients and servers of the process."""
+"""The pool of all clients of the process."""
 
 
 class PooledBody:
--- a/packages/bambooglade/bambooglade/transport/connection_loop.py
+++ b/packages/bambooglade/bambooglade/transport/connection_loop.py
@@ -21,6 +21,7 @@
 from bambooglade.core import failures
 from bambooglade.transport import connections
 from bambooglade.transport import limits as limits_lib
+from bambooglade.transport import message_budget
 from bambooglade.transport import problems
 
 _POLL_S = 0.5
@@ -34,12 +35,14 @@
         listener: The listening socket.
         tls: Context for TLS, or None for plain TCP.
         limits: Limits on clients.
+        budget: Bytes that the requests of all connections may take.
         clock: The clock for time-outs.
         serve: Called with each connection with complete headers; it must not
             block.
     """
 
     __slots__ = (
+        "_budget",
         "_clock",
         "_limits",
         "_listener",
@@ -60,9 +63,11 @@
         *,
         tls: ssl.SSLContext | None,
         limits: limits_lib.ServerLimits,
+        budget: message_budget.MessageBudget,
         clock: clocks.Clock,
         serve: Callable[[connections.Connection], None],
     ) -> None:
+        self._budget = budget
         self._listener = listener
         self._tls = tls
         self._limits = limits
@@ -147,6 +152,7 @@
                 self._wrap_tls(sock),
                 address,
                 self._clock.now_ms() + self._limits.head_timeout_ms,
+                self._budget,
             )
             self._open.add(connection)
             self._start_waiting(connection)
@@ -201,6 +207,8 @@
                     f" {self._limits.max_head_bytes} bytes."
                 ),
             )
+        elif progress is connections.Progress.GIVEN_UP:
+            self._refuse(connection, problems.NO_ROOM)
         elif progress is connections.Progress.CLOSED:
             self._close_waiting(connection)
         elif not had_bytes and connection.buffer:
@@ -227,6 +235,8 @@
             self._advance(connection)
 
     def _expire(self) -> None:
+        for connection in [c for c in self._waiting if c.share.is_discarded]:
+            self._refuse(connection, problems.NO_ROOM)
         now_ms = self._clock.now_ms()
         expired = [c for c in self._waiting if c.deadline_ms <= now_ms]
         for connection in expired:
--- a/packages/bambooglade/bambooglade/transport/connections.py
+++ b/packages/bambooglade/bambooglade/transport/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import enum
@@ -12,7 +13,15 @@
 
 from werkzeug import exceptions
 
-_RECEIVE_BYTES = 65_536
+from bambooglade.transport import message_budget
+
+_RECEIVE_BYTES = 16_384
+"""Most bytes of a read, which are counted after it; each thread may hold them
+beyond the limit of all. It is the size of a TLS record."""
+
+_TLS_POLL_S = 0.1
+"""Time after which a thread that receives by TLS looks whether to give up."""
+
 _HEAD_TERMINATORS = (b"\r\n\r\n", b"\n\n")
 _MS_PER_S = 1_000
 
@@ -24,12 +33,17 @@
     READY = "ready"
     TOO_LARGE = "too_large"
     CLOSED = "closed"
+    GIVEN_UP = "given_up"
 
 
 class ReceiveTimeoutError(Exception):
     """The body was not received within the time-out."""
 
 
+class NoRoomError(Exception):
+    """The process needs the memory of the request for others."""
+
+
 class Connection:
     """An accepted connection, with the received bytes of the next request.
 
@@ -37,13 +51,29 @@
         sock: The accepted socket; with TLS, before the handshake.
         address: IP address and port of the client.
         deadline_ms: Time at which the current wait expires.
+        budget: Bytes that the requests of all connections may take.
+
+    Attributes:
+        share: What the request of the connection takes of the budget.
     """
 
-    __slots__ = ("_handshake_done", "address", "buffer", "deadline_ms", "sock")
+    __slots__ = (
+        "_handshake_done",
+        "address",
+        "buffer",
+        "deadline_ms",
+        "share",
+        "sock",
+    )
 
     def __init__(
-        self, sock: socket.socket, address: tuple[str, int], deadline_ms: int
+        self,
+        sock: socket.socket,
+        address: tuple[str, int],
+        deadline_ms: int,
+        budget: message_budget.MessageBudget,
     ) -> None:
+        self.share = budget.open(self._give_up)
         self.sock = sock
         self.address = address
         self.buffer = bytearray()
@@ -64,10 +94,11 @@
                     break
         except (ssl.SSLWantReadError, ssl.SSLWantWriteError):
             pass
-        except EOFError:
-            return Progress.CLOSED
-        except OSError:
-            return Progress.CLOSED
+        except (EOFError, OSError):
+            is_given_up = self.share.is_discarded and self.buffer
+            return Progress.GIVEN_UP if is_given_up else Progress.CLOSED
+        if not self.share.resize(len(self.buffer)):
+            return Progress.GIVEN_UP if self.buffer else Progress.CLOSED
         return self.head_progress(max_head_bytes=max_head_bytes)
 
     def head_progress(self, *, max_head_bytes: int) -> Progress:
@@ -107,6 +138,40 @@
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
+        self.share.close()
+
+    def receive(self, timeout_s: float) -> bytes:
+        """Receives a part of the body, and counts it.
+
+        Args:
+            timeout_s: Longest time to wait.
+
+        Raises:
+            NoRoomError: The process needs the memory for others.
+            TimeoutError: Nothing was received, possibly before the time-out.
+        """
+        if isinstance(self.sock, ssl.SSLSocket):
+            timeout_s = min(timeout_s, _TLS_POLL_S)
+        self.sock.settimeout(timeout_s)
+        try:
+            chunk = self.sock.recv(_RECEIVE_BYTES)
+        except OSError:
+            if self.share.is_discarded:
+                raise NoRoomError from None
+            raise
+        if self.share.is_discarded or not self.share.grow(len(chunk)):
+            raise NoRoomError
+        return chunk
+
+    def _give_up(self) -> None:
+        """Wakes the thread that receives; the client can still get a response.
+
+        After an unexpected end, TLS could not send one. Its thread notices by
+        itself; see `receive`.
+        """
+        if not isinstance(self.sock, ssl.SSLSocket):
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RD)
 
     def _is_tls_closed(self) -> bool:
         self.sock.settimeout(0)
@@ -150,6 +215,10 @@
         connection: The connection.
         timeout_ms: Time to receive the whole body.
         now_ms: Returns the current time in milliseconds.
+
+    Attributes:
+        length: Length of the body, once it is known.
+        received_bytes: Bytes of the body that were read.
     """
 
     def __init__(self, connection: Connection, timeout_ms: int, now_ms) -> None:
@@ -158,22 +227,40 @@
         self._deadline_ms = now_ms() + timeout_ms
         self._now_ms = now_ms
         self.received_bytes = 0
+        self.length: int | None = None
 
     def readable(self) -> bool:
         """Returns True."""
         return True
 
     def readinto(self, target: memoryview) -> int:
-        """Reads one byte or more; returns 0 at the end of the connection."""
+        """Reads one byte or more; returns 0 at the end of the connection.
+
+        Raises:
+            NoRoomError: The process needs the memory of the request for others.
+            ReceiveTimeoutError: The body was not received in time.
+        """
         buffer = self._connection.buffer
         if not buffer:
             buffer += self._receive()
         size = min(len(buffer), len(target))
-        target[:size] = bytes(buffer[:size])
+        with memoryview(buffer) as received:
+            target[:size] = received[:size]
         del buffer[:size]
         self.received_bytes += size
+        if self.received_bytes == self.length:
+            self.keep()
         return size
 
+    def keep(self) -> None:
+        """Records that the request is complete.
+
+        Raises:
+            NoRoomError: There is no room for it.
+        """
+        if not self._connection.share.try_keep():
+            raise NoRoomError
+
     def read(self, size: int = -1) -> bytes:
         """Reads `size` bytes, or fewer if the connection ends."""
         if size < 0:
@@ -187,16 +274,14 @@
         return bytes(parts)
 
     def _receive(self) -> bytes:
-        remaining_ms = self._deadline_ms - self._now_ms()
-        if remaining_ms <= 0:
-            raise ReceiveTimeoutError("the body was not received in time")
-        self._connection.sock.settimeout(remaining_ms / _MS_PER_S)
-        try:
-            return self._connection.sock.recv(_RECEIVE_BYTES)
-        except TimeoutError as error:
-            raise ReceiveTimeoutError(
-                "the body was not received in time"
-            ) from error
+        while True:
+            remaining_ms = self._deadline_ms - self._now_ms()
+            if remaining_ms <= 0:
+                raise ReceiveTimeoutError("the body was not received in time")
+            try:
+                return self._connection.receive(remaining_ms / _MS_PER_S)
+            except TimeoutError:
+                continue
 
 
 class BoundedInput(io.RawIOBase):
@@ -205,10 +290,18 @@
     Args:
         source: The body.
         max_bytes: Maximum size of the body.
+        on_end: Called at the end of the body.
     """
 
-    def __init__(self, source: io.RawIOBase, max_bytes: int) -> None:
+    def __init__(
+        self,
+        source: io.RawIOBase,
+        max_bytes: int,
+        *,
+        on_end: Callable[[], None],
+    ) -> None:
         super().__init__()
+        self._on_end = on_end
         self._source = source
         self._remaining_bytes = max_bytes
 
@@ -226,6 +319,8 @@
         self._remaining_bytes -= size
         if self._remaining_bytes < 0:
             raise exceptions.RequestEntityTooLarge
+        if not size and len(target):
+            self._on_end()
         return size
 
 
--- a/packages/bambooglade/bambooglade/transport/problems.py
+++ b/packages/bambooglade/bambooglade/transport/problems.py
@@ -66,6 +66,13 @@
     ran = failures.Ran.UNKNOWN
 
 
+NO_ROOM = failures.Overloaded(
+    detail="The process needs its memory for other requests.",
+    retry_after_ms=500,
+)
+"""Refusal of a request that was not begun."""
+
+
 class Problem(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Body of a response that reports a failure.
 
--- a/packages/bambooglade/bambooglade/transport/request_handler.py
+++ b/packages/bambooglade/bambooglade/transport/request_handler.py
@@ -13,7 +13,6 @@
 from werkzeug import serving
 
 from bambooglade.core import failures
-from bambooglade.transport import byte_pool
 from bambooglade.transport import connections
 from bambooglade.transport import problems
 
@@ -24,7 +23,6 @@
 
 _DRAIN_BYTES = 65_536
 _BODILESS_STATUSES = (204, 304)
-_NO_ROOM_RETRY_MS = 500
 _MS_PER_S = 1_000
 
 
@@ -73,7 +71,9 @@
         environ[CLIENT_GONE] = self._is_abandoned
         if environ.get("wsgi.input_terminated"):
             environ["wsgi.input"] = connections.BoundedInput(
-                environ["wsgi.input"], self.server.limits.max_body_bytes
+                environ["wsgi.input"],
+                self.server.limits.max_body_bytes,
+                on_end=self._body.keep,
             )
         return environ
 
@@ -89,28 +89,20 @@
             return
         if self.headers.get("Expect", "").lower() == "100-continue":
             self.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        pool, needed_bytes = byte_pool.OF_PROCESS, self._pooled_bytes()
-        if not pool.try_acquire(needed_bytes):
+        share = self.request.share
+        is_chunked = bool(self.headers.get("Transfer-Encoding"))
+        if not is_chunked:
+            self._body.length = int(self.headers.get("Content-Length", 0))
+        if self._body.length == 0 and not share.try_keep():
             self.close_connection = True
-            self._send_failure(
-                failures.Overloaded(
-                    detail="The router has no room for a body of this size.",
-                    retry_after_ms=_NO_ROOM_RETRY_MS,
-                )
-            )
+            self._send_failure(problems.NO_ROOM)
             return
         try:
             self._respond()
         finally:
-            pool.release(needed_bytes)
-
-    def _pooled_bytes(self) -> int:
-        """Returns the most bytes of the body beyond the free part."""
-        if self.headers.get("Transfer-Encoding"):
-            bound_bytes = self.server.limits.max_body_bytes
-        else:
-            bound_bytes = int(self.headers.get("Content-Length", 0))
-        return max(0, bound_bytes - byte_pool.FREE_BYTES)
+            if share.is_discarded:
+                self.close_connection = True
+            share.release()
 
     def _respond(self) -> None:
         writer = _ResponseWriter(self)
@@ -118,6 +110,8 @@
             self._run_application(writer)
         except connections.ReceiveTimeoutError as error:
             self._abort(writer, problems.ClientTooSlow(detail=f"{error}."))
+        except connections.NoRoomError:
+            self._abort(writer, problems.NO_ROOM)
         except exceptions.HTTPException as error:
             self._abort(writer, problems.failure_of_exception(error))
         except OSError as error:
@@ -213,7 +207,11 @@
             return
         try:
             self._body.read(unread_bytes)
-        except (OSError, connections.ReceiveTimeoutError):
+        except (
+            OSError,
+            connections.NoRoomError,
+            connections.ReceiveTimeoutError,
+        ):
             self.close_connection = True
 
 
--- a/packages/bambooglade/bambooglade/transport/server.py
+++ b/packages/bambooglade/bambooglade/transport/server.py
@@ -15,6 +15,7 @@
 from bambooglade.transport import connection_loop
 from bambooglade.transport import connections
 from bambooglade.transport import limits as limits_lib
+from bambooglade.transport import message_budget
 from bambooglade.transport import problems
 from bambooglade.transport import request_handler
 
@@ -46,6 +47,7 @@
         limits: Limits on clients.
         tls: Certificate for TLS, or None for plain TCP.
         clock: The clock for time-outs.
+        budget: Bytes that the requests of all connections may take.
 
     Examples:
         >>> from werkzeug import wrappers
@@ -78,10 +80,13 @@
         limits: limits_lib.ServerLimits | None = None,
         tls: TlsFiles | None = None,
         clock: clocks.Clock | None = None,
+        budget: message_budget.MessageBudget | None = None,
     ) -> None:
         self._limits = limits or limits_lib.ServerLimits()
         context = _tls_context(tls) if tls else None
         clock = clock or clocks.Clock()
+        if budget is None:
+            budget = message_budget.MessageBudget(now_ms=clock.now_ms)
         self._server = _WsgiServer(
             app, host=host, port=port, limits=self._limits, clock=clock
         )
@@ -96,6 +101,7 @@
             self._server.socket,
             tls=context,
             limits=self._limits,
+            budget=budget,
             clock=clock,
             serve=self._submit,
         )
