--- a/packages/bambooglade/bambooglade/transport/request_handler.py
+++ b/packages/bambooglade/bambooglade/transport/request_handler.py
@@ -21,6 +21,7 @@
 
 The client has closed the connection, or the server stops and can't wait."""
 
+_REQUEST_KEY = "werkzeug.request"
 _DRAIN_BYTES = 65_536
 _BODILESS_STATUSES = (204, 304)
 _MS_PER_S = 1_000
@@ -146,14 +147,19 @@
 
     def _run_application(self, writer: _ResponseWriter) -> None:
         environ = self.make_environ()
-        parts = self.server.app(environ, writer.start)
         try:
-            for part in parts:
-                writer.write(part)
-            writer.end()
+            parts = self.server.app(environ, writer.start)
+            try:
+                for part in parts:
+                    writer.write(part)
+                writer.end()
+            finally:
+                if hasattr(parts, "close"):
+                    parts.close()
         finally:
-            if hasattr(parts, "close"):
-                parts.close()
+            # The request refers to the environment. Its body would stay until
+            # the garbage collector finds the cycle.
+            environ.pop(_REQUEST_KEY, None)
 
     def _head_failure(self) -> failures.Failure | None:
         lengths = set(self.headers.get_all("Content-Length", []))
--- a/packages/bambooglade/bambooglade/transport/tests/test_server.py
+++ b/packages/bambooglade/bambooglade/transport/tests/test_server.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Iterator
 import contextlib
+import gc
 from http import client
 import socket
 import ssl
 import threading
 import time
+import weakref
 
 import msgspec
 import pytest
@@ -380,3 +382,23 @@
         wait_for(lambda: not budget.held_bytes)
         client.close()
     assert (budget.given_up_count, budget.refused_count) == (0, 0)
+
+
+def test_body_is_freed_with_its_request():
+    """Guards against bodies that stay until the garbage collector runs."""
+    found = []
+
+    def application(environ, start_response):
+        request = wrappers.Request(environ)
+        found.append(weakref.ref(request))
+        request.get_data()
+        return wrappers.Response(b"done")(environ, start_response)
+
+    gc.disable()
+    try:
+        with serving(application) as server, connect(server) as sock:
+            sock.sendall(closing_request(100_000, is_chunked=False))
+            receive_all(sock)
+            wait_for(lambda: found[0]() is None)
+    finally:
+        gc.enable()
