--- a/packages/bambooglade/bambooglade/targets/target.py
+++ b/packages/bambooglade/bambooglade/targets/target.py
@@ -20,6 +20,7 @@
         availability_zone: Zone in which the target runs.
         url: Base URL, with an IP address as host.
         weight: Capacity relative to the other targets.
+        state: Whether its row allows new requests; see `targets.exclusions`.
     """
 
     target_id: identifiers.TargetId
@@ -27,6 +28,7 @@
     availability_zone: identifiers.AvailabilityZone
     url: str
     weight: float = 1.0
+    state: rows.RoutingState = rows.RoutingState.ACTIVE
 
 
 def service_targets(
@@ -41,15 +43,23 @@
         ['e1']
     """
     return (
-        Target(
-            target_id=identifiers.TargetId(row.target_id),
-            service=service,
-            availability_zone=identifiers.AvailabilityZone(
-                row.availability_zone
-            ),
-            url=row.url.rstrip("/"),
-            weight=row.weight,
-        )
+        _target_of(row)
         for row in table.of_type(rows.TargetRow)
         if row.service == service
     )
+
+
+def all_targets(table: view.TableView) -> Iterator[Target]:
+    """Yields the targets of all services, sorted by name."""
+    return map(_target_of, table.of_type(rows.TargetRow))
+
+
+def _target_of(row: rows.TargetRow) -> Target:
+    return Target(
+        target_id=identifiers.TargetId(row.target_id),
+        service=identifiers.ServiceName(row.service),
+        availability_zone=identifiers.AvailabilityZone(row.availability_zone),
+        url=row.url.rstrip("/"),
+        weight=row.weight,
+        state=row.state,
+    )
