--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -183,6 +183,8 @@
         self.leases: dict[int, tuple[float, int]] = {}
         self.changed = asyncio.Event()
         self.address = ""
+        # Rises each time that the store comes back from a copy.
+        self.era = 1
         # Called with each call before it is served; may return a response
         # (status, body), or raise ConnectionError to end the connection.
         self.before: Callable[[str, str, str, dict], Awaitable] | None = None
@@ -204,6 +206,22 @@
         self._notify()
         return self.revision
 
+    def copy(self) -> tuple:
+        """Returns a copy of the contents."""
+        return (
+            dict(self.items),
+            list(self.history),
+            self.revision,
+            dict(self.leases),
+        )
+
+    def restore(self, copy: tuple) -> None:
+        """Comes back from a copy: what was written since is lost."""
+        self.items, self.history = dict(copy[0]), list(copy[1])
+        self.revision, self.leases = copy[2], dict(copy[3])
+        self.era += 1
+        self._notify()
+
     def _apply(self, key: str, value: bytes | None, lease: int) -> None:
         if value is None:
             self.items.pop(key, None)
@@ -250,7 +268,10 @@
                 writer.write(
                     encode(
                         status,
-                        {"Content-Type": "application/json"},
+                        {
+                            "Content-Type": "application/json",
+                            "Store-Era": str(self.era),
+                        },
                         json.dumps(body).encode(),
                     )
                 )
@@ -315,6 +336,8 @@
         until = time.monotonic() + int(query["waitMs"]) / 1000
         while True:
             changed = self.changed
+            if after > self.revision:
+                return 410, {}
             events = [
                 {"key": key, "revision": revision, "deleted": True}
                 if value is None
