--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,98 +1,112 @@
-"""Lets engines fail part of the requests that they have run with a 503."""
+"""Revokes a key just after the open connections to the store went silent."""
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
-import random
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "standins-2"))
 
 import standins
 
-KEY = "key-of-tills"
-FAILING_SHARE = 0.4
-PROMISES = (408, 421, 429, 503)
+KEY, KEPT = "key-of-artists", "key-of-jurors"
+CONTACT_S, APPLY_S = 3.0, 2.0
+# What the case leaves besides, for slow machines.
+SLACK_S = 0.1
 
 
 async def run(record, folder, has_trouble, gateways):
     """Returns whether the rule held."""
     store = standins.Store()
     await store.start()
-    chance = random.Random(9)
-    is_failing = False
-
-    async def behave(engine, request, reader, writer) -> bool:
-        """Runs a request; a failing engine says so once it has run."""
-        attempt = request.get("x-bambooglade-attempt-id")
-        engine.runs.append((record.now(), attempt))
-        record.write(f"{engine.engine_id} runs {attempt}")
-        await asyncio.sleep(0.03)
-        if not (is_failing and chance.random() < FAILING_SHARE):
-            fields, body = engine.fields(request), b"done"
-            writer.write(standins.encode(200, fields, body))
-        else:
-            fields, body = engine.fields(request), b"the backend is away"
-            writer.write(standins.encode(503, fields, body))
-            record.write(f"{engine.engine_id} fails {attempt} with 503")
-        await writer.drain()
-        return True
-
-    engines = []
-    for number in range(4):
-        engine = standins.Engine(store, record, f"i-{number}", "till")
-        engine.behave = behave
-        engines.append(engine)
+    engines = [
+        standins.Engine(store, record, f"i-{number}", "portal")
+        for number in range(4)
+    ]
+    for engine in engines:
         await engine.start()
-    routes = [standins.route("/deduct/", "till", "unsafe")]
-    tenants = [{"name": "tills", "apiKeys": [KEY]}]
+        await asyncio.sleep(0.3)
+    routes = [standins.route("/status/", "portal", "safe", attempts=2)]
+    tenants = [
+        {"name": "artists", "apiKeys": [KEY]},
+        {"name": "jurors", "apiKeys": [KEPT]},
+    ]
     store.put("op/config", standins.configuration(1, routes, tenants))
+    links = []
     for name, zone in (("edge-a-1", "zone-a"), ("edge-b-1", "zone-b")):
+        link = standins.Link(store.address)
+        await link.start()
+        links.append(link)
         seeds = [gateways[0].control] if gateways else None
         gateway = standins.Gateway(
-            name, zone, store.address, folder, seeds=seeds
+            name, zone, link.address, folder, seeds=seeds
         )
         gateways.append(gateway)
         gateway.start()
     for gateway in gateways:
         await gateway.wait_ready()
-    await asyncio.sleep(3)
+    await asyncio.sleep(4)
+
+    # An ordinary change.
+    store.put("op/config", standins.configuration(2, routes, tenants))
+    await asyncio.sleep(0.3)
+    silent_at = record.now()
+    if has_trouble:
+        for link in links:
+            record.write(f"{link.silence_open()} connections go silent")
+    await asyncio.sleep(0.3)
+    tenants[0]["apiKeys"] = []
+    store.put("op/config", standins.configuration(3, routes, tenants))
+    acknowledged_at = record.now()
+    record.write("version 3, which takes the key away, is acknowledged")
 
-    statuses: dict[str, int | None] = {}
+    broken, served, count = [], 0, 0
+    calls = set()
 
-    async def deduct(number: int) -> None:
-        """Sends a deduction, and once more if it is promised not to run."""
-        for attempt in (f"d{number:03d}-1", f"d{number:03d}-2"):
-            gateway = gateways[(number + int(attempt[-1])) % 2]
-            answer = await standins.call(
-                gateway.frontend,
-                "POST",
-                "/deduct/1",
-                fields=standins.request_fields(attempt, KEY),
-                body=b"one meal",
-            )
-            statuses[attempt] = answer.status if answer else None
-            record.write(f"{attempt} at {gateway.name}: {statuses[attempt]}")
-            if statuses[attempt] not in PROMISES:
-                return
-            await asyncio.sleep(0.3)
+    async def ask(gateway, number):
+        nonlocal served
+        attempt, sent_at = f"a{number:04d}", record.now()
+        key = KEY if number % 2 else KEPT
+        answer = await standins.call(
+            gateway.frontend,
+            "GET",
+            "/status/1",
+            fields=standins.request_fields(attempt, key),
+        )
+        status = answer.status if answer else None
+        record.write(
+            f"{attempt} sent {sent_at:.3f} to {gateway.name} with {key}:"
+            f" {status}"
+        )
+        if key == KEPT:
+            served += status == 200
+            return
+        ran_at = [at for e in engines for at, ran in e.runs if ran == attempt]
+        bound = acknowledged_at + APPLY_S + SLACK_S
+        if has_trouble:
+            bound = max(bound, silent_at + CONTACT_S + SLACK_S)
+        if ran_at and sent_at > bound:
+            broken.append((attempt, sent_at))
 
-    is_failing = has_trouble
-    calls = []
-    for number in range(100):
-        calls.append(asyncio.create_task(deduct(number)))
-        await asyncio.sleep(0.05)
+    until = record.now() + 8
+    while record.now() < until:
+        for gateway in gateways:
+            count += 1
+            task = asyncio.create_task(ask(gateway, count + count // 2 % 2))
+            calls.add(task)
+            task.add_done_callback(calls.discard)
+        await asyncio.sleep(0.1)
     await asyncio.gather(*calls)
-    ran = {attempt for engine in engines for _, attempt in engine.runs}
-    broken = [a for a, s in statuses.items() if s in PROMISES and a in ran]
-    twice = [a for a in broken if f"{a[:-1]}2" in ran and a[-1] == "1"]
-    record.write(
-        f"{len(broken)} of {len(statuses)} requests were answered as not run"
-        f" and had run; {len(twice)} deductions ran twice"
-    )
-    if sum(status == 200 for status in statuses.values()) < 40:
-        raise RuntimeError("too few requests were served")
+    for attempt, sent_at in broken:
+        record.write(
+            f"BROKEN: {attempt} ran, sent {sent_at - acknowledged_at:.3f} s"
+            f" after the acknowledgement and {sent_at - silent_at:.3f} s after"
+            " the connections went silent"
+        )
+    record.write(f"{len(broken)} requests broke the rule; {served} served")
+    if not served:
+        raise RuntimeError("no request was served")
     return not broken
 
 
