--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -14,6 +14,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import struct
@@ -66,16 +67,18 @@
 
 
 def free_port(count: int = 1) -> int:
-    """Returns the first of some consecutive free ports."""
+    """Returns the first of some consecutive free ports.
+
+    They lie below those that the system gives to outgoing connections, which
+    would otherwise take them before a gateway listens there.
+    """
     while True:
+        port = random.randrange(12_000, 30_000)
         with contextlib.ExitStack() as stack:
-            first = stack.enter_context(socket.socket())
-            first.bind((HOST, 0))
-            port = first.getsockname()[1]
             try:
-                for offset in range(1, count):
-                    other = stack.enter_context(socket.socket())
-                    other.bind((HOST, port + offset))
+                for offset in range(count):
+                    sock = stack.enter_context(socket.socket())
+                    sock.bind((HOST, port + offset))
             except OSError:
                 continue
             return port
